--- /dev/null
+++ b/src/main/java/linengauge/Outside.java
@@ -0,0 +1,45 @@
+package linengauge;
+
+/**
+ * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside to each instance, a
+ * Player with each viewing and a Line with each media box; the module answers with handles, and all that happens later
+ * is a call on those: see Policy.
+ */
+public interface Outside {
+    /** Runs the given step once, not earlier than after the span and never within the present call. */
+    void wakeAfter(Span span, Runnable step);
+
+    /** A line for the operators. */
+    void remark(String text);
+
+    /** The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they are made. */
+    interface Player {
+        void tuneIn(Policy.MediaBox box, Span timeout);
+
+        void rung(int rung);
+
+        /** Final answer: blocked; a further try is harmless, best after the given span (none: no advice). */
+        void block(Span comeBackAfter);
+
+        /** Final answer: aborted; says nothing of what may have run. */
+        void abort();
+    }
+
+    /** The front's line to one media box. */
+    interface Line {
+        void probe();
+    }
+
+    /** How a tune-in that is no longer out has ended. */
+    enum Ending {
+        FINISHED(false), ERROR(false), TURNED_AWAY(true), NO_ANSWER(false), NOT_REACHED(true), BROKEN(false),
+        WITHDRAWN(false), NEVER_SENT(true);
+
+        /** It is certain that the set-up never ran. */
+        public final boolean neverRan;
+
+        Ending(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/Policy.java
@@ -0,0 +1,812 @@
+package linengauge;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * All decisions of one front. Whoever runs it tells the time with clock() before each round of calls, names boxes with
+ * box(), titles with title(), and gives viewings with take() (new) or handOver() (playing already). Boxes and viewings
+ * are handles: what is heard of them later is a call on the handle. The module acts through Outside.java; what it is
+ * told at its start is in Headend.java. The ordinary path is EVeREst's (docs/design.md); what departs says so.
+ */
+public final class Policy {
+    /* The paired averages of the design. */
+    private static final Span SHORT = Span.ofSeconds(1);
+    private static final Span LONG = Span.ofSeconds(5);
+    private static final Span BEAT = Span.ofMillis(500);
+    private static final double UPPER_MARK = 1.0;
+    private static final double SHORT_RESET = 0.3;
+    private static final double LONG_RESET = 1.2;
+    private static final Span STEP_PACE = Span.ofSeconds(2);
+    private static final double LEAST_SHARE = 0.5;
+    /** Set-ups and up-steps fill a link or uplink so far: true rates lie above or below the ladder. */
+    private static final double FILL = 0.92;
+    /** A share under this is no crowding: the box stands still. */
+    private static final double STANDSTILL = 0.25;
+
+    /* What is known of boxes and racks. */
+    private static final Span REPORT_AGE = Span.ofMillis(400);
+    private static final Span CHANGE_LIFE = Span.ofSeconds(6);
+    private static final Span RELAX = Span.ofSeconds(30);
+    private static final double PROBE_SPEND = 0.012;
+    private static final double PROBES_HELD = 4;
+    private static final Span PROBE_SPACING = Span.ofMillis(700);
+
+    /* Tune-ins. */
+    private static final Span TYPICAL_JOIN = Span.ofMillis(150);
+    private static final Span LEAST_WAIT = Span.ofMillis(250);
+    private static final Span ANSWER_MARGIN = Span.ofMillis(60);
+    private static final Span HOLD = Span.ofMillis(100);
+    private static final Span COME_BACK = Span.ofMillis(600);
+    private static final Span FIRST_AVOID = Span.ofSeconds(1);
+    private static final int MOST_DOUBLINGS = 3;
+    private static final double COLD_PART = 0.8;
+    private static final Span COLD_SLACK = Span.ofMillis(500);
+
+    private final Headend house;
+    private final Outside outside;
+    private final SplittableRandom chance;
+    private final double middleKb;
+    /** Boxes on the list, or gone from it with viewings left; emptied by the list and by the last viewing's end. */
+    private final List<MediaBox> boxes = new ArrayList<>();
+    private final Rack[] racks;
+    /** Moments of takes and of further tune-ins within the ration's window; time empties both. */
+    private final ArrayDeque<Moment> taken = new ArrayDeque<>();
+    private final ArrayDeque<Moment> further = new ArrayDeque<>();
+    private Moment now = Moment.DISTANT_PAST;
+    private Moment started;
+    private double joinSeconds = TYPICAL_JOIN.seconds();
+    private double probesLeft = PROBES_HELD;
+
+    public Policy(Headend house, long seed, Outside outside) {
+        this.house = house;
+        this.outside = outside;
+        this.chance = new SplittableRandom(seed);
+        double[] kb = house.ladderKb();
+        this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
+        this.racks = new Rack[house.fleet().racks()];
+        for (int i = 0; i < racks.length; i++) {
+            racks[i] = new Rack();
+        }
+    }
+
+    /** The time of the calls that follow. */
+    public void clock(Moment moment) {
+        now = moment;
+        if (started == null) {
+            started = moment;
+            outside.wakeAfter(BEAT, this::beat);
+        }
+    }
+
+    public MediaBox box(Outside.Line line) {
+        return new MediaBox(line);
+    }
+
+    public Title title(int firstCell, int cellsInRow) {
+        return new Title(firstCell, cellsInRow);
+    }
+
+    public Viewing take(Outside.Player player, PackageTerms terms, Title title, int ceiling, Span patience) {
+        taken.add(now);
+        probesLeft = Math.min(PROBES_HELD, probesLeft + probesPerViewing());
+        Viewing vw = new Viewing(player, terms, title, ceiling, now.plus(patience));
+        vw.place();
+        return vw;
+    }
+
+    /** A viewing that plays already; the rung in force is heard with the next news. */
+    public Viewing handOver(Outside.Player player, PackageTerms terms, Title title, int ceiling, MediaBox at) {
+        Viewing vw = new Viewing(player, terms, title, ceiling, now);
+        vw.answered = true;
+        vw.playing = true;
+        vw.settle(at, terms.lowestRung());
+        return vw;
+    }
+
+    private double probesPerViewing() {
+        double price = house.permits().probePrice();
+        return price > 0 ? PROBE_SPEND / price : PROBES_HELD;
+    }
+
+    private void beat() {
+        outside.wakeAfter(BEAT, this::beat);
+        for (MediaBox b : boxes) {
+            b.sample();
+        }
+        probesLeft = Math.min(PROBES_HELD, probesLeft + 0.1);
+        while (probesLeft >= 1) {
+            MediaBox stalest = null;
+            double most = PROBE_SPACING.seconds();
+            for (MediaBox b : boxes) {
+                double need = now.since(b.probedAt).seconds() * Math.min(1, (1 + b.viewings.size()) / 4.0);
+                if (b.serving && need > most) {
+                    most = need;
+                    stalest = b;
+                }
+            }
+            if (stalest == null || !stalest.probe()) {
+                return;
+            }
+        }
+    }
+
+    /* ---- what is known of each box, link and rack ---- */
+
+    private record Change(Moment at, double kb) {
+    }
+
+    /** What is asked of a link or uplink: last reported use plus own changes since that report was true. */
+    private abstract class Usage {
+        double own;
+        double told = Double.NaN;
+        Moment toldTrueAt = Moment.DISTANT_PAST;
+        private double older;
+        /** Own changes that a late report may not hold yet; time empties it. */
+        private final ArrayDeque<Change> recent = new ArrayDeque<>();
+
+        abstract double size();
+
+        abstract double untold();
+
+        void change(double kb) {
+            own = Math.max(0, own + kb);
+            recent.add(new Change(now, kb));
+            while (!recent.isEmpty() && recent.peek().at().before(now.minus(CHANGE_LIFE))) {
+                older += recent.poll().kb();
+            }
+        }
+
+        void hear(double load, Moment trueAt) {
+            if (Double.isNaN(load) || trueAt.before(toldTrueAt)) {
+                return;
+            }
+            told = load * size();
+            toldTrueAt = trueAt;
+            older = 0;
+            while (!recent.isEmpty() && recent.peek().at().before(trueAt)) {
+                recent.poll();
+            }
+        }
+
+        double demand() {
+            if (Double.isNaN(told)) {
+                return Math.max(own, untold());
+            }
+            double since = older;
+            for (Change c : recent) {
+                since += c.kb();
+            }
+            return Math.max(own, told + since);
+        }
+
+        double load() {
+            return demand() / size();
+        }
+
+        double room() {
+            return FILL * size() - demand();
+        }
+    }
+
+    /** The uplink that a rack's boxes share. */
+    private final class Rack extends Usage {
+        private double sizeKb = house.fleet().uplinkKb();
+        private Moment sizedAt = Moment.DISTANT_PAST;
+
+        @Override
+        double size() {
+            return sizeKb;
+        }
+
+        @Override
+        double untold() {
+            double sum = 0;
+            for (MediaBox b : boxes) {
+                sum += b.rack == this ? b.link.demand() : 0;
+            }
+            return sum;
+        }
+
+        /**
+         * Where no report tells of the uplink, a shortfall that the link does not explain sizes it; the size drifts
+         * back to what was told, so that an uplink that recovers is used again.
+         */
+        void shortOf(double share) {
+            sizeKb = Math.min(house.fleet().uplinkKb(), share * demand());
+            sizedAt = now;
+        }
+
+        void relax() {
+            double full = house.fleet().uplinkKb();
+            double weight = Math.min(1, now.since(sizedAt).seconds() / RELAX.seconds());
+            sizeKb += weight * (full - sizeKb);
+            sizedAt = now;
+        }
+    }
+
+    public final class MediaBox {
+        private final Outside.Line line;
+        private final Link link = new Link();
+        /** Viewings with a tune-in out or playing here; each leaves when that ends. */
+        private final List<Viewing> viewings = new ArrayList<>();
+        private Rack rack = racks[0];
+        private boolean serving;
+        private boolean listed;
+        private int cell;
+        private int building;
+        private int kind;
+        private double weight = 1;
+        private Moment startedAt = Moment.DISTANT_PAST;
+        private double streams = Double.NaN;
+        private Moment probedAt = Moment.DISTANT_PAST;
+        private double shortAverage = Double.NaN;
+        private double longAverage;
+        private Moment sampledAt;
+        private Moment steppedUpAt = Moment.DISTANT_PAST;
+        private int failures;
+        private Moment avoidUntil = Moment.DISTANT_PAST;
+        private Moment lostAt = Moment.DISTANT_PAST;
+        /** Sends while cold; time empties it. */
+        private final ArrayDeque<Moment> coldSends = new ArrayDeque<>();
+
+        private MediaBox(Outside.Line line) {
+            this.line = line;
+        }
+
+        public Outside.Line line() {
+            return line;
+        }
+
+        public void serving(double weight, int cell, int kind, int building, Moment startedAt) {
+            if (this.startedAt.before(startedAt)) {
+                forgetPast();
+            }
+            this.weight = weight;
+            this.cell = cell;
+            this.kind = kind;
+            this.building = building;
+            this.startedAt = startedAt;
+            Rack home = racks[Math.floorMod(cell, racks.length)];
+            if (home != rack) {
+                rack.change(-link.own);
+                rack = home;
+                rack.change(link.own);
+            }
+            serving = true;
+            list();
+        }
+
+        public void draining() {
+            serving = false;
+            list();
+        }
+
+        public void gone() {
+            serving = false;
+            listed = false;
+            tidy();
+        }
+
+        /** Nothing is held here any more and the list no longer names it. */
+        public boolean forgotten() {
+            return !listed && viewings.isEmpty();
+        }
+
+        private void list() {
+            if (!listed && !boxes.contains(this)) {
+                boxes.add(this);
+            }
+            listed = true;
+        }
+
+        private void tidy() {
+            if (forgotten()) {
+                boxes.remove(this);
+            }
+        }
+
+        private void forgetPast() {
+            failures = 0;
+            avoidUntil = Moment.DISTANT_PAST;
+            link.told = Double.NaN;
+            streams = Double.NaN;
+        }
+
+        /** What the box reports of itself; figures that it does not report are NaN. */
+        public void reported(double linkAsked, double uplinkAsked, double streams) {
+            Moment trueAt = now.minus(REPORT_AGE);
+            link.hear(linkAsked, trueAt);
+            rack.hear(uplinkAsked, trueAt);
+            this.streams = streams;
+            for (Viewing vw : List.copyOf(viewings)) {
+                vw.reconsider();
+            }
+            sample();
+        }
+
+        public void probed(boolean answered) {
+            if (!answered) {
+                failed(true);
+            }
+        }
+
+        private boolean probe() {
+            if (!house.permits().probes() || probesLeft < 1) {
+                return false;
+            }
+            probesLeft--;
+            probedAt = now;
+            line.probe();
+            return true;
+        }
+
+        private boolean holds(Title title) {
+            int cells = Math.max(1, house.fleet().cells());
+            return title.cellsInRow <= 0 || Math.floorMod(cell - title.firstCell, cells) < title.cellsInRow;
+        }
+
+        /**
+         * Guards against boxes that fail set-ups in whatever way: silence, quick errors, being full or out of reach.
+         * Each failure doubles the time for which others are preferred, a success halves it. It should also hold
+         * against boxes that are merely slow; it could harm where one bad moment hits many boxes at once, so a box
+         * that is avoided is still used where no other is left.
+         */
+        private void failed(boolean silent) {
+            avoidUntil = now.plus(FIRST_AVOID.times(1 << Math.min(failures, MOST_DOUBLINGS)));
+            failures = Math.min(failures + 1, MOST_DOUBLINGS + 1);
+            if (silent) {
+                lostAt = now;
+            }
+        }
+
+        private void succeeded() {
+            failures = Math.max(0, failures / 2);
+            avoidUntil = Moment.DISTANT_PAST;
+        }
+
+        private boolean avoided() {
+            return now.before(avoidUntil) || failures > 0 && settingUp() > 0;
+        }
+
+        private int settingUp() {
+            int n = 0;
+            for (Viewing vw : viewings) {
+                n += vw.playing ? 0 : 1;
+            }
+            return n;
+        }
+
+        /** A share of the rates under one is heard as a demand over size of one over the share, at link or uplink. */
+        private void heardShare(double share) {
+            if (share >= 0.98) {
+                return;
+            }
+            if (share < STANDSTILL) {
+                failed(false);
+                return;
+            }
+            Moment trueAt = now.minus(house.fleet().shareLateness());
+            double asked = 1 / Math.max(LEAST_SHARE, share);
+            if (link.load() >= rack.load() || link.load() > UPPER_MARK) {
+                link.hear(Math.max(asked, link.load()), trueAt);
+            } else if (house.permits().reportsUplink()) {
+                rack.hear(asked, trueAt);
+            } else {
+                rack.shortOf(Math.max(LEAST_SHARE, share));
+            }
+            sample();
+        }
+
+        /** The share of its size that a box which has just started is sure to give. */
+        private double warmth() {
+            double age = now.since(startedAt).seconds();
+            double whole = house.rules().coldFor().seconds();
+            double start = house.rules().startCapacity();
+            return age >= whole || whole <= 0 ? 1 : start + (1 - start) * Math.max(0, age) / whole;
+        }
+
+        /** Its own link as the list's sizes, or else the streams of its kind, divide the links told at the start. */
+        private final class Link extends Usage {
+            @Override
+            double size() {
+                Headend.Fleet fleet = house.fleet();
+                if (fleet.linkKbPerWeight() > 0) {
+                    return Math.max(1, fleet.linkKbPerWeight() * weight) * warmth();
+                }
+                double all = 0;
+                for (MediaBox b : boxes) {
+                    all += b.listed ? b.places() : 0;
+                }
+                return Math.max(1, fleet.linksKb() * (all > 0 ? places() / Math.max(all, places()) : 1)) * warmth();
+            }
+
+            @Override
+            double untold() {
+                return own;
+            }
+        }
+
+        private double places() {
+            int[] byKind = house.fleet().streamsByKind();
+            return kind < byKind.length ? byKind[kind] : 1;
+        }
+
+        /* ---- the paired averages and the cap ---- */
+
+        /** One sample of demand over size: both averages move, and at most one viewing steps. */
+        private void sample() {
+            double x = Math.max(link.load(), rack.load());
+            if (Double.isNaN(shortAverage)) {
+                shortAverage = x;
+                longAverage = x;
+            } else {
+                double passed = now.since(sampledAt).seconds();
+                shortAverage += Math.min(1, passed / SHORT.seconds()) * (x - shortAverage);
+                longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
+            }
+            sampledAt = now;
+            if (shortAverage >= UPPER_MARK) {
+                Viewing top = null;
+                for (Viewing vw : viewings) {
+                    if (vw.playing && vw.rung > vw.terms.lowestRung() && (top == null || vw.rung > top.rung
+                            || vw.rung == top.rung && vw.gain(vw.rung - 1) < top.gain(top.rung - 1))) {
+                        top = vw;
+                    }
+                }
+                if (top != null) {
+                    shortAverage = SHORT_RESET;
+                    top.step(-1);
+                }
+            } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
+                Viewing low = null;
+                for (Viewing vw : viewings) {
+                    if (vw.playing && vw.rung < vw.ceiling && capped(vw.rate(vw.rung + 1), vw.rate(vw.rung))
+                            && (low == null || vw.rung < low.rung
+                            || vw.rung == low.rung && vw.gain(vw.rung) > low.gain(low.rung))) {
+                        low = vw;
+                    }
+                }
+                if (low != null) {
+                    double lowerMark = FILL - (low.rate(low.rung + 1) - low.rate(low.rung)) / link.size();
+                    if (longAverage < lowerMark && x < lowerMark) {
+                        longAverage = LONG_RESET;
+                        steppedUpAt = now;
+                        low.step(1);
+                    }
+                }
+            }
+        }
+
+        /** N: the link's viewings, by own account and what reports say beyond it. */
+        private double sharers() {
+            if (!Double.isNaN(streams)) {
+                return Math.max(streams, viewings.size());
+            }
+            double mean = viewings.isEmpty() || link.own <= 0 ? middleKb : link.own / viewings.size();
+            return viewings.size() + Math.max(0, link.demand() - link.own) / mean;
+        }
+
+        private boolean capped(double rate, double present) {
+            return rate <= link.size() / (sharers() + 1) || rate - present + middleKb <= room();
+        }
+
+        private double room() {
+            return Math.min(link.room(), rack.room());
+        }
+    }
+
+    /** What is watched: where it is held, and the viewings of it here that hold a seat. */
+    public static final class Title {
+        private final int firstCell;
+        private final int cellsInRow;
+        /** One row a package with seats; a row leaves with its last viewing. */
+        private final java.util.Map<PackageTerms, Integer> seated = new java.util.HashMap<>();
+
+        private Title(int firstCell, int cellsInRow) {
+            this.firstCell = firstCell;
+            this.cellsInRow = cellsInRow;
+        }
+    }
+
+    public final class Viewing {
+        private final Outside.Player player;
+        private final PackageTerms terms;
+        private final Title title;
+        private final int ceiling;
+        private final Moment target;
+        private final Moment patienceEnds;
+        /** The boxes tried so far; it goes with the viewing. */
+        private final List<MediaBox> tried = new ArrayList<>(2);
+        private MediaBox at;
+        private int rung;
+        private int tuneIns;
+        private boolean playing;
+        private boolean answered;
+        private boolean mayHaveRun;
+
+        private Viewing(Outside.Player player, PackageTerms terms, Title title, int ceiling, Moment patienceEnds) {
+            this.player = player;
+            this.terms = terms;
+            this.title = title;
+            this.ceiling = Math.max(terms.lowestRung(), Math.min(ceiling, terms.highestRung()));
+            this.patienceEnds = patienceEnds;
+            this.target = now.plus(terms.joinTarget());
+        }
+
+        private double rate(int r) {
+            return terms.rateFactor() * house.ladderKb()[r];
+        }
+
+        /** Value gained for each kB of the step from r to r + 1. */
+        private double gain(int r) {
+            return terms.value() * (house.rungValue()[r + 1] - house.rungValue()[r]) / (rate(r + 1) - rate(r));
+        }
+
+        private void step(int by) {
+            change(rate(rung + by) - rate(rung));
+            rung += by;
+            player.rung(rung);
+        }
+
+        private void change(double kb) {
+            at.link.change(kb);
+            at.rack.change(kb);
+        }
+
+        /* ---- placement ---- */
+
+        /** Sends to the roomiest holder by rack and link; waits a little where the gate is shut, blocks if it stays. */
+        private void place() {
+            if (answered || at != null) {
+                return;
+            }
+            MediaBox best = null;
+            double most = Double.NEGATIVE_INFINITY;
+            for (MediaBox b : boxes) {
+                if (!mayTuneIn(this, b)) {
+                    continue;
+                }
+                double score = b.room() + 0.2 * b.link.room() + 0.1 * middleKb * chance.nextDouble();
+                score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
+                score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
+                score -= tried.contains(b) ? 1e8 : 0;
+                if (score > most) {
+                    most = score;
+                    best = b;
+                }
+            }
+            if (best != null) {
+                tuneIn(best);
+            } else if (mayStillPlay() && now.plus(HOLD).before(target)) {
+                outside.wakeAfter(HOLD, this::place);
+            } else {
+                giveUp();
+            }
+        }
+
+        private boolean mayStillPlay() {
+            return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
+        }
+
+        /** The highest rung that fits cap and room, or else the lowest of the package. */
+        private int fit(MediaBox b, double present) {
+            for (int r = ceiling; r > terms.lowestRung(); r--) {
+                if (rate(r) - present <= b.room() && b.capped(rate(r), present)) {
+                    return r;
+                }
+            }
+            return terms.lowestRung();
+        }
+
+        private void tuneIn(MediaBox b) {
+            int fits = fit(b, 0);
+            Span left = patienceEnds.since(now).minus(ANSWER_MARGIN);
+            Span toTarget = target.since(now);
+            Span wait = Span.ofSeconds(4 * joinSeconds / b.warmth()).orMore(LEAST_WAIT);
+            if (LEAST_WAIT.under(toTarget)) {
+                wait = wait.orLess(toTarget.times(0.6)).orMore(LEAST_WAIT);
+            } else {
+                wait = wait.times(2);
+            }
+            gatePassed(this, b);
+            settle(b, fits);
+            tried.add(b);
+            player.rung(rung);
+            player.tuneIn(b, wait.orLess(left));
+            if (PROBE_SPACING.under(now.since(b.probedAt))) {
+                b.probe();
+            }
+        }
+
+        private void settle(MediaBox b, int r) {
+            at = b;
+            rung = r;
+            change(rate(r));
+            b.viewings.add(this);
+            if (terms.seats() > 0) {
+                title.seated.merge(terms, 1, Integer::sum);
+            }
+        }
+
+        private void leave() {
+            change(-rate(rung));
+            at.viewings.remove(this);
+            if (terms.seats() > 0) {
+                title.seated.computeIfPresent(terms, (t, n) -> n > 1 ? n - 1 : null);
+            }
+            at.tidy();
+            at = null;
+        }
+
+        /** Before the box has started it, the rung follows news for nothing. */
+        private void reconsider() {
+            if (playing || answered) {
+                return;
+            }
+            int fits = fit(at, rate(rung));
+            if (fits != rung) {
+                step(fits - rung);
+            }
+        }
+
+        /** The final answer, at once: blocked where that is safe to say, else aborted. */
+        private void giveUp() {
+            answered = true;
+            if (mayHaveRun && terms.paidAtSetUp()) {
+                player.abort();
+            } else {
+                player.block(COME_BACK.orLess(house.permits().longestAdvice()));
+            }
+        }
+
+        /* ---- end-of-viewing bookkeeping ---- */
+
+        public void playing(Span took) {
+            if (at == null) {
+                return;
+            }
+            playing = true;
+            answered = true;
+            joinSeconds += 0.05 * (took.seconds() - joinSeconds);
+            at.succeeded();
+            at.sample();
+        }
+
+        /** The tune-in is no longer out; over says that the viewing has ended with it or before. */
+        public void tuneInEnded(Outside.Ending how, boolean over, Span took) {
+            if (at == null) {
+                return;
+            }
+            MediaBox b = at;
+            boolean wasPlaying = playing;
+            playing = false;
+            leave();
+            mayHaveRun |= !how.neverRan;
+            switch (how) {
+                case ERROR, TURNED_AWAY -> b.failed(false);
+                case NO_ANSWER, NOT_REACHED -> b.failed(true);
+                case BROKEN -> b.failed(true);
+                default -> {
+                }
+            }
+            b.sample();
+            answered |= over || wasPlaying;
+            if (!answered) {
+                place();
+            }
+        }
+
+        /** The viewer has gone; a tune-in that is out still ends by itself. */
+        public void viewerLeft() {
+            answered = true;
+        }
+
+        public void shareDelivered(double share) {
+            if (at != null) {
+                at.heardShare(share);
+            }
+        }
+
+        public void rungInForce(int inForce) {
+            if (at != null && inForce != rung && inForce >= 0 && inForce < house.ladderKb().length) {
+                change(rate(inForce) - rate(rung));
+                rung = inForce;
+            }
+        }
+
+        public void linkAsked(double asked) {
+            if (at != null) {
+                at.link.hear(asked, now.minus(playing ? house.fleet().shareLateness() : Span.NONE));
+                at.sample();
+            }
+        }
+
+        public void uplinkAsked(double asked) {
+            if (at != null) {
+                at.rack.hear(asked, now.minus(house.fleet().shareLateness()));
+                at.sample();
+            }
+        }
+    }
+
+    /* ---- the gate: every send passes here, and every rule is kept here ---- */
+
+    private boolean mayTuneIn(Viewing vw, MediaBox b) {
+        return !vw.answered && vw.at == null && vw.mayStillPlay() // one tune-in out, none twice
+                && ANSWER_MARGIN.under(patienceLeft(vw)) // the answer comes before the viewer's patience ends
+                && b.serving && b.holds(vw.title) // drains: nothing at all once told, well within the grace
+                && (vw.terms.seats() <= 0 || vw.title.seated.getOrDefault(vw.terms, 0) < vw.terms.seats())
+                && (vw.tuneIns == 0 || furtherLeft())
+                && coldPaceKept(b);
+    }
+
+    private Span patienceLeft(Viewing vw) {
+        return vw.patienceEnds.since(now).minus(ANSWER_MARGIN);
+    }
+
+    private void gatePassed(Viewing vw, MediaBox b) {
+        if (vw.tuneIns++ > 0) {
+            further.add(now);
+        }
+        if (cold(b)) {
+            b.coldSends.add(now);
+        }
+    }
+
+    private boolean furtherLeft() {
+        Headend.Rules rules = house.rules();
+        if (rules.furtherSpan().equals(Span.NONE)) {
+            further.clear();
+            taken.clear();
+            return true;
+        }
+        Moment from = now.minus(rules.furtherSpan());
+        prune(further, from);
+        prune(taken, from.plus(ANSWER_MARGIN));
+        return further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
+    }
+
+    private static void prune(ArrayDeque<Moment> moments, Moment from) {
+        while (!moments.isEmpty() && moments.peek().before(from)) {
+            moments.poll();
+        }
+    }
+
+    /** Just started, or lost from sight so lately that it may have. */
+    private boolean cold(MediaBox b) {
+        return now.before(b.startedAt.orLater(b.lostAt).plus(house.rules().coldFor()));
+    }
+
+    /**
+     * A cold box gets this front's part of what all fronts together may send it in any window, reckoned at the capacity
+     * that it surely has at its start. Where a part is less than one set-up the fronts take turns by their numbers, so
+     * that they keep it with no word between them. A front that has itself just started may have sent before: it waits.
+     */
+    private boolean coldPaceKept(MediaBox b) {
+        Headend.Rules rules = house.rules();
+        if (!cold(b)) {
+            b.coldSends.clear();
+            return true;
+        }
+        Span window = rules.fallAfter().plus(COLD_SLACK);
+        prune(b.coldSends, now.minus(window));
+        double all = COLD_PART * rules.fallMultiple() * b.places() * rules.startCapacity()
+                * rules.fallAfter().seconds() / rules.coldFor().seconds();
+        if (now.since(started).under(window)) {
+            return false;
+        }
+        double part = Math.floor(all / house.fronts());
+        if (part >= 1) {
+            return b.coldSends.size() < part;
+        }
+        double turns = Math.floor(all) - 1;
+        if (turns < 1) {
+            return false;
+        }
+        long turn = Math.floorDiv(now.micros(), Math.max(1, Math.round(window.micros() / turns)));
+        return b.coldSends.isEmpty() && Math.floorMod(turn, house.fronts()) == house.ownNumber();
+    }
+}
