--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -578,15 +578,33 @@
                     best = b;
                 }
             }
-            if (best != null) {
+            if (best != null && !crowdedOut(best)) {
                 tuneIn(best);
-            } else if (mayStillPlay() && now.plus(HOLD).before(target)) {
+            } else if (best == null && mayStillPlay() && now.plus(HOLD).before(target)) {
                 outside.wakeAfter(HOLD, this::place);
             } else {
                 giveUp();
             }
         }
 
+        /**
+         * Overload: not even with every viewing on its lowest rung would the newcomer fit. What other fronts play is
+         * taken to be like what this one plays.
+         */
+        private boolean crowdedOut(MediaBox b) {
+            double own = 0;
+            double floors = 0;
+            for (MediaBox any : boxes) {
+                for (Viewing vw : any.viewings) {
+                    own += vw.rate(vw.rung);
+                    floors += vw.rate(vw.terms.lowestRung());
+                }
+            }
+            double part = own > 0 ? floors / own : 1;
+            double least = rate(terms.lowestRung());
+            return part * b.link.demand() + least > b.link.size() || part * b.rack.demand() + least > b.rack.size();
+        }
+
         private boolean mayStillPlay() {
             return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
         }
