Start the averages at their resets; blame an uplink only when all its boxes are short

Cause: one box's short note was put down to its uplink while other boxes of the rack played in full, so a whole rack shed; and with no report yet all links rose at once after half a second. A box of the rack that plays and is not short now clears the uplink. It should hold against any wrong blame; it could harm where a short note is lost.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -30,6 +30,7 @@
     private static final Span REPORT_AGE = Span.ofMillis(400);
     private static final Span CHANGE_LIFE = Span.ofSeconds(6);
     private static final Span RELAX = Span.ofSeconds(30);
+    private static final Span SHORT_NEWS = Span.ofMillis(1300);
     private static final double PROBE_SPEND = 0.012;
     private static final double PROBES_HELD = 4;
     private static final Span PROBE_SPACING = Span.ofMillis(700);
@@ -113,6 +114,9 @@
 
     private void beat() {
         outside.wakeAfter(BEAT, this::beat);
+        for (Rack r : racks) {
+            r.relax();
+        }
         for (MediaBox b : boxes) {
             b.sample();
         }
@@ -210,6 +214,20 @@
             return sum;
         }
 
+        /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
+        boolean shortEverywhere() {
+            int shorts = 0;
+            for (MediaBox b : boxes) {
+                if (b.rack == this && b.settingUp() < b.viewings.size()) {
+                    if (SHORT_NEWS.under(now.since(b.shortAt))) {
+                        return false;
+                    }
+                    shorts++;
+                }
+            }
+            return shorts > 1;
+        }
+
         /**
          * Where no report tells of the uplink, a shortfall that the link does not explain sizes it; the size drifts
          * back to what was told, so that an uplink that recovers is used again.
@@ -242,9 +260,10 @@
         private Moment startedAt = Moment.DISTANT_PAST;
         private double streams = Double.NaN;
         private Moment probedAt = Moment.DISTANT_PAST;
-        private double shortAverage = Double.NaN;
-        private double longAverage;
+        private double shortAverage = SHORT_RESET;
+        private double longAverage = LONG_RESET;
         private Moment sampledAt;
+        private Moment shortAt = Moment.DISTANT_PAST;
         private Moment steppedUpAt = Moment.DISTANT_PAST;
         private int failures;
         private Moment avoidUntil = Moment.DISTANT_PAST;
@@ -388,10 +407,11 @@
                 failed(false);
                 return;
             }
+            shortAt = now;
             Moment trueAt = now.minus(house.fleet().shareLateness());
             double asked = 1 / Math.max(LEAST_SHARE, share);
-            if (link.load() >= rack.load() || link.load() > UPPER_MARK) {
-                link.hear(Math.max(asked, link.load()), trueAt);
+            if (!rack.shortEverywhere()) {
+                link.hear(asked, trueAt);
             } else if (house.permits().reportsUplink()) {
                 rack.hear(asked, trueAt);
             } else {
@@ -439,14 +459,9 @@
         /** One sample of demand over size: both averages move, and at most one viewing steps. */
         private void sample() {
             double x = Math.max(link.load(), rack.load());
-            if (Double.isNaN(shortAverage)) {
-                shortAverage = x;
-                longAverage = x;
-            } else {
-                double passed = now.since(sampledAt).seconds();
-                shortAverage += Math.min(1, passed / SHORT.seconds()) * (x - shortAverage);
-                longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
-            }
+            double passed = sampledAt == null ? 0 : now.since(sampledAt).seconds();
+            shortAverage += Math.min(1, passed / SHORT.seconds()) * (x - shortAverage);
+            longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
             sampledAt = now;
             if (shortAverage >= UPPER_MARK) {
                 Viewing top = null;
