Fronts that may talk tell each other what they play where

Cause: with no probes a front saw one link's load only every few seconds and the uplinks never; each filled the room that others had just taken. Every half second a front now tells the boxes on which its rates changed, six bytes each, and all of them every ten seconds. It should also hold against late notes; it could harm where a front dies and its last word stands.

--- a/src/main/java/linengauge/Headend.java
+++ b/src/main/java/linengauge/Headend.java
@@ -17,7 +17,7 @@
     }
 
     /** What the front may do, and the prices that it weighs. */
-    public record Permits(int tuneIns, boolean probes, boolean reportsUplink, double probePrice, double crossingPrice,
+    public record Permits(int tuneIns, boolean messages, boolean probes, boolean reportsUplink, double probePrice, double crossingPrice,
             Span longestAdvice) {
     }
 }
--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -1,5 +1,7 @@
 package linengauge;
 
+import java.util.List;
+
 /**
  * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside to each instance, a
  * Player with each viewing and a Line with each media box; the module answers with handles, and all that happens later
@@ -9,6 +11,9 @@
     /** Runs the given step once, not earlier than after the span and never within the present call. */
     void wakeAfter(Span span, Runnable step);
 
+    /** Tells every other front what this one plays at each of the given boxes (ownKb). */
+    void tellPeers(List<Policy.MediaBox> boxes);
+
     /** A line for the operators. */
     void remark(String text);
 
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -30,6 +30,7 @@
     private static final Span REPORT_AGE = Span.ofMillis(400);
     private static final Span CHANGE_LIFE = Span.ofSeconds(6);
     private static final Span RELAX = Span.ofSeconds(30);
+    private static final Span TELL_ALL = Span.ofSeconds(10);
     private static final Span SHORT_NEWS = Span.ofMillis(1300);
     private static final double PROBE_SPEND = 0.012;
     private static final double PROBES_HELD = 4;
@@ -60,6 +61,7 @@
     private Moment started;
     private double joinSeconds = TYPICAL_JOIN.seconds();
     private double probesLeft = PROBES_HELD;
+    private Moment toldAllAt = Moment.DISTANT_PAST;
 
     public Policy(Headend house, long seed, Outside outside) {
         this.house = house;
@@ -117,6 +119,7 @@
         for (Rack r : racks) {
             r.relax();
         }
+        tellPeers();
         for (MediaBox b : boxes) {
             b.sample();
         }
@@ -137,6 +140,25 @@
         }
     }
 
+    /** Where fronts may talk, each tells what it plays where since its last word, and all of it now and then. */
+    private void tellPeers() {
+        if (!house.permits().messages() || house.fronts() < 2) {
+            return;
+        }
+        boolean all = !now.before(toldAllAt.plus(TELL_ALL));
+        toldAllAt = all ? now : toldAllAt;
+        List<MediaBox> news = new ArrayList<>();
+        for (MediaBox b : boxes) {
+            if (all ? b.link.own > 0 || b.toldPeersKb > 0 : Math.abs(b.link.own - b.toldPeersKb) > middleKb / 10) {
+                news.add(b);
+                b.toldPeersKb = b.link.own;
+            }
+        }
+        if (!news.isEmpty()) {
+            outside.tellPeers(news);
+        }
+    }
+
     /* ---- what is known of each box, link and rack ---- */
 
     private record Change(Moment at, double kb) {
@@ -157,6 +179,11 @@
 
         void change(double kb) {
             own = Math.max(0, own + kb);
+            heardOf(kb);
+        }
+
+        /** A change here or, as told, at another front. */
+        void heardOf(double kb) {
             recent.add(new Change(now, kb));
             while (!recent.isEmpty() && recent.peek().at().before(now.minus(CHANGE_LIFE))) {
                 older += recent.poll().kb();
@@ -268,6 +295,9 @@
         private int failures;
         private Moment avoidUntil = Moment.DISTANT_PAST;
         private Moment lostAt = Moment.DISTANT_PAST;
+        /** One figure a front; a front that falls silent leaves its last word until it speaks again. */
+        private final double[] peerKb = new double[house.fronts()];
+        private double toldPeersKb;
         /** Sends while cold; time empties it. */
         private final ArrayDeque<Moment> coldSends = new ArrayDeque<>();
 
@@ -279,6 +309,11 @@
             return line;
         }
 
+        /** What this front's viewings here are asked at together. */
+        public double ownKb() {
+            return link.own;
+        }
+
         public void serving(double weight, int cell, int kind, int building, Moment startedAt) {
             if (this.startedAt.before(startedAt)) {
                 forgetPast();
@@ -445,7 +480,26 @@
 
             @Override
             double untold() {
-                return own;
+                return own + elsewhere();
+            }
+        }
+
+        /** What the other fronts say that they play here. */
+        private double elsewhere() {
+            double sum = 0;
+            for (double kb : peerKb) {
+                sum += kb;
+            }
+            return sum;
+        }
+
+        /** Another front tells what its viewings here are asked at; the change since its last word counts like an own. */
+        public void peerPlays(int front, double kb) {
+            if (front >= 0 && front < peerKb.length && front != house.ownNumber()) {
+                double more = kb - peerKb[front];
+                peerKb[front] = kb;
+                link.heardOf(more);
+                rack.heardOf(more);
             }
         }
 
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -24,6 +26,8 @@
     private static final Set<String> EVENTS = Set.of("backendsChanged", "demand", "headers", "sampled", "completed",
             "mail", "resumed", "reminder", "cancelledByClient", "statusNote");
 
+    private static final int BOXES_A_MESSAGE = 42;
+
     private final int number;
     private final PrintStream complaints;
     private final List<PackageTerms> packages;
@@ -228,6 +232,12 @@
                     call(now, writer, step::run);
                 }
             }
+            case "mail" -> {
+                int peer = m.integer("neighbour");
+                String octets = m.text("octets");
+                m.end();
+                call(now, writer, () -> mail(peer, octets));
+            }
             default -> m.end();
         }
         for (WireViewing vw : touched) {
@@ -363,6 +373,36 @@
         act("notifyMe", span.micros(), token);
     }
 
+    /** Six bytes a box: its id, then its kB a second in steps of eight. */
+    @Override
+    public void tellPeers(List<Policy.MediaBox> news) {
+        for (int from = 0; from < news.size(); from += BOXES_A_MESSAGE) {
+            List<Policy.MediaBox> some = news.subList(from, Math.min(news.size(), from + BOXES_A_MESSAGE));
+            ByteBuffer bytes = ByteBuffer.allocate(6 * some.size());
+            for (Policy.MediaBox box : some) {
+                bytes.putInt((int) ((WireBox) box.line()).id);
+                bytes.putShort((short) Math.min(0xffff, Math.round(box.ownKb() / 8)));
+            }
+            act("say", -1, Base64.getEncoder().encodeToString(bytes.array()));
+        }
+    }
+
+    private void mail(int peer, String octets) throws Wrong {
+        ByteBuffer bytes;
+        try {
+            bytes = ByteBuffer.wrap(Base64.getDecoder().decode(octets));
+        } catch (IllegalArgumentException e) {
+            throw new Wrong("'octets' should be base64");
+        }
+        while (bytes.remaining() >= 6) {
+            WireBox b = boxes.get(Integer.toUnsignedLong(bytes.getInt()));
+            double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
+            if (b != null) {
+                b.box.peerPlays(peer, kb);
+            }
+        }
+    }
+
     @Override
     public void remark(String text) {
         act("noteDown", text);
--- a/src/main/java/linengauge/wire/WireTerms.java
+++ b/src/main/java/linengauge/wire/WireTerms.java
@@ -47,6 +47,7 @@
         boolean uplink = loads.get("fields") instanceof List<?> fields && fields.contains("x1");
         boolean advice = !Boolean.FALSE.equals(limits.get("retryAfter"));
         var permits = new Headend.Permits((int) number(limits, "maxAttempts", 1),
+                Boolean.TRUE.equals(limits.get("peers")),
                 Boolean.TRUE.equals(limits.get("probing")), uplink, number(charges, "probe", 0),
                 number(charges, "crossZone", 0), advice ? span(limits, "maxRetryAfterUs") : Span.NONE);
         return new Headend((int) Math.max(1, number(conf, "balancers", 1)), (int) number(conf, "me", 0),
