The cap leaves a middle session's room on an uplink for each of its boxes

Cause: a few viewings took the top rung while many stayed on the lowest: an uplink with one session's room left looked free to every box of its rack.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -241,6 +241,14 @@
             return sum;
         }
 
+        int boxes() {
+            int n = 0;
+            for (MediaBox b : boxes) {
+                n += b.rack == this && b.serving ? 1 : 0;
+            }
+            return n;
+        }
+
         /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
         boolean shortEverywhere() {
             int shorts = 0;
@@ -559,7 +567,8 @@
         }
 
         private boolean capped(double rate, double present) {
-            return rate <= link.size() / (sharers() + 1) || rate - present + middleKb <= room();
+            return rate <= link.size() / (sharers() + 1) || rate - present + middleKb <= link.room()
+                    && rate - present + rack.boxes() * middleKb <= rack.room();
         }
 
         private double room() {
