Count own changes since a report for fronts that act alike where they cannot talk

Cause: fronts with the same news filled the same roomy box and shed the same short link together. Half of each other front's like move is now assumed until the next report. It could harm where one front carries nearly all.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -32,6 +32,7 @@
     private static final Span RELAX = Span.ofSeconds(30);
     private static final Span TELL_ALL = Span.ofSeconds(10);
     private static final Span SHORT_NEWS = Span.ofMillis(1300);
+    private static final double ALIKE = 0.5;
     private static final double PROBE_SPEND = 0.012;
     private static final double PROBES_HELD = 4;
     private static final Span PROBE_SPACING = Span.ofMillis(700);
@@ -51,6 +52,7 @@
     private final Outside outside;
     private final SplittableRandom chance;
     private final double middleKb;
+    private final double alike;
     /** Boxes on the list, or gone from it with viewings left; emptied by the list and by the last viewing's end. */
     private final List<MediaBox> boxes = new ArrayList<>();
     private final Rack[] racks;
@@ -69,6 +71,7 @@
         this.chance = new SplittableRandom(seed);
         double[] kb = house.ladderKb();
         this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
+        this.alike = house.permits().messages() ? 1 : 1 + ALIKE * (house.fronts() - 1);
         this.racks = new Rack[house.fleet().racks()];
         for (int i = 0; i < racks.length; i++) {
             racks[i] = new Rack();
@@ -179,7 +182,7 @@
 
         void change(double kb) {
             own = Math.max(0, own + kb);
-            heardOf(kb);
+            heardOf(kb * alike);
         }
 
         /** A change here or, as told, at another front. */
