--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -30,7 +30,7 @@
     private static final Span REPORT_AGE = Span.ofMillis(400);
     private static final Span CHANGE_LIFE = Span.ofSeconds(6);
     private static final Span RELAX = Span.ofSeconds(30);
-    private static final Span TELL_ALL = Span.ofSeconds(10);
+    private static final Span TELL_ALL = Span.ofSeconds(6);
     private static final Span SHORT_NEWS = Span.ofMillis(1300);
     private static final double ALIKE = 0.5;
     private static final double PROBE_SPEND = 0.012;
@@ -148,11 +148,13 @@
         if (!house.permits().messages() || house.fronts() < 2) {
             return;
         }
+        boolean first = toldAllAt.equals(Moment.DISTANT_PAST);
         boolean all = !now.before(toldAllAt.plus(TELL_ALL));
         toldAllAt = all ? now : toldAllAt;
         List<MediaBox> news = new ArrayList<>();
         for (MediaBox b : boxes) {
-            if (all ? b.link.own > 0 || b.toldPeersKb > 0 : Math.abs(b.link.own - b.toldPeersKb) > middleKb / 10) {
+            b.forgetSilentPeers();
+            if (all ? b.link.own > 0 || b.toldPeersKb > 0 || first : Math.abs(b.link.own - b.toldPeersKb) > middleKb / 10) {
                 news.add(b);
                 b.toldPeersKb = b.link.own;
             }
@@ -306,8 +308,8 @@
         private int failures;
         private Moment avoidUntil = Moment.DISTANT_PAST;
         private Moment lostAt = Moment.DISTANT_PAST;
-        /** One figure a front; a front that falls silent leaves its last word until it speaks again. */
         private final double[] peerKb = new double[house.fronts()];
+        private final Moment[] peerSpokeAt = new Moment[house.fronts()];
         private double toldPeersKb;
         /** Sends while cold; time empties it. */
         private final ArrayDeque<Moment> coldSends = new ArrayDeque<>();
@@ -495,6 +497,15 @@
             }
         }
 
+        /** Guards against the last word of a front that is gone: it counts no longer than two full tellings. */
+        private void forgetSilentPeers() {
+            for (int f = 0; f < peerKb.length; f++) {
+                if (peerKb[f] > 0 && peerSpokeAt[f].plus(TELL_ALL.times(2.2)).before(now)) {
+                    peerPlays(f, 0);
+                }
+            }
+        }
+
         /** What the other fronts say that they play here. */
         private double elsewhere() {
             double sum = 0;
@@ -509,6 +520,7 @@
             if (front >= 0 && front < peerKb.length && front != house.ownNumber()) {
                 double more = kb - peerKb[front];
                 peerKb[front] = kb;
+                peerSpokeAt[front] = now;
                 link.heardOf(more);
                 rack.heardOf(more);
             }
