--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -227,10 +227,23 @@
         }
     }
 
+    /** The mean rate of this front's viewings; others' are taken to be alike. */
+    private double meanRate() {
+        double kb = middleKb;
+        int n = 1;
+        for (MediaBox b : boxes) {
+            kb += b.link.own;
+            n += b.viewings.size();
+        }
+        return kb / n;
+    }
+
     /** The uplink that a rack's boxes share. */
     private final class Rack extends Usage {
         private double sizeKb = house.fleet().uplinkKb();
         private Moment sizedAt = Moment.DISTANT_PAST;
+        /** Demand about as long ago as a short note was true: shedding since must not make the uplink look small. */
+        private double lately;
 
         @Override
         double size() {
@@ -241,7 +254,7 @@
         double untold() {
             double sum = 0;
             for (MediaBox b : boxes) {
-                sum += b.rack == this ? b.link.demand() : 0;
+                sum += b.rack != this ? 0 : house.permits().messages() ? b.link.untold() : b.link.demand();
             }
             return sum;
         }
@@ -273,7 +286,7 @@
          * back to what was told, so that an uplink that recovers is used again.
          */
         void shortOf(double share) {
-            sizeKb = Math.min(house.fleet().uplinkKb(), share * demand());
+            sizeKb = share * Math.max(lately, demand());
             sizedAt = now;
         }
 
@@ -282,6 +295,8 @@
             double weight = Math.min(1, now.since(sizedAt).seconds() / RELAX.seconds());
             sizeKb += weight * (full - sizeKb);
             sizedAt = now;
+            double lag = house.fleet().shareLateness().plus(SHORT).seconds();
+            lately += Math.min(1, BEAT.seconds() / lag) * (demand() - lately);
         }
     }
 
@@ -309,6 +324,7 @@
         private Moment avoidUntil = Moment.DISTANT_PAST;
         private Moment lostAt = Moment.DISTANT_PAST;
         private final double[] peerKb = new double[house.fronts()];
+        private final int[] peerCount = new int[house.fronts()];
         private final Moment[] peerSpokeAt = new Moment[house.fronts()];
         private double toldPeersKb;
         /** Sends while cold; time empties it. */
@@ -327,6 +343,10 @@
             return link.own;
         }
 
+        public int ownViewings() {
+            return viewings.size();
+        }
+
         public void serving(double weight, int cell, int kind, int building, Moment startedAt) {
             if (this.startedAt.before(startedAt)) {
                 forgetPast();
@@ -501,7 +521,7 @@
         private void forgetSilentPeers() {
             for (int f = 0; f < peerKb.length; f++) {
                 if (peerKb[f] > 0 && peerSpokeAt[f].plus(TELL_ALL.times(2.2)).before(now)) {
-                    peerPlays(f, 0);
+                    peerPlays(f, 0, 0);
                 }
             }
         }
@@ -516,10 +536,11 @@
         }
 
         /** Another front tells what its viewings here are asked at; the change since its last word counts like an own. */
-        public void peerPlays(int front, double kb) {
+        public void peerPlays(int front, int count, double kb) {
             if (front >= 0 && front < peerKb.length && front != house.ownNumber()) {
                 double more = kb - peerKb[front];
                 peerKb[front] = kb;
+                peerCount[front] = count;
                 peerSpokeAt[front] = now;
                 link.heardOf(more);
                 rack.heardOf(more);
@@ -577,8 +598,14 @@
             if (!Double.isNaN(streams)) {
                 return Math.max(streams, viewings.size());
             }
-            double mean = viewings.isEmpty() || link.own <= 0 ? middleKb : link.own / viewings.size();
-            return viewings.size() + Math.max(0, link.demand() - link.own) / mean;
+            if (house.permits().messages()) {
+                int n = viewings.size();
+                for (int count : peerCount) {
+                    n += count;
+                }
+                return n;
+            }
+            return viewings.size() + Math.max(0, link.demand() - link.own) / meanRate();
         }
 
         private boolean capped(double rate, double present) {
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -26,7 +26,7 @@
     private static final Set<String> EVENTS = Set.of("backendsChanged", "demand", "headers", "sampled", "completed",
             "mail", "resumed", "reminder", "cancelledByClient", "statusNote");
 
-    private static final int BOXES_A_MESSAGE = 42;
+    private static final int BOXES_A_MESSAGE = 36;
 
     private final int number;
     private final PrintStream complaints;
@@ -373,14 +373,15 @@
         act("notifyMe", span.micros(), token);
     }
 
-    /** Six bytes a box: its id, then its kB a second in steps of eight. */
+    /** Seven bytes a box: its id, how many viewings, and their kB a second in steps of eight. */
     @Override
     public void tellPeers(List<Policy.MediaBox> news) {
         for (int from = 0; from < news.size(); from += BOXES_A_MESSAGE) {
             List<Policy.MediaBox> some = news.subList(from, Math.min(news.size(), from + BOXES_A_MESSAGE));
-            ByteBuffer bytes = ByteBuffer.allocate(6 * some.size());
+            ByteBuffer bytes = ByteBuffer.allocate(7 * some.size());
             for (Policy.MediaBox box : some) {
                 bytes.putInt((int) ((WireBox) box.line()).id);
+                bytes.put((byte) Math.min(0xff, box.ownViewings()));
                 bytes.putShort((short) Math.min(0xffff, Math.round(box.ownKb() / 8)));
             }
             act("say", -1, Base64.getEncoder().encodeToString(bytes.array()));
@@ -394,11 +395,12 @@
         } catch (IllegalArgumentException e) {
             throw new Wrong("'octets' should be base64");
         }
-        while (bytes.remaining() >= 6) {
+        while (bytes.remaining() >= 7) {
             WireBox b = boxes.get(Integer.toUnsignedLong(bytes.getInt()));
+            int count = Byte.toUnsignedInt(bytes.get());
             double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
             if (b != null) {
-                b.box.peerPlays(peer, kb);
+                b.box.peerPlays(peer, count, kb);
             }
         }
     }
