--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -327,8 +327,8 @@
         private final int[] peerCount = new int[house.fronts()];
         private final Moment[] peerSpokeAt = new Moment[house.fronts()];
         private double toldPeersKb;
-        /** Sends while cold; time empties it. */
-        private final ArrayDeque<Moment> coldSends = new ArrayDeque<>();
+        /** Sends within the window in which a cold box may fall: it may turn out cold later; time empties it. */
+        private final ArrayDeque<Moment> sends = new ArrayDeque<>();
 
         private MediaBox(Outside.Line line) {
             this.line = line;
@@ -700,7 +700,7 @@
             }
             if (best != null && !crowdedOut(best)) {
                 tuneIn(best);
-            } else if (best == null && mayStillPlay() && now.plus(HOLD).before(target)) {
+            } else if (best == null && mayStillPlay() && HOLD.under(patienceLeft(this)) && now.plus(HOLD).before(target)) {
                 outside.wakeAfter(HOLD, this::place);
             } else {
                 giveUp();
@@ -889,9 +889,8 @@
         if (vw.tuneIns++ > 0) {
             further.add(now);
         }
-        if (cold(b)) {
-            b.coldSends.add(now);
-        }
+        prune(b.sends, now.minus(house.rules().fallAfter().plus(COLD_SLACK)));
+        b.sends.add(now);
     }
 
     private boolean furtherLeft() {
@@ -926,11 +925,10 @@
     private boolean coldPaceKept(MediaBox b) {
         Headend.Rules rules = house.rules();
         if (!cold(b)) {
-            b.coldSends.clear();
             return true;
         }
         Span window = rules.fallAfter().plus(COLD_SLACK);
-        prune(b.coldSends, now.minus(window));
+        prune(b.sends, now.minus(window));
         double all = COLD_PART * rules.fallMultiple() * b.places() * rules.startCapacity()
                 * rules.fallAfter().seconds() / rules.coldFor().seconds();
         if (now.since(started).under(window)) {
@@ -938,13 +936,13 @@
         }
         double part = Math.floor(all / house.fronts());
         if (part >= 1) {
-            return b.coldSends.size() < part;
+            return b.sends.size() < part;
         }
         double turns = Math.floor(all) - 1;
         if (turns < 1) {
             return false;
         }
         long turn = Math.floorDiv(now.micros(), Math.max(1, Math.round(window.micros() / turns)));
-        return b.coldSends.isEmpty() && Math.floorMod(turn, house.fronts()) == house.ownNumber();
+        return b.sends.isEmpty() && Math.floorMod(turn, house.fronts()) == house.ownNumber();
     }
 }
--- /dev/null
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -0,0 +1,192 @@
+package linengauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Plain cases, one for each part of the ordinary path and one for each failure met. */
+class PolicyTest {
+    private static final PackageTerms PLAIN = Stage.terms(0, 0, false);
+    private static final Span PATIENCE = Span.ofSeconds(3);
+
+    private static Stage stage(int boxes, boolean messages) {
+        return new Stage(Stage.place(2, messages, false, Span.NONE, PLAIN), 7, boxes);
+    }
+
+    private static void report(Stage s, double load) {
+        for (Stage.Box b : s.boxes) {
+            b.handle.reported(load, Double.NaN, Double.NaN);
+        }
+    }
+
+    @Test
+    void highShortAverageStepsTheTopRungDownOnceAndIsReset() {
+        Stage s = stage(1, false);
+        Policy.Title t = s.policy.title(0, 4);
+        Stage.Viewer high = s.plays(PLAIN, t, s.boxes.get(0), 3);
+        Stage.Viewer low = s.plays(PLAIN, t, s.boxes.get(0), 1);
+        report(s, 1.4);
+        s.pass(Span.ofMillis(400));
+        assertEquals(3, high.rung, "one sample is not enough");
+        s.pass(Span.ofMillis(200));
+        assertEquals(2, high.rung);
+        assertEquals(1, low.rung);
+        s.pass(Span.ofMillis(500));
+        assertEquals(2, high.rung, "the reset holds the next step back");
+    }
+
+    @Test
+    void lowLongAverageStepsTheLowestRungUpAtThePace() {
+        Stage s = stage(1, false);
+        Policy.Title t = s.policy.title(0, 4);
+        Stage.Viewer high = s.plays(PLAIN, t, s.boxes.get(0), 3);
+        Stage.Viewer low = s.plays(PLAIN, t, s.boxes.get(0), 1);
+        report(s, 0.3);
+        s.pass(Span.ofMillis(900));
+        assertEquals(1, low.rung, "not before the long average has come down");
+        s.pass(Span.ofSeconds(8));
+        assertTrue(low.rung > 1);
+        assertEquals(3, high.rung);
+    }
+
+    @Test
+    void aLongGapMovesAnAverageToTheSampleAndNotPastIt() {
+        Stage s = stage(1, false);
+        Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
+        s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
+        s.now = s.now.plus(Span.ofSeconds(30));
+        s.policy.clock(s.now);
+        s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
+        assertEquals(2, v.rung);
+    }
+
+    @Test
+    void capBoundsTheRungOfASetUp() {
+        Stage s = stage(1, false);
+        Policy.Title t = s.policy.title(0, 4);
+        assertEquals(4, s.take(PLAIN, t, PATIENCE).rung, "an empty link leaves room for the top rung");
+        report(s, 0.7);
+        s.pass(Span.ofMillis(10));
+        assertTrue(s.take(PLAIN, t, PATIENCE).rung < 4);
+    }
+
+    @Test
+    void goesToTheRoomiestHolder() {
+        Stage s = stage(4, false);
+        report(s, 0.8);
+        s.boxes.get(2).handle.reported(0.2, Double.NaN, Double.NaN);
+        s.boxes.get(3).handle.reported(0.1, Double.NaN, Double.NaN);
+        assertSame(s.boxes.get(2), s.take(PLAIN, s.policy.title(0, 3), PATIENCE).out);
+    }
+
+    @Test
+    void afterSilenceAnotherBoxIsTriedAndTheSilentOneAvoided() {
+        Stage s = stage(2, false);
+        Policy.Title t = s.policy.title(0, 4);
+        Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
+        Stage.Box silent = v.out;
+        assertTrue(v.timeout.under(PLAIN.joinTarget()), "room for another within the join target");
+        s.pass(v.timeout);
+        assertNotEquals(silent, v.out);
+        v.plays(Span.ofMillis(80));
+        assertNotEquals(silent, s.take(PLAIN, t, PATIENCE).out);
+    }
+
+    @Test
+    void whenEveryBoxIsUnderSuspicionOneIsUsedAllTheSame() {
+        Stage s = stage(2, false);
+        s.boxes.forEach(b -> b.handle.probed(false));
+        s.pass(Span.ofSeconds(3));
+        s.boxes.forEach(b -> b.handle.probed(false));
+        assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
+    }
+
+    @Test
+    void fullToTheFloorBlocksAtOnceAndSaysWhenToComeBack() {
+        Stage s = stage(1, false);
+        report(s, 2.5);
+        assertEquals("blocked", s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer);
+    }
+
+    @Test
+    void paidAtSetUpIsAbortedOnceItMayHaveRun() {
+        PackageTerms paid = Stage.terms(0, 0, true);
+        Stage s = new Stage(Stage.place(2, false, false, Span.NONE, paid), 7, 2);
+        Stage.Viewer v = s.take(paid, s.policy.title(0, 4), PATIENCE);
+        v.ends(Outside.Ending.TURNED_AWAY);
+        assertNotNull(v.out, "what provably never ran is sent again");
+        v.ends(Outside.Ending.ERROR);
+        assertEquals("aborted", v.answer);
+    }
+
+    @Test
+    void oneShortBoxDoesNotBlameTheUplink() {
+        Stage s = stage(3, true);
+        Policy.Title t = s.policy.title(0, 4);
+        Stage.Viewer hit = s.plays(PLAIN, t, s.boxes.get(0), 3);
+        Stage.Viewer other = s.plays(PLAIN, t, s.boxes.get(1), 3);
+        for (int i = 0; i < 4; i++) {
+            hit.handle.shareDelivered(0.8);
+            s.pass(Span.ofSeconds(1));
+        }
+        assertTrue(hit.rung < 3);
+        assertTrue(other.rung >= 3);
+    }
+
+    @Test
+    void whatOtherFrontsPlayFillsTheRoom() {
+        Stage s = stage(2, true);
+        s.boxes.get(0).handle.peerPlays(1, 9, 800);
+        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        assertSame(s.boxes.get(1), v.out);
+        s.pass(Span.ofSeconds(1));
+        assertTrue(s.told.contains(s.boxes.get(1).handle));
+    }
+
+    @Test
+    void aSilentFrontsLastWordIsForgotten() {
+        Stage s = stage(1, true);
+        s.boxes.get(0).handle.peerPlays(1, 9, 1200);
+        Policy.Title t = s.policy.title(0, 4);
+        assertEquals(0, s.take(PLAIN, t, PATIENCE).rung);
+        s.viewers.get(0).ends(Outside.Ending.NEVER_SENT);
+        s.pass(Span.ofSeconds(20));
+        assertEquals(4, s.take(PLAIN, t, PATIENCE).rung);
+    }
+
+    @Test
+    void anUplinkKeepsRoomForEachOfItsBoxes() {
+        Stage s = stage(4, true);
+        for (Stage.Box b : s.boxes) {
+            b.handle.peerPlays(1, 10, 750);
+        }
+        assertTrue(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).rung < 3);
+    }
+
+    @Test
+    void drainingBoxesGetNothingAndHeldViewingsAreAnswered() {
+        Stage s = stage(1, false);
+        s.boxes.get(0).draining();
+        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        assertNull(v.out);
+        s.pass(PATIENCE);
+        assertEquals("blocked", v.answer);
+    }
+
+    @Test
+    void aViewerWhoLeavesIsNotAnswered() {
+        Stage s = stage(1, false);
+        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        v.handle.viewerLeft();
+        v.answer = "left";
+        v.ends(Outside.Ending.WITHDRAWN);
+        assertEquals(1, v.tuneIns);
+        assertFalse(v.playing);
+    }
+}
