Old news of a link gives way to what its uplink or the other fronts tell

It should also hold when reports stay out; it could harm where a rack's links are loaded very unevenly.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -32,6 +32,8 @@
     private static final Span RELAX = Span.ofSeconds(30);
     private static final Span TELL_ALL = Span.ofSeconds(6);
     private static final Span SHORT_NEWS = Span.ofMillis(1300);
+    /** Old news of a link or uplink gives way to what is else known of it. */
+    private static final Span NEWS_LIFE = Span.ofSeconds(8);
     private static final double ALIKE = 0.5;
     private static final double PROBE_SPEND = 0.012;
     private static final double PROBES_HELD = 4;
@@ -215,7 +217,8 @@
             for (Change c : recent) {
                 since += c.kb();
             }
-            return Math.max(own, told + since);
+            double trust = Math.exp(-now.since(toldTrueAt).seconds() / NEWS_LIFE.seconds());
+            return Math.max(own, trust * (told + since) + (1 - trust) * untold());
         }
 
         double load() {
@@ -252,6 +255,9 @@
 
         @Override
         double untold() {
+            if (house.permits().reportsUplink() && !Double.isNaN(told)) {
+                return told;
+            }
             double sum = 0;
             for (MediaBox b : boxes) {
                 sum += b.rack != this ? 0 : house.permits().messages() ? b.link.untold() : b.link.demand();
@@ -267,6 +273,18 @@
             return n;
         }
 
+        /** What others ask of an uplink that reports tell of, spread over its links by their size. */
+        double othersPart(double linkSize) {
+            if (Double.isNaN(told)) {
+                return 0;
+            }
+            double links = linkSize;
+            for (MediaBox b : boxes) {
+                links += b.rack == this && b.serving ? b.link.size() : 0;
+            }
+            return Math.max(0, demand() - own) * linkSize / links;
+        }
+
         /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
         boolean shortEverywhere() {
             int shorts = 0;
@@ -513,7 +531,7 @@
 
             @Override
             double untold() {
-                return own + elsewhere();
+                return own + (house.permits().messages() ? elsewhere() : rack.othersPart(size()));
             }
         }
 
