--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -23,6 +23,8 @@
     private static final double LEAST_SHARE = 0.5;
     /** Set-ups and up-steps fill a link or uplink so far: true rates lie above or below the ladder. */
     private static final double FILL = 0.92;
+    /** The same where fronts tell each other what they play: less is unseen. */
+    private static final double FILL_TOLD = 0.99;
     /** A share under this is no crowding: the box stands still. */
     private static final double STANDSTILL = 0.25;
 
@@ -54,6 +56,7 @@
     private final Outside outside;
     private final SplittableRandom chance;
     private final double middleKb;
+    private final double fill;
     private final double alike;
     /** Boxes on the list, or gone from it with viewings left; emptied by the list and by the last viewing's end. */
     private final List<MediaBox> boxes = new ArrayList<>();
@@ -73,6 +76,7 @@
         this.chance = new SplittableRandom(seed);
         double[] kb = house.ladderKb();
         this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
+        this.fill = house.permits().messages() ? FILL_TOLD : FILL;
         this.alike = house.permits().messages() ? 1 : 1 + ALIKE * (house.fronts() - 1);
         this.racks = new Rack[house.fleet().racks()];
         for (int i = 0; i < racks.length; i++) {
@@ -226,7 +230,7 @@
         }
 
         double room() {
-            return FILL * size() - demand();
+            return fill * size() - demand();
         }
     }
 
@@ -601,7 +605,7 @@
                     }
                 }
                 if (low != null) {
-                    double lowerMark = FILL - (low.rate(low.rung + 1) - low.rate(low.rung)) / link.size();
+                    double lowerMark = fill - (low.rate(low.rung + 1) - low.rate(low.rung)) / link.size();
                     if (longAverage < lowerMark && x < lowerMark) {
                         longAverage = LONG_RESET;
                         steppedUpAt = now;
