--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -18,7 +18,7 @@
     private static final Span BEAT = Span.ofMillis(500);
     private static final double UPPER_MARK = 1.0;
     private static final double SHORT_RESET = 0.3;
-    private static final double LONG_RESET = 1.2;
+    private static final double LONG_RESET = 1.1;
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
     /** Set-ups and up-steps fill a link or uplink so far: true rates lie above or below the ladder. */
