--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -17,6 +17,8 @@
     private static final Span LONG = Span.ofSeconds(5);
     private static final Span BEAT = Span.ofMillis(500);
     private static final double UPPER_MARK = 1.0;
+    /** At a step down the sample is over this: further viewings step in the same moment. */
+    private static final double FAR_OVER = 1.15;
     private static final double SHORT_RESET = 0.3;
     private static final double LONG_RESET = 1.1;
     private static final Span STEP_PACE = Span.ofSeconds(2);
@@ -259,7 +261,7 @@
 
         @Override
         double untold() {
-            if (house.permits().reportsUplink() && !Double.isNaN(told)) {
+            if (reported()) {
                 return told;
             }
             double sum = 0;
@@ -277,9 +279,13 @@
             return n;
         }
 
+        private boolean reported() {
+            return house.permits().reportsUplink() && !Double.isNaN(told);
+        }
+
         /** What others ask of an uplink that reports tell of, spread over its links by their size. */
         double othersPart(double linkSize) {
-            if (Double.isNaN(told)) {
+            if (!reported()) {
                 return 0;
             }
             double links = linkSize;
@@ -584,16 +590,15 @@
             longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
             sampledAt = now;
             if (shortAverage >= UPPER_MARK) {
-                Viewing top = null;
-                for (Viewing vw : viewings) {
-                    if (vw.playing && vw.rung > vw.terms.lowestRung() && (top == null || vw.rung > top.rung
-                            || vw.rung == top.rung && vw.gain(vw.rung - 1) < top.gain(top.rung - 1))) {
-                        top = vw;
-                    }
-                }
-                if (top != null) {
-                    shortAverage = SHORT_RESET;
+                Viewing top = topThatCanFall();
+                shortAverage = top == null ? shortAverage : SHORT_RESET;
+                double alsoElsewhere = 0;
+                while (top != null) {
+                    alsoElsewhere += (house.fronts() - alike) * (top.rate(top.rung) - top.rate(top.rung - 1));
                     top.step(-1);
+                    double left = Math.max((link.demand() - alsoElsewhere) / link.size(),
+                            (rack.demand() - alsoElsewhere) / rack.size());
+                    top = left > FAR_OVER ? topThatCanFall() : null;
                 }
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
                 Viewing low = null;
@@ -615,6 +620,17 @@
             }
         }
 
+        private Viewing topThatCanFall() {
+            Viewing top = null;
+            for (Viewing vw : viewings) {
+                if (vw.playing && vw.rung > vw.terms.lowestRung() && (top == null || vw.rung > top.rung
+                        || vw.rung == top.rung && vw.gain(vw.rung - 1) < top.gain(top.rung - 1))) {
+                    top = vw;
+                }
+            }
+            return top;
+        }
+
         /** N: the link's viewings, by own account and what reports say beyond it. */
         private double sharers() {
             if (!Double.isNaN(streams)) {
