--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -593,13 +593,17 @@
                 Viewing top = topThatCanFall();
                 shortAverage = top == null ? shortAverage : SHORT_RESET;
                 double alsoElsewhere = 0;
+                List<Viewing> lowered = new ArrayList<>();
                 while (top != null) {
                     alsoElsewhere += (house.fronts() - alike) * (top.rate(top.rung) - top.rate(top.rung - 1));
-                    top.step(-1);
+                    top.shift(-1);
+                    lowered.remove(top);
+                    lowered.add(top);
                     double left = Math.max((link.demand() - alsoElsewhere) / link.size(),
                             (rack.demand() - alsoElsewhere) / rack.size());
                     top = left > FAR_OVER ? topThatCanFall() : null;
                 }
+                lowered.forEach(vw -> vw.player.rung(vw.rung)); // each change that plays costs: one for several steps
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
                 Viewing low = null;
                 for (Viewing vw : viewings) {
@@ -704,9 +708,13 @@
         }
 
         private void step(int by) {
+            shift(by);
+            player.rung(rung);
+        }
+
+        private void shift(int by) {
             change(rate(rung + by) - rate(rung));
             rung += by;
-            player.rung(rung);
         }
 
         private void change(double kb) {
@@ -718,7 +726,7 @@
 
         /** Sends to the roomiest holder by rack and link; waits a little where the gate is shut, blocks if it stays. */
         private void place() {
-            if (answered || at != null) {
+            if (answered) {
                 return;
             }
             MediaBox best = null;
--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -203,6 +203,17 @@
         assertTrue(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).rung < 3);
     }
 
+    @Test
+    void noMoreTuneInsThanAllowed() {
+        Stage s = stage(4, false);
+        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        while (v.out != null) {
+            v.ends(Outside.Ending.TURNED_AWAY);
+        }
+        assertEquals(4, v.tuneIns);
+        assertEquals("blocked", v.answer);
+    }
+
     @Test
     void drainingBoxesGetNothingAndHeldViewingsAreAnswered() {
         Stage s = stage(1, false);
--- a/src/test/java/linengauge/RulesTest.java
+++ b/src/test/java/linengauge/RulesTest.java
@@ -14,7 +14,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
     void rulesHoldAfterEveryStep(long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
-        PackageTerms[] packages = {Stage.terms(0, 0, false), Stage.terms(1, 2, false), Stage.terms(0, 0, true)};
+        PackageTerms[] packages = {Stage.terms(0, 0, false), Stage.terms(2, 2, false), Stage.terms(0, 0, true)};
         Span ration = chance.nextBoolean() ? Span.ofSeconds(5) : Span.NONE;
         Headend place = Stage.place(1 + chance.nextInt(6), chance.nextBoolean(), chance.nextBoolean(), ration, packages);
         Stage stage = new Stage(place, seed, 4);
