--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -132,6 +132,17 @@
         assertNotEquals(silent, s.take(PLAIN, t, PATIENCE).out);
     }
 
+    @Test
+    void afterAnErrorOthersArePreferred() {
+        Stage s = stage(2, false);
+        Policy.Title t = s.policy.title(0, 4);
+        Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
+        Stage.Box failing = v.out;
+        v.ends(Outside.Ending.ERROR);
+        v.plays(Span.ofMillis(80));
+        assertNotEquals(failing, s.take(PLAIN, t, PATIENCE).out);
+    }
+
     @Test
     void whenEveryBoxIsUnderSuspicionOneIsUsedAllTheSame() {
         Stage s = stage(2, false);
@@ -197,10 +208,12 @@
     @Test
     void anUplinkKeepsRoomForEachOfItsBoxes() {
         Stage s = stage(4, true);
-        for (Stage.Box b : s.boxes) {
-            b.handle.peerPlays(1, 10, 750);
+        for (int i = 0; i < 3; i++) {
+            s.boxes.get(i).handle.peerPlays(1, 10, 1150);
         }
-        assertTrue(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).rung < 3);
+        s.boxes.get(3).handle.peerPlays(1, 3, 60);
+        Stage.Viewer v = s.take(PLAIN, s.policy.title(3, 1), PATIENCE);
+        assertTrue(v.rung > 0 && v.rung < 4, "rung " + v.rung);
     }
 
     @Test
