--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -68,6 +68,12 @@
     private final ArrayDeque<Moment> further = new ArrayDeque<>();
     private Moment now = Moment.DISTANT_PAST;
     private Moment started;
+    /** This front's viewings together: at their rungs, at their lowest rungs, and how many. */
+    private double ownKb;
+    private double ownFloorKb;
+    private int ownCount;
+    /** Streams that the listed boxes run at most; follows the list. */
+    private double allPlaces;
     private double joinSeconds = TYPICAL_JOIN.seconds();
     private double probesLeft = PROBES_HELD;
     private Moment toldAllAt = Moment.DISTANT_PAST;
@@ -129,6 +135,7 @@
         outside.wakeAfter(BEAT, this::beat);
         for (Rack r : racks) {
             r.relax();
+            r.relist();
         }
         tellPeers();
         for (MediaBox b : boxes) {
@@ -182,7 +189,8 @@
         double own;
         double told = Double.NaN;
         Moment toldTrueAt = Moment.DISTANT_PAST;
-        private double older;
+        /** All changes since the last report was true; the recent ones are kept apart until a report holds them. */
+        private double since;
         /** Own changes that a late report may not hold yet; time empties it. */
         private final ArrayDeque<Change> recent = new ArrayDeque<>();
 
@@ -198,8 +206,9 @@
         /** A change here or, as told, at another front. */
         void heardOf(double kb) {
             recent.add(new Change(now, kb));
+            since += kb;
             while (!recent.isEmpty() && recent.peek().at().before(now.minus(CHANGE_LIFE))) {
-                older += recent.poll().kb();
+                recent.poll();
             }
         }
 
@@ -209,20 +218,19 @@
             }
             told = load * size();
             toldTrueAt = trueAt;
-            older = 0;
             while (!recent.isEmpty() && recent.peek().at().before(trueAt)) {
                 recent.poll();
             }
+            since = 0;
+            for (Change c : recent) {
+                since += c.kb();
+            }
         }
 
         double demand() {
             if (Double.isNaN(told)) {
                 return Math.max(own, untold());
             }
-            double since = older;
-            for (Change c : recent) {
-                since += c.kb();
-            }
             double trust = Math.exp(-now.since(toldTrueAt).seconds() / NEWS_LIFE.seconds());
             return Math.max(own, trust * (told + since) + (1 - trust) * untold());
         }
@@ -238,13 +246,7 @@
 
     /** The mean rate of this front's viewings; others' are taken to be alike. */
     private double meanRate() {
-        double kb = middleKb;
-        int n = 1;
-        for (MediaBox b : boxes) {
-            kb += b.link.own;
-            n += b.viewings.size();
-        }
-        return kb / n;
+        return (middleKb + ownKb) / (1 + ownCount);
     }
 
     /** The uplink that a rack's boxes share. */
@@ -271,12 +273,19 @@
             return sum;
         }
 
-        int boxes() {
-            int n = 0;
+        /** What the list says of the rack; a cold link grows, so it is looked at again with each beat. */
+        private int serving;
+        private double linksKb;
+
+        void relist() {
+            serving = 0;
+            linksKb = 0;
             for (MediaBox b : boxes) {
-                n += b.rack == this && b.serving ? 1 : 0;
+                if (b.rack == this && b.serving) {
+                    serving++;
+                    linksKb += b.link.size();
+                }
             }
-            return n;
         }
 
         private boolean reported() {
@@ -288,11 +297,7 @@
             if (!reported()) {
                 return 0;
             }
-            double links = linkSize;
-            for (MediaBox b : boxes) {
-                links += b.rack == this && b.serving ? b.link.size() : 0;
-            }
-            return Math.max(0, demand() - own) * linkSize / links;
+            return Math.max(0, demand() - own) * linkSize / (linkSize + linksKb);
         }
 
         /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
@@ -392,17 +397,20 @@
             }
             serving = true;
             list();
+            relist();
         }
 
         public void draining() {
             serving = false;
             list();
+            relist();
         }
 
         public void gone() {
             serving = false;
             listed = false;
             tidy();
+            relist();
         }
 
         /** Nothing is held here any more and the list no longer names it. */
@@ -417,6 +425,16 @@
             listed = true;
         }
 
+        private void relist() {
+            allPlaces = 0;
+            for (MediaBox b : boxes) {
+                allPlaces += b.listed ? b.places() : 0;
+            }
+            for (Rack r : racks) {
+                r.relist();
+            }
+        }
+
         private void tidy() {
             if (forgotten()) {
                 boxes.remove(this);
@@ -532,11 +550,7 @@
                 if (fleet.linkKbPerWeight() > 0) {
                     return Math.max(1, fleet.linkKbPerWeight() * weight) * warmth();
                 }
-                double all = 0;
-                for (MediaBox b : boxes) {
-                    all += b.listed ? b.places() : 0;
-                }
-                return Math.max(1, fleet.linksKb() * (all > 0 ? places() / Math.max(all, places()) : 1)) * warmth();
+                return Math.max(1, fleet.linksKb() * places() / Math.max(allPlaces, places())) * warmth();
             }
 
             @Override
@@ -652,7 +666,7 @@
 
         private boolean capped(double rate, double present) {
             return rate <= link.size() / (sharers() + 1) || rate - present + middleKb <= link.room()
-                    && rate - present + rack.boxes() * middleKb <= rack.room();
+                    && rate - present + rack.serving * middleKb <= rack.room();
         }
 
         private double room() {
@@ -718,6 +732,7 @@
         }
 
         private void change(double kb) {
+            ownKb = Math.max(0, ownKb + kb);
             at.link.change(kb);
             at.rack.change(kb);
         }
@@ -758,15 +773,7 @@
          * taken to be like what this one plays.
          */
         private boolean crowdedOut(MediaBox b) {
-            double own = 0;
-            double floors = 0;
-            for (MediaBox any : boxes) {
-                for (Viewing vw : any.viewings) {
-                    own += vw.rate(vw.rung);
-                    floors += vw.rate(vw.terms.lowestRung());
-                }
-            }
-            double part = own > 0 ? floors / own : 1;
+            double part = ownKb > 0 ? ownFloorKb / ownKb : 1;
             double least = rate(terms.lowestRung());
             return part * b.link.demand() + least > b.link.size() || part * b.rack.demand() + least > b.rack.size();
         }
@@ -809,6 +816,8 @@
             at = b;
             rung = r;
             change(rate(r));
+            ownFloorKb += rate(terms.lowestRung());
+            ownCount++;
             b.viewings.add(this);
             if (terms.seats() > 0) {
                 title.seated.merge(terms, 1, Integer::sum);
@@ -817,6 +826,8 @@
 
         private void leave() {
             change(-rate(rung));
+            ownFloorKb = Math.max(0, ownFloorKb - rate(terms.lowestRung()));
+            ownCount--;
             at.viewings.remove(this);
             if (terms.seats() > 0) {
                 title.seated.computeIfPresent(terms, (t, n) -> n > 1 ? n - 1 : null);
