--- a/src/main/java/linengauge/Headend.java
+++ b/src/main/java/linengauge/Headend.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 
-/** What a front is told of its place when it starts: its neighbours, fleet, ladder, packages and what it may do. */
-public record Headend(int fronts, int ownNumber, int building, List<PackageTerms> packages, double[] ladderKb, double[] rungValue,
-        Fleet fleet, Rules rules, Permits permits) {
+/**
+ * What a front is told of its place when it starts: its neighbours, fleet, ladder, packages and what it may
+ * do.
+ */
+public record Headend(int fronts, int ownNumber, int building, List<PackageTerms> packages, double[] ladderKb,
+        double[] rungValue, Fleet fleet, Rules rules, Permits permits) {
 
     /** Links and racks as told; linkKbPerWeight is 0 where the list gives no sizes. */
     public record Fleet(int cells, int racks, int[] streamsByKind, double linksKb, double linkKbPerWeight,
@@ -12,12 +15,12 @@
     }
 
     /** The figures of the rules; furtherSpan NONE: further tune-ins are not rationed. */
-    public record Rules(Span drainGrace, Span coldFor, double startCapacity, double fallMultiple, Span fallAfter,
-            double furtherFree, double furtherShare, Span furtherSpan) {
+    public record Rules(Span drainGrace, Span coldFor, double startCapacity, double fallMultiple,
+            Span fallAfter, double furtherFree, double furtherShare, Span furtherSpan) {
     }
 
     /** What the front may do, and the prices that it weighs. */
-    public record Permits(int tuneIns, boolean messages, boolean probes, boolean reportsUplink, double probePrice, double crossingPrice,
-            Span longestAdvice) {
+    public record Permits(int tuneIns, boolean messages, boolean probes, boolean reportsUplink,
+            double probePrice, double crossingPrice, Span longestAdvice) {
     }
 }
--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -3,9 +3,9 @@
 import java.util.List;
 
 /**
- * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside to each instance, a
- * Player with each viewing and a Line with each media box; the module answers with handles, and all that happens later
- * is a call on those: see Policy.
+ * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside to each
+ * instance, a Player with each viewing and a Line with each media box; the module answers with handles, and
+ * all that happens later is a call on those: see Policy.
  */
 public interface Outside {
     /** Runs the given step once, not earlier than after the span and never within the present call. */
@@ -17,7 +17,10 @@
     /** A line for the operators. */
     void remark(String text);
 
-    /** The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they are made. */
+    /**
+     * The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they are
+     * made.
+     */
     interface Player {
         void tuneIn(Policy.MediaBox box, Span timeout);
 
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -6,10 +6,11 @@
 import java.util.SplittableRandom;
 
 /**
- * All decisions of one front. Whoever runs it tells the time with clock() before each round of calls, names boxes with
- * box(), titles with title(), and gives viewings with take() (new) or handOver() (playing already). Boxes and viewings
- * are handles: what is heard of them later is a call on the handle. The module acts through Outside.java; what it is
- * told at its start is in Headend.java. The ordinary path is EVeREst's (docs/design.md); what departs says so.
+ * All decisions of one front. Whoever runs it tells the time with clock() before each round of calls, names
+ * boxes with box(), titles with title(), and gives viewings with take() (new) or handOver() (playing
+ * already). Boxes and viewings are handles: what is heard of them later is a call on the handle. The module
+ * acts through Outside.java; what it is told at its start is in Headend.java. The ordinary path is EVeREst's
+ * (docs/design.md); what departs says so.
  */
 public final class Policy {
     /* The paired averages of the design. */
@@ -60,7 +61,8 @@
     private final double middleKb;
     private final double fill;
     private final double alike;
-    /** Boxes on the list, or gone from it with viewings left; emptied by the list and by the last viewing's end. */
+    /** Boxes on the list, or gone from it with viewings left; emptied by the list and by the last viewing's
+     * end. */
     private final List<MediaBox> boxes = new ArrayList<>();
     private final Rack[] racks;
     /** Moments of takes and of further tune-ins within the ration's window; time empties both. */
@@ -118,7 +120,8 @@
     }
 
     /** A viewing that plays already; the rung in force is heard with the next news. */
-    public Viewing handOver(Outside.Player player, PackageTerms terms, Title title, int ceiling, MediaBox at) {
+    public Viewing handOver(Outside.Player player, PackageTerms terms, Title title, int ceiling,
+            MediaBox at) {
         Viewing vw = new Viewing(player, terms, title, ceiling, now);
         vw.answered = true;
         vw.playing = true;
@@ -158,7 +161,8 @@
         }
     }
 
-    /** Where fronts may talk, each tells what it plays where since its last word, and all of it now and then. */
+    /** Where fronts may talk, each tells what it plays where since its last word, and all of it now and
+     * then. */
     private void tellPeers() {
         if (!house.permits().messages() || house.fronts() < 2) {
             return;
@@ -169,7 +173,8 @@
         List<MediaBox> news = new ArrayList<>();
         for (MediaBox b : boxes) {
             b.forgetSilentPeers();
-            if (all ? b.link.own > 0 || b.toldPeersKb > 0 || first : Math.abs(b.link.own - b.toldPeersKb) > middleKb / 10) {
+            if (all ? b.link.own > 0 || b.toldPeersKb > 0 || first
+                    : Math.abs(b.link.own - b.toldPeersKb) > middleKb / 10) {
                 news.add(b);
                 b.toldPeersKb = b.link.own;
             }
@@ -189,7 +194,8 @@
         double own;
         double told = Double.NaN;
         Moment toldTrueAt = Moment.DISTANT_PAST;
-        /** All changes since the last report was true; the recent ones are kept apart until a report holds them. */
+        /** All changes since the last report was true; the recent ones are kept apart until a report holds
+         * them. */
         private double since;
         /** Own changes that a late report may not hold yet; time empties it. */
         private final ArrayDeque<Change> recent = new ArrayDeque<>();
@@ -253,7 +259,8 @@
     private final class Rack extends Usage {
         private double sizeKb = house.fleet().uplinkKb();
         private Moment sizedAt = Moment.DISTANT_PAST;
-        /** Demand about as long ago as a short note was true: shedding since must not make the uplink look small. */
+        /** Demand about as long ago as a short note was true: shedding since must not make the uplink look
+         * small. */
         private double lately;
 
         @Override
@@ -314,10 +321,8 @@
             return shorts > 1;
         }
 
-        /**
-         * Where no report tells of the uplink, a shortfall that the link does not explain sizes it; the size drifts
-         * back to what was told, so that an uplink that recovers is used again.
-         */
+        /** Where no report tells of the uplink, a shortfall that the link does not explain sizes it; the
+         * size drifts back to what was told, so that an uplink that recovers is used again. */
         void shortOf(double share) {
             sizeKb = share * Math.max(lately, demand());
             sizedAt = now;
@@ -360,7 +365,8 @@
         private final int[] peerCount = new int[house.fronts()];
         private final Moment[] peerSpokeAt = new Moment[house.fronts()];
         private double toldPeersKb;
-        /** Sends within the window in which a cold box may fall: it may turn out cold later; time empties it. */
+        /** Sends within the window in which a cold box may fall: it may turn out cold later; time empties
+         * it. */
         private final ArrayDeque<Moment> sends = new ArrayDeque<>();
 
         private MediaBox(Outside.Line line) {
@@ -481,12 +487,10 @@
             return title.cellsInRow <= 0 || Math.floorMod(cell - title.firstCell, cells) < title.cellsInRow;
         }
 
-        /**
-         * Guards against boxes that fail set-ups in whatever way: silence, quick errors, being full or out of reach.
-         * Each failure doubles the time for which others are preferred, a success halves it. It should also hold
-         * against boxes that are merely slow; it could harm where one bad moment hits many boxes at once, so a box
-         * that is avoided is still used where no other is left.
-         */
+        /** Guards against boxes that fail set-ups in whatever way: silence, quick errors, being full or out
+         * of reach. Each failure doubles the time for which others are preferred, a success halves it. It
+         * should also hold against boxes that are merely slow; it could harm where one bad moment hits many
+         * boxes at once, so a box that is avoided is still used where no other is left. */
         private void failed(boolean silent) {
             avoidUntil = now.plus(FIRST_AVOID.times(1 << Math.min(failures, MOST_DOUBLINGS)));
             failures = Math.min(failures + 1, MOST_DOUBLINGS + 1);
@@ -512,7 +516,8 @@
             return n;
         }
 
-        /** A share of the rates under one is heard as a demand over size of one over the share, at link or uplink. */
+        /** A share of the rates under one is heard as a demand over size of one over the share, at link or
+         * uplink. */
         private void heardShare(double share) {
             if (share >= 0.98) {
                 return;
@@ -542,7 +547,8 @@
             return age >= whole || whole <= 0 ? 1 : start + (1 - start) * Math.max(0, age) / whole;
         }
 
-        /** Its own link as the list's sizes, or else the streams of its kind, divide the links told at the start. */
+        /** Its own link as the list's sizes, or else the streams of its kind, divide the links told at the
+         * start. */
         private final class Link extends Usage {
             @Override
             double size() {
@@ -559,7 +565,8 @@
             }
         }
 
-        /** Guards against the last word of a front that is gone: it counts no longer than two full tellings. */
+        /** Guards against the last word of a front that is gone: it counts no longer than two full
+         * tellings. */
         private void forgetSilentPeers() {
             for (int f = 0; f < peerKb.length; f++) {
                 if (peerKb[f] > 0 && peerSpokeAt[f].plus(TELL_ALL.times(2.2)).before(now)) {
@@ -577,7 +584,8 @@
             return sum;
         }
 
-        /** Another front tells what its viewings here are asked at; the change since its last word counts like an own. */
+        /** Another front tells what its viewings here are asked at; the change since its last word counts
+         * like an own. */
         public void peerPlays(int front, int count, double kb) {
             if (front >= 0 && front < peerKb.length && front != house.ownNumber()) {
                 double more = kb - peerKb[front];
@@ -617,7 +625,8 @@
                             (rack.demand() - alsoElsewhere) / rack.size());
                     top = left > FAR_OVER ? topThatCanFall() : null;
                 }
-                lowered.forEach(vw -> vw.player.rung(vw.rung)); // each change that plays costs: one for several steps
+                // Each change while it plays costs: one for several steps.
+                lowered.forEach(vw -> vw.player.rung(vw.rung));
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
                 Viewing low = null;
                 for (Viewing vw : viewings) {
@@ -703,7 +712,8 @@
         private boolean answered;
         private boolean mayHaveRun;
 
-        private Viewing(Outside.Player player, PackageTerms terms, Title title, int ceiling, Moment patienceEnds) {
+        private Viewing(Outside.Player player, PackageTerms terms, Title title, int ceiling,
+                Moment patienceEnds) {
             this.player = player;
             this.terms = terms;
             this.title = title;
@@ -718,7 +728,8 @@
 
         /** Value gained for each kB of the step from r to r + 1. */
         private double gain(int r) {
-            return terms.value() * (house.rungValue()[r + 1] - house.rungValue()[r]) / (rate(r + 1) - rate(r));
+            return terms.value() * (house.rungValue()[r + 1] - house.rungValue()[r])
+                    / (rate(r + 1) - rate(r));
         }
 
         private void step(int by) {
@@ -739,7 +750,8 @@
 
         /* ---- placement ---- */
 
-        /** Sends to the roomiest holder by rack and link; waits a little where the gate is shut, blocks if it stays. */
+        /** Sends to the roomiest holder by rack and link; waits a little where the gate is shut, blocks if
+         * it stays. */
         private void place() {
             if (answered) {
                 return;
@@ -761,21 +773,21 @@
             }
             if (best != null && !crowdedOut(best)) {
                 tuneIn(best);
-            } else if (best == null && mayStillPlay() && HOLD.under(patienceLeft(this)) && now.plus(HOLD).before(target)) {
+            } else if (best == null && mayStillPlay() && HOLD.under(patienceLeft(this))
+                    && now.plus(HOLD).before(target)) {
                 outside.wakeAfter(HOLD, this::place);
             } else {
                 giveUp();
             }
         }
 
-        /**
-         * Overload: not even with every viewing on its lowest rung would the newcomer fit. What other fronts play is
-         * taken to be like what this one plays.
-         */
+        /** Overload: not even with every viewing on its lowest rung would the newcomer fit. What other
+         * fronts play is taken to be like what this one plays. */
         private boolean crowdedOut(MediaBox b) {
             double part = ownKb > 0 ? ownFloorKb / ownKb : 1;
             double least = rate(terms.lowestRung());
-            return part * b.link.demand() + least > b.link.size() || part * b.rack.demand() + least > b.rack.size();
+            return part * b.link.demand() + least > b.link.size()
+                    || part * b.rack.demand() + least > b.rack.size();
         }
 
         private boolean mayStillPlay() {
@@ -974,11 +986,10 @@
         return now.before(b.startedAt.orLater(b.lostAt).plus(house.rules().coldFor()));
     }
 
-    /**
-     * A cold box gets this front's part of what all fronts together may send it in any window, reckoned at the capacity
-     * that it surely has at its start. Where a part is less than one set-up the fronts take turns by their numbers, so
-     * that they keep it with no word between them. A front that has itself just started may have sent before: it waits.
-     */
+    /** A cold box gets this front's part of what all fronts together may send it in any window, reckoned at
+     * the capacity that it surely has at its start. Where a part is less than one set-up the fronts take
+     * turns by their numbers, so that they keep it with no word between them. A front that has itself just
+     * started may have sent before: it waits. */
     private boolean coldPaceKept(MediaBox b) {
         Headend.Rules rules = house.rules();
         if (!cold(b)) {
