One piece for what stood twice; takes are pruned as they come

The patience left, the cold window, a shift of rung and the size of a told box were each written twice. The comment on a sample said at most one step.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -112,6 +112,7 @@
     }
 
     public Viewing take(Outside.Player player, PackageTerms terms, Title title, int ceiling, Span patience) {
+        pruneRation();
         taken.add(now);
         probesLeft = Math.min(PROBES_HELD, probesLeft + probesPerViewing());
         Viewing vw = new Viewing(player, terms, title, ceiling, now.plus(patience));
@@ -262,6 +263,9 @@
         /** Demand about as long ago as a short note was true: shedding since must not make the uplink look
          * small. */
         private double lately;
+        /** What the list says of the rack; a cold link grows, so it is looked at again with each beat. */
+        private int serving;
+        private double linksKb;
 
         @Override
         double size() {
@@ -280,10 +284,6 @@
             return sum;
         }
 
-        /** What the list says of the rack; a cold link grows, so it is looked at again with each beat. */
-        private int serving;
-        private double linksKb;
-
         void relist() {
             serving = 0;
             linksKb = 0;
@@ -604,7 +604,7 @@
 
         /* ---- the paired averages and the cap ---- */
 
-        /** One sample of demand over size: both averages move, and at most one viewing steps. */
+        /** One sample of demand over size: both averages move, then a step down, one up, or none. */
         private void sample() {
             double x = Math.max(link.load(), rack.load());
             double passed = sampledAt == null ? 0 : now.since(sampledAt).seconds();
@@ -806,7 +806,6 @@
 
         private void tuneIn(MediaBox b) {
             int fits = fit(b, 0);
-            Span left = patienceEnds.since(now).minus(ANSWER_MARGIN);
             Span toTarget = target.since(now);
             Span wait = Span.ofSeconds(4 * joinSeconds / b.warmth()).orMore(LEAST_WAIT);
             if (LEAST_WAIT.under(toTarget)) {
@@ -818,7 +817,7 @@
             settle(b, fits);
             tried.add(b);
             player.rung(rung);
-            player.tuneIn(b, wait.orLess(left));
+            player.tuneIn(b, wait.orLess(patienceLeft(this)));
             if (PROBE_SPACING.under(now.since(b.probedAt))) {
                 b.probe();
             }
@@ -894,8 +893,7 @@
             mayHaveRun |= !how.neverRan;
             switch (how) {
                 case ERROR, TURNED_AWAY -> b.failed(false);
-                case NO_ANSWER, NOT_REACHED -> b.failed(true);
-                case BROKEN -> b.failed(true);
+                case NO_ANSWER, NOT_REACHED, BROKEN -> b.failed(true);
                 default -> {
                 }
             }
@@ -919,8 +917,7 @@
 
         public void rungInForce(int inForce) {
             if (at != null && inForce != rung && inForce >= 0 && inForce < house.ladderKb().length) {
-                change(rate(inForce) - rate(rung));
-                rung = inForce;
+                shift(inForce - rung);
             }
         }
 
@@ -958,21 +955,23 @@
         if (vw.tuneIns++ > 0) {
             further.add(now);
         }
-        prune(b.sends, now.minus(house.rules().fallAfter().plus(COLD_SLACK)));
+        prune(b.sends, now.minus(fallWindow()));
         b.sends.add(now);
     }
 
     private boolean furtherLeft() {
         Headend.Rules rules = house.rules();
         if (rules.furtherSpan().equals(Span.NONE)) {
-            further.clear();
-            taken.clear();
             return true;
         }
-        Moment from = now.minus(rules.furtherSpan());
+        pruneRation();
+        return further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
+    }
+
+    private void pruneRation() {
+        Moment from = now.minus(house.rules().furtherSpan());
         prune(further, from);
         prune(taken, from.plus(ANSWER_MARGIN));
-        return further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
     }
 
     private static void prune(ArrayDeque<Moment> moments, Moment from) {
@@ -981,6 +980,11 @@
         }
     }
 
+    /** The span over which sends to a cold box are counted. */
+    private Span fallWindow() {
+        return house.rules().fallAfter().plus(COLD_SLACK);
+    }
+
     /** Just started, or lost from sight so lately that it may have. */
     private boolean cold(MediaBox b) {
         return now.before(b.startedAt.orLater(b.lostAt).plus(house.rules().coldFor()));
@@ -995,7 +999,7 @@
         if (!cold(b)) {
             return true;
         }
-        Span window = rules.fallAfter().plus(COLD_SLACK);
+        Span window = fallWindow();
         prune(b.sends, now.minus(window));
         double all = COLD_PART * rules.fallMultiple() * b.places() * rules.startCapacity()
                 * rules.fallAfter().seconds() / rules.coldFor().seconds();
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -26,7 +26,8 @@
     private static final Set<String> EVENTS = Set.of("backendsChanged", "demand", "headers", "sampled", "completed",
             "mail", "resumed", "reminder", "cancelledByClient", "statusNote");
 
-    private static final int BOXES_A_MESSAGE = 36;
+    private static final int BYTES_A_BOX = 7;
+    private static final int BOXES_A_MESSAGE = 256 / BYTES_A_BOX;
 
     private final int number;
     private final PrintStream complaints;
@@ -378,7 +379,7 @@
     public void tellPeers(List<Policy.MediaBox> news) {
         for (int from = 0; from < news.size(); from += BOXES_A_MESSAGE) {
             List<Policy.MediaBox> some = news.subList(from, Math.min(news.size(), from + BOXES_A_MESSAGE));
-            ByteBuffer bytes = ByteBuffer.allocate(7 * some.size());
+            ByteBuffer bytes = ByteBuffer.allocate(BYTES_A_BOX * some.size());
             for (Policy.MediaBox box : some) {
                 bytes.putInt((int) ((WireBox) box.line()).id);
                 bytes.put((byte) Math.min(0xff, box.ownViewings()));
@@ -395,7 +396,7 @@
         } catch (IllegalArgumentException e) {
             throw new Wrong("'octets' should be base64");
         }
-        while (bytes.remaining() >= 7) {
+        while (bytes.remaining() >= BYTES_A_BOX) {
             WireBox b = boxes.get(Integer.toUnsignedLong(bytes.getInt()));
             int count = Byte.toUnsignedInt(bytes.get());
             double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
