Own part of a shortage, boxes asked before a choice, one keeper a rack

Dropped as nothing supported them: rungs that follow news between send and start, the list of boxes tried, time-outs by usual set-ups.

--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -1,7 +1,5 @@
 package linengauge;
 
-import java.util.List;
-
 /**
  * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside to each
  * instance, a Player with each viewing and a Line with each media box; the module answers with handles, and
@@ -11,11 +9,11 @@
     /** Runs the given step once, not earlier than after the span and never within the present call. */
     void wakeAfter(Span span, Runnable step);
 
-    /** Tells every other front what this one plays at each of the given boxes (ownKb). */
-    void tellPeers(List<Policy.MediaBox> boxes);
+    /** Tells another front, which keeps it, what this one plays at a box (ownViewings, ownKb). */
+    void tell(int front, Policy.MediaBox box);
 
-    /** A line for the operators. */
-    void remark(String text);
+    /** Answers such a front with what all others play at the box, and what all play on its rack. */
+    void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb);
 
     /**
      * The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they are
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -18,15 +19,12 @@
     private static final Span LONG = Span.ofSeconds(5);
     private static final Span BEAT = Span.ofMillis(500);
     private static final double UPPER_MARK = 1.0;
-    /** At a step down the sample is over this: further viewings step in the same moment. */
-    private static final double FAR_OVER = 1.15;
-    private static final double SHORT_RESET = 0.3;
+    private static final double SHORT_RESET = 0.6;
     private static final double LONG_RESET = 1.1;
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
-    /** Set-ups and up-steps fill a link or uplink so far: true rates lie above or below the ladder. */
-    private static final double FILL = 0.92;
-    /** The same where fronts tell each other what they play: less is unseen. */
+    /** Links are filled so far, as true rates lie off the ladder; more where fronts tell what they play. */
+    private static final double FILL = 0.8;
     private static final double FILL_TOLD = 0.99;
     /** A share under this is no crowding: the box stands still. */
     private static final double STANDSTILL = 0.25;
@@ -36,16 +34,22 @@
     private static final Span CHANGE_LIFE = Span.ofSeconds(6);
     private static final Span RELAX = Span.ofSeconds(30);
     private static final Span TELL_ALL = Span.ofSeconds(6);
-    private static final Span SHORT_NEWS = Span.ofMillis(1300);
-    /** Old news of a link or uplink gives way to what is else known of it. */
-    private static final Span NEWS_LIFE = Span.ofSeconds(8);
-    private static final double ALIKE = 0.5;
-    private static final double PROBE_SPEND = 0.012;
-    private static final double PROBES_HELD = 4;
-    private static final Span PROBE_SPACING = Span.ofMillis(700);
+    /** Short notes are smoothed: they still show what has been shed this much longer. */
+    private static final Span SMOOTHED = Span.ofMillis(800);
+    private static final double LINK_CLEAR = 0.95;
+    private static final Span SPEAKS = Span.ofSeconds(4);
+    private static final Span NEWS_HOLDS = Span.ofSeconds(3);
+    private static final Span NEWS_LIFE = Span.ofSeconds(6);
+    private static final double PROBE_SPEND = 0.03;
+    private static final double PROBES_HELD = 20;
+    private static final double USUAL = 0.6;
+    private static final double USUAL_WEIGHT = 0.3;
+    /** How long a newcomer waits for the probes of its first choices. */
+    private static final Span LOOK = Span.ofMillis(80);
+    private static final Span FRESH = Span.ofMillis(700);
 
     /* Tune-ins. */
-    private static final Span TYPICAL_JOIN = Span.ofMillis(150);
+    private static final Span LATE_WAIT = Span.ofMillis(600);
     private static final Span LEAST_WAIT = Span.ofMillis(250);
     private static final Span ANSWER_MARGIN = Span.ofMillis(60);
     private static final Span HOLD = Span.ofMillis(100);
@@ -60,25 +64,24 @@
     private final SplittableRandom chance;
     private final double middleKb;
     private final double fill;
-    private final double alike;
-    /** Boxes on the list, or gone from it with viewings left; emptied by the list and by the last viewing's
-     * end. */
+    private final double othersPart;
+    /** Boxes on the list, which empties it; those with viewings of this front, till the last one ends. */
     private final List<MediaBox> boxes = new ArrayList<>();
+    private final List<MediaBox> occupied = new ArrayList<>();
     private final Rack[] racks;
     /** Moments of takes and of further tune-ins within the ration's window; time empties both. */
     private final ArrayDeque<Moment> taken = new ArrayDeque<>();
     private final ArrayDeque<Moment> further = new ArrayDeque<>();
     private Moment now = Moment.DISTANT_PAST;
     private Moment started;
-    /** This front's viewings together: at their rungs, at their lowest rungs, and how many. */
+    /** This front's viewings together: at their rungs, and at their lowest rungs. */
     private double ownKb;
     private double ownFloorKb;
-    private int ownCount;
-    /** Streams that the listed boxes run at most; follows the list. */
-    private double allPlaces;
-    private double joinSeconds = TYPICAL_JOIN.seconds();
-    private double probesLeft = PROBES_HELD;
-    private Moment toldAllAt = Moment.DISTANT_PAST;
+    /** The shares of all serving boxes; follows the list. */
+    private double allShares;
+    private double probesLeft = 1;
+    /** The load of a link that nothing is known of: the mean of what boxes report. */
+    private double usual = USUAL;
 
     public Policy(Headend house, long seed, Outside outside) {
         this.house = house;
@@ -86,8 +89,8 @@
         this.chance = new SplittableRandom(seed);
         double[] kb = house.ladderKb();
         this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
+        this.othersPart = 1 - 1.0 / house.fronts();
         this.fill = house.permits().messages() ? FILL_TOLD : FILL;
-        this.alike = house.permits().messages() ? 1 : 1 + ALIKE * (house.fronts() - 1);
         this.racks = new Rack[house.fleet().racks()];
         for (int i = 0; i < racks.length; i++) {
             racks[i] = new Rack();
@@ -114,9 +117,8 @@
     public Viewing take(Outside.Player player, PackageTerms terms, Title title, int ceiling, Span patience) {
         pruneRation();
         taken.add(now);
-        probesLeft = Math.min(PROBES_HELD, probesLeft + probesPerViewing());
         Viewing vw = new Viewing(player, terms, title, ceiling, now.plus(patience));
-        vw.place();
+        vw.look();
         return vw;
     }
 
@@ -130,58 +132,16 @@
         return vw;
     }
 
-    private double probesPerViewing() {
-        double price = house.permits().probePrice();
-        return price > 0 ? PROBE_SPEND / price : PROBES_HELD;
-    }
-
     private void beat() {
         outside.wakeAfter(BEAT, this::beat);
         for (Rack r : racks) {
             r.relax();
-            r.relist();
-        }
-        tellPeers();
-        for (MediaBox b : boxes) {
-            b.sample();
         }
-        probesLeft = Math.min(PROBES_HELD, probesLeft + 0.1);
-        while (probesLeft >= 1) {
-            MediaBox stalest = null;
-            double most = PROBE_SPACING.seconds();
-            for (MediaBox b : boxes) {
-                double need = now.since(b.probedAt).seconds() * Math.min(1, (1 + b.viewings.size()) / 4.0);
-                if (b.serving && need > most) {
-                    most = need;
-                    stalest = b;
-                }
-            }
-            if (stalest == null || !stalest.probe()) {
-                return;
+        for (MediaBox b : List.copyOf(occupied)) {
+            if (Math.abs(b.link.own - b.toldKb) > middleKb / 10 || b.toldAt.plus(TELL_ALL).before(now)) {
+                b.tell();
             }
-        }
-    }
-
-    /** Where fronts may talk, each tells what it plays where since its last word, and all of it now and
-     * then. */
-    private void tellPeers() {
-        if (!house.permits().messages() || house.fronts() < 2) {
-            return;
-        }
-        boolean first = toldAllAt.equals(Moment.DISTANT_PAST);
-        boolean all = !now.before(toldAllAt.plus(TELL_ALL));
-        toldAllAt = all ? now : toldAllAt;
-        List<MediaBox> news = new ArrayList<>();
-        for (MediaBox b : boxes) {
-            b.forgetSilentPeers();
-            if (all ? b.link.own > 0 || b.toldPeersKb > 0 || first
-                    : Math.abs(b.link.own - b.toldPeersKb) > middleKb / 10) {
-                news.add(b);
-                b.toldPeersKb = b.link.own;
-            }
-        }
-        if (!news.isEmpty()) {
-            outside.tellPeers(news);
+            b.sample();
         }
     }
 
@@ -190,27 +150,32 @@
     private record Change(Moment at, double kb) {
     }
 
+    private record Word(Moment at, int count, double kb) {
+    }
+
     /** What is asked of a link or uplink: last reported use plus own changes since that report was true. */
     private abstract class Usage {
         double own;
         double told = Double.NaN;
         Moment toldTrueAt = Moment.DISTANT_PAST;
-        /** All changes since the last report was true; the recent ones are kept apart until a report holds
-         * them. */
+        /** What the other fronts say that they play here, as the rack's keeper last told. */
+        double elsewhere;
+        Moment elsewhereAt = Moment.DISTANT_PAST;
+        /** All changes since the last report was true. */
         private double since;
-        /** Own changes that a late report may not hold yet; time empties it. */
+        /** Those that a late report may not hold yet; time empties it. */
         private final ArrayDeque<Change> recent = new ArrayDeque<>();
 
         abstract double size();
 
-        abstract double untold();
+        /** What others may ask of it, where nothing is heard. */
+        abstract double unheard();
 
         void change(double kb) {
             own = Math.max(0, own + kb);
-            heardOf(kb * alike);
+            heardOf(kb);
         }
 
-        /** A change here or, as told, at another front. */
         void heardOf(double kb) {
             recent.add(new Change(now, kb));
             since += kb;
@@ -234,12 +199,41 @@
             }
         }
 
-        double demand() {
-            if (Double.isNaN(told)) {
-                return Math.max(own, untold());
+        void othersPlay(double kb) {
+            if (now.since(elsewhereAt).under(TELL_ALL.times(3))) {
+                heardOf(kb - elsewhere);
             }
-            double trust = Math.exp(-now.since(toldTrueAt).seconds() / NEWS_LIFE.seconds());
-            return Math.max(own, trust * (told + since) + (1 - trust) * untold());
+            elsewhere = kb;
+            elsewhereAt = now;
+        }
+
+        void othersAlike(double kb) {
+            heardOf(kb);
+            elsewhere = Math.max(0, elsewhere + kb);
+        }
+
+        /** The keeper's word counts in full for two tellings, then fades. */
+        private double wordHolds() {
+            double late = now.since(elsewhereAt).seconds() / TELL_ALL.seconds() - 2;
+            return Math.max(0, Math.min(1, 1 - late));
+        }
+
+        /** What is heard; old news gives way to own rates alone, as where none has come. */
+        double demand() {
+            return blend(own + wordHolds() * elsewhere);
+        }
+
+        /** The same with a guess of what is not heard: for placement, no playing viewing steps on a guess. */
+        double likely() {
+            double word = wordHolds();
+            return blend(own + word * elsewhere + (1 - word) * unheard());
+        }
+
+        private double blend(double otherwise) {
+            double stale = now.since(toldTrueAt).minus(NEWS_HOLDS).seconds();
+            double trust = Math.exp(-Math.max(0, stale) / NEWS_LIFE.seconds());
+            return Double.isNaN(told) ? otherwise
+                    : Math.max(own, trust * (told + since) + (1 - trust) * otherwise);
         }
 
         double load() {
@@ -247,25 +241,30 @@
         }
 
         double room() {
+            return fill * size() - likely();
+        }
+
+        double spare() {
             return fill * size() - demand();
         }
     }
 
-    /** The mean rate of this front's viewings; others' are taken to be alike. */
-    private double meanRate() {
-        return (middleKb + ownKb) / (1 + ownCount);
+    /** What the list's sizes, or else the streams of the kinds, say of links in kB. */
+    private double kbPerShare() {
+        Headend.Fleet fleet = house.fleet();
+        return fleet.linkKbPerWeight() > 0 ? fleet.linkKbPerWeight()
+                : fleet.linksKb() / Math.max(1, allShares);
     }
 
     /** The uplink that a rack's boxes share. */
     private final class Rack extends Usage {
         private double sizeKb = house.fleet().uplinkKb();
         private Moment sizedAt = Moment.DISTANT_PAST;
-        /** Demand about as long ago as a short note was true: shedding since must not make the uplink look
-         * small. */
+        /** Demand when a short note was true: what was shed since must not make the uplink look small. */
         private double lately;
-        /** What the list says of the rack; a cold link grows, so it is looked at again with each beat. */
         private int serving;
-        private double linksKb;
+        private double shares;
+        private double wordsKb;
 
         @Override
         double size() {
@@ -273,52 +272,17 @@
         }
 
         @Override
-        double untold() {
-            if (reported()) {
-                return told;
-            }
-            double sum = 0;
-            for (MediaBox b : boxes) {
-                sum += b.rack != this ? 0 : house.permits().messages() ? b.link.untold() : b.link.demand();
-            }
-            return sum;
+        double unheard() {
+            return usual * linksKb() * othersPart;
         }
 
-        void relist() {
-            serving = 0;
-            linksKb = 0;
-            for (MediaBox b : boxes) {
-                if (b.rack == this && b.serving) {
-                    serving++;
-                    linksKb += b.link.size();
-                }
-            }
+        private double linksKb() {
+            return shares * kbPerShare();
         }
 
-        private boolean reported() {
-            return house.permits().reportsUplink() && !Double.isNaN(told);
-        }
-
-        /** What others ask of an uplink that reports tell of, spread over its links by their size. */
+        /** What others may ask of one of its links, where nothing else is known of that. */
         double othersPart(double linkSize) {
-            if (!reported()) {
-                return 0;
-            }
-            return Math.max(0, demand() - own) * linkSize / (linkSize + linksKb);
-        }
-
-        /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
-        boolean shortEverywhere() {
-            int shorts = 0;
-            for (MediaBox b : boxes) {
-                if (b.rack == this && b.settingUp() < b.viewings.size()) {
-                    if (SHORT_NEWS.under(now.since(b.shortAt))) {
-                        return false;
-                    }
-                    shorts++;
-                }
-            }
-            return shorts > 1;
+            return Math.max(0, likely() - own) * linkSize / Math.max(linkSize, linksKb());
         }
 
         /** Where no report tells of the uplink, a shortfall that the link does not explain sizes it; the
@@ -356,15 +320,21 @@
         private double shortAverage = SHORT_RESET;
         private double longAverage = LONG_RESET;
         private Moment sampledAt;
-        private Moment shortAt = Moment.DISTANT_PAST;
         private Moment steppedUpAt = Moment.DISTANT_PAST;
         private int failures;
         private Moment avoidUntil = Moment.DISTANT_PAST;
         private Moment lostAt = Moment.DISTANT_PAST;
-        private final double[] peerKb = new double[house.fronts()];
-        private final int[] peerCount = new int[house.fronts()];
-        private final Moment[] peerSpokeAt = new Moment[house.fronts()];
-        private double toldPeersKb;
+        /** What other fronts say that they play here, kept by the rack's keeper alone, the oldest first; a
+         * front's word leaves when it plays nothing or, once silent for two tellings, with the next word. */
+        private final LinkedHashMap<Integer, Word> words = new LinkedHashMap<>();
+        private double wordsKb;
+        private int wordsCount;
+        private int othersCount;
+        private Moment reportedAt = Moment.DISTANT_PAST;
+        private double toldKb;
+        private Moment toldAt = Moment.DISTANT_PAST;
+        /** Newcomers that wait for a probe; its answer empties it. */
+        private final ArrayDeque<Viewing> askers = new ArrayDeque<>();
         /** Sends within the window in which a cold box may fall: it may turn out cold later; time empties
          * it. */
         private final ArrayDeque<Moment> sends = new ArrayDeque<>();
@@ -377,7 +347,6 @@
             return line;
         }
 
-        /** What this front's viewings here are asked at together. */
         public double ownKb() {
             return link.own;
         }
@@ -390,33 +359,28 @@
             if (this.startedAt.before(startedAt)) {
                 forgetPast();
             }
+            counted(false);
             this.weight = weight;
             this.cell = cell;
             this.kind = kind;
             this.building = building;
             this.startedAt = startedAt;
-            Rack home = racks[Math.floorMod(cell, racks.length)];
-            if (home != rack) {
-                rack.change(-link.own);
-                rack = home;
-                rack.change(link.own);
-            }
-            serving = true;
+            rack.change(-link.own);
+            rack = racks[Math.floorMod(cell, racks.length)];
+            rack.change(link.own);
             list();
-            relist();
+            counted(true);
         }
 
         public void draining() {
-            serving = false;
+            counted(false);
             list();
-            relist();
         }
 
         public void gone() {
-            serving = false;
+            counted(false);
+            boxes.remove(this);
             listed = false;
-            tidy();
-            relist();
         }
 
         /** Nothing is held here any more and the list no longer names it. */
@@ -425,26 +389,26 @@
         }
 
         private void list() {
-            if (!listed && !boxes.contains(this)) {
+            if (!listed) {
                 boxes.add(this);
             }
             listed = true;
         }
 
-        private void relist() {
-            allPlaces = 0;
-            for (MediaBox b : boxes) {
-                allPlaces += b.listed ? b.places() : 0;
-            }
-            for (Rack r : racks) {
-                r.relist();
+        /** Into or out of the running totals of its rack and of all. */
+        private void counted(boolean in) {
+            if (in != serving) {
+                double share = in ? share() : -share();
+                rack.shares += share;
+                allShares += share;
+                rack.serving += in ? 1 : -1;
+                serving = in;
             }
         }
 
-        private void tidy() {
-            if (forgotten()) {
-                boxes.remove(this);
-            }
+        /** Its part of all links by the list's sizes or, where it gives none, by the streams of its kind. */
+        private double share() {
+            return house.fleet().linkKbPerWeight() > 0 ? weight : places();
         }
 
         private void forgetPast() {
@@ -454,15 +418,20 @@
             streams = Double.NaN;
         }
 
-        /** What the box reports of itself; figures that it does not report are NaN. */
+        private void linkReported(double asked, Moment trueAt) {
+            if (!Double.isNaN(asked)) {
+                link.hear(asked, trueAt);
+                usual += USUAL_WEIGHT * (asked - usual);
+                reportedAt = now;
+            }
+        }
+
+        /** Figures that the box does not report are NaN. */
         public void reported(double linkAsked, double uplinkAsked, double streams) {
             Moment trueAt = now.minus(REPORT_AGE);
-            link.hear(linkAsked, trueAt);
+            linkReported(linkAsked, trueAt);
             rack.hear(uplinkAsked, trueAt);
             this.streams = streams;
-            for (Viewing vw : List.copyOf(viewings)) {
-                vw.reconsider();
-            }
             sample();
         }
 
@@ -470,10 +439,17 @@
             if (!answered) {
                 failed(true);
             }
+            answerAskers();
+        }
+
+        private void answerAskers() {
+            for (Viewing vw = askers.poll(); vw != null; vw = askers.poll()) {
+                vw.heard();
+            }
         }
 
         private boolean probe() {
-            if (!house.permits().probes() || probesLeft < 1) {
+            if (!house.permits().probes() || probesLeft < 1 || now.since(probedAt).under(FRESH)) {
                 return false;
             }
             probesLeft--;
@@ -516,8 +492,7 @@
             return n;
         }
 
-        /** A share of the rates under one is heard as a demand over size of one over the share, at link or
-         * uplink. */
+        /** A share of the rates is heard as a load of one over it, of whichever is fuller, link or uplink. */
         private void heardShare(double share) {
             if (share >= 0.98) {
                 return;
@@ -526,10 +501,9 @@
                 failed(false);
                 return;
             }
-            shortAt = now;
-            Moment trueAt = now.minus(house.fleet().shareLateness());
+            Moment trueAt = now.minus(house.fleet().shareLateness()).minus(SMOOTHED);
             double asked = 1 / Math.max(LEAST_SHARE, share);
-            if (!rack.shortEverywhere()) {
+            if (link.load() >= rack.load() && !linkHasRoom()) {
                 link.hear(asked, trueAt);
             } else if (house.permits().reportsUplink()) {
                 rack.hear(asked, trueAt);
@@ -539,6 +513,12 @@
             sample();
         }
 
+        /** Its last report, not much older than a short note, says that the link itself gives all. */
+        private boolean linkHasRoom() {
+            return !house.permits().reportsUplink() && link.load() < LINK_CLEAR
+                    && now.since(reportedAt).under(SPEAKS);
+        }
+
         /** The share of its size that a box which has just started is sure to give. */
         private double warmth() {
             double age = now.since(startedAt).seconds();
@@ -547,54 +527,73 @@
             return age >= whole || whole <= 0 ? 1 : start + (1 - start) * Math.max(0, age) / whole;
         }
 
-        /** Its own link as the list's sizes, or else the streams of its kind, divide the links told at the
-         * start. */
         private final class Link extends Usage {
             @Override
             double size() {
-                Headend.Fleet fleet = house.fleet();
-                if (fleet.linkKbPerWeight() > 0) {
-                    return Math.max(1, fleet.linkKbPerWeight() * weight) * warmth();
-                }
-                return Math.max(1, fleet.linksKb() * places() / Math.max(allPlaces, places())) * warmth();
+                return Math.max(1, share() * kbPerShare()) * warmth();
             }
 
             @Override
-            double untold() {
-                return own + (house.permits().messages() ? elsewhere() : rack.othersPart(size()));
+            double unheard() {
+                return rack.othersPart(size());
             }
         }
 
-        /** Guards against the last word of a front that is gone: it counts no longer than two full
-         * tellings. */
-        private void forgetSilentPeers() {
-            for (int f = 0; f < peerKb.length; f++) {
-                if (peerKb[f] > 0 && peerSpokeAt[f].plus(TELL_ALL.times(2.2)).before(now)) {
-                    peerPlays(f, 0, 0);
+        /** Guards against the last word of a front that is gone: it counts no longer than two tellings. */
+        private void forgetSilentFronts() {
+            while (!words.isEmpty()) {
+                var oldest = words.entrySet().iterator().next();
+                if (!oldest.getValue().at().plus(TELL_ALL.times(2.2)).before(now)) {
+                    return;
                 }
+                word(oldest.getKey(), 0, 0);
             }
         }
 
-        /** What the other fronts say that they play here. */
-        private double elsewhere() {
-            double sum = 0;
-            for (double kb : peerKb) {
-                sum += kb;
+        private void word(int front, int count, double kb) {
+            Word old = words.remove(front);
+            if (count > 0) {
+                words.put(front, new Word(now, count, kb));
             }
-            return sum;
-        }
-
-        /** Another front tells what its viewings here are asked at; the change since its last word counts
-         * like an own. */
-        public void peerPlays(int front, int count, double kb) {
-            if (front >= 0 && front < peerKb.length && front != house.ownNumber()) {
-                double more = kb - peerKb[front];
-                peerKb[front] = kb;
-                peerCount[front] = count;
-                peerSpokeAt[front] = now;
-                link.heardOf(more);
-                rack.heardOf(more);
+            double more = (count > 0 ? kb : 0) - (old == null ? 0 : old.kb());
+            wordsKb = Math.max(0, wordsKb + more);
+            wordsCount += count - (old == null ? 0 : old.count());
+            rack.wordsKb = Math.max(0, rack.wordsKb + more);
+            othersCount = wordsCount;
+            link.othersPlay(wordsKb);
+            rack.othersPlay(rack.wordsKb);
+        }
+
+        /** To the keeper: another front tells what it plays here, and is answered with what the rest play. */
+        public void frontPlays(int front, int count, double kb) {
+            forgetSilentFronts();
+            word(front, count, kb);
+            outside.answer(front, this, wordsCount - count + viewings.size(), wordsKb - kb + link.own,
+                    rack.wordsKb + rack.own);
+        }
+
+        /** From the keeper: what others play here, and what all play on the rack. */
+        public void othersPlay(int count, double kb, double rackKb) {
+            othersCount = count;
+            link.othersPlay(kb);
+            rack.othersPlay(Math.max(0, rackKb - rack.own));
+            answerAskers();
+        }
+
+        /** Where fronts may talk, one front keeps for each rack what all play there. Telling it is also
+         * asking it. Says whether an answer is to come. */
+        private boolean tell() {
+            if (!house.permits().messages() || house.fronts() < 2) {
+                return false;
+            }
+            toldKb = link.own;
+            toldAt = now;
+            int keeper = Math.floorMod(cell, racks.length) % house.fronts();
+            if (keeper == house.ownNumber()) {
+                return false;
             }
+            outside.tell(keeper, this);
+            return true;
         }
 
         private double places() {
@@ -606,76 +605,91 @@
 
         /** One sample of demand over size: both averages move, then a step down, one up, or none. */
         private void sample() {
+            if (viewings.isEmpty()) {
+                return;
+            }
             double x = Math.max(link.load(), rack.load());
-            double passed = sampledAt == null ? 0 : now.since(sampledAt).seconds();
+            double passed = now.since(sampledAt).seconds();
             shortAverage += Math.min(1, passed / SHORT.seconds()) * (x - shortAverage);
             longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
             sampledAt = now;
             if (shortAverage >= UPPER_MARK) {
-                Viewing top = topThatCanFall();
-                shortAverage = top == null ? shortAverage : SHORT_RESET;
-                double alsoElsewhere = 0;
-                List<Viewing> lowered = new ArrayList<>();
-                while (top != null) {
-                    alsoElsewhere += (house.fronts() - alike) * (top.rate(top.rung) - top.rate(top.rung - 1));
-                    top.shift(-1);
-                    lowered.remove(top);
-                    lowered.add(top);
-                    double left = Math.max((link.demand() - alsoElsewhere) / link.size(),
-                            (rack.demand() - alsoElsewhere) / rack.size());
-                    top = left > FAR_OVER ? topThatCanFall() : null;
-                }
-                // Each change while it plays costs: one for several steps.
-                lowered.forEach(vw -> vw.player.rung(vw.rung));
+                stepDown(1 - fill / Math.max(x, fill));
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
-                Viewing low = null;
-                for (Viewing vw : viewings) {
-                    if (vw.playing && vw.rung < vw.ceiling && capped(vw.rate(vw.rung + 1), vw.rate(vw.rung))
-                            && (low == null || vw.rung < low.rung
-                            || vw.rung == low.rung && vw.gain(vw.rung) > low.gain(low.rung))) {
-                        low = vw;
-                    }
-                }
-                if (low != null) {
-                    double lowerMark = fill - (low.rate(low.rung + 1) - low.rate(low.rung)) / link.size();
-                    if (longAverage < lowerMark && x < lowerMark) {
-                        longAverage = LONG_RESET;
-                        steppedUpAt = now;
-                        low.step(1);
-                    }
+                Viewing low = next(1);
+                double mark = low == null ? 0 : fill - low.added(1) / link.size();
+                // Where probes are allowed nothing steps up but on fresh news.
+                boolean fresh = !house.permits().probes() || now.since(reportedAt).under(FRESH);
+                if (longAverage < mark && x < mark && !probe() && fresh) {
+                    stepUp(low, fill / Math.max(x, 0.1) - 1);
                 }
             }
         }
 
-        private Viewing topThatCanFall() {
-            Viewing top = null;
+        /** Every front on a link hears the same news at about the same time. Each steps for its own part of
+         * the shortage, or of the room, the last step by chance, so that all together meet it: one front
+         * alone as well as hundreds with one viewing each. Should hold against swinging whatever the news;
+         * it harms where others do not hear, or no longer run: then the next sample steps again. */
+        private void stepDown(double over) {
+            Viewing top = next(-1);
+            shortAverage = top == null ? shortAverage : SHORT_RESET;
+            double part = over * link.own;
+            othersAlike(-over);
+            List<Viewing> lowered = new ArrayList<>();
+            while (top != null && chance.nextDouble() < part / -top.added(-1)) {
+                part += top.added(-1);
+                top.shift(-1);
+                lowered.remove(top);
+                lowered.add(top);
+                top = next(-1);
+            }
+            // Each change while it plays costs: one for several steps.
+            lowered.forEach(vw -> vw.player.rung(vw.rung));
+        }
+
+        private void stepUp(Viewing low, double under) {
+            longAverage = LONG_RESET;
+            steppedUpAt = now;
+            double part = under * link.own;
+            othersAlike(under);
+            if (chance.nextDouble() < part / low.added(1)) {
+                low.shift(1);
+                low.player.rung(low.rung);
+            }
+        }
+
+        /** The viewing that steps next: the top rung down, the lowest up within the cap; among equals the
+         * least value lost or most won for a kB. */
+        private Viewing next(int by) {
+            Viewing best = null;
             for (Viewing vw : viewings) {
-                if (vw.playing && vw.rung > vw.terms.lowestRung() && (top == null || vw.rung > top.rung
-                        || vw.rung == top.rung && vw.gain(vw.rung - 1) < top.gain(top.rung - 1))) {
-                    top = vw;
+                if (vw.playing && vw.mayStep(by) && (best == null || by * (best.rung - vw.rung) > 0
+                        || best.rung == vw.rung && by * (vw.gain(by) - best.gain(by)) > 0)) {
+                    best = vw;
                 }
             }
-            return top;
+            return best;
+        }
+
+        /** The other fronts' parts of what this one now does about a load of its link or of its uplink. */
+        private void othersAlike(double by) {
+            double onLink = by * Math.max(0, link.demand() - link.own);
+            double onRack = by * Math.max(0, rack.demand() - rack.own) * link.own / Math.max(1, rack.own);
+            boolean uplink = rack.load() > link.load();
+            link.othersAlike(onLink);
+            rack.othersAlike(uplink ? onRack : onLink);
         }
 
-        /** N: the link's viewings, by own account and what reports say beyond it. */
+        /** N: the link's viewings, by own account and what others or reports say beyond it; where they say
+         * nothing, others' are taken to be of the middle rate. */
         private double sharers() {
-            if (!Double.isNaN(streams)) {
-                return Math.max(streams, viewings.size());
-            }
-            if (house.permits().messages()) {
-                int n = viewings.size();
-                for (int count : peerCount) {
-                    n += count;
-                }
-                return n;
-            }
-            return viewings.size() + Math.max(0, link.demand() - link.own) / meanRate();
+            return viewings.size() + Math.max(0, !Double.isNaN(streams) ? streams - viewings.size()
+                    : house.permits().messages() ? othersCount : (link.likely() - link.own) / middleKb);
         }
 
-        private boolean capped(double rate, double present) {
-            return rate <= link.size() / (sharers() + 1) || rate - present + middleKb <= link.room()
-                    && rate - present + rack.serving * middleKb <= rack.room();
+        private boolean capped(double rate, double linkRoom, double rackRoom) {
+            return rate <= link.size() / (sharers() + 1)
+                    || rate + middleKb <= linkRoom && rate + rack.serving * middleKb <= rackRoom;
         }
 
         private double room() {
@@ -703,11 +717,12 @@
         private final int ceiling;
         private final Moment target;
         private final Moment patienceEnds;
-        /** The boxes tried so far; it goes with the viewing. */
-        private final List<MediaBox> tried = new ArrayList<>(2);
         private MediaBox at;
         private int rung;
         private int tuneIns;
+        /** Probes that it waits for. */
+        private int unheard;
+        private boolean looked;
         private boolean playing;
         private boolean answered;
         private boolean mayHaveRun;
@@ -720,25 +735,32 @@
             this.ceiling = Math.max(terms.lowestRung(), Math.min(ceiling, terms.highestRung()));
             this.patienceEnds = patienceEnds;
             this.target = now.plus(terms.joinTarget());
+            probesLeft = Math.min(PROBES_HELD,
+                    probesLeft + PROBE_SPEND / Math.max(0.001, house.permits().probePrice()));
         }
 
         private double rate(int r) {
             return terms.rateFactor() * house.ladderKb()[r];
         }
 
-        /** Value gained for each kB of the step from r to r + 1. */
-        private double gain(int r) {
-            return terms.value() * (house.rungValue()[r + 1] - house.rungValue()[r])
-                    / (rate(r + 1) - rate(r));
+        private boolean mayStep(int by) {
+            double now = rate(rung);
+            return by < 0 ? rung > terms.lowestRung() : rung < ceiling
+                    && at.capped(rate(rung + 1), at.link.spare() + now, at.rack.spare() + now);
         }
 
-        private void step(int by) {
-            shift(by);
-            player.rung(rung);
+        /** What a step adds to the rate: less than nothing for one down. */
+        private double added(int by) {
+            return rate(rung + by) - rate(rung);
+        }
+
+        /** Value won or lost for each kB of the step. */
+        private double gain(int by) {
+            return terms.value() * (house.rungValue()[rung + by] - house.rungValue()[rung]) / added(by);
         }
 
         private void shift(int by) {
-            change(rate(rung + by) - rate(rung));
+            change(added(by));
             rung += by;
         }
 
@@ -750,27 +772,65 @@
 
         /* ---- placement ---- */
 
-        /** Sends to the roomiest holder by rack and link; waits a little where the gate is shut, blocks if
-         * it stays. */
-        private void place() {
-            if (answered) {
-                return;
+        /** Where probes are allowed, the two holders that look best are asked first. */
+        private void look() {
+            MediaBox first = roomiest(null);
+            ask(first);
+            ask(first == null ? null : roomiest(first));
+            if (unheard > 0) {
+                outside.wakeAfter(LOOK, this::stopWaiting);
+            } else {
+                place();
+            }
+        }
+
+        private void ask(MediaBox b) {
+            if (b != null && (b.probe() || b.tell())) {
+                b.askers.add(this);
+                looked = true;
+                unheard++;
             }
+        }
+
+        private void heard() {
+            if (--unheard == 0) {
+                place();
+            }
+        }
+
+        private void stopWaiting() {
+            if (unheard > 0) {
+                unheard = 0;
+                place();
+            }
+        }
+
+        private MediaBox roomiest(MediaBox but) {
             MediaBox best = null;
             double most = Double.NEGATIVE_INFINITY;
             for (MediaBox b : boxes) {
-                if (!mayTuneIn(this, b)) {
+                if (b == but || !mayTuneIn(this, b)) {
                     continue;
                 }
-                double score = b.room() + 0.2 * b.link.room() + 0.1 * middleKb * chance.nextDouble();
+                double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
                 score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
                 score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
-                score -= tried.contains(b) ? 1e8 : 0;
+                Moment heardAt = b.link.toldTrueAt.orLater(b.link.elsewhereAt);
+                score -= looked && FRESH.under(now.since(heardAt)) ? 1e7 : 0;
                 if (score > most) {
                     most = score;
                     best = b;
                 }
             }
+            return best;
+        }
+
+        /** Sends to the roomiest holder; waits a little where the gate is shut, blocks if it stays. */
+        private void place() {
+            if (answered) {
+                return;
+            }
+            MediaBox best = roomiest(null);
             if (best != null && !crowdedOut(best)) {
                 tuneIn(best);
             } else if (best == null && mayStillPlay() && HOLD.under(patienceLeft(this))
@@ -781,13 +841,12 @@
             }
         }
 
-        /** Overload: not even with every viewing on its lowest rung would the newcomer fit. What other
-         * fronts play is taken to be like what this one plays. */
+        /** Not even with every viewing on its lowest rung would it fit; others play what this front plays. */
         private boolean crowdedOut(MediaBox b) {
             double part = ownKb > 0 ? ownFloorKb / ownKb : 1;
             double least = rate(terms.lowestRung());
-            return part * b.link.demand() + least > b.link.size()
-                    || part * b.rack.demand() + least > b.rack.size();
+            return part * b.link.likely() + least > b.link.size()
+                    || part * b.rack.likely() + least > b.rack.size();
         }
 
         private boolean mayStillPlay() {
@@ -795,9 +854,9 @@
         }
 
         /** The highest rung that fits cap and room, or else the lowest of the package. */
-        private int fit(MediaBox b, double present) {
+        private int fit(MediaBox b) {
             for (int r = ceiling; r > terms.lowestRung(); r--) {
-                if (rate(r) - present <= b.room() && b.capped(rate(r), present)) {
+                if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room())) {
                     return r;
                 }
             }
@@ -805,22 +864,14 @@
         }
 
         private void tuneIn(MediaBox b) {
-            int fits = fit(b, 0);
+            int fits = fit(b);
             Span toTarget = target.since(now);
-            Span wait = Span.ofSeconds(4 * joinSeconds / b.warmth()).orMore(LEAST_WAIT);
-            if (LEAST_WAIT.under(toTarget)) {
-                wait = wait.orLess(toTarget.times(0.6)).orMore(LEAST_WAIT);
-            } else {
-                wait = wait.times(2);
-            }
+            Span wait = LEAST_WAIT.under(toTarget) ? toTarget.times(0.5).orMore(LEAST_WAIT) : LATE_WAIT;
             gatePassed(this, b);
             settle(b, fits);
-            tried.add(b);
             player.rung(rung);
             player.tuneIn(b, wait.orLess(patienceLeft(this)));
-            if (PROBE_SPACING.under(now.since(b.probedAt))) {
-                b.probe();
-            }
+            b.tell();
         }
 
         private void settle(MediaBox b, int r) {
@@ -828,7 +879,12 @@
             rung = r;
             change(rate(r));
             ownFloorKb += rate(terms.lowestRung());
-            ownCount++;
+            if (b.viewings.isEmpty()) {
+                occupied.add(b);
+                b.shortAverage = SHORT_RESET;
+                b.longAverage = LONG_RESET;
+                b.sampledAt = now;
+            }
             b.viewings.add(this);
             if (terms.seats() > 0) {
                 title.seated.merge(terms, 1, Integer::sum);
@@ -838,26 +894,17 @@
         private void leave() {
             change(-rate(rung));
             ownFloorKb = Math.max(0, ownFloorKb - rate(terms.lowestRung()));
-            ownCount--;
             at.viewings.remove(this);
+            if (at.viewings.isEmpty()) {
+                occupied.remove(at);
+                at.tell();
+            }
             if (terms.seats() > 0) {
                 title.seated.computeIfPresent(terms, (t, n) -> n > 1 ? n - 1 : null);
             }
-            at.tidy();
             at = null;
         }
 
-        /** Before the box has started it, the rung follows news for nothing. */
-        private void reconsider() {
-            if (playing || answered) {
-                return;
-            }
-            int fits = fit(at, rate(rung));
-            if (fits != rung) {
-                step(fits - rung);
-            }
-        }
-
         /** The final answer, at once: blocked where that is safe to say, else aborted. */
         private void giveUp() {
             answered = true;
@@ -876,7 +923,6 @@
             }
             playing = true;
             answered = true;
-            joinSeconds += 0.05 * (took.seconds() - joinSeconds);
             at.succeeded();
             at.sample();
         }
@@ -923,7 +969,7 @@
 
         public void linkAsked(double asked) {
             if (at != null) {
-                at.link.hear(asked, now.minus(playing ? house.fleet().shareLateness() : Span.NONE));
+                at.linkReported(asked, now.minus(playing ? house.fleet().shareLateness() : Span.NONE));
                 at.sample();
             }
         }
@@ -985,19 +1031,14 @@
         return house.rules().fallAfter().plus(COLD_SLACK);
     }
 
-    /** Just started, or lost from sight so lately that it may have. */
-    private boolean cold(MediaBox b) {
-        return now.before(b.startedAt.orLater(b.lostAt).plus(house.rules().coldFor()));
-    }
-
     /** A cold box gets this front's part of what all fronts together may send it in any window, reckoned at
      * the capacity that it surely has at its start. Where a part is less than one set-up the fronts take
      * turns by their numbers, so that they keep it with no word between them. A front that has itself just
      * started may have sent before: it waits. */
     private boolean coldPaceKept(MediaBox b) {
         Headend.Rules rules = house.rules();
-        if (!cold(b)) {
-            return true;
+        if (!now.before(b.startedAt.orLater(b.lostAt).plus(rules.coldFor()))) {
+            return true; // neither just started nor lost from sight so lately that it may have
         }
         Span window = fallWindow();
         prune(b.sends, now.minus(window));
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -26,8 +26,9 @@
     private static final Set<String> EVENTS = Set.of("backendsChanged", "demand", "headers", "sampled", "completed",
             "mail", "resumed", "reminder", "cancelledByClient", "statusNote");
 
-    private static final int BYTES_A_BOX = 7;
-    private static final int BOXES_A_MESSAGE = 256 / BYTES_A_BOX;
+    /** Bytes of the two kinds of word between fronts; nothing else tells them apart. */
+    private static final int WORD = 7;
+    private static final int ANSWER = 9;
 
     private final int number;
     private final PrintStream complaints;
@@ -221,8 +222,8 @@
                 m.end();
                 if (b != null) {
                     call(now, writer, () -> {
-                        b.box.probed(how == 200);
                         report(b, load);
+                        b.box.probed(how == 200);
                     });
                 }
             }
@@ -374,19 +375,26 @@
         act("notifyMe", span.micros(), token);
     }
 
-    /** Seven bytes a box: its id, how many viewings, and their kB a second in steps of eight. */
+    /** A word to the keeper of a box's rack: its id, how many viewings, and their kB a second in steps of eight. */
     @Override
-    public void tellPeers(List<Policy.MediaBox> news) {
-        for (int from = 0; from < news.size(); from += BOXES_A_MESSAGE) {
-            List<Policy.MediaBox> some = news.subList(from, Math.min(news.size(), from + BOXES_A_MESSAGE));
-            ByteBuffer bytes = ByteBuffer.allocate(BYTES_A_BOX * some.size());
-            for (Policy.MediaBox box : some) {
-                bytes.putInt((int) ((WireBox) box.line()).id);
-                bytes.put((byte) Math.min(0xff, box.ownViewings()));
-                bytes.putShort((short) Math.min(0xffff, Math.round(box.ownKb() / 8)));
-            }
-            act("say", -1, Base64.getEncoder().encodeToString(bytes.array()));
-        }
+    public void tell(int front, Policy.MediaBox box) {
+        say(front, ByteBuffer.allocate(WORD).putInt((int) ((WireBox) box.line()).id)
+                .put((byte) Math.min(0xff, box.ownViewings())).putShort(eighths(box.ownKb())));
+    }
+
+    /** The keeper's answer: the same of all others, and the rack's kB in steps of 32. */
+    @Override
+    public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb) {
+        say(front, ByteBuffer.allocate(ANSWER).putInt((int) ((WireBox) box.line()).id)
+                .put((byte) Math.min(0xff, othersViewings)).putShort(eighths(othersKb)).putShort(eighths(rackKb / 4)));
+    }
+
+    private static short eighths(double kb) {
+        return (short) Math.max(0, Math.min(0xffff, Math.round(kb / 8)));
+    }
+
+    private void say(int front, ByteBuffer bytes) {
+        act("say", front, Base64.getEncoder().encodeToString(bytes.array()));
     }
 
     private void mail(int peer, String octets) throws Wrong {
@@ -396,19 +404,21 @@
         } catch (IllegalArgumentException e) {
             throw new Wrong("'octets' should be base64");
         }
-        while (bytes.remaining() >= BYTES_A_BOX) {
-            WireBox b = boxes.get(Integer.toUnsignedLong(bytes.getInt()));
-            int count = Byte.toUnsignedInt(bytes.get());
-            double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
-            if (b != null) {
-                b.box.peerPlays(peer, count, kb);
-            }
+        if (bytes.remaining() != WORD && bytes.remaining() != ANSWER) {
+            return;
+        }
+        boolean answer = bytes.remaining() == ANSWER;
+        WireBox b = boxes.get(Integer.toUnsignedLong(bytes.getInt()));
+        if (b == null) {
+            return;
+        }
+        int count = Byte.toUnsignedInt(bytes.get());
+        double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
+        if (answer) {
+            b.box.othersPlay(count, kb, 32.0 * Short.toUnsignedInt(bytes.getShort()));
+        } else {
+            b.box.frontPlays(peer, count, kb);
         }
-    }
-
-    @Override
-    public void remark(String text) {
-        act("noteDown", text);
     }
 
     private void act(String name, Object... values) {
