The rack's keeper knows its uplink's size; unheard uplinks are guessed where no probe can ask

Uplinks differ by a third from what is told; each front learned that only for itself, and newcomers from other fronts filled them again. A keeper that has just started answers nobody for 1.2 s: its partial sum looked like room. A step up asks for news first; the long average's reset 1.1 to 0.95.

--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -9,11 +9,14 @@
     /** Runs the given step once, not earlier than after the span and never within the present call. */
     void wakeAfter(Span span, Runnable step);
 
-    /** Tells another front, which keeps it, what this one plays at a box (ownViewings, ownKb). */
-    void tell(int front, Policy.MediaBox box);
-
-    /** Answers such a front with what all others play at the box, and what all play on its rack. */
-    void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb);
+    /** Tells another front, which keeps it, what this one plays at a box, and the share that the uplink
+     * delivers there. */
+    void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare);
+
+    /** Answers such a front with what all others play at the box, what all play on its rack, and the size of
+     * the rack's uplink. */
+    void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
+            double rackSizeKb);
 
     /**
      * The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they are
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 /**
@@ -20,24 +22,25 @@
     private static final Span BEAT = Span.ofMillis(500);
     private static final double UPPER_MARK = 1.0;
     private static final double SHORT_RESET = 0.6;
-    private static final double LONG_RESET = 1.1;
+    private static final double LONG_RESET = 0.95;
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
     /** Links are filled so far, as true rates lie off the ladder; more where fronts tell what they play. */
     private static final double FILL = 0.8;
-    private static final double FILL_TOLD = 0.99;
+    private static final double FILL_TOLD = 0.95;
     /** A share under this is no crowding: the box stands still. */
     private static final double STANDSTILL = 0.25;
 
     /* What is known of boxes and racks. */
     private static final Span REPORT_AGE = Span.ofMillis(400);
     private static final Span CHANGE_LIFE = Span.ofSeconds(6);
-    private static final Span RELAX = Span.ofSeconds(30);
+    private static final Span RELAX = Span.ofSeconds(10);
     private static final Span TELL_ALL = Span.ofSeconds(6);
+    /** A front that has just started has not heard what all play: it answers nobody yet. */
+    private static final Span SETTLED = Span.ofMillis(1200);
     /** Short notes are smoothed: they still show what has been shed this much longer. */
     private static final Span SMOOTHED = Span.ofMillis(800);
-    private static final double LINK_CLEAR = 0.95;
-    private static final Span SPEAKS = Span.ofSeconds(4);
+    private static final Span SHORT_NEWS = Span.ofMillis(1300);
     private static final Span NEWS_HOLDS = Span.ofSeconds(3);
     private static final Span NEWS_LIFE = Span.ofSeconds(6);
     private static final double PROBE_SPEND = 0.03;
@@ -65,7 +68,7 @@
     private final double middleKb;
     private final double fill;
     private final double othersPart;
-    /** Boxes on the list, which empties it; those with viewings of this front, till the last one ends. */
+    /** Boxes on the list, which empties it; and those with viewings of this front, till the last ends. */
     private final List<MediaBox> boxes = new ArrayList<>();
     private final List<MediaBox> occupied = new ArrayList<>();
     private final Rack[] racks;
@@ -111,7 +114,7 @@
     }
 
     public Title title(int firstCell, int cellsInRow) {
-        return new Title(firstCell, cellsInRow);
+        return new Title(firstCell, cellsInRow, new HashMap<>());
     }
 
     public Viewing take(Outside.Player player, PackageTerms terms, Title title, int ceiling, Span patience) {
@@ -138,8 +141,9 @@
             r.relax();
         }
         for (MediaBox b : List.copyOf(occupied)) {
-            if (Math.abs(b.link.own - b.toldKb) > middleKb / 10 || b.toldAt.plus(TELL_ALL).before(now)) {
-                b.tell();
+            Span pace = b.link.elsewhereAt.before(b.toldAt) ? SETTLED : TELL_ALL;
+            if (Math.abs(b.link.own - b.toldKb) > middleKb / 10 || b.toldAt.plus(pace).before(now)) {
+                b.tell(1);
             }
             b.sample();
         }
@@ -147,11 +151,9 @@
 
     /* ---- what is known of each box, link and rack ---- */
 
-    private record Change(Moment at, double kb) {
-    }
+    private record Change(Moment at, double kb) { }
 
-    private record Word(Moment at, int count, double kb) {
-    }
+    private record Word(Moment at, int count, double kb) { }
 
     /** What is asked of a link or uplink: last reported use plus own changes since that report was true. */
     private abstract class Usage {
@@ -214,24 +216,24 @@
 
         /** The keeper's word counts in full for two tellings, then fades. */
         private double wordHolds() {
-            double late = now.since(elsewhereAt).seconds() / TELL_ALL.seconds() - 2;
-            return Math.max(0, Math.min(1, 1 - late));
+            return Math.max(0, Math.min(1, 3 - now.since(elsewhereAt).seconds() / TELL_ALL.seconds()));
         }
 
-        /** What is heard; old news gives way to own rates alone, as where none has come. */
+        /** What is heard. Old news gives way to own rates alone where a probe can ask again, so that no
+         * playing viewing steps on a guess; elsewhere to the keeper's word and then to the guess. */
         double demand() {
-            return blend(own + wordHolds() * elsewhere);
+            return house.permits().probes() ? blend(own) : likely();
         }
 
-        /** The same with a guess of what is not heard: for placement, no playing viewing steps on a guess. */
+        /** The same with a guess of what is not heard. */
         double likely() {
             double word = wordHolds();
             return blend(own + word * elsewhere + (1 - word) * unheard());
         }
 
         private double blend(double otherwise) {
-            double stale = now.since(toldTrueAt).minus(NEWS_HOLDS).seconds();
-            double trust = Math.exp(-Math.max(0, stale) / NEWS_LIFE.seconds());
+            Span stale = now.since(toldTrueAt).minus(NEWS_HOLDS).orMore(Span.NONE);
+            double trust = Math.exp(-stale.seconds() / NEWS_LIFE.seconds());
             return Double.isNaN(told) ? otherwise
                     : Math.max(own, trust * (told + since) + (1 - trust) * otherwise);
         }
@@ -285,8 +287,18 @@
             return Math.max(0, likely() - own) * linkSize / Math.max(linkSize, linksKb());
         }
 
-        /** Where no report tells of the uplink, a shortfall that the link does not explain sizes it; the
-         * size drifts back to what was told, so that an uplink that recovers is used again. */
+        /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
+        boolean cleared() {
+            for (MediaBox b : occupied) {
+                if (b.rack == this && SHORT_NEWS.under(now.since(b.shortAt))
+                        && b.settingUp() < b.viewings.size()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Where no report tells of the uplink a short note sizes it; the size drifts back, as uplinks do. */
         void shortOf(double share) {
             sizeKb = share * Math.max(lately, demand());
             sizedAt = now;
@@ -312,20 +324,21 @@
         private boolean listed;
         private int cell;
         private int building;
-        private int kind;
+        private double places = 1;
         private double weight = 1;
         private Moment startedAt = Moment.DISTANT_PAST;
         private double streams = Double.NaN;
-        private Moment probedAt = Moment.DISTANT_PAST;
+        private Moment askedAt = Moment.DISTANT_PAST;
         private double shortAverage = SHORT_RESET;
         private double longAverage = LONG_RESET;
         private Moment sampledAt;
+        private Moment shortAt = Moment.DISTANT_PAST;
         private Moment steppedUpAt = Moment.DISTANT_PAST;
         private int failures;
         private Moment avoidUntil = Moment.DISTANT_PAST;
         private Moment lostAt = Moment.DISTANT_PAST;
-        /** What other fronts say that they play here, kept by the rack's keeper alone, the oldest first; a
-         * front's word leaves when it plays nothing or, once silent for two tellings, with the next word. */
+        /** What other fronts say that they play here, at the rack's keeper alone, the oldest first; a word
+         * leaves with its last viewing or, once its front is silent for two tellings, with the next word. */
         private final LinkedHashMap<Integer, Word> words = new LinkedHashMap<>();
         private double wordsKb;
         private int wordsCount;
@@ -333,10 +346,9 @@
         private Moment reportedAt = Moment.DISTANT_PAST;
         private double toldKb;
         private Moment toldAt = Moment.DISTANT_PAST;
-        /** Newcomers that wait for a probe; its answer empties it. */
+        /** Newcomers that wait for news; its coming empties it. */
         private final ArrayDeque<Viewing> askers = new ArrayDeque<>();
-        /** Sends within the window in which a cold box may fall: it may turn out cold later; time empties
-         * it. */
+        /** Sends within the window in which a cold box may fall; time empties it. */
         private final ArrayDeque<Moment> sends = new ArrayDeque<>();
 
         private MediaBox(Outside.Line line) {
@@ -347,22 +359,18 @@
             return line;
         }
 
-        public double ownKb() {
-            return link.own;
-        }
-
-        public int ownViewings() {
-            return viewings.size();
-        }
-
         public void serving(double weight, int cell, int kind, int building, Moment startedAt) {
             if (this.startedAt.before(startedAt)) {
-                forgetPast();
+                failures = 0;
+                avoidUntil = Moment.DISTANT_PAST;
+                link.told = Double.NaN;
+                streams = Double.NaN;
             }
             counted(false);
             this.weight = weight;
             this.cell = cell;
-            this.kind = kind;
+            int[] byKind = house.fleet().streamsByKind();
+            this.places = kind < byKind.length ? byKind[kind] : 1;
             this.building = building;
             this.startedAt = startedAt;
             rack.change(-link.own);
@@ -408,31 +416,23 @@
 
         /** Its part of all links by the list's sizes or, where it gives none, by the streams of its kind. */
         private double share() {
-            return house.fleet().linkKbPerWeight() > 0 ? weight : places();
-        }
-
-        private void forgetPast() {
-            failures = 0;
-            avoidUntil = Moment.DISTANT_PAST;
-            link.told = Double.NaN;
-            streams = Double.NaN;
+            return house.fleet().linkKbPerWeight() > 0 ? weight : places;
         }
 
-        private void linkReported(double asked, Moment trueAt) {
-            if (!Double.isNaN(asked)) {
-                link.hear(asked, trueAt);
-                usual += USUAL_WEIGHT * (asked - usual);
+        private void loads(double linkAsked, double uplinkAsked, Moment trueAt) {
+            if (!Double.isNaN(linkAsked)) {
+                usual += USUAL_WEIGHT * (linkAsked - usual);
                 reportedAt = now;
             }
+            link.hear(linkAsked, trueAt);
+            rack.hear(uplinkAsked, trueAt);
+            sample();
         }
 
         /** Figures that the box does not report are NaN. */
         public void reported(double linkAsked, double uplinkAsked, double streams) {
-            Moment trueAt = now.minus(REPORT_AGE);
-            linkReported(linkAsked, trueAt);
-            rack.hear(uplinkAsked, trueAt);
             this.streams = streams;
-            sample();
+            loads(linkAsked, uplinkAsked, now.minus(REPORT_AGE));
         }
 
         public void probed(boolean answered) {
@@ -448,12 +448,20 @@
             }
         }
 
+        /** Asks for news, by probe or by word. Says whether it has just been asked. */
+        private boolean ask() {
+            if (now.since(askedAt).under(FRESH) || !probe() && !tell(1)) {
+                return false;
+            }
+            askedAt = now;
+            return true;
+        }
+
         private boolean probe() {
-            if (!house.permits().probes() || probesLeft < 1 || now.since(probedAt).under(FRESH)) {
+            if (!house.permits().probes() || probesLeft < 1) {
                 return false;
             }
             probesLeft--;
-            probedAt = now;
             line.probe();
             return true;
         }
@@ -494,31 +502,28 @@
 
         /** A share of the rates is heard as a load of one over it, of whichever is fuller, link or uplink. */
         private void heardShare(double share) {
-            if (share >= 0.98) {
-                return;
-            }
-            if (share < STANDSTILL) {
-                failed(false);
+            if (share >= 0.98 || share < STANDSTILL) {
+                if (share < STANDSTILL) {
+                    failed(false);
+                }
                 return;
             }
+            shortAt = now;
             Moment trueAt = now.minus(house.fleet().shareLateness()).minus(SMOOTHED);
             double asked = 1 / Math.max(LEAST_SHARE, share);
-            if (link.load() >= rack.load() && !linkHasRoom()) {
+            if (rack.cleared() || link.load() >= rack.load()) {
                 link.hear(asked, trueAt);
             } else if (house.permits().reportsUplink()) {
                 rack.hear(asked, trueAt);
             } else {
-                rack.shortOf(Math.max(LEAST_SHARE, share));
+                rack.shortOf(1 / asked);
+                if (SETTLED.under(now.since(toldAt))) {
+                    tell(1 / asked);
+                }
             }
             sample();
         }
 
-        /** Its last report, not much older than a short note, says that the link itself gives all. */
-        private boolean linkHasRoom() {
-            return !house.permits().reportsUplink() && link.load() < LINK_CLEAR
-                    && now.since(reportedAt).under(SPEAKS);
-        }
-
         /** The share of its size that a box which has just started is sure to give. */
         private double warmth() {
             double age = now.since(startedAt).seconds();
@@ -560,29 +565,39 @@
             wordsCount += count - (old == null ? 0 : old.count());
             rack.wordsKb = Math.max(0, rack.wordsKb + more);
             othersCount = wordsCount;
-            link.othersPlay(wordsKb);
-            rack.othersPlay(rack.wordsKb);
+            if (SETTLED.under(now.since(started))) {
+                link.othersPlay(wordsKb);
+                rack.othersPlay(rack.wordsKb);
+            }
         }
 
-        /** To the keeper: another front tells what it plays here, and is answered with what the rest play. */
-        public void frontPlays(int front, int count, double kb) {
+        /** To the keeper from another front, which is answered with what the rest play here and all on the
+         * uplink, and the uplink's size. */
+        public void frontPlays(int front, int count, double kb, double share) {
             forgetSilentFronts();
             word(front, count, kb);
-            outside.answer(front, this, wordsCount - count + viewings.size(), wordsKb - kb + link.own,
-                    rack.wordsKb + rack.own);
+            if (share < 1) {
+                rack.shortOf(share);
+            }
+            if (SETTLED.under(now.since(started))) {
+                outside.answer(front, this, wordsCount - count + viewings.size(), wordsKb - kb + link.own,
+                        rack.wordsKb + rack.own, rack.sizeKb);
+            }
         }
 
-        /** From the keeper: what others play here, and what all play on the rack. */
-        public void othersPlay(int count, double kb, double rackKb) {
+        /** From the keeper. */
+        public void othersPlay(int count, double kb, double rackKb, double rackSizeKb) {
             othersCount = count;
             link.othersPlay(kb);
             rack.othersPlay(Math.max(0, rackKb - rack.own));
+            rack.sizeKb = rackSizeKb;
+            sample();
             answerAskers();
         }
 
-        /** Where fronts may talk, one front keeps for each rack what all play there. Telling it is also
-         * asking it. Says whether an answer is to come. */
-        private boolean tell() {
+        /** Where fronts may talk, one keeps for each rack what all play there. Telling it is asking it;
+         * returns whether an answer is to come. */
+        private boolean tell(double uplinkShare) {
             if (!house.permits().messages() || house.fronts() < 2) {
                 return false;
             }
@@ -592,20 +607,19 @@
             if (keeper == house.ownNumber()) {
                 return false;
             }
-            outside.tell(keeper, this);
+            outside.tell(keeper, this, viewings.size(), link.own, uplinkShare);
             return true;
         }
 
-        private double places() {
-            int[] byKind = house.fleet().streamsByKind();
-            return kind < byKind.length ? byKind[kind] : 1;
-        }
-
         /* ---- the paired averages and the cap ---- */
 
         /** One sample of demand over size: both averages move, then a step down, one up, or none. */
         private void sample() {
-            if (viewings.isEmpty()) {
+            // Nothing heard of what others play, and no probe to ask: own rates alone would look like room.
+            Moment heardAt = reportedAt.orLater(link.elsewhereAt).orLater(link.toldTrueAt);
+            boolean fresh = now.since(heardAt).under(house.permits().probes() ? FRESH : TELL_ALL.times(2));
+            if (viewings.isEmpty() || !fresh && !house.permits().probes() && house.fronts() > 1) {
+                sampledAt = now;
                 return;
             }
             double x = Math.max(link.load(), rack.load());
@@ -618,9 +632,8 @@
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
                 Viewing low = next(1);
                 double mark = low == null ? 0 : fill - low.added(1) / link.size();
-                // Where probes are allowed nothing steps up but on fresh news.
-                boolean fresh = !house.permits().probes() || now.since(reportedAt).under(FRESH);
-                if (longAverage < mark && x < mark && !probe() && fresh) {
+                // A step up wants fresh news: it is asked for first.
+                if (longAverage < mark && x < mark && !ask() && fresh) {
                     stepUp(low, fill / Math.max(x, 0.1) - 1);
                 }
             }
@@ -652,7 +665,8 @@
             steppedUpAt = now;
             double part = under * link.own;
             othersAlike(under);
-            if (chance.nextDouble() < part / low.added(1)) {
+            for (; low != null && chance.nextDouble() < part / low.added(1); low = next(1)) {
+                part -= low.added(1);
                 low.shift(1);
                 low.player.rung(low.rung);
             }
@@ -673,6 +687,9 @@
 
         /** The other fronts' parts of what this one now does about a load of its link or of its uplink. */
         private void othersAlike(double by) {
+            if (house.permits().messages()) {
+                return; // told soon
+            }
             double onLink = by * Math.max(0, link.demand() - link.own);
             double onRack = by * Math.max(0, rack.demand() - rack.own) * link.own / Math.max(1, rack.own);
             boolean uplink = rack.load() > link.load();
@@ -697,18 +714,9 @@
         }
     }
 
-    /** What is watched: where it is held, and the viewings of it here that hold a seat. */
-    public static final class Title {
-        private final int firstCell;
-        private final int cellsInRow;
-        /** One row a package with seats; a row leaves with its last viewing. */
-        private final java.util.Map<PackageTerms, Integer> seated = new java.util.HashMap<>();
-
-        private Title(int firstCell, int cellsInRow) {
-            this.firstCell = firstCell;
-            this.cellsInRow = cellsInRow;
-        }
-    }
+    /** What is watched: where it is held, and the viewings of it here that hold a seat, one row a package; a
+     * row leaves with its last viewing. */
+    public record Title(int firstCell, int cellsInRow, Map<PackageTerms, Integer> seated) { }
 
     public final class Viewing {
         private final Outside.Player player;
@@ -778,14 +786,14 @@
             ask(first);
             ask(first == null ? null : roomiest(first));
             if (unheard > 0) {
-                outside.wakeAfter(LOOK, this::stopWaiting);
+                outside.wakeAfter(LOOK, this::place);
             } else {
                 place();
             }
         }
 
         private void ask(MediaBox b) {
-            if (b != null && (b.probe() || b.tell())) {
+            if (b != null && b.ask()) {
                 b.askers.add(this);
                 looked = true;
                 unheard++;
@@ -798,13 +806,6 @@
             }
         }
 
-        private void stopWaiting() {
-            if (unheard > 0) {
-                unheard = 0;
-                place();
-            }
-        }
-
         private MediaBox roomiest(MediaBox but) {
             MediaBox best = null;
             double most = Double.NEGATIVE_INFINITY;
@@ -827,7 +828,7 @@
 
         /** Sends to the roomiest holder; waits a little where the gate is shut, blocks if it stays. */
         private void place() {
-            if (answered) {
+            if (answered || at != null) {
                 return;
             }
             MediaBox best = roomiest(null);
@@ -871,7 +872,7 @@
             settle(b, fits);
             player.rung(rung);
             player.tuneIn(b, wait.orLess(patienceLeft(this)));
-            b.tell();
+            b.tell(1);
         }
 
         private void settle(MediaBox b, int r) {
@@ -897,7 +898,7 @@
             at.viewings.remove(this);
             if (at.viewings.isEmpty()) {
                 occupied.remove(at);
-                at.tell();
+                at.tell(1);
             }
             if (terms.seats() > 0) {
                 title.seated.computeIfPresent(terms, (t, n) -> n > 1 ? n - 1 : null);
@@ -967,17 +968,11 @@
             }
         }
 
-        public void linkAsked(double asked) {
-            if (at != null) {
-                at.linkReported(asked, now.minus(playing ? house.fleet().shareLateness() : Span.NONE));
-                at.sample();
-            }
-        }
-
-        public void uplinkAsked(double asked) {
+        /** What the box tells on this viewing of link and uplink; NaN for what it does not. */
+        public void loadsTold(double linkAsked, double uplinkAsked) {
             if (at != null) {
-                at.rack.hear(asked, now.minus(house.fleet().shareLateness()));
-                at.sample();
+                Span late = playing ? house.fleet().shareLateness() : Span.NONE;
+                at.loads(linkAsked, uplinkAsked, now.minus(late));
             }
         }
     }
@@ -1042,7 +1037,7 @@
         }
         Span window = fallWindow();
         prune(b.sends, now.minus(window));
-        double all = COLD_PART * rules.fallMultiple() * b.places() * rules.startCapacity()
+        double all = COLD_PART * rules.fallMultiple() * b.places * rules.startCapacity()
                 * rules.fallAfter().seconds() / rules.coldFor().seconds();
         if (now.since(started).under(window)) {
             return false;
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -27,8 +27,8 @@
             "mail", "resumed", "reminder", "cancelledByClient", "statusNote");
 
     /** Bytes of the two kinds of word between fronts; nothing else tells them apart. */
-    private static final int WORD = 7;
-    private static final int ANSWER = 9;
+    private static final int WORD = 8;
+    private static final int ANSWER = 11;
 
     private final int number;
     private final PrintStream complaints;
@@ -326,8 +326,8 @@
         switch (topic) {
             case 1 -> vw.handle.shareDelivered(level);
             case 2 -> vw.handle.rungInForce((int) level);
-            case 3 -> vw.handle.linkAsked(level);
-            case 4 -> vw.handle.uplinkAsked(level);
+            case 3 -> vw.handle.loadsTold(level, Double.NaN);
+            case 4 -> vw.handle.loadsTold(Double.NaN, level);
             default -> {
             }
         }
@@ -375,18 +375,22 @@
         act("notifyMe", span.micros(), token);
     }
 
-    /** A word to the keeper of a box's rack: its id, how many viewings, and their kB a second in steps of eight. */
+    /** A word to the keeper of a box's rack: its id, how many viewings, their kB a second in steps of eight, and
+     * the uplink's share in steps of a 200th. */
     @Override
-    public void tell(int front, Policy.MediaBox box) {
+    public void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare) {
         say(front, ByteBuffer.allocate(WORD).putInt((int) ((WireBox) box.line()).id)
-                .put((byte) Math.min(0xff, box.ownViewings())).putShort(eighths(box.ownKb())));
+                .put((byte) Math.min(0xff, viewings)).putShort(eighths(kb))
+                .put((byte) Math.round(200 * uplinkShare)));
     }
 
-    /** The keeper's answer: the same of all others, and the rack's kB in steps of 32. */
+    /** The keeper's answer: the same of all others, and the rack's kB and size in steps of 32. */
     @Override
-    public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb) {
+    public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
+            double rackSizeKb) {
         say(front, ByteBuffer.allocate(ANSWER).putInt((int) ((WireBox) box.line()).id)
-                .put((byte) Math.min(0xff, othersViewings)).putShort(eighths(othersKb)).putShort(eighths(rackKb / 4)));
+                .put((byte) Math.min(0xff, othersViewings)).putShort(eighths(othersKb))
+                .putShort(eighths(rackKb / 4)).putShort(eighths(rackSizeKb / 4)));
     }
 
     private static short eighths(double kb) {
@@ -415,9 +419,10 @@
         int count = Byte.toUnsignedInt(bytes.get());
         double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
         if (answer) {
-            b.box.othersPlay(count, kb, 32.0 * Short.toUnsignedInt(bytes.getShort()));
+            b.box.othersPlay(count, kb, 32.0 * Short.toUnsignedInt(bytes.getShort()),
+                    32.0 * Short.toUnsignedInt(bytes.getShort()));
         } else {
-            b.box.frontPlays(peer, count, kb);
+            b.box.frontPlays(peer, count, kb, Byte.toUnsignedInt(bytes.get()) / 200.0);
         }
     }
 
