--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -39,7 +39,7 @@
     /** A front that has just started has not heard what all play: it answers nobody yet. */
     private static final Span SETTLED = Span.ofMillis(1200);
     /** Short notes are smoothed: they still show what has been shed this much longer. */
-    private static final Span SMOOTHED = Span.ofMillis(800);
+    private static final Span SMOOTHED = Span.ofMillis(1600);
     private static final Span SHORT_NEWS = Span.ofMillis(1300);
     private static final Span NEWS_HOLDS = Span.ofSeconds(3);
     private static final Span NEWS_LIFE = Span.ofSeconds(6);
