--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -22,11 +22,12 @@
     private static final Span BEAT = Span.ofMillis(500);
     private static final double UPPER_MARK = 1.0;
     private static final double SHORT_RESET = 0.6;
+    private static final double SHED_TO = 0.93;
     private static final double LONG_RESET = 0.95;
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
     /** Links are filled so far, as true rates lie off the ladder; more where fronts tell what they play. */
-    private static final double FILL = 0.8;
+    private static final double FILL = 0.85;
     private static final double FILL_TOLD = 0.95;
     /** A share under this is no crowding: the box stands still. */
     private static final double STANDSTILL = 0.25;
@@ -628,7 +629,7 @@
             longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
             sampledAt = now;
             if (shortAverage >= UPPER_MARK) {
-                stepDown(1 - fill / Math.max(x, fill));
+                stepDown(1 - SHED_TO / Math.max(x, SHED_TO));
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
                 Viewing low = next(1);
                 double mark = low == null ? 0 : fill - low.added(1) / link.size();
@@ -639,10 +640,9 @@
             }
         }
 
-        /** Every front on a link hears the same news at about the same time. Each steps for its own part of
-         * the shortage, or of the room, the last step by chance, so that all together meet it: one front
-         * alone as well as hundreds with one viewing each. Should hold against swinging whatever the news;
-         * it harms where others do not hear, or no longer run: then the next sample steps again. */
+        /** Every front on a link hears the same news. Each steps for its own part of the shortage, or of the
+         * room, the last step by chance, so that all together meet it: one front alone as well as hundreds
+         * with a viewing each. It harms where others do not hear: then the next sample steps again. */
         private void stepDown(double over) {
             Viewing top = next(-1);
             shortAverage = top == null ? shortAverage : SHORT_RESET;
