--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -78,9 +78,6 @@
     private final ArrayDeque<Moment> further = new ArrayDeque<>();
     private Moment now = Moment.DISTANT_PAST;
     private Moment started;
-    /** This front's viewings together: at their rungs, and at their lowest rungs. */
-    private double ownKb;
-    private double ownFloorKb;
     /** The shares of all serving boxes; follows the list. */
     private double allShares;
     private double probesLeft = 1;
@@ -773,7 +770,6 @@
         }
 
         private void change(double kb) {
-            ownKb = Math.max(0, ownKb + kb);
             at.link.change(kb);
             at.rack.change(kb);
         }
@@ -842,12 +838,12 @@
             }
         }
 
-        /** Not even with every viewing on its lowest rung would it fit; others play what this front plays. */
+        /** Even on its lowest rung it would make its best box short, which costs all that play there more
+         * than it is worth itself. Should hold against any crowd; where those could still step down, the
+         * viewer comes again to the room that they leave. */
         private boolean crowdedOut(MediaBox b) {
-            double part = ownKb > 0 ? ownFloorKb / ownKb : 1;
             double least = rate(terms.lowestRung());
-            return part * b.link.likely() + least > b.link.size()
-                    || part * b.rack.likely() + least > b.rack.size();
+            return b.link.likely() + least > b.link.size() || b.rack.likely() + least > b.rack.size();
         }
 
         private boolean mayStillPlay() {
@@ -879,7 +875,6 @@
             at = b;
             rung = r;
             change(rate(r));
-            ownFloorKb += rate(terms.lowestRung());
             if (b.viewings.isEmpty()) {
                 occupied.add(b);
                 b.shortAverage = SHORT_RESET;
@@ -894,7 +889,6 @@
 
         private void leave() {
             change(-rate(rung));
-            ownFloorKb = Math.max(0, ownFloorKb - rate(terms.lowestRung()));
             at.viewings.remove(this);
             if (at.viewings.isEmpty()) {
                 occupied.remove(at);
