--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -171,9 +171,11 @@
         /** What others may ask of it, where nothing is heard. */
         abstract double unheard();
 
-        void change(double kb) {
+        void change(double kb, boolean news) {
             own = Math.max(0, own + kb);
-            heardOf(kb);
+            if (news) {
+                heardOf(kb);
+            }
         }
 
         void heardOf(double kb) {
@@ -371,9 +373,9 @@
             this.places = kind < byKind.length ? byKind[kind] : 1;
             this.building = building;
             this.startedAt = startedAt;
-            rack.change(-link.own);
+            rack.change(-link.own, false);
             rack = racks[Math.floorMod(cell, racks.length)];
-            rack.change(link.own);
+            rack.change(link.own, false);
             list();
             counted(true);
         }
@@ -661,7 +663,6 @@
             longAverage = LONG_RESET;
             steppedUpAt = now;
             double part = under * link.own;
-            othersAlike(under);
             for (; low != null && chance.nextDouble() < part / low.added(1); low = next(1)) {
                 part -= low.added(1);
                 low.shift(1);
@@ -765,13 +766,14 @@
         }
 
         private void shift(int by) {
-            change(added(by));
+            change(added(by), true);
             rung += by;
         }
 
-        private void change(double kb) {
-            at.link.change(kb);
-            at.rack.change(kb);
+        /** A change of own rates; no news where it has been in force already. */
+        private void change(double kb, boolean news) {
+            at.link.change(kb, news);
+            at.rack.change(kb, news);
         }
 
         /* ---- placement ---- */
@@ -874,7 +876,7 @@
         private void settle(MediaBox b, int r) {
             at = b;
             rung = r;
-            change(rate(r));
+            change(rate(r), !playing);
             if (b.viewings.isEmpty()) {
                 occupied.add(b);
                 b.shortAverage = SHORT_RESET;
@@ -888,7 +890,7 @@
         }
 
         private void leave() {
-            change(-rate(rung));
+            change(-rate(rung), true);
             at.viewings.remove(this);
             if (at.viewings.isEmpty()) {
                 occupied.remove(at);
@@ -958,7 +960,8 @@
 
         public void rungInForce(int inForce) {
             if (at != null && inForce != rung && inForce >= 0 && inForce < house.ladderKb().length) {
-                shift(inForce - rung);
+                change(added(inForce - rung), false);
+                rung = inForce;
             }
         }
 
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -171,6 +171,7 @@
     final List<Viewer> viewers = new ArrayList<>();
     final List<Policy.MediaBox> told = new ArrayList<>();
     final List<Double> answered = new ArrayList<>();
+    final List<Double> sizes = new ArrayList<>();
     private final ArrayDeque<Moment> taken = new ArrayDeque<>();
     private final ArrayDeque<Moment> further = new ArrayDeque<>();
     private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at.equals(b.at)
@@ -202,6 +203,11 @@
         return new PackageTerms(1, Span.ofMillis(800), 1, floor, 4, seats, paid);
     }
 
+    static Headend numbered(Headend p, int own) {
+        return new Headend(p.fronts(), own, p.building(), p.packages(), p.ladderKb(), p.rungValue(), p.fleet(), p.rules(),
+                p.permits());
+    }
+
     Viewer take(PackageTerms terms, Policy.Title title, Span patience) {
         taken.add(now);
         Viewer v = new Viewer(terms, title, 4, patience);
@@ -238,6 +244,25 @@
         checkAnswersOwed();
     }
 
+    /** The front stands still: what fell due meanwhile it finds all at once, and some viewers are gone. */
+    void standStill(Span span) {
+        now = now.plus(span);
+        policy.clock(now);
+        for (Viewer v : List.copyOf(viewers)) {
+            if (v.answer == null && v.end.before(now)) {
+                v.answer = "left";
+                v.handle.viewerLeft();
+                if (v.out == null) {
+                    viewers.remove(v);
+                }
+            }
+        }
+        while (!steps.isEmpty() && !now.before(steps.peek().at)) {
+            steps.poll().deed.run();
+        }
+        checkAnswersOwed();
+    }
+
     /** A viewing out of patience is answered, or its time-out has just run down. */
     void checkAnswersOwed() {
         for (Viewer v : viewers) {
@@ -262,5 +287,6 @@
     public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
             double rackSizeKb) {
         answered.add(othersKb);
+        sizes.add(rackSizeKb);
     }
 }
