--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -306,7 +306,9 @@
 
         void relax() {
             double full = house.fleet().uplinkKb();
-            double weight = Math.min(1, now.since(sizedAt).seconds() / RELAX.seconds());
+            // Slower where this front is not the keeper: with all words lost it must not forget at once.
+            double pace = wordsKb > 0 ? RELAX.seconds() : 6 * RELAX.seconds();
+            double weight = Math.min(1, now.since(sizedAt).seconds() / pace);
             sizeKb += weight * (full - sizeKb);
             sizedAt = now;
             double lag = house.fleet().shareLateness().plus(SHORT).seconds();
