Probes within 1.5 points in 100 a viewing, not 3; the short average's reset 0.6 to 0.8

Not kept: shedding to 0.88, an upper mark of 0.95, two thirds of others' parts counted, one step up in 4 s.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -21,7 +21,7 @@
     private static final Span LONG = Span.ofSeconds(5);
     private static final Span BEAT = Span.ofMillis(500);
     private static final double UPPER_MARK = 1.0;
-    private static final double SHORT_RESET = 0.6;
+    private static final double SHORT_RESET = 0.8;
     private static final double SHED_TO = 0.93;
     private static final double LONG_RESET = 0.95;
     private static final Span STEP_PACE = Span.ofSeconds(2);
@@ -44,7 +44,7 @@
     private static final Span SHORT_NEWS = Span.ofMillis(1300);
     private static final Span NEWS_HOLDS = Span.ofSeconds(3);
     private static final Span NEWS_LIFE = Span.ofSeconds(6);
-    private static final double PROBE_SPEND = 0.03;
+    private static final double PROBE_SPEND = 0.015;
     private static final double PROBES_HELD = 20;
     private static final double USUAL = 0.6;
     private static final double USUAL_WEIGHT = 0.3;
