--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -27,7 +27,7 @@
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
     /** Links are filled so far, as true rates lie off the ladder; more where fronts tell what they play. */
-    private static final double FILL = 0.85;
+    private static final double FILL = 0.9;
     private static final double FILL_TOLD = 0.95;
     /** A share under this is no crowding: the box stands still. */
     private static final double STANDSTILL = 0.25;
@@ -815,6 +815,7 @@
                 }
                 double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
                 score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
+                score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
                 score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
                 Moment heardAt = b.link.toldTrueAt.orLater(b.link.elsewhereAt);
                 score -= looked && FRESH.under(now.since(heardAt)) ? 1e7 : 0;
