--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -26,9 +26,10 @@
     private static final double LONG_RESET = 0.95;
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
-    /** Links are filled so far, as true rates lie off the ladder; more where fronts tell what they play. */
+    /** Links are filled so far, as true rates lie off the ladder: by probe, by others' word, by guess. */
     private static final double FILL = 0.9;
     private static final double FILL_TOLD = 0.95;
+    private static final double FILL_GUESSED = 0.82;
     /** A share under this is no crowding: the box stands still. */
     private static final double STANDSTILL = 0.25;
 
@@ -67,7 +68,6 @@
     private final Outside outside;
     private final SplittableRandom chance;
     private final double middleKb;
-    private final double fill;
     private final double othersPart;
     /** Boxes on the list, which empties it; and those with viewings of this front, till the last ends. */
     private final List<MediaBox> boxes = new ArrayList<>();
@@ -91,7 +91,6 @@
         double[] kb = house.ladderKb();
         this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
         this.othersPart = 1 - 1.0 / house.fronts();
-        this.fill = house.permits().messages() ? FILL_TOLD : FILL;
         this.racks = new Rack[house.fleet().racks()];
         for (int i = 0; i < racks.length; i++) {
             racks[i] = new Rack();
@@ -215,14 +214,20 @@
         }
 
         /** The keeper's word counts in full for two tellings, then fades. */
-        private double wordHolds() {
+        double wordHolds() {
             return Math.max(0, Math.min(1, 3 - now.since(elsewhereAt).seconds() / TELL_ALL.seconds()));
         }
 
-        /** What is heard. Old news gives way to own rates alone where a probe can ask again, so that no
-         * playing viewing steps on a guess; elsewhere to the keeper's word and then to the guess. */
+        double fill() {
+            return house.permits().probes() ? FILL : FILL_GUESSED + (FILL_TOLD - FILL_GUESSED) * wordHolds();
+        }
+
+        /** What is heard. Old news gives way to own rates alone where a probe can ask again, elsewhere to
+         * the keeper's word and then to a guess, which alone sheds nothing. */
         double demand() {
-            return house.permits().probes() ? blend(own) : likely();
+            double word = wordHolds();
+            double guess = Math.min(unheard(), Math.max(0, 0.9 * size() - own));
+            return blend(own + word * elsewhere + (house.permits().probes() ? 0 : (1 - word) * guess));
         }
 
         /** The same with a guess of what is not heard. */
@@ -243,11 +248,11 @@
         }
 
         double room() {
-            return fill * size() - likely();
+            return fill() * size() - likely();
         }
 
         double spare() {
-            return fill * size() - demand();
+            return fill() * size() - demand();
         }
     }
 
@@ -306,8 +311,7 @@
 
         void relax() {
             double full = house.fleet().uplinkKb();
-            // Slower where this front is not the keeper: with all words lost it must not forget at once.
-            double pace = wordsKb > 0 ? RELAX.seconds() : 6 * RELAX.seconds();
+            double pace = RELAX.seconds() * (wordsKb > 0 ? 1 : 6); // words may be lost: not all at once
             double weight = Math.min(1, now.since(sizedAt).seconds() / pace);
             sizeKb += weight * (full - sizeKb);
             sizedAt = now;
@@ -431,7 +435,6 @@
             sample();
         }
 
-        /** Figures that the box does not report are NaN. */
         public void reported(double linkAsked, double uplinkAsked, double streams) {
             this.streams = streams;
             loads(linkAsked, uplinkAsked, now.minus(REPORT_AGE));
@@ -515,7 +518,7 @@
             double asked = 1 / Math.max(LEAST_SHARE, share);
             if (rack.cleared() || link.load() >= rack.load()) {
                 link.hear(asked, trueAt);
-            } else if (house.permits().reportsUplink()) {
+            } else if (house.permits().reportsUplink() || rack.wordHolds() < 0.5) {
                 rack.hear(asked, trueAt);
             } else {
                 rack.shortOf(1 / asked);
@@ -617,7 +620,7 @@
 
         /** One sample of demand over size: both averages move, then a step down, one up, or none. */
         private void sample() {
-            // Nothing heard of what others play, and no probe to ask: own rates alone would look like room.
+            // With nothing heard and no probe to ask, own rates alone would look like room.
             Moment heardAt = reportedAt.orLater(link.elsewhereAt).orLater(link.toldTrueAt);
             boolean fresh = now.since(heardAt).under(house.permits().probes() ? FRESH : TELL_ALL.times(2));
             if (viewings.isEmpty() || !fresh && !house.permits().probes() && house.fronts() > 1) {
@@ -633,10 +636,10 @@
                 stepDown(1 - SHED_TO / Math.max(x, SHED_TO));
             } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
                 Viewing low = next(1);
-                double mark = low == null ? 0 : fill - low.added(1) / link.size();
+                double mark = low == null ? 0 : link.fill() - low.added(1) / link.size();
                 // A step up wants fresh news: it is asked for first.
                 if (longAverage < mark && x < mark && !ask() && fresh) {
-                    stepUp(low, fill / Math.max(x, 0.1) - 1);
+                    stepUp(low, link.fill() / Math.max(x, 0.1) - 1);
                 }
             }
         }
@@ -657,8 +660,7 @@
                 lowered.add(top);
                 top = next(-1);
             }
-            // Each change while it plays costs: one for several steps.
-            lowered.forEach(vw -> vw.player.rung(vw.rung));
+            lowered.forEach(vw -> vw.player.rung(vw.rung)); // each change costs: one for several steps
         }
 
         private void stepUp(Viewing low, double under) {
@@ -844,8 +846,7 @@
         }
 
         /** Even on its lowest rung it would make its best box short, which costs all that play there more
-         * than it is worth itself. Should hold against any crowd; where those could still step down, the
-         * viewer comes again to the room that they leave. */
+         * than it is worth. Should hold against any crowd; it harms where those could still step down. */
         private boolean crowdedOut(MediaBox b) {
             double least = rate(terms.lowestRung());
             return b.link.likely() + least > b.link.size() || b.rack.likely() + least > b.rack.size();
