--- a/src/main/java/linengauge/Headend.java
+++ b/src/main/java/linengauge/Headend.java
@@ -15,7 +15,7 @@
     }
 
     /** The figures of the rules; furtherSpan NONE: further tune-ins are not rationed. */
-    public record Rules(Span drainGrace, Span coldFor, double startCapacity, double fallMultiple,
+    public record Rules(Span coldFor, double startCapacity, double fallMultiple,
             Span fallAfter, double furtherFree, double furtherShare, Span furtherSpan) {
     }
 
--- a/src/main/java/linengauge/wire/WireTerms.java
+++ b/src/main/java/linengauge/wire/WireTerms.java
@@ -41,7 +41,7 @@
         var fleet = new Headend.Fleet((int) number(domain, "places", 1), (int) Math.max(1, number(domain, "shelves", 1)),
                 whole(numbers(domain, "placesByKind")), number(domain, "linksKb", 0),
                 sized ? number(domain, "weightKb", 0) : 0, number(domain, "uplinkKb", 0), span(domain, "seeUs"));
-        var figures = new Headend.Rules(span(rules, "drainGraceUs"), span(rules, "coldUs"),
+        var figures = new Headend.Rules(span(rules, "coldUs"),
                 number(rules, "startCapacity", 1), number(rules, "fallMultiple", 1), span(rules, "tipAfterUs"),
                 number(rules, "freeResends", 0), number(rules, "furtherRatio", 0), span(rules, "ratioSpanUs"));
         boolean uplink = loads.get("fields") instanceof List<?> fields && fields.contains("x1");
