--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -27,7 +27,7 @@
     private static final Span STEP_PACE = Span.ofSeconds(2);
     private static final double LEAST_SHARE = 0.5;
     /** Links are filled so far, as true rates lie off the ladder: by probe, by others' word, by guess. */
-    private static final double FILL = 0.9;
+    private static final double FILL = 0.87;
     private static final double FILL_TOLD = 0.95;
     private static final double FILL_GUESSED = 0.82;
     /** A share under this is no crowding: the box stands still. */
