--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -30,8 +30,6 @@
     private static final double FILL = 0.87;
     private static final double FILL_TOLD = 0.95;
     private static final double FILL_GUESSED = 0.82;
-    /** A share under this is no crowding: the box stands still. */
-    private static final double STANDSTILL = 0.25;
 
     /* What is known of boxes and racks. */
     private static final Span REPORT_AGE = Span.ofMillis(400);
@@ -507,10 +505,7 @@
 
         /** A share of the rates is heard as a load of one over it, of whichever is fuller, link or uplink. */
         private void heardShare(double share) {
-            if (share >= 0.98 || share < STANDSTILL) {
-                if (share < STANDSTILL) {
-                    failed(false);
-                }
+            if (share >= 0.98) {
                 return;
             }
             shortAt = now;
