--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -50,8 +50,6 @@
     /** How long a newcomer waits for the probes of its first choices. */
     private static final Span LOOK = Span.ofMillis(80);
     private static final Span FRESH = Span.ofMillis(700);
-
-    /* Tune-ins. */
     private static final Span LATE_WAIT = Span.ofMillis(600);
     private static final Span LEAST_WAIT = Span.ofMillis(250);
     private static final Span ANSWER_MARGIN = Span.ofMillis(60);
@@ -67,8 +65,8 @@
     private final SplittableRandom chance;
     private final double middleKb;
     private final double othersPart;
-    /** Boxes on the list, which empties it; and those with viewings of this front, till the last ends. */
-    private final List<MediaBox> boxes = new ArrayList<>();
+    /** Boxes by cell, as listed; and those with viewings of this front, till the last ends. */
+    private final List<List<MediaBox>> cells = new ArrayList<>();
     private final List<MediaBox> occupied = new ArrayList<>();
     private final Rack[] racks;
     /** Moments of takes and of further tune-ins within the ration's window; time empties both. */
@@ -76,8 +74,7 @@
     private final ArrayDeque<Moment> further = new ArrayDeque<>();
     private Moment now = Moment.DISTANT_PAST;
     private Moment started;
-    /** The shares of all serving boxes; follows the list. */
-    private double allShares;
+    private double allShares; // of all serving boxes
     private double probesLeft = 1;
     /** The load of a link that nothing is known of: the mean of what boxes report. */
     private double usual = USUAL;
@@ -89,6 +86,9 @@
         double[] kb = house.ladderKb();
         this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
         this.othersPart = 1 - 1.0 / house.fronts();
+        for (int i = 0; i < Math.max(1, house.fleet().cells()); i++) {
+            cells.add(new ArrayList<>());
+        }
         this.racks = new Rack[house.fleet().racks()];
         for (int i = 0; i < racks.length; i++) {
             racks[i] = new Rack();
@@ -371,6 +371,7 @@
                 streams = Double.NaN;
             }
             counted(false);
+            list(false);
             this.weight = weight;
             this.cell = cell;
             int[] byKind = house.fleet().streamsByKind();
@@ -380,19 +381,18 @@
             rack.change(-link.own, false);
             rack = racks[Math.floorMod(cell, racks.length)];
             rack.change(link.own, false);
-            list();
+            list(true);
             counted(true);
         }
 
         public void draining() {
             counted(false);
-            list();
+            list(true);
         }
 
         public void gone() {
             counted(false);
-            boxes.remove(this);
-            listed = false;
+            list(false);
         }
 
         /** Nothing is held here any more and the list no longer names it. */
@@ -400,11 +400,10 @@
             return !listed && viewings.isEmpty();
         }
 
-        private void list() {
-            if (!listed) {
-                boxes.add(this);
-            }
-            listed = true;
+        private void list(boolean in) {
+            List<MediaBox> shelf = cells.get(Math.floorMod(cell, cells.size()));
+            shelf.remove(this);
+            listed = in && shelf.add(this);
         }
 
         /** Into or out of the running totals of its rack and of all. */
@@ -470,14 +469,13 @@
         }
 
         private boolean holds(Title title) {
-            int cells = Math.max(1, house.fleet().cells());
-            return title.cellsInRow <= 0 || Math.floorMod(cell - title.firstCell, cells) < title.cellsInRow;
+            int off = Math.floorMod(cell - title.firstCell, cells.size());
+            return title.cellsInRow <= 0 || off < title.cellsInRow;
         }
 
-        /** Guards against boxes that fail set-ups in whatever way: silence, quick errors, being full or out
-         * of reach. Each failure doubles the time for which others are preferred, a success halves it. It
-         * should also hold against boxes that are merely slow; it could harm where one bad moment hits many
-         * boxes at once, so a box that is avoided is still used where no other is left. */
+        /** Guards against boxes that fail set-ups in whatever way: silence, errors, being full, slow or out
+         * of reach. A failure doubles the time for which others are preferred, a success halves it. It could
+         * harm where one moment hits many boxes: with no other left an avoided box is still used. */
         private void failed(boolean silent) {
             avoidUntil = now.plus(FIRST_AVOID.times(1 << Math.min(failures, MOST_DOUBLINGS)));
             failures = Math.min(failures + 1, MOST_DOUBLINGS + 1);
@@ -806,7 +804,12 @@
         private MediaBox roomiest(MediaBox but) {
             MediaBox best = null;
             double most = Double.NEGATIVE_INFINITY;
-            for (MediaBox b : boxes) {
+            List<MediaBox> holders = new ArrayList<>();
+            int row = title.cellsInRow <= 0 ? cells.size() : Math.min(cells.size(), title.cellsInRow);
+            for (int i = 0; i < row; i++) {
+                holders.addAll(cells.get(Math.floorMod(title.firstCell + i, cells.size())));
+            }
+            for (MediaBox b : holders) {
                 if (b == but || !mayTuneIn(this, b)) {
                     continue;
                 }
