Read again: dead parameters and state out, one blend for both reckonings, no copied list of holders

The time a set-up took is read by nobody since time-outs go by the join target, so it is no longer handed on (the adapter still checks it); others' expected steps were also noted in a word that can only be heard where fronts talk, and there they are not expected; the averages were given their start twice. What is heard and what is likely differ only in the guess: one blend takes it, and where probes ask the guess is not worked out at all. A newcomer's holders are looked at in place, each scored by its own method; the two words between fronts share their head. The guess's bound has a name. The tests keep every assertion; fields of the harness that nothing read are gone.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -45,9 +45,10 @@
     private static final Span NEWS_LIFE = Span.ofSeconds(6);
     private static final double PROBE_SPEND = 0.015;
     private static final double PROBES_HELD = 20;
+    private static final double GUESSED_MOST = 0.9;
     private static final double USUAL = 0.6;
     private static final double USUAL_WEIGHT = 0.3;
-    /** How long a newcomer waits for the probes of its first choices. */
+    /** How long a newcomer waits for news of its first choices. */
     private static final Span LOOK = Span.ofMillis(80);
     private static final Span FRESH = Span.ofMillis(700);
     private static final Span LATE_WAIT = Span.ofMillis(600);
@@ -206,11 +207,6 @@
             elsewhereAt = now;
         }
 
-        void othersAlike(double kb) {
-            heardOf(kb);
-            elsewhere = Math.max(0, elsewhere + kb);
-        }
-
         /** The keeper's word counts in full for two tellings, then fades. */
         double wordHolds() {
             return Math.max(0, Math.min(1, 3 - now.since(elsewhereAt).seconds() / TELL_ALL.seconds()));
@@ -223,18 +219,18 @@
         /** What is heard. Old news gives way to own rates alone where a probe can ask again, elsewhere to
          * the keeper's word and then to a guess, which alone sheds nothing. */
         double demand() {
-            double word = wordHolds();
-            double guess = Math.min(unheard(), Math.max(0, 0.9 * size() - own));
-            return blend(own + word * elsewhere + (house.permits().probes() ? 0 : (1 - word) * guess));
+            return blend(house.permits().probes() ? 0
+                    : Math.min(unheard(), Math.max(0, GUESSED_MOST * size() - own)));
         }
 
         /** The same with a guess of what is not heard. */
         double likely() {
-            double word = wordHolds();
-            return blend(own + word * elsewhere + (1 - word) * unheard());
+            return blend(unheard());
         }
 
-        private double blend(double otherwise) {
+        private double blend(double guess) {
+            double word = wordHolds();
+            double otherwise = own + word * elsewhere + (1 - word) * guess;
             Span stale = now.since(toldTrueAt).minus(NEWS_HOLDS).orMore(Span.NONE);
             double trust = Math.exp(-stale.seconds() / NEWS_LIFE.seconds());
             return Double.isNaN(told) ? otherwise
@@ -286,7 +282,7 @@
         }
 
         /** What others may ask of one of its links, where nothing else is known of that. */
-        double othersPart(double linkSize) {
+        double othersOn(double linkSize) {
             return Math.max(0, likely() - own) * linkSize / Math.max(linkSize, linksKb());
         }
 
@@ -333,8 +329,8 @@
         private Moment startedAt = Moment.DISTANT_PAST;
         private double streams = Double.NaN;
         private Moment askedAt = Moment.DISTANT_PAST;
-        private double shortAverage = SHORT_RESET;
-        private double longAverage = LONG_RESET;
+        private double shortAverage;
+        private double longAverage;
         private Moment sampledAt;
         private Moment shortAt = Moment.DISTANT_PAST;
         private Moment steppedUpAt = Moment.DISTANT_PAST;
@@ -538,7 +534,7 @@
 
             @Override
             double unheard() {
-                return rack.othersPart(size());
+                return rack.othersOn(size());
             }
         }
 
@@ -688,8 +684,8 @@
             double onLink = by * Math.max(0, link.demand() - link.own);
             double onRack = by * Math.max(0, rack.demand() - rack.own) * link.own / Math.max(1, rack.own);
             boolean uplink = rack.load() > link.load();
-            link.othersAlike(onLink);
-            rack.othersAlike(uplink ? onRack : onLink);
+            link.heardOf(onLink);
+            rack.heardOf(uplink ? onRack : onLink);
         }
 
         /** N: the link's viewings, by own account and what others or reports say beyond it; where they say
@@ -723,7 +719,7 @@
         private MediaBox at;
         private int rung;
         private int tuneIns;
-        /** Probes that it waits for. */
+        /** Answers that it waits for. */
         private int unheard;
         private boolean looked;
         private boolean playing;
@@ -747,9 +743,9 @@
         }
 
         private boolean mayStep(int by) {
-            double now = rate(rung);
+            double present = rate(rung);
             return by < 0 ? rung > terms.lowestRung() : rung < ceiling
-                    && at.capped(rate(rung + 1), at.link.spare() + now, at.rack.spare() + now);
+                    && at.capped(rate(rung + 1), at.link.spare() + present, at.rack.spare() + present);
         }
 
         /** What a step adds to the rate: less than nothing for one down. */
@@ -775,7 +771,7 @@
 
         /* ---- placement ---- */
 
-        /** Where probes are allowed, the two holders that look best are asked first. */
+        /** Where probes or words are allowed, the two holders that look best are asked first. */
         private void look() {
             MediaBox first = roomiest(null);
             ask(first);
@@ -804,29 +800,28 @@
         private MediaBox roomiest(MediaBox but) {
             MediaBox best = null;
             double most = Double.NEGATIVE_INFINITY;
-            List<MediaBox> holders = new ArrayList<>();
             int row = title.cellsInRow <= 0 ? cells.size() : Math.min(cells.size(), title.cellsInRow);
             for (int i = 0; i < row; i++) {
-                holders.addAll(cells.get(Math.floorMod(title.firstCell + i, cells.size())));
-            }
-            for (MediaBox b : holders) {
-                if (b == but || !mayTuneIn(this, b)) {
-                    continue;
-                }
-                double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
-                score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
-                score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
-                score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
-                Moment heardAt = b.link.toldTrueAt.orLater(b.link.elsewhereAt);
-                score -= looked && FRESH.under(now.since(heardAt)) ? 1e7 : 0;
-                if (score > most) {
-                    most = score;
-                    best = b;
+                for (MediaBox b : cells.get(Math.floorMod(title.firstCell + i, cells.size()))) {
+                    double score = b != but && mayTuneIn(this, b) ? score(b) : Double.NEGATIVE_INFINITY;
+                    if (score > most) {
+                        most = score;
+                        best = b;
+                    }
                 }
             }
             return best;
         }
 
+        private double score(MediaBox b) {
+            double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
+            score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
+            score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
+            score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
+            Moment heardAt = b.link.toldTrueAt.orLater(b.link.elsewhereAt);
+            return score - (looked && FRESH.under(now.since(heardAt)) ? 1e7 : 0);
+        }
+
         /** Sends to the roomiest holder; waits a little where the gate is shut, blocks if it stays. */
         private void place() {
             if (answered || at != null) {
@@ -916,7 +911,7 @@
 
         /* ---- end-of-viewing bookkeeping ---- */
 
-        public void playing(Span took) {
+        public void playing() {
             if (at == null) {
                 return;
             }
@@ -927,7 +922,7 @@
         }
 
         /** The tune-in is no longer out; over says that the viewing has ended with it or before. */
-        public void tuneInEnded(Outside.Ending how, boolean over, Span took) {
+        public void tuneInEnded(Outside.Ending how, boolean over) {
             if (at == null) {
                 return;
             }
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -188,10 +188,10 @@
             case "headers" -> {
                 WireViewing vw = viewings.get(m.whole("job"));
                 m.skip();
-                Span took = new Span(m.whole("rttUs", 0));
+                m.whole("rttUs", 0);
                 m.end();
                 if (vw != null) {
-                    call(now, writer, () -> vw.handle.playing(took));
+                    call(now, writer, () -> vw.handle.playing());
                 }
             }
             case "completed" -> completed(m, now, writer);
@@ -293,7 +293,7 @@
         m.skip();
         boolean over = m.flag("terminal");
         int how = m.integer("how");
-        Span took = new Span(m.whole("rttUs", 0));
+        m.whole("rttUs", 0);
         Long server = m.whole("server", -1);
         Map<?, ?> load = m.object("feedback");
         m.end();
@@ -316,7 +316,7 @@
             if (vw != null) {
                 vw.out = false;
                 vw.answered |= over;
-                vw.handle.tuneInEnded(ending, over, took);
+                vw.handle.tuneInEnded(ending, over);
                 release(vw);
             }
         });
@@ -379,20 +379,22 @@
      * the uplink's share in steps of a 200th. */
     @Override
     public void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare) {
-        say(front, ByteBuffer.allocate(WORD).putInt((int) ((WireBox) box.line()).id)
-                .put((byte) Math.min(0xff, viewings)).putShort(eighths(kb))
-                .put((byte) Math.round(200 * uplinkShare)));
+        say(front, word(WORD, box, viewings, kb).put((byte) Math.round(200 * uplinkShare)));
     }
 
     /** The keeper's answer: the same of all others, and the rack's kB and size in steps of 32. */
     @Override
     public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
             double rackSizeKb) {
-        say(front, ByteBuffer.allocate(ANSWER).putInt((int) ((WireBox) box.line()).id)
-                .put((byte) Math.min(0xff, othersViewings)).putShort(eighths(othersKb))
+        say(front, word(ANSWER, box, othersViewings, othersKb)
                 .putShort(eighths(rackKb / 4)).putShort(eighths(rackSizeKb / 4)));
     }
 
+    private static ByteBuffer word(int length, Policy.MediaBox box, int viewings, double kb) {
+        return ByteBuffer.allocate(length).putInt((int) ((WireBox) box.line()).id)
+                .put((byte) Math.min(0xff, viewings)).putShort(eighths(kb));
+    }
+
     private static short eighths(double kb) {
         return (short) Math.max(0, Math.min(0xffff, Math.round(kb / 8)));
     }
--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -131,7 +131,7 @@
         assertTrue(v.timeout.under(PLAIN.joinTarget()), "room for another within the join target");
         s.pass(v.timeout);
         assertNotEquals(silent, v.out);
-        v.plays(Span.ofMillis(80));
+        v.plays();
         assertNotEquals(silent, s.take(PLAIN, t, PATIENCE).out);
     }
 
@@ -142,7 +142,7 @@
         Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
         Stage.Box failing = v.out;
         v.ends(Outside.Ending.ERROR);
-        v.plays(Span.ofMillis(80));
+        v.plays();
         assertNotEquals(failing, s.take(PLAIN, t, PATIENCE).out);
     }
 
--- a/src/test/java/linengauge/RulesTest.java
+++ b/src/test/java/linengauge/RulesTest.java
@@ -78,7 +78,7 @@
                 Stage.Viewer v = s.take(plain, s.policy.title(chance.nextInt(4), 1), Span.ofMillis(900));
                 if (v.out != null) {
                     sends.get(s.boxes.indexOf(v.out)).add(s.now);
-                    v.plays(Span.ofMillis(80));
+                    v.plays();
                 }
             }
         }
@@ -112,7 +112,7 @@
                 Outside.Ending.BROKEN, Outside.Ending.NEVER_SENT};
             v.ends(ends[chance.nextInt(ends.length)]);
         } else if (chance.nextDouble() > trouble && chance.nextInt(4) == 0) {
-            v.plays(stage.now.since(v.sentAt));
+            v.plays();
             return 1;
         }
         return 0;
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -64,12 +64,10 @@
         Box out;
         int tuneIns;
         int rung;
-        int steps;
         boolean playing;
         boolean mayHaveRun;
         String answer;
         Span timeout;
-        Moment sentAt;
 
         Viewer(PackageTerms terms, Policy.Title title, int ceiling, Span patience) {
             this.terms = terms;
@@ -105,7 +103,6 @@
                 assertTrue(made <= rules.furtherFree() + rules.furtherShare() * took, "further tune-ins over budget");
             }
             out = box;
-            sentAt = now;
             this.timeout = timeout;
             int sent = tuneIns;
             wakeAfter(timeout, () -> {
@@ -122,7 +119,6 @@
         @Override
         public void rung(int rung) {
             assertTrue(rung >= terms.lowestRung() && rung <= ceiling, "rung " + rung + " not allowed");
-            steps += playing ? 1 : 0;
             this.rung = rung;
         }
 
@@ -143,10 +139,10 @@
             answer = how;
         }
 
-        void plays(Span took) {
+        void plays() {
             answered("plays");
             playing = true;
-            handle.playing(took);
+            handle.playing();
         }
 
         void ends(Ending how) {
@@ -160,7 +156,7 @@
             if (over || answer != null) {
                 viewers.remove(this);
             }
-            handle.tuneInEnded(how, over, now.since(sentAt == null ? now : sentAt));
+            handle.tuneInEnded(how, over);
         }
     }
 
@@ -171,7 +167,6 @@
     final Policy policy;
     final List<Box> boxes = new ArrayList<>();
     final List<Viewer> viewers = new ArrayList<>();
-    final List<Policy.MediaBox> told = new ArrayList<>();
     final List<Double> answered = new ArrayList<>();
     final List<Double> sizes = new ArrayList<>();
     private final ArrayDeque<Moment> taken = new ArrayDeque<>();
@@ -282,7 +277,6 @@
     @Override
     public void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare) {
         assertTrue(headend.permits().messages(), "talked where it may not");
-        told.add(box);
     }
 
     @Override
