Box table, titles and words between fronts shared by adapter and coming front

The running front needs what the bench adapter kept for itself: the box list applied in order, ids to handles, the words between fronts. They move to linengauge.session, free of I/O; the adapter only reads and writes the wire.

--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -4,12 +4,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,7 +15,10 @@
 import linengauge.PackageTerms;
 import linengauge.Policy;
 import linengauge.Span;
-import linengauge.wire.WireHost.Row;
+import linengauge.session.BoxTable;
+import linengauge.session.BoxTable.Row;
+import linengauge.session.TitleTable;
+import linengauge.session.Words;
 import linengauge.wire.WireHost.Wrong;
 
 /** One front: turns ids into the module's handles and its decisions into actions. */
@@ -26,19 +26,14 @@
     private static final Set<String> EVENTS = Set.of("backendsChanged", "demand", "headers", "sampled", "completed",
             "mail", "resumed", "reminder", "cancelledByClient", "statusNote");
 
-    /** Bytes of the two kinds of word between fronts; nothing else tells them apart. */
-    private static final int WORD = 8;
-    private static final int ANSWER = 11;
-
     private final int number;
     private final PrintStream complaints;
     private final List<PackageTerms> packages;
     private final Policy policy;
-    private final Map<Long, WireBox> boxes = new LinkedHashMap<>();
+    private final BoxTable boxes;
     /** Emptied as viewings end: an id stays while its answer is owed or a tune-in is out. */
     private final Map<Long, WireViewing> viewings = new HashMap<>();
-    /** Titles with a viewing here; a title leaves with its last one. */
-    private final Map<String, WireTitle> titles = new HashMap<>();
+    private final TitleTable titles;
     /** Steps that wait for their reminder; each leaves when it comes. */
     private final Map<String, Runnable> steps = new HashMap<>();
     /** Viewings answered by the module within the present event; emptied after it. */
@@ -53,37 +48,14 @@
         var headend = WireTerms.read(conf);
         this.packages = headend.packages();
         this.policy = new Policy(headend, seed, this);
+        this.boxes = new BoxTable(policy, box -> act("inspect", box.id()));
+        this.titles = new TitleTable(policy);
     }
 
     static boolean knows(String event) {
         return EVENTS.contains(event);
     }
 
-    private final class WireBox implements Line {
-        final long id;
-        final Policy.MediaBox box;
-        boolean listed;
-
-        WireBox(long id) {
-            this.id = id;
-            this.box = policy.box(this);
-        }
-
-        @Override
-        public void probe() {
-            act("inspect", id);
-        }
-    }
-
-    private static final class WireTitle {
-        final Policy.Title title;
-        int viewings;
-
-        WireTitle(Policy.Title title) {
-            this.title = title;
-        }
-    }
-
     private final class WireViewing implements Player {
         final long id;
         final String titleName;
@@ -99,7 +71,7 @@
         @Override
         public void tuneIn(Policy.MediaBox box, Span timeout) {
             out = true;
-            act("passOn", id, ((WireBox) box.line()).id, timeout.micros());
+            act("passOn", id, ((BoxTable.Entry) box.line()).id(), timeout.micros());
         }
 
         @Override
@@ -155,30 +127,7 @@
         if (!mode.equals("changes") && !mode.equals("all") && !mode.equals("remembered")) {
             throw new Wrong("unknown mode '" + mode + "'");
         }
-        call(now, writer, () -> {
-            Set<Long> named = new HashSet<>();
-            for (Row row : rows) {
-                named.add(row.id());
-                WireBox b = boxes.computeIfAbsent(row.id(), WireBox::new);
-                b.listed = !row.state().equals("DELETED");
-                switch (row.state()) {
-                    case "SERVING" -> b.box.serving(row.weight(), row.cell(), row.kind(), row.zone(),
-                            row.startedUs() <= 0 ? Moment.DISTANT_PAST : new Moment(row.startedUs()));
-                    case "DRAINING" -> b.box.draining();
-                    case "DELETED" -> b.box.gone();
-                    default -> throw new Wrong("unknown health '" + row.state() + "'");
-                }
-            }
-            if (!mode.equals("changes")) {
-                for (WireBox b : boxes.values()) {
-                    if (b.listed && !named.contains(b.id)) {
-                        b.listed = false;
-                        b.box.gone();
-                    }
-                }
-            }
-            boxes.values().removeIf(b -> !b.listed && b.box.forgotten());
-        });
+        call(now, writer, () -> boxes.apply(!mode.equals("changes"), rows));
     }
 
     void happened(String name, Message m, Moment now, JsonGenerator writer) throws IOException, Wrong {
@@ -215,7 +164,7 @@
                 }
             }
             case "sampled" -> {
-                WireBox b = boxes.get(m.whole("server"));
+                BoxTable.Entry b = boxes.get(m.whole("server"));
                 int how = m.integer("how");
                 m.whole("rttUs", 0);
                 Map<?, ?> load = m.object("feedback");
@@ -223,7 +172,7 @@
                 if (b != null) {
                     call(now, writer, () -> {
                         report(b, load);
-                        b.box.probed(how == 200);
+                        b.handle().probed(how == 200);
                     });
                 }
             }
@@ -262,7 +211,7 @@
         m.end();
         call(now, writer, () -> {
             WireViewing vw = hold(id, item);
-            vw.handle = policy.take(vw, terms, title(item, fromCell, cells), ceiling, patience);
+            vw.handle = policy.take(vw, terms, titles.hold(item, fromCell, cells), ceiling, patience);
             release(vw);
         });
     }
@@ -279,12 +228,12 @@
         int cells = m.integer("cellsInRow", 0);
         int ceiling = m.integer("ceilingRung", terms.highestRung());
         m.skip();
-        WireBox b = boxes.computeIfAbsent(m.whole("server"), WireBox::new);
+        BoxTable.Entry b = boxes.named(m.whole("server"));
         m.end();
         call(now, writer, () -> {
             WireViewing vw = hold(id, item);
             vw.out = true;
-            vw.handle = policy.handOver(vw, terms, title(item, fromCell, cells), ceiling, b.box);
+            vw.handle = policy.handOver(vw, terms, titles.hold(item, fromCell, cells), ceiling, b.handle());
         });
     }
 
@@ -308,7 +257,7 @@
             case 409 -> Ending.NEVER_SENT;
             default -> throw new Wrong("unknown outcome " + how);
         };
-        WireBox b = boxes.get(server);
+        BoxTable.Entry b = boxes.get(server);
         call(now, writer, () -> {
             if (b != null) {
                 report(b, load);
@@ -333,9 +282,9 @@
         }
     }
 
-    private static void report(WireBox b, Map<?, ?> load) {
+    private static void report(BoxTable.Entry b, Map<?, ?> load) {
         if (!load.isEmpty()) {
-            b.box.reported(figure(load, "x0"), figure(load, "x1"), figure(load, "outstanding"));
+            b.handle().reported(figure(load, "x0"), figure(load, "x1"), figure(load, "outstanding"));
         }
     }
 
@@ -350,12 +299,6 @@
         return packages.get(type);
     }
 
-    private Policy.Title title(String item, int fromCell, int cells) {
-        WireTitle t = titles.computeIfAbsent(item, name -> new WireTitle(policy.title(fromCell, cells)));
-        t.viewings++;
-        return t.title;
-    }
-
     private WireViewing hold(long id, String titleName) {
         WireViewing vw = new WireViewing(id, titleName);
         viewings.put(id, vw);
@@ -364,7 +307,7 @@
 
     private void release(WireViewing vw) {
         if (vw.answered && !vw.out && viewings.remove(vw.id, vw)) {
-            titles.computeIfPresent(vw.titleName, (name, t) -> --t.viewings > 0 ? t : null);
+            titles.release(vw.titleName);
         }
     }
 
@@ -375,57 +318,29 @@
         act("notifyMe", span.micros(), token);
     }
 
-    /** A word to the keeper of a box's rack: its id, how many viewings, their kB a second in steps of eight, and
-     * the uplink's share in steps of a 200th. */
     @Override
     public void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare) {
-        say(front, word(WORD, box, viewings, kb).put((byte) Math.round(200 * uplinkShare)));
+        say(front, Words.told(box, viewings, kb, uplinkShare));
     }
 
-    /** The keeper's answer: the same of all others, and the rack's kB and size in steps of 32. */
     @Override
     public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
             double rackSizeKb) {
-        say(front, word(ANSWER, box, othersViewings, othersKb)
-                .putShort(eighths(rackKb / 4)).putShort(eighths(rackSizeKb / 4)));
-    }
-
-    private static ByteBuffer word(int length, Policy.MediaBox box, int viewings, double kb) {
-        return ByteBuffer.allocate(length).putInt((int) ((WireBox) box.line()).id)
-                .put((byte) Math.min(0xff, viewings)).putShort(eighths(kb));
+        say(front, Words.answered(box, othersViewings, othersKb, rackKb, rackSizeKb));
     }
 
-    private static short eighths(double kb) {
-        return (short) Math.max(0, Math.min(0xffff, Math.round(kb / 8)));
-    }
-
-    private void say(int front, ByteBuffer bytes) {
-        act("say", front, Base64.getEncoder().encodeToString(bytes.array()));
+    private void say(int front, byte[] word) {
+        act("say", front, Base64.getEncoder().encodeToString(word));
     }
 
     private void mail(int peer, String octets) throws Wrong {
-        ByteBuffer bytes;
+        byte[] word;
         try {
-            bytes = ByteBuffer.wrap(Base64.getDecoder().decode(octets));
+            word = Base64.getDecoder().decode(octets);
         } catch (IllegalArgumentException e) {
             throw new Wrong("'octets' should be base64");
         }
-        if (bytes.remaining() != WORD && bytes.remaining() != ANSWER) {
-            return;
-        }
-        boolean answer = bytes.remaining() == ANSWER;
-        WireBox b = boxes.get(Integer.toUnsignedLong(bytes.getInt()));
-        if (b == null) {
-            return;
-        }
-        int count = Byte.toUnsignedInt(bytes.get());
-        double kb = 8.0 * Short.toUnsignedInt(bytes.getShort());
-        if (answer) {
-            b.box.othersPlay(count, kb, 32.0 * Short.toUnsignedInt(bytes.getShort()),
-                    32.0 * Short.toUnsignedInt(bytes.getShort()));
-        } else {
-            b.box.frontPlays(peer, count, kb, Byte.toUnsignedInt(bytes.get()) / 200.0);
-        }
+        Words.hear(boxes, peer, word);
     }
 
     private void act(String name, Object... values) {
--- a/src/main/java/linengauge/wire/WireHost.java
+++ b/src/main/java/linengauge/wire/WireHost.java
@@ -16,16 +16,14 @@
 import java.util.List;
 import java.util.Map;
 import linengauge.Moment;
+import linengauge.session.BoxTable;
+import linengauge.session.BoxTable.Row;
 
 /**
  * The adapter: reads one batch a line, hands what happened to the fronts that it hosts, and writes what they decide,
  * one reply a line. It decides nothing; the fronts share nothing but this door.
  */
 public final class WireHost {
-    /** One row of the server list. */
-    record Row(long id, double weight, int cell, int kind, String state, int zone, long startedUs) {
-    }
-
     private final InputStream in;
     private final OutputStream out;
     private final PrintStream complaints;
@@ -151,13 +149,27 @@
         List<Row> rows = new ArrayList<>();
         m.array("rowsIn");
         while (m.nextRow()) {
-            rows.add(new Row(m.whole("server"), m.number("powerHint", 1), m.integer("cell", 0), m.integer("type", 0),
-                    m.text("health"), m.integer("locality", 0), m.whole("lastStartUs", 0)));
+            rows.add(new Row(m.whole("server"), null, m.number("powerHint", 1), m.integer("cell", 0),
+                    m.integer("type", 0), state(m.text("health")), m.integer("locality", 0),
+                    started(m.whole("lastStartUs", 0))));
             m.end();
         }
         return rows;
     }
 
+    private static BoxTable.State state(String health) throws Wrong {
+        return switch (health) {
+            case "SERVING" -> BoxTable.State.SERVING;
+            case "DRAINING" -> BoxTable.State.DRAINING;
+            case "DELETED" -> BoxTable.State.GONE;
+            default -> throw new Wrong("unknown health '" + health + "'");
+        };
+    }
+
+    private static Moment started(long micros) {
+        return micros <= 0 ? Moment.DISTANT_PAST : new Moment(micros);
+    }
+
     /** What is wrong with a line; the line number is added where it is known. */
     static final class Wrong extends Exception {
         private static final long serialVersionUID = 1L;
