--- /dev/null
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -0,0 +1,95 @@
+package linengauge.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import linengauge.drill.DayDrill;
+import linengauge.drill.DayScript;
+import linengauge.drill.Report;
+import linengauge.rules.BadRecord;
+import linengauge.rules.Judge;
+import linengauge.rules.Verdict;
+import linengauge.site.BadSite;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Proofs on loopback, each a subcommand. */
+@Command(name = "drill", mixinStandardHelpOptions = true,
+        description = "Proofs on loopback: troubles acted out, rules judged from the traffic.")
+final class Drills implements Callable<Integer> {
+    @picocli.CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return 2;
+    }
+
+    /** What all drills take. */
+    static final class Ways {
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "the seed (default: 1)")
+        long seed;
+        @Option(names = "--report", paramLabel = "FILE.json", description = "write the report there too")
+        Path report;
+        @Option(names = "--traffic", paramLabel = "FILE.jsonl", description = "write what was seen on the sockets")
+        Path traffic;
+        @CommandLine.Mixin
+        Commands.LogForm log;
+
+        int done(Report r) throws IOException {
+            r.print(System.out);
+            if (report != null) {
+                r.write(report);
+            }
+            return r.held() ? 0 : 1;
+        }
+    }
+
+    @Command(name = "bad-day", mixinStandardHelpOptions = true,
+            description = "Three fronts and twelve boxes through a day of most troubles; the six rules.")
+    int badDay(@CommandLine.Mixin Ways ways, @Option(names = "--short", description = "25 s or less") boolean brief)
+            throws IOException, InterruptedException {
+        return play("builtin:bad-day" + (brief ? "-short" : ""), ways);
+    }
+
+    @Command(name = "day", mixinStandardHelpOptions = true, description = "Play a day script.")
+    int day(@Parameters(paramLabel = "DAY.json5") Path script, @CommandLine.Mixin Ways ways)
+            throws IOException, InterruptedException {
+        return play(script.toString(), ways);
+    }
+
+    private static int play(String script, Ways ways) throws IOException, InterruptedException {
+        ways.log.apply();
+        DayScript day;
+        try {
+            day = DayScript.read(script);
+        } catch (BadSite e) {
+            System.err.println(e.getMessage());
+            return 1;
+        }
+        return ways.done(new DayDrill(day, ways.seed, ways.traffic).run());
+    }
+
+    @Command(name = "judge", mixinStandardHelpOptions = true, description = "Judge a record of traffic again, alone.")
+    int judge(@Parameters(paramLabel = "FILE.jsonl") Path record,
+            @Option(names = "--report", paramLabel = "FILE.json") Path file) throws IOException {
+        Verdict v;
+        try {
+            v = Judge.judge(Files.readAllLines(record));
+        } catch (BadRecord e) {
+            System.err.println(record + ": " + e.getMessage());
+            return 1;
+        }
+        Report r = new Report("judge", 0);
+        r.judged(record.getFileName().toString(), v);
+        r.print(System.out);
+        if (file != null) {
+            r.write(file);
+        }
+        return r.held() ? 0 : 1;
+    }
+}
--- a/src/main/java/linengauge/cli/Main.java
+++ b/src/main/java/linengauge/cli/Main.java
@@ -7,30 +7,13 @@
 import linengauge.wire.BadLine;
 import linengauge.wire.WireHost;
 
-/** The command line: one subcommand a job. */
+/** The program's door. The bench's adapter starts without any of the libraries that the rest of the program needs. */
 public final class Main {
-    private static final String USAGE = """
-            usage: linengauge wirehost     decide for the fronts of a simulator, on standard input and output
-                   linengauge --help       print this
-                   linengauge --version    print the version""";
-
     private Main() {
     }
 
     public static void main(String[] args) {
-        String word = args.length == 1 ? args[0] : "";
-        switch (word) {
-            case "--help" -> System.out.println(USAGE);
-            case "--version" -> {
-                String version = Main.class.getPackage().getImplementationVersion();
-                System.out.println("linengauge " + (version == null ? "(not packaged)" : version));
-            }
-            case "wirehost" -> System.exit(host());
-            default -> {
-                System.err.println(USAGE);
-                System.exit(2);
-            }
-        }
+        System.exit(args.length == 1 && args[0].equals("wirehost") ? host() : Commands.run(args));
     }
 
     private static int host() {
--- /dev/null
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -0,0 +1,346 @@
+package linengauge.front;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import linengauge.Outside.Ending;
+import linengauge.Span;
+import linengauge.hls.BadPlaylist;
+import linengauge.hls.Paths;
+import linengauge.hls.Playlists;
+import linengauge.session.Backoff;
+import linengauge.session.BoxTable;
+import linengauge.session.Held;
+import linengauge.site.Site;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Calls to media boxes, as docs/protocol/box.md says; all on the desk. It tells a set-up that provably never ran (no
+ * connection, an explicit refusal) from one that may have, and decides nothing else.
+ */
+final class BoxCalls {
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    /** A set-up that is out. */
+    private static final class Out {
+        private final int tuneIn;
+        private HttpClientRequest request;
+        private boolean sent;
+        private boolean over;
+
+        private Out(int tuneIn) {
+            this.tuneIn = tuneIn;
+        }
+    }
+
+    private final Vertx vertx;
+    private final Site site;
+    private final FrontProgram program;
+    private final HttpClient setUps;
+    private final HttpClient others;
+    private final SplittableRandom chance;
+    private final Sparse log = new Sparse(LoggerFactory.getLogger(BoxCalls.class));
+    /** Set-ups out; each leaves with its outcome or when it is withdrawn. */
+    private final Map<Held, Out> out = new HashMap<>();
+    /** Rungs being told, one call a viewing; each leaves when the box has the latest or the tries are used up. */
+    private final Map<Held, Integer> rungs = new HashMap<>();
+    /** Ends that boxes are still to hear of; bounded by the site file. */
+    private int ends;
+    private long endsGivenUp;
+
+    BoxCalls(Vertx vertx, Site site, long seed, FrontProgram program) {
+        this.vertx = vertx;
+        this.site = site;
+        this.program = program;
+        this.chance = new SplittableRandom(seed);
+        this.setUps = client(vertx, site, site.boxes().connections(), site.boxes().waitingSetUps());
+        this.others = client(vertx, site, site.boxes().connections(), site.boxes().waitingEnds());
+    }
+
+    static HttpClient client(Vertx vertx, Site site, int connections, int waiting) {
+        return vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(site.boxes().connectMs())
+                .setKeepAliveTimeout(Math.max(1, site.boxes().keepAliveMs() / 1000)).setTcpNoDelay(true)
+                .setMaxHeaderSize(site.viewers().headerBytes()).setDecoderInitialBufferSize(256),
+                new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(waiting));
+    }
+
+    static RequestOptions to(BoxTable.Entry box, HttpMethod method, String uri, int connectMs) {
+        Site.Address at = Site.Address.of(box.address());
+        return new RequestOptions().setMethod(method).setHost(at.host()).setPort(at.port()).setURI(uri)
+                .setConnectTimeout(connectMs);
+    }
+
+    int waiting() {
+        return out.size() + rungs.size() + ends;
+    }
+
+    long endsGivenUp() {
+        return endsGivenUp;
+    }
+
+    /* ---- set-ups ---- */
+
+    void setUp(Held vw, int tuneIn) {
+        BoxTable.Entry box = vw.box();
+        Out o = new Out(tuneIn);
+        out.put(vw, o);
+        others(setUps, to(box, HttpMethod.PUT, "/viewings/" + vw.id(), site.boxes().connectMs()), request -> {
+            if (o.over || !vw.sendable(tuneIn)) {
+                request.reset();
+                ended(vw, o, Ending.NEVER_SENT);
+                return;
+            }
+            o.request = request;
+            o.sent = true;
+            String body = JSON.createObjectNode().put("key", vw.ask().key()).put("front", site.front().number()).put("tuneIn", tuneIn)
+                    .put("title", vw.ask().title()).put("package", site.packages().get(vw.ask().pack()).name())
+                    .put("rung", vw.rungNow()).toString();
+            request.putHeader("Content-Type", "application/json");
+            request.send(Buffer.buffer(body)).onSuccess(r -> heard(vw, o, box, r))
+                    .onFailure(e -> ended(vw, o, Ending.BROKEN));
+        }, e -> {
+            boolean full = e instanceof io.vertx.core.http.ConnectionPoolTooBusyException;
+            ended(vw, o, full ? Ending.NEVER_SENT : Ending.NOT_REACHED);
+        });
+    }
+
+    /** Obtains a connection; what fails here was never written. */
+    private void others(HttpClient client, RequestOptions options, Consumer<HttpClientRequest> got,
+            Consumer<Throwable> not) {
+        client.request(options).onComplete(r -> program.onDesk(() -> {
+            if (r.succeeded()) {
+                got.accept(r.result());
+            } else {
+                not.accept(r.cause());
+            }
+        }));
+    }
+
+    private void ended(Held vw, Out o, Ending how) {
+        program.onDesk(() -> {
+            if (!o.over) {
+                o.over = true;
+                out.remove(vw, o);
+                vw.failed(o.tuneIn, how);
+            }
+        });
+    }
+
+    private void heard(Held vw, Out o, BoxTable.Entry box, HttpClientResponse r) {
+        report(box, r.getHeader("Load"));
+        int status = r.statusCode();
+        if (status != 201) {
+            r.handler(b -> { });
+            boolean never = "true".equals(r.getHeader("Never-Ran"));
+            ended(vw, o, never ? Ending.TURNED_AWAY : Ending.ERROR);
+            return;
+        }
+        Buffer body = Buffer.buffer();
+        r.exceptionHandler(e -> ended(vw, o, Ending.BROKEN));
+        r.handler(b -> {
+            body.appendBuffer(b);
+            if (body.length() > site.boxes().playlistBytes()) {
+                broken(vw, o, box, "a playlist longer than " + site.boxes().playlistBytes() + " bytes");
+            }
+        });
+        r.endHandler(v -> program.onDesk(() -> {
+            if (o.over) {
+                return;
+            }
+            try {
+                String text = Playlists.multivariant(body.getBytes(), vw.rungNow(), "/v/" + vw.id() + "/media.m3u8",
+                        uri -> Paths.under(vw.id(), "", uri));
+                o.over = true;
+                out.remove(vw, o);
+                program.viewerOf(vw).playlist(text);
+                vw.plays(o.tuneIn);
+                if (vw.isPlaying()) {
+                    program.notes().playing(vw, box, r.getHeader("Box-Life"));
+                }
+            } catch (BadPlaylist e) {
+                broken(vw, o, box, e.getMessage());
+            }
+        }));
+    }
+
+    /** The box answered with what no player can use: the viewing may run there and must end there. */
+    private void broken(Held vw, Out o, BoxTable.Entry box, String what) {
+        program.onDesk(() -> {
+            if (!o.over) {
+                log.warn("broken playlist", box.toString(), what);
+                withdraw(vw, box, o.tuneIn);
+                vw.failed(o.tuneIn, Ending.ERROR);
+            }
+        });
+    }
+
+    /* ---- ends ---- */
+
+    /** Ends a viewing or tune-in at its box; tried again a bounded number of times, then left to the box's lease. */
+    void withdraw(Held vw, BoxTable.Entry box, int tuneIn) {
+        Out o = out.remove(vw);
+        if (o != null && !o.over) {
+            o.over = true;
+            if (o.request != null) {
+                o.request.reset();
+            }
+            if (!o.sent) {
+                return;
+            }
+        }
+        program.notes().over(vw, box);
+        if (ends >= site.boxes().waitingEnds()) {
+            endsGivenUp++;
+            log.warn("end not told", box.toString(), "too many wait");
+            return;
+        }
+        ends++;
+        int ms = site.boxes().endRetryMs();
+        end(box, "/viewings/" + vw.id() + "?tuneIn=" + tuneIn, site.boxes().endTries(),
+                new Backoff(Span.ofMillis(ms), Span.ofMillis(8L * ms), chance.split()));
+    }
+
+    private void end(BoxTable.Entry box, String uri, int tries, Backoff pause) {
+        call(HttpMethod.DELETE, box, uri, null, site.boxes().firstByteMs(), (status, r) -> {
+            if (status >= 200 && status < 300 || status == 404 || status == 410) {
+                ends--;
+            } else if (tries > 1 && (status != 0 || box.state() != BoxTable.State.GONE)) {
+                program.wakeAfter(pause.next(), () -> end(box, uri, tries - 1, pause));
+            } else {
+                ends--;
+                endsGivenUp++;
+                log.warn("end not told", box.toString(), status == 0 ? "no answer" : "status " + status);
+            }
+        });
+    }
+
+    /* ---- rungs ---- */
+
+    void rung(Held vw) {
+        if (rungs.put(vw, vw.rungNow()) == null) {
+            tellRung(vw, vw.box(), site.boxes().rungTries());
+        }
+    }
+
+    private void tellRung(Held vw, BoxTable.Entry box, int tries) {
+        int told = vw.rungNow();
+        String body = JSON.createObjectNode().put("rung", told).toString();
+        call(HttpMethod.PATCH, box, "/viewings/" + vw.id(), body, site.boxes().firstByteMs(), (status, r) -> {
+            if (!vw.isPlaying()) {
+                rungs.remove(vw);
+            } else if (status == 404 || status == 410) {
+                rungs.remove(vw);
+                vw.boxLost();
+            } else if (status == 200 && vw.rungNow() == told || tries <= 1) {
+                rungs.remove(vw);
+            } else {
+                tellRung(vw, box, status == 200 ? site.boxes().rungTries() : tries - 1);
+            }
+        });
+    }
+
+    /* ---- probes and plain calls ---- */
+
+    void probe(BoxTable.Entry box) {
+        if (box.address() == null) {
+            program.wakeAfter(Span.ofMillis(1), () -> program.core().probed(box, false));
+            return;
+        }
+        call(HttpMethod.GET, box, "/load?front=" + site.front().number(), null, site.boxes().probeMs(), (status, r) -> {
+            if (status == 200) {
+                report(box, r.getHeader("Load"));
+            }
+            program.core().probed(box, status == 200);
+        });
+    }
+
+    private interface Answered {
+        /** Status 0: no answer came, or none in time. */
+        void with(int status, HttpClientResponse response);
+    }
+
+    /** One call whose body does not matter, answered once, on the desk. */
+    private void call(HttpMethod method, BoxTable.Entry box, String uri, String body, int ms, Answered then) {
+        boolean[] done = {false};
+        HttpClientRequest[] request = {null};
+        Answered once = (status, r) -> program.onDesk(() -> {
+            if (!done[0]) {
+                done[0] = true;
+                then.with(status, r);
+            }
+        });
+        program.wakeAfter(Span.ofMillis(ms), () -> {
+            if (!done[0] && request[0] != null) {
+                request[0].reset();
+            }
+            once.with(0, null);
+        });
+        others(others, to(box, method, uri, site.boxes().connectMs()), q -> {
+            request[0] = q;
+            if (done[0]) {
+                q.reset();
+                return;
+            }
+            (body == null ? q.send() : q.putHeader("Content-Type", "application/json").send(Buffer.buffer(body)))
+                    .onSuccess(r -> {
+                        r.handler(b -> { });
+                        once.with(r.statusCode(), r);
+                    }).onFailure(e -> once.with(0, null));
+        }, e -> once.with(0, null));
+    }
+
+    /** The Load header: "link=0.8; uplink=0.7; streams=12", each part optional. */
+    private void report(BoxTable.Entry box, String load) {
+        if (load == null || load.length() > 200) {
+            return;
+        }
+        double[] figures = {Double.NaN, Double.NaN, Double.NaN};
+        for (String part : load.split(";")) {
+            int equals = part.indexOf('=');
+            int i = equals < 0 ? -1 : java.util.List.of("link", "uplink", "streams")
+                    .indexOf(part.substring(0, equals).strip());
+            if (i >= 0) {
+                figures[i] = figure(part.substring(equals + 1).strip());
+            }
+        }
+        program.core().reported(box, figures[0], figures[1], figures[2]);
+    }
+
+    /** A figure that a box told; what is no sensible one counts as not told. */
+    static double figure(String text) {
+        try {
+            double v = Double.parseDouble(text);
+            return v >= 0 && v < 1e9 ? v : Double.NaN;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    static JsonNode line(byte[] bytes) throws JacksonException {
+        try {
+            return JSON.readTree(bytes);
+        } catch (JacksonException e) {
+            throw e;
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    void close() {
+        setUps.close();
+        others.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/front/Door.java
@@ -0,0 +1,241 @@
+package linengauge.front;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import linengauge.Headend;
+import linengauge.PackageTerms;
+import linengauge.Span;
+import linengauge.hls.Paths;
+import linengauge.session.Held;
+import linengauge.session.Viewer;
+import linengauge.site.Site;
+
+/** The viewers' door on one loop (docs/protocol/viewer.md); as many of these share the address as the site file says. */
+final class Door extends VerticleBase {
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,63}";
+
+    private final FrontProgram program;
+    private final Site site;
+    private final Headend house;
+    private final Map<String, Integer> packages;
+    private final Map<String, Site.Held> cells;
+    private final AtomicInteger connections;
+    private HttpClient media;
+    private Relay relay;
+    private HttpServer server;
+    private Context loop;
+
+    Door(FrontProgram program, Headend house, AtomicInteger connections) {
+        this.program = program;
+        this.site = program.site();
+        this.house = house;
+        this.packages = site.packageNumbers();
+        this.cells = site.titleCells();
+        this.connections = connections;
+    }
+
+    @Override
+    public Future<?> start() {
+        loop = context;
+        media = BoxCalls.client(vertx, site, site.boxes().mediaConnections(), site.boxes().waitingMedia());
+        relay = new Relay(program, media, vertx);
+        Site.Viewers v = site.viewers();
+        Site.Address at = Site.Address.of(site.front().viewers());
+        server = vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(v.requestLineBytes())
+                .setMaxHeaderSize(v.headerBytes()).setAcceptBacklog(v.backlog()).setTcpNoDelay(true));
+        server.connectionHandler(this::connected);
+        server.invalidRequestHandler(r -> refuse(r, r.decoderResult().cause() instanceof
+                io.netty.handler.codec.http.TooLongHttpLineException ? 414
+                : r.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpHeaderException ? 431 : 400,
+                "not a request that can be read"));
+        server.requestHandler(this::asked);
+        return server.listen(at.port(), at.host());
+    }
+
+    @Override
+    public Future<?> stop() {
+        return media.close();
+    }
+
+    /** When the connection last had a request under way; one that brings no whole request in time is closed. */
+    private final class Patience {
+        private int underWay;
+        private long quietSince = Wall.micros();
+        private boolean first = true;
+        private final HttpConnection connection;
+
+        private Patience(HttpConnection connection) {
+            this.connection = connection;
+            look(site.viewers().headersMs());
+        }
+
+        private void look(long ms) {
+            vertx.setTimer(Math.max(1, ms), t -> {
+                if (closed) {
+                    return;
+                }
+                long bound = first ? site.viewers().headersMs() : site.viewers().keepAliveMs();
+                long quiet = (Wall.micros() - quietSince) / 1000;
+                if (underWay > 0 || quiet < bound) {
+                    look(underWay > 0 ? bound : bound - quiet);
+                } else {
+                    connection.close();
+                }
+            });
+        }
+
+        private boolean closed;
+        /** The viewer whose answer this connection waits for; one at a time, as HTTP/1.1 answers in order. */
+        private Runnable waiting = () -> { };
+
+        private void began() {
+            first = false;
+            underWay++;
+        }
+
+        private void ended() {
+            underWay--;
+            quietSince = Wall.micros();
+        }
+    }
+
+    private final Map<HttpConnection, Patience> patiences = new java.util.HashMap<>();
+
+    private void connected(HttpConnection connection) {
+        if (connections.incrementAndGet() > site.viewers().connections()) {
+            connections.decrementAndGet();
+            program.turnedAwayAtDoor();
+            connection.close();
+            return;
+        }
+        Patience p = new Patience(connection);
+        patiences.put(connection, p);
+        connection.closeHandler(v -> {
+            p.closed = true;
+            patiences.remove(connection);
+            connections.decrementAndGet();
+            p.waiting.run();
+        });
+    }
+
+    private void refuse(HttpServerRequest r, int status, String why) {
+        if (!r.response().ended() && !r.response().closed()) {
+            r.response().setStatusCode(status).putHeader("Content-Type", "text/plain; charset=utf-8");
+            if (status == 405) {
+                r.response().putHeader("Allow", "GET, DELETE");
+            }
+            if (status == 400 || status == 414 || status == 431) {
+                r.response().putHeader("Connection", "close");
+            }
+            r.response().end(why + "\n");
+        }
+    }
+
+    private void asked(HttpServerRequest r) {
+        Patience p = patiences.get(r.connection());
+        if (p != null) {
+            p.began();
+            boolean[] over = {false};
+            Runnable end = () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    p.ended();
+                }
+            };
+            r.response().endHandler(v -> end.run());
+            r.response().closeHandler(v -> end.run());
+        }
+        String path = r.path() == null ? "" : r.path();
+        if (path.startsWith("/v/")) {
+            int slash = path.indexOf('/', 3);
+            String id = slash < 0 ? path.substring(3) : path.substring(3, slash);
+            viewing(r, id, slash < 0 ? "" : path.substring(slash + 1));
+        } else if (path.startsWith("/titles/") && path.endsWith("/main.m3u8")) {
+            if (r.method() == HttpMethod.GET) {
+                join(r, path.substring("/titles/".length(), path.length() - "/main.m3u8".length()));
+            } else {
+                refuse(r, 405, "only GET");
+            }
+        } else {
+            refuse(r, 404, "no such thing");
+        }
+    }
+
+    private void join(HttpServerRequest r, String title) {
+        String pack = r.getParam("package");
+        Integer number = pack == null ? null : packages.get(pack);
+        String key = r.getParam("key");
+        if (!title.matches(NAME) || key != null && !key.matches(NAME)) {
+            refuse(r, 400, "title and key are of letters, digits, '.', '_' and '-', 64 at most");
+            return;
+        }
+        if (number == null) {
+            refuse(r, 400, "package names none of this site");
+            return;
+        }
+        PackageTerms terms = house.packages().get(number);
+        long ceiling = whole(r.getParam("ceiling"), terms.highestRung());
+        long patience = whole(r.getParam("patience"), site.viewers().longestPatienceMs());
+        if (ceiling < 0 || patience <= 0) {
+            refuse(r, 400, "ceiling and patience are whole numbers, patience in milliseconds and over 0");
+            return;
+        }
+        Site.Held where = cells.get(title);
+        if (where == null && !site.titles().anywhere()) {
+            refuse(r, 404, "no such title");
+            return;
+        }
+        Held.Ask ask = new Held.Ask(title, where == null ? 0 : where.first(), where == null ? 0 : where.inRow(), number,
+                terms, (int) Math.min(ceiling, terms.highestRung()),
+                Span.ofMillis(Math.min(patience, site.viewers().longestPatienceMs())), key);
+        ViewerEnd end = new ViewerEnd(loop, r.response(), program.routes());
+        r.response().exceptionHandler(e -> { });
+        Patience p = patiences.get(r.connection());
+        if (p != null) {
+            p.waiting = () -> program.onDesk(() -> {
+                if (end.held() != null && !end.held().isPlaying()) {
+                    end.held().viewerLeft();
+                }
+            });
+        }
+        program.onDesk(() -> end.held(program.core().take(ask, end)));
+    }
+
+    private static long whole(String text, long absent) {
+        if (text == null) {
+            return absent;
+        }
+        return text.matches("[0-9]{1,9}") ? Long.parseLong(text) : -1;
+    }
+
+    private void viewing(HttpServerRequest r, String id, String rest) {
+        ViewerEnd viewer = program.routes().get(id);
+        if (viewer == null) {
+            Viewer.End how = program.routes().howEnded(id);
+            refuse(r, how == null ? 404 : 410, how == null ? "no such viewing" : "ended: " + how);
+            return;
+        }
+        if (r.method() == HttpMethod.DELETE && rest.isEmpty()) {
+            program.onDesk(() -> viewer.held().viewerLeft());
+            r.response().setStatusCode(204).end();
+        } else if (r.method() != HttpMethod.GET) {
+            refuse(r, 405, "only GET, and DELETE of a whole viewing");
+        } else {
+            String at = rest.equals("media.m3u8") ? rest : Paths.at(rest);
+            if (at == null) {
+                refuse(r, 404, "no such thing");
+            } else {
+                relay.relay(r, viewer, id, at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -0,0 +1,260 @@
+package linengauge.front;
+
+import io.vertx.core.Context;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.ThreadingModel;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonObject;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import linengauge.Headend;
+import linengauge.Span;
+import linengauge.session.BoxTable;
+import linengauge.session.Carrier;
+import linengauge.session.Desk;
+import linengauge.session.Held;
+import linengauge.session.ListFollower;
+import linengauge.site.Site;
+import net.logstash.logback.argument.StructuredArguments;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One running front: the core on one event loop, the desk, and round it the sockets. It turns what happens on them into
+ * calls of the core and carries out what that decides.
+ */
+public final class FrontProgram implements Carrier {
+    private static final Logger LOG = LoggerFactory.getLogger(FrontProgram.class);
+
+    private final Site site;
+    private final Headend house;
+    private final Vertx vertx;
+    private final Routes routes = new Routes();
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicLong turnedAway = new AtomicLong();
+    private final CompletableFuture<String> over = new CompletableFuture<>();
+    private Context deskContext;
+    private Desk core;
+    private BoxCalls calls;
+    private Notes notes;
+    private ListFeed feed;
+    private DatagramSocket words;
+    private volatile boolean ready;
+    private volatile boolean stopping;
+
+    public FrontProgram(Site site) {
+        this.site = site;
+        this.house = site.headend();
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(site.viewers().loops() + 1)
+                .setPreferNativeTransport(false));
+    }
+
+    Site site() {
+        return site;
+    }
+
+    Routes routes() {
+        return routes;
+    }
+
+    Desk core() {
+        return core;
+    }
+
+    Notes notes() {
+        return notes;
+    }
+
+    ViewerEnd viewerOf(Held vw) {
+        return (ViewerEnd) vw.viewer();
+    }
+
+    /** Starts the front; done once its listeners are bound, failed where one could not be. */
+    public Future<?> start(long seed) {
+        SplittableRandom seeds = new SplittableRandom(seed);
+        String epoch = Long.toString(System.currentTimeMillis(), 36);
+        VerticleBase desk = new VerticleBase() {
+            @Override
+            public Future<?> start() {
+                deskContext = context;
+                core = new Desk(house, site.bounds(), seeds.nextLong(), epoch, FrontProgram.this);
+                calls = new BoxCalls(vertx, site, seeds.nextLong(), FrontProgram.this);
+                notes = new Notes(vertx, site, seeds.nextLong(), FrontProgram.this);
+                feed = new ListFeed(vertx, site, seeds.nextLong(), FrontProgram.this);
+                core.clock(Wall.now());
+                feed.open();
+                return listen().compose(v -> control());
+            }
+        };
+        return vertx.deployVerticle(desk).compose(d -> vertx.deployVerticle(() -> new Door(this, house, connections),
+                new DeploymentOptions().setInstances(site.viewers().loops())
+                        .setThreadingModel(ThreadingModel.EVENT_LOOP)))
+                .onSuccess(d -> LOG.info("listening {} {} {}", StructuredArguments.kv("front", site.front().number()),
+                        StructuredArguments.kv("viewers", site.front().viewers()),
+                        StructuredArguments.kv("control", site.front().control())));
+    }
+
+    private Future<?> listen() {
+        if (!house.permits().messages() || site.front().words() == null) {
+            return Future.succeededFuture();
+        }
+        Site.Address at = Site.Address.of(site.front().words());
+        words = vertx.createDatagramSocket();
+        return words.listen(at.port(), at.host()).onSuccess(s -> s.handler(p -> {
+            byte[] bytes = p.data().getBytes();
+            onDesk(() -> core.heard(bytes));
+        }).exceptionHandler(e -> LOG.warn("datagrams", e)));
+    }
+
+    private Future<?> control() {
+        Site.Address at = Site.Address.of(site.front().control());
+        HttpServer server = vertx.createHttpServer();
+        server.requestHandler(r -> {
+            switch (r.method() + " " + r.path()) {
+                case "GET /state" -> onDesk(() -> r.response().putHeader("Content-Type", "application/json")
+                        .end(state().encode() + "\n"));
+                case "GET /ready" -> r.response().setStatusCode(ready && !stopping ? 200 : 503)
+                        .end(ready && !stopping ? "ready\n" : "not ready\n");
+                default -> r.response().setStatusCode(404).end("no such thing\n");
+            }
+        });
+        return server.listen(at.port(), at.host());
+    }
+
+    private JsonObject state() {
+        Desk.Counts c = core.counts();
+        Runtime heap = Runtime.getRuntime();
+        return new JsonObject().put("front", site.front().number()).put("ready", ready).put("stopping", stopping)
+                .put("listRevision", core.listRevision()).put("boxes", core.boxes().size())
+                .put("held", core.viewings()).put("keys", core.keys()).put("titles", core.titlesHeld())
+                .put("routes", routes.size()).put("noteStreams", notes.open()).put("callsWaiting", calls.waiting())
+                .put("viewerConnections", connections.get()).put("turnedAwayAtDoor", turnedAway.get())
+                .put("endsGivenUp", calls.endsGivenUp()).put("listBreaks", feed.breaks())
+                .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
+                .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
+                .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver)
+                .put("heapUsed", heap.totalMemory() - heap.freeMemory());
+    }
+
+    void listHeard() {
+        if (!ready && core.listRevision() != ListFollower.NONE) {
+            ready = true;
+            LOG.info("ready {}", StructuredArguments.kv("boxes", core.boxes().size()));
+        }
+    }
+
+    void turnedAwayAtDoor() {
+        turnedAway.incrementAndGet();
+    }
+
+    /** Runs a step on the desk, soon, with the time told. */
+    void onDesk(Runnable step) {
+        deskContext.runOnContext(v -> {
+            core.clock(Wall.now());
+            step.run();
+        });
+    }
+
+    /** Stops in order: nothing more is taken, what plays may go on for the site file's bound, then all is closed. */
+    public void stop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        onDesk(() -> {
+            LOG.info("stopping {}", StructuredArguments.kv("held", core.viewings()));
+            core.stopTaking();
+            awaitQuiet(Wall.micros() + 1000L * site.stop().playingMs());
+        });
+    }
+
+    private void awaitQuiet(long until) {
+        if (core.viewings() == 0 || Wall.micros() >= until) {
+            core.endAll();
+            awaitEnds(Wall.micros() + 1000L * site.boxes().endRetryMs() * 2);
+        } else {
+            wakeAfter(Span.ofMillis(50), () -> awaitQuiet(until));
+        }
+    }
+
+    /** Boxes hear of the last ends, within a short bound; then the sockets close. */
+    private void awaitEnds(long until) {
+        if (calls.waiting() > 0 && Wall.micros() < until) {
+            wakeAfter(Span.ofMillis(20), () -> awaitEnds(until));
+            return;
+        }
+        feed.close();
+        notes.close();
+        calls.close();
+        vertx.close().onComplete(v -> over.complete(""));
+    }
+
+    /** Waits until the front has stopped; the cause where it failed, or an empty text. */
+    public String await() throws InterruptedException {
+        CountDownLatch latch = new CountDownLatch(1);
+        over.whenComplete((why, e) -> latch.countDown());
+        latch.await();
+        return over.join();
+    }
+
+    /** Waits at most so long; false where it still runs. */
+    public boolean await(long millis) throws InterruptedException {
+        CountDownLatch latch = new CountDownLatch(1);
+        over.whenComplete((why, e) -> latch.countDown());
+        return latch.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /* ---- what the core acts through ---- */
+
+    @Override
+    public void wakeAfter(Span span, Runnable step) {
+        long ms = Math.max(1, (span.micros() + 999) / 1000);
+        vertx.setTimer(ms, t -> onDesk(step));
+    }
+
+    @Override
+    public void setUp(Held vw, int tuneIn) {
+        calls.setUp(vw, tuneIn);
+    }
+
+    @Override
+    public void rung(Held vw) {
+        calls.rung(vw);
+    }
+
+    @Override
+    public void withdraw(Held vw, BoxTable.Entry box, int tuneIn) {
+        calls.withdraw(vw, box, tuneIn);
+    }
+
+    @Override
+    public void probe(BoxTable.Entry box) {
+        calls.probe(box);
+    }
+
+    @Override
+    public void send(int front, byte[] datagram) {
+        String to = site.fronts().words() == null ? null : site.fronts().words().get(Integer.toString(front));
+        if (words != null && to != null) {
+            Site.Address at = Site.Address.of(to);
+            words.send(Buffer.buffer(datagram), at.port(), at.host());
+        }
+    }
+
+    @Override
+    public void failed(RuntimeException cause) {
+        LOG.error("the core has failed: the front ends", cause);
+        ready = false;
+        wakeAfter(Span.ofMillis(200), () -> vertx.close().onComplete(v -> over.complete("the core failed: " + cause)));
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/front/Relay.java
@@ -0,0 +1,240 @@
+package linengauge.front;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.RequestOptions;
+import java.util.List;
+import linengauge.hls.BadPlaylist;
+import linengauge.hls.Paths;
+import linengauge.hls.Playlists;
+import linengauge.site.Site;
+
+/**
+ * Bytes of viewings that play, from box to viewer on the loop of the viewer's connection. Nothing is read from a box that
+ * its viewer has not room for; playlists alone are held whole, up to the site file's bound.
+ */
+final class Relay {
+    /** Requests of one viewing at a time; a player fetches a playlist beside a segment or two. */
+    private static final int AT_ONCE = 4;
+    private static final List<String> PASSED_ON = List.of("Content-Type", "Content-Length", "Content-Range",
+            "Accept-Ranges", "ETag", "Last-Modified", "Cache-Control");
+    private static final List<String> ASKED_ON = List.of("Range", "If-Range", "Accept");
+
+    private final FrontProgram program;
+    private final Site site;
+    private final HttpClient client;
+    private final Vertx vertx;
+
+    Relay(FrontProgram program, HttpClient client, Vertx vertx) {
+        this.program = program;
+        this.site = program.site();
+        this.client = client;
+        this.vertx = vertx;
+    }
+
+    void relay(HttpServerRequest asked, ViewerEnd viewer, String id, String at) {
+        ViewerEnd.Route route = viewer.route();
+        if (route == null) {
+            fail(asked.response(), 410, "ended");
+            return;
+        }
+        if (viewer.underWay().incrementAndGet() > AT_ONCE) {
+            viewer.underWay().decrementAndGet();
+            fail(asked.response(), 429, "too many requests of one viewing at once");
+            return;
+        }
+        viewer.asked();
+        new Pass(asked, viewer, id, at).start(route);
+    }
+
+    private static void fail(HttpServerResponse to, int status, String why) {
+        if (!to.ended() && !to.closed()) {
+            to.setStatusCode(status).putHeader("Content-Type", "text/plain; charset=utf-8").end(why + "\n");
+        }
+    }
+
+    /** One request of a viewer, answered by its box. */
+    private final class Pass {
+        private final HttpServerRequest asked;
+        private final HttpServerResponse to;
+        private final ViewerEnd viewer;
+        private final String id;
+        private final String at;
+        private HttpClientRequest request;
+        private long heardAt = Wall.micros();
+        private boolean answered;
+        private boolean paused;
+        private boolean over;
+        private long timer = -1;
+        private Buffer playlist;
+
+        private Pass(HttpServerRequest asked, ViewerEnd viewer, String id, String at) {
+            this.asked = asked;
+            this.to = asked.response();
+            this.viewer = viewer;
+            this.id = id;
+            this.at = at;
+        }
+
+        private void start(ViewerEnd.Route route) {
+            asked.connection().exceptionHandler(e -> { });
+            to.exceptionHandler(e -> end());
+            to.closeHandler(v -> end());
+            listen(site.boxes().firstByteMs());
+            client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(route.host()).setPort(route.port())
+                    .setURI("/viewings/" + id + "/" + at).setConnectTimeout(site.boxes().connectMs()))
+                    .onFailure(e -> broken(502, "the media box cannot be reached"))
+                    .onSuccess(q -> {
+                        if (over) {
+                            q.reset();
+                            return;
+                        }
+                        request = q;
+                        for (String name : ASKED_ON) {
+                            if (asked.headers().contains(name)) {
+                                q.putHeader(name, asked.headers().get(name));
+                            }
+                        }
+                        q.send().onSuccess(this::heard).onFailure(e -> broken(502, "the media box broke off"));
+                    });
+        }
+
+        /** A box that sends nothing while its viewer would read is given up; a viewer that reads nothing is not its fault. */
+        private void listen(long ms) {
+            timer = vertx.setTimer(Math.max(1, ms), t -> {
+                timer = -1;
+                long quiet = (Wall.micros() - heardAt) / 1000;
+                long bound = answered ? site.boxes().mediaSilenceMs() : site.boxes().firstByteMs();
+                if (over) {
+                    return;
+                }
+                if (!paused && quiet >= bound) {
+                    broken(504, "the media box sends nothing");
+                } else if (paused && viewer.route() == null) {
+                    broken(410, "ended");
+                } else {
+                    listen(paused ? bound : bound - quiet);
+                }
+            });
+        }
+
+        private void heard(HttpClientResponse r) {
+            if (over) {
+                return;
+            }
+            answered = true;
+            heardAt = Wall.micros();
+            int status = r.statusCode();
+            if (status == 404 && at.equals("media.m3u8") || status == 410) {
+                program.onDesk(() -> viewer.held().boxLost());
+                broken(410, "the media box has lost the viewing");
+                return;
+            }
+            if (status != 200 && status != 206 && status != 304 && status != 404 && status != 416) {
+                broken(502, "the media box answers " + status);
+                return;
+            }
+            r.exceptionHandler(e -> broken(502, "the media box broke off"));
+            if (status == 200 && at.endsWith(".m3u8")) {
+                playlist = Buffer.buffer();
+                r.handler(this::more);
+                r.endHandler(v -> rewrite());
+                return;
+            }
+            to.setStatusCode(status);
+            for (String name : PASSED_ON) {
+                if (r.headers().contains(name)) {
+                    to.putHeader(name, r.headers().get(name));
+                }
+            }
+            if (!r.headers().contains("Content-Length")) {
+                to.setChunked(true);
+            }
+            to.setWriteQueueMaxSize(site.viewers().writeBufferBytes());
+            r.handler(b -> {
+                heardAt = Wall.micros();
+                viewer.asked();
+                to.write(b);
+                if (to.writeQueueFull()) {
+                    paused = true;
+                    r.pause();
+                    to.drainHandler(v -> {
+                        paused = false;
+                        heardAt = Wall.micros();
+                        viewer.asked();
+                        r.resume();
+                    });
+                }
+            });
+            r.endHandler(v -> {
+                if (!over) {
+                    finish();
+                    to.end();
+                }
+            });
+        }
+
+        private void more(Buffer b) {
+            heardAt = Wall.micros();
+            playlist.appendBuffer(b);
+            if (playlist.length() > site.boxes().playlistBytes()) {
+                broken(502, "the media box sends a playlist that is too long");
+            }
+        }
+
+        private void rewrite() {
+            if (over) {
+                return;
+            }
+            try {
+                String base = at.contains("/") ? at.substring(0, at.lastIndexOf('/') + 1) : "";
+                String text = Playlists.media(playlist.getBytes(), uri -> Paths.under(id, base, uri));
+                finish();
+                to.putHeader("Content-Type", "application/vnd.apple.mpegurl").putHeader("Cache-Control", "no-store")
+                        .end(text);
+            } catch (BadPlaylist e) {
+                broken(502, "the media box sends a broken playlist: " + e.getMessage());
+            }
+        }
+
+        /** The box has failed this request: said so where nothing was sent yet, else the connection breaks. */
+        private void broken(int status, String why) {
+            if (over) {
+                return;
+            }
+            finish();
+            if (request != null) {
+                request.reset();
+            }
+            if (to.headWritten()) {
+                asked.connection().close();
+            } else {
+                fail(to, status, why);
+            }
+        }
+
+        /** The viewer has broken off. */
+        private void end() {
+            if (!over) {
+                finish();
+                if (request != null) {
+                    request.reset();
+                }
+            }
+        }
+
+        private void finish() {
+            over = true;
+            viewer.underWay().decrementAndGet();
+            if (timer >= 0) {
+                vertx.cancelTimer(timer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/front/Wall.java
@@ -0,0 +1,22 @@
+package linengauge.front;
+
+import linengauge.Moment;
+
+/**
+ * The front's clock: microseconds since 1970, anchored once and then steady. Fronts take turns at cold boxes by it, so
+ * machines of one site keep their clocks within some tens of milliseconds of each other.
+ */
+final class Wall {
+    private static final long ANCHOR = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+
+    private Wall() {
+    }
+
+    static long micros() {
+        return ANCHOR + System.nanoTime() / 1000;
+    }
+
+    static Moment now() {
+        return new Moment(micros());
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/session/Held.java
@@ -0,0 +1,290 @@
+package linengauge.session;
+
+import linengauge.Moment;
+import linengauge.Outside;
+import linengauge.PackageTerms;
+import linengauge.Policy;
+import linengauge.Span;
+
+/**
+ * One viewing in the registry, from being taken until its answer is given and no tune-in is out or playing. What happens
+ * to it is a call on this handle; every call may come at any time and in any order, and is passed over where it no longer
+ * fits.
+ */
+public final class Held implements Outside.Player {
+    private final Desk desk;
+    private final Viewer viewer;
+    private final Ask ask;
+    private final String id;
+    private final Moment patienceEnds;
+    private Policy.Viewing handle;
+    private BoxTable.Entry at;
+    private int rung;
+    private int tuneIns;
+    /** A tune-in is out, or plays. */
+    private boolean out;
+    private boolean playing;
+    private boolean answered;
+    private Outside.Ending last = Outside.Ending.NEVER_SENT;
+
+    /** What was asked for: title and where it is held (cells from the first, 0: all), package, highest rung, key. */
+    public record Ask(String title, int firstCell, int cellsInRow, int pack, PackageTerms terms, int ceiling,
+            Span patience, String key) {
+    }
+
+    Held(Desk desk, Viewer viewer, Ask ask, String id, Moment patienceEnds) {
+        this.desk = desk;
+        this.viewer = viewer;
+        this.ask = ask;
+        this.id = id;
+        this.patienceEnds = patienceEnds;
+    }
+
+    /** The module's handle; the module may have decided before this is known. */
+    void handle(Policy.Viewing given) {
+        this.handle = given;
+    }
+
+    /** Unique over all fronts and their restarts. */
+    public String id() {
+        return id;
+    }
+
+    public Ask ask() {
+        return ask;
+    }
+
+    public Viewer viewer() {
+        return viewer;
+    }
+
+    /** The box of the tune-in that is out or plays; null where there is none. */
+    public BoxTable.Entry box() {
+        return at;
+    }
+
+    /** The rung in force, or the one to set up at. */
+    public int rungNow() {
+        return rung;
+    }
+
+    public boolean isPlaying() {
+        return playing;
+    }
+
+    Moment patienceEnds() {
+        return patienceEnds;
+    }
+
+    boolean isAnswered() {
+        return answered;
+    }
+
+    boolean done() {
+        return answered && !out;
+    }
+
+    /* ---- what the module decides ---- */
+
+    @Override
+    public void tuneIn(Policy.MediaBox box, Span timeout) {
+        at = (BoxTable.Entry) box.line();
+        out = true;
+        int n = tuneIns++;
+        desk.carrier().setUp(this, n);
+        desk.wakeAfter(timeout, () -> {
+            if (waitsFor(n)) {
+                giveBack(n);
+                end(Outside.Ending.NO_ANSWER, false);
+            }
+        });
+    }
+
+    @Override
+    public void rung(int to) {
+        rung = to;
+        if (playing) {
+            desk.carrier().rung(this);
+        }
+    }
+
+    @Override
+    public void block(Span comeBackAfter) {
+        if (answer()) {
+            desk.counts().blocked++;
+            viewer.blocked(comeBackAfter);
+            desk.release(this);
+        }
+    }
+
+    @Override
+    public void abort() {
+        abort(last == Outside.Ending.NO_ANSWER ? Viewer.Cause.NO_ANSWER : Viewer.Cause.FAILED);
+    }
+
+    void abort(Viewer.Cause cause) {
+        if (answer()) {
+            desk.counts().aborted++;
+            viewer.aborted(cause);
+            desk.release(this);
+        }
+    }
+
+    /** The one place that gives a viewing's answer: true the first time, and never again. */
+    private boolean answer() {
+        if (answered) {
+            return false;
+        }
+        answered = true;
+        return true;
+    }
+
+    /* ---- what the carrier tells ---- */
+
+    private boolean waitsFor(int tuneIn) {
+        return out && !playing && tuneIn == tuneIns - 1;
+    }
+
+    /**
+     * The last gate before a set-up is written: it is still waited for, the box has not been heard to drain or be gone
+     * while it waited for a connection, and the viewer is still there.
+     */
+    public boolean sendable(int tuneIn) {
+        return waitsFor(tuneIn) && !answered && at.state() == BoxTable.State.SERVING
+                && desk.now().before(patienceEnds);
+    }
+
+    /** The box has set it up. Late, or no longer wanted: it is ended there. */
+    public void plays(int tuneIn) {
+        if (!waitsFor(tuneIn)) {
+            return; // given back when it was no longer waited for
+        }
+        desk.call(() -> {
+            if (answered || !answer()) {
+                giveBack(tuneIn);
+                end(Outside.Ending.WITHDRAWN, true);
+                return;
+            }
+            playing = true;
+            desk.counts().played++;
+            handle.playing();
+            viewer.plays(this);
+            desk.watch(this);
+        });
+    }
+
+    /** A tune-in that is out has failed. */
+    public void failed(int tuneIn, Outside.Ending how) {
+        if (waitsFor(tuneIn)) {
+            desk.call(() -> end(how, false));
+        }
+    }
+
+    /** The box has told the share delivered. */
+    public void shareDelivered(double share) {
+        if (playing) {
+            desk.call(() -> handle.shareDelivered(share));
+        }
+    }
+
+    /** The box has told what is asked of link and uplink over what they give; NaN for what it does not tell. */
+    public void loadsTold(double link, double uplink) {
+        if (out) {
+            desk.call(() -> handle.loadsTold(link, uplink));
+        }
+    }
+
+    /** The box has ended it, restarted, or is lost. */
+    public void boxLost() {
+        if (playing) {
+            desk.call(() -> {
+                giveBack(tuneIns - 1); // it may live on at a box that this front alone cannot hear
+                stop(Outside.Ending.BROKEN, Viewer.End.BOX_LOST);
+            });
+        }
+    }
+
+    /** The viewer has gone, asked for its end, or broke the connection on which it waited. */
+    public void viewerLeft() {
+        desk.call(() -> leave(Viewer.End.LEFT));
+    }
+
+    void leave(Viewer.End how) {
+        if (playing) {
+            giveBack(tuneIns - 1);
+            stop(Outside.Ending.FINISHED, how);
+        } else if (!answered) {
+            answered = true; // nobody waits for it any more
+            desk.counts().left++;
+            handle.viewerLeft();
+            if (out) {
+                giveBack(tuneIns - 1);
+                end(Outside.Ending.WITHDRAWN, true);
+            } else {
+                desk.release(this);
+            }
+        }
+    }
+
+    /** The front ends in order: a viewing that plays is told so; one that waits is aborted, as it may have run. */
+    void frontStops() {
+        if (playing) {
+            leave(Viewer.End.STOPPED);
+        } else if (!answered) {
+            giveUp(Viewer.Cause.FRONT_FAILED);
+        }
+    }
+
+    /** The answer is given in the module's place; what is out is taken back. */
+    void giveUp(Viewer.Cause cause) {
+        abort(cause);
+        handle.viewerLeft();
+        if (out) {
+            giveBack(tuneIns - 1);
+            end(Outside.Ending.WITHDRAWN, true);
+        }
+    }
+
+    /** The module has failed: nothing is asked of it any more. */
+    void frontFailed() {
+        if (out) {
+            giveBack(tuneIns - 1);
+            out = false;
+        }
+        if (playing) {
+            playing = false;
+            viewer.ended(Viewer.End.STOPPED);
+        }
+        abort(Viewer.Cause.FRONT_FAILED);
+    }
+
+    private void stop(Outside.Ending ending, Viewer.End how) {
+        playing = false;
+        end(ending, true);
+        viewer.ended(how);
+    }
+
+    private void giveBack(int tuneIn) {
+        desk.carrier().withdraw(this, at, tuneIn);
+    }
+
+    private void end(Outside.Ending how, boolean over) {
+        out = false;
+        last = how;
+        handle.tuneInEnded(how, over);
+        if (!out) {
+            at = null;
+            desk.release(this);
+        }
+    }
+
+    /** Idle since long: ended; else the span after which to look again. */
+    Span idleFor(Span bound) {
+        Span left = bound.minus(desk.now().since(viewer.lastAsked()));
+        if (Span.NONE.under(left)) {
+            return left;
+        }
+        leave(Viewer.End.IDLE);
+        return Span.NONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/site/Site.java
@@ -0,0 +1,131 @@
+package linengauge.site;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import linengauge.Headend;
+import linengauge.PackageTerms;
+import linengauge.Span;
+import linengauge.session.Desk;
+
+/** What a site file says, each part as its reader needs it. Spans ending in Ms are in milliseconds. */
+public record Site(String site, List<String> buildings, Front front, Fronts fronts, List<Rung> ladder,
+        List<Package> packages, Fleet fleet, Rules rules, Permits permits, Titles titles, BoxList list,
+        Viewers viewers, Boxes boxes, DeskBounds desk, Stop stop) {
+
+    /** A host and a port. */
+    public record Address(String host, int port) {
+        /** Reads "host:port". */
+        public static Address of(String text) {
+            int colon = text.lastIndexOf(':');
+            return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        }
+
+        @Override
+        public String toString() {
+            return host + ":" + port;
+        }
+    }
+
+    public record Front(int number, String building, String viewers, String control, String words) {
+    }
+
+    public record Fronts(int count, Map<String, String> words) {
+    }
+
+    public record Rung(double kb, double value) {
+    }
+
+    /** rateFactor, rungs, seats and payment may be absent: 1, the whole ladder, 0, false. */
+    public record Package(String name, double value, int joinTargetMs, Double rateFactor, Integer lowestRung,
+            Integer highestRung, Integer seats, Boolean paidAtSetUp) {
+    }
+
+    public record Kind(String name, int streams) {
+    }
+
+    public record Fleet(int cells, int racks, List<Kind> kinds, double linksKb, double linkKbPerWeight,
+            double uplinkKb, int shareLatenessMs) {
+    }
+
+    public record Rules(int coldMs, double startCapacity, double fallMultiple, int fallAfterMs, int drainGraceMs,
+            double furtherFree, double furtherShare, int furtherMs) {
+    }
+
+    public record Permits(int tuneIns, boolean messages, boolean probes, boolean reportsUplink, double probePrice,
+            double crossingPrice, int longestAdviceMs) {
+    }
+
+    public record Held(String name, int first, int inRow) {
+    }
+
+    public record Titles(boolean anywhere, List<Held> cells) {
+    }
+
+    public record BoxList(String address, int retryFirstMs, int retryMostMs, int silenceMs, int lineBytes) {
+    }
+
+    public record Viewers(int loops, int connections, int requestLineBytes, int headerBytes, int headersMs,
+            int keepAliveMs, int backlog, int longestPatienceMs, int writeBufferBytes) {
+    }
+
+    public record Boxes(int connectMs, int connections, int waitingSetUps, int mediaConnections, int waitingMedia,
+            int playlistBytes, int firstByteMs, int mediaSilenceMs, int probeMs, int keepAliveMs, int endTries,
+            int endRetryMs, int waitingEnds, int rungTries, int notesSilenceMs, int notesRetryMs, int notesTries,
+            int noteBytes) {
+    }
+
+    public record DeskBounds(int viewings, int idleMs, int adviceMs, int beatMs, int lateBeatMs,
+            int answerMarginMs) {
+    }
+
+    public record Stop(int playingMs) {
+    }
+
+    /** What the module is told at its start. */
+    public Headend headend() {
+        List<PackageTerms> terms = new ArrayList<>();
+        int top = ladder.size() - 1;
+        for (Package p : packages) {
+            terms.add(new PackageTerms(p.value, Span.ofMillis(p.joinTargetMs), or(p.rateFactor, 1.0),
+                    or(p.lowestRung, 0), Math.min(top, or(p.highestRung, top)), or(p.seats, 0),
+                    or(p.paidAtSetUp, false)));
+        }
+        return new Headend(fronts.count, front.number, buildings.indexOf(front.building), List.copyOf(terms),
+                ladder.stream().mapToDouble(Rung::kb).toArray(), ladder.stream().mapToDouble(Rung::value).toArray(),
+                new Headend.Fleet(fleet.cells, fleet.racks, fleet.kinds.stream().mapToInt(Kind::streams).toArray(),
+                        fleet.linksKb, fleet.linkKbPerWeight, fleet.uplinkKb, Span.ofMillis(fleet.shareLatenessMs)),
+                new Headend.Rules(Span.ofMillis(rules.coldMs), rules.startCapacity, rules.fallMultiple,
+                        Span.ofMillis(rules.fallAfterMs), rules.furtherFree, rules.furtherShare,
+                        Span.ofMillis(rules.furtherMs)),
+                new Headend.Permits(permits.tuneIns, permits.messages, permits.probes, permits.reportsUplink,
+                        permits.probePrice, permits.crossingPrice, Span.ofMillis(permits.longestAdviceMs)));
+    }
+
+    /** What the core is bounded by. */
+    public Desk.Bounds bounds() {
+        return new Desk.Bounds(desk.viewings, Span.ofMillis(desk.idleMs), Span.ofMillis(desk.adviceMs),
+                Span.ofMillis(desk.beatMs), Span.ofMillis(desk.lateBeatMs), Span.ofMillis(desk.answerMarginMs));
+    }
+
+    /** The place of each package's name in the list. */
+    public Map<String, Integer> packageNumbers() {
+        Map<String, Integer> numbers = new HashMap<>();
+        for (Package p : packages) {
+            numbers.put(p.name, numbers.size());
+        }
+        return numbers;
+    }
+
+    /** Where each named title is held. */
+    public Map<String, Held> titleCells() {
+        Map<String, Held> held = new HashMap<>();
+        titles.cells.forEach(t -> held.put(t.name, t));
+        return held;
+    }
+
+    private static <T> T or(T value, T absent) {
+        return value == null ? absent : value;
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -0,0 +1,104 @@
+package linengauge.site;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** What a schema cannot say: that the parts of a site file hold together. */
+final class SiteChecks {
+    private final String file;
+    private final List<SiteFault> faults = new ArrayList<>();
+
+    private SiteChecks(String file) {
+        this.file = file;
+    }
+
+    static List<SiteFault> faults(String file, Site site) {
+        SiteChecks checks = new SiteChecks(file);
+        checks.place(site);
+        checks.packages(site);
+        checks.bounds(site);
+        return checks.faults;
+    }
+
+    private void wants(boolean held, String path, String what) {
+        if (!held) {
+            faults.add(new SiteFault(file, path, 0, what));
+        }
+    }
+
+    private void address(String text, String path) {
+        if (text != null) {
+            int port = Site.Address.of(text).port();
+            wants(port <= 65535, path, "port " + port + " is over 65535");
+        }
+    }
+
+    private void place(Site s) {
+        wants(s.front().number() < s.fronts().count(), "front.number", "must be under fronts.count, "
+                + s.fronts().count());
+        wants(s.buildings().contains(s.front().building()), "front.building", "names no building of `buildings`");
+        address(s.front().viewers(), "front.viewers");
+        address(s.front().control(), "front.control");
+        address(s.front().words(), "front.words");
+        address(s.list().address(), "list.address");
+        if (s.permits().messages() && s.fronts().count() > 1) {
+            wants(s.front().words() != null, "front.words", "needed where permits.messages is true");
+            for (int i = 0; i < s.fronts().count(); i++) {
+                boolean there = i == s.front().number()
+                        || s.fronts().words() != null && s.fronts().words().containsKey("" + i);
+                wants(there, "fronts.words", "front " + i + " has no address, and permits.messages is true");
+            }
+        }
+        if (s.fronts().words() != null) {
+            s.fronts().words().forEach((number, at) -> {
+                address(at, "fronts.words");
+                wants(number.matches("[0-9]{1,5}") && Integer.parseInt(number) < s.fronts().count(), "fronts.words",
+                        "'" + number + "' is no front's number");
+            });
+        }
+        Set<String> titles = new HashSet<>();
+        int i = 0;
+        for (Site.Held t : s.titles().cells()) {
+            String path = "titles.cells[" + i++ + "]";
+            wants(titles.add(t.name()), path, "'" + t.name() + "' is named twice");
+            wants(t.first() < s.fleet().cells() && t.inRow() <= s.fleet().cells(), path, "beyond fleet.cells");
+        }
+    }
+
+    private void packages(Site s) {
+        double last = 0;
+        for (int i = 0; i < s.ladder().size(); i++) {
+            wants(s.ladder().get(i).kb() > last, "ladder[" + i + "].kb", "rates must rise");
+            last = s.ladder().get(i).kb();
+        }
+        Set<String> names = new HashSet<>();
+        int top = s.ladder().size() - 1;
+        for (int i = 0; i < s.packages().size(); i++) {
+            Site.Package p = s.packages().get(i);
+            String path = "packages[" + i + "]";
+            int low = p.lowestRung() == null ? 0 : p.lowestRung();
+            int high = p.highestRung() == null ? top : p.highestRung();
+            wants(names.add(p.name()), path + ".name", "'" + p.name() + "' is named twice");
+            wants(low <= top, path + ".lowestRung", "the ladder's highest rung is " + top);
+            wants(low <= high, path + ".lowestRung", "is over highestRung");
+            wants(p.joinTargetMs() < s.viewers().longestPatienceMs(), path + ".joinTargetMs",
+                    "must be under viewers.longestPatienceMs: nobody could wait for it");
+        }
+    }
+
+    private void bounds(Site s) {
+        wants(s.list().retryFirstMs() <= s.list().retryMostMs(), "list.retryFirstMs", "is over list.retryMostMs");
+        wants(s.desk().beatMs() < s.desk().lateBeatMs(), "desk.lateBeatMs", "must be over desk.beatMs");
+        wants(s.boxes().connectMs() <= s.boxes().firstByteMs(), "boxes.connectMs", "is over boxes.firstByteMs");
+        wants(s.desk().viewings() <= s.boxes().waitingEnds(), "boxes.waitingEnds",
+                "must hold the ends of all desk.viewings at once");
+        int grace = s.rules().drainGraceMs();
+        wants(s.boxes().connectMs() <= Math.max(grace, 1) || grace == 0, "boxes.connectMs",
+                "is over rules.drainGraceMs: a set-up could wait for its connection past a drain's grace");
+        wants(s.rules().furtherMs() == 0 || s.rules().furtherFree() + s.rules().furtherShare() > 0,
+                "rules.furtherMs", "rationed to nothing: say permits.tuneIns 1 instead");
+        wants(s.stop().playingMs() <= s.desk().idleMs() * 100L, "stop.playingMs", "is out of all measure");
+    }
+}
