--- a/src/main/java/linengauge/site/SiteFile.java
+++ b/src/main/java/linengauge/site/SiteFile.java
@@ -1,5 +1,6 @@
 package linengauge.site;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.StreamReadFeature;
@@ -41,6 +42,7 @@
                     JsonReadFeature.ALLOW_TRAILING_DECIMAL_POINT_FOR_NUMBERS)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .serializationInclusion(JsonInclude.Include.NON_NULL)
             .build();
 
     private SiteFile() {
