--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -391,9 +391,11 @@
             list(false);
         }
 
-        /** Nothing is held here any more and the list no longer names it. */
+        /** Nothing is held here any more and the list no longer names it. Guards against a box that comes back
+         * to the list with its pace forgotten: what was sent within the window still counts if it is cold. */
         public boolean forgotten() {
-            return !listed && viewings.isEmpty();
+            prune(sends, now.minus(fallWindow()));
+            return !listed && viewings.isEmpty() && sends.isEmpty();
         }
 
         private void list(boolean in) {
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -23,6 +23,8 @@
     private int tuneIns;
     /** A tune-in is out, or plays. */
     private boolean out;
+    /** The tune-in that is out has been written to its box, or is about to be. */
+    private boolean sent;
     private boolean playing;
     private boolean answered;
     private Outside.Ending last = Outside.Ending.NEVER_SENT;
@@ -90,12 +92,14 @@
     public void tuneIn(Policy.MediaBox box, Span timeout) {
         at = (BoxTable.Entry) box.line();
         out = true;
+        sent = false;
         int n = tuneIns++;
         desk.carrier().setUp(this, n);
         desk.wakeAfter(timeout, () -> {
             if (waitsFor(n)) {
                 giveBack(n);
-                end(Outside.Ending.NO_ANSWER, false);
+                // One that still waits for its connection never ran: that is no secret from the module.
+                end(sent ? Outside.Ending.NO_ANSWER : Outside.Ending.NOT_REACHED, false);
             }
         });
     }
@@ -146,12 +150,14 @@
     }
 
     /**
-     * The last gate before a set-up is written: it is still waited for, the box has not been heard to drain or be gone
-     * while it waited for a connection, and the viewer is still there.
+     * The last gate, to be asked at once before a set-up is written: it is still waited for, the box has not been heard
+     * to drain or be gone while it waited for a connection, and the viewer is still there. After a yes it counts as sent.
      */
     public boolean sendable(int tuneIn) {
-        return waitsFor(tuneIn) && !answered && at.state() == BoxTable.State.SERVING
+        boolean may = waitsFor(tuneIn) && !answered && at.state() == BoxTable.State.SERVING
                 && desk.now().before(patienceEnds);
+        sent |= may;
+        return may;
     }
 
     /** The box has set it up. Late, or no longer wanted: it is ended there. */
--- /dev/null
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -0,0 +1,51 @@
+package linengauge;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.net.URI;
+import java.net.URISyntaxException;
+
+/** What decides or keeps state is free of sockets, threads, files and clocks, and arrows point down only. */
+@AnalyzeClasses(packages = "linengauge", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+    private static final String[] CORES = {"linengauge", "linengauge.session", "linengauge.hls", "linengauge.rules"};
+
+    @ArchTest
+    static final ArchRule CORES_DO_NO_IO = noClasses().that().resideInAnyPackage(CORES).should().dependOnClassesThat()
+            .resideInAnyPackage("io.vertx..", "io.netty..", "java.net.http..", "java.nio.channels..", "java.nio.file..",
+                    "java.util.concurrent..", "linengauge.front..", "linengauge.standin..", "linengauge.drill..")
+            .orShould().dependOnClassesThat(JavaClass.Predicates.resideInAPackage("java.net")
+                    .and(DescribedPredicate.not(JavaClass.Predicates.belongToAnyOf(URI.class, URISyntaxException.class))))
+            .as("cores hold no sockets, files or threads");
+
+    @ArchTest
+    static final ArchRule CORES_READ_NO_CLOCK = noClasses().that().resideInAnyPackage(CORES).should()
+            .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().dependOnClassesThat().resideInAPackage("java.time..")
+            .orShould().callMethod(Math.class, "random");
+
+    @ArchTest
+    static final ArchRule THE_JUDGE_KNOWS_NO_FRONT = noClasses().that().resideInAPackage("linengauge.rules").should()
+            .dependOnClassesThat().resideInAnyPackage("linengauge", "linengauge.session..", "linengauge.site..",
+                    "linengauge.front..", "linengauge.standin..", "linengauge.drill..");
+
+    @ArchTest
+    static final ArchRule THE_FRONT_KNOWS_NO_STAND_IN = noClasses().that().resideInAnyPackage("linengauge.front..",
+            "linengauge.session..", "linengauge.site..").should().dependOnClassesThat()
+            .resideInAnyPackage("linengauge.standin..", "linengauge.drill..", "linengauge.cli..", "linengauge.rules..");
+
+    @ArchTest
+    static final ArchRule STAND_INS_KNOW_NO_FRONT = noClasses().that().resideInAPackage("linengauge.standin").should()
+            .dependOnClassesThat().resideInAnyPackage("linengauge", "linengauge.front..", "linengauge.session..");
+
+    @ArchTest
+    static final ArchRule THE_ADAPTER_LOADS_NO_LIBRARY_OF_THE_PROGRAM = noClasses().that()
+            .resideInAnyPackage("linengauge.wire", "linengauge", "linengauge.session").should().dependOnClassesThat()
+            .resideInAnyPackage("io.vertx..", "picocli..", "org.slf4j..", "com.fasterxml.jackson.databind..", "linengauge.site..");
+}
