--- a/src/main/java/linengauge/drill/DayDrill.java
+++ b/src/main/java/linengauge/drill/DayDrill.java
@@ -106,7 +106,7 @@
             }
             for (FrontProcess p : g.fronts) {
                 JsonNode s = p.state();
-                for (String what : List.of("held", "keys", "titles", "routes", "noteStreams", "callsWaiting")) {
+                for (String what : List.of("held", "keys", "titles", "routes", "noteStreamsInUse", "callsWaiting")) {
                     if (s.path(what).asInt() > 0) {
                         left.add("front " + p.number() + ": " + s.path(what) + " " + what);
                     }
--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -122,6 +122,7 @@
             Consumer<Throwable> not) {
         client.request(options).onComplete(r -> program.onDesk(() -> {
             if (r.succeeded()) {
+                r.result().exceptionHandler(e -> { }); // what fails is told by the futures
                 got.accept(r.result());
             } else {
                 not.accept(r.cause());
@@ -141,6 +142,7 @@
 
     private void heard(Held vw, Out o, BoxTable.Entry box, HttpClientResponse r) {
         report(box, r.getHeader("Load"));
+        program.notes().lifeTold(box, r.getHeader("Box-Life"), r.getHeader("Box-Age-Ms"));
         int status = r.statusCode();
         if (status != 201) {
             r.handler(b -> { });
@@ -168,7 +170,7 @@
                 program.viewerOf(vw).playlist(text);
                 vw.plays(o.tuneIn);
                 if (vw.isPlaying()) {
-                    program.notes().playing(vw, box, r.getHeader("Box-Life"));
+                    program.notes().playing(vw, box);
                 }
             } catch (BadPlaylist e) {
                 broken(vw, o, box, e.getMessage());
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -51,7 +51,8 @@
         Site.Viewers v = site.viewers();
         Site.Address at = Site.Address.of(site.front().viewers());
         server = vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(v.requestLineBytes())
-                .setMaxHeaderSize(v.headerBytes()).setAcceptBacklog(v.backlog()).setTcpNoDelay(true));
+                .setMaxHeaderSize(v.headerBytes()).setAcceptBacklog(v.backlog()).setTcpNoDelay(true)
+                .setHttp2ClearTextEnabled(false)); // else a connection is seen only with its first bytes
         server.connectionHandler(this::connected);
         server.invalidRequestHandler(r -> refuse(r, r.decoderResult().cause() instanceof
                 io.netty.handler.codec.http.TooLongHttpLineException ? 414
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -87,6 +87,8 @@
             @Override
             public Future<?> start() {
                 deskContext = context;
+                // A fault of the carrier costs what it was about; the core's own bound still answers the viewer.
+                context.exceptionHandler(e -> LOG.error("a step on the desk failed", e));
                 core = new Desk(house, site.bounds(), seeds.nextLong(), epoch, FrontProgram.this);
                 calls = new BoxCalls(vertx, site, seeds.nextLong(), FrontProgram.this);
                 notes = new Notes(vertx, site, seeds.nextLong(), FrontProgram.this);
@@ -137,7 +139,8 @@
         return new JsonObject().put("front", site.front().number()).put("ready", ready).put("stopping", stopping)
                 .put("listRevision", core.listRevision()).put("boxes", core.boxes().size())
                 .put("held", core.viewings()).put("keys", core.keys()).put("titles", core.titlesHeld())
-                .put("routes", routes.size()).put("noteStreams", notes.open()).put("callsWaiting", calls.waiting())
+                .put("routes", routes.size()).put("noteStreams", notes.open())
+                .put("noteStreamsInUse", notes.inUse()).put("callsWaiting", calls.waiting())
                 .put("viewerConnections", connections.get()).put("turnedAwayAtDoor", turnedAway.get())
                 .put("endsGivenUp", calls.endsGivenUp()).put("listBreaks", feed.breaks())
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
--- a/src/main/java/linengauge/front/Notes.java
+++ b/src/main/java/linengauge/front/Notes.java
@@ -17,11 +17,15 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The note streams of the boxes with viewings of this front: one a box, opened with the first viewing, closed with the
+ * The note streams of the boxes that this front uses: one a box, opened with the first viewing, kept for a while after the
  * last, taken up again when it breaks. A box that cannot be heard after the tries of the site file, or that has started
- * anew, has lost its viewings.
+ * anew, has lost its viewings. Where the stream breaks and the box refuses the next one, the core hears at once that the
+ * box is out of sight: it may come back cold before the list tells of it.
  */
 final class Notes {
+    /** Older than this is long ago. */
+    private static final long LONGEST_AGE_MS = 1_000_000_000L;
+
     private final class Box {
         private final BoxTable.Entry entry;
         /** Viewings that play here, by id; each leaves as it ends. */
@@ -30,6 +34,8 @@
         private Stream stream;
         private String life;
         private int failures;
+        private long usedAt = Wall.micros();
+        private boolean closing;
 
         private Box(BoxTable.Entry entry) {
             this.entry = entry;
@@ -57,15 +63,17 @@
         }
 
         private void broke(String why) {
-            if (playing.isEmpty()) {
-                return;
+            if (failures++ > 0) {
+                program.core().lostSight(entry);
             }
-            if (++failures >= site.boxes().notesTries()) {
+            if (failures >= site.boxes().notesTries()) {
                 log.warn("box lost", entry.toString(), why);
                 lose();
+                leave();
             } else {
-                program.wakeAfter(pause.next(), () -> {
-                    if (stream == null && !playing.isEmpty()) {
+                // The first time at once: a box that restarts is found out before the next set-up goes there.
+                program.wakeAfter(failures == 1 ? Span.NONE : pause.next(), () -> {
+                    if (stream == null && boxes.get(entry) == this) {
                         open();
                     }
                 });
@@ -77,16 +85,42 @@
                 vw.boxLost();
             }
             playing.clear();
-            closeIfEmpty();
+            closeWhenUnused();
         }
 
-        private void closeIfEmpty() {
-            if (playing.isEmpty()) {
-                boxes.remove(entry, this);
-                if (stream != null) {
-                    stream.close();
-                    stream = null;
+        private void closeWhenUnused() {
+            if (!playing.isEmpty() || closing) {
+                return;
+            }
+            closing = true;
+            Span linger = Span.ofMillis(site.boxes().notesLingerMs());
+            program.wakeAfter(linger, () -> {
+                closing = false;
+                if (playing.isEmpty() && !new Span(Wall.micros() - usedAt).under(linger)) {
+                    leave();
+                } else {
+                    closeWhenUnused();
                 }
+            });
+        }
+
+        private void leave() {
+            boxes.remove(entry, this);
+            if (stream != null) {
+                stream.close();
+                stream = null;
+            }
+        }
+
+        /** The box has told its life and age; a life not known before is a new start, with nothing of the earlier one. */
+        private void lives(String told, Span age) {
+            boolean anew = told != null && life != null && !life.equals(told);
+            life = told == null ? life : told;
+            if (age != null) {
+                program.core().ageTold(entry, age);
+            }
+            if (anew) {
+                lose();
             }
         }
 
@@ -98,15 +132,8 @@
                 log.warn("bad note", entry.toString(), "not JSON");
                 return;
             }
-            String lives = note.path("life").asText(null);
-            if (lives != null) {
-                if (life != null && !life.equals(lives)) {
-                    life = lives;
-                    lose();
-                    return;
-                }
-                life = lives;
-            }
+            lives(note.path("life").asText(null), note.path("ageMs").canConvertToLong() && note.path("ageMs").asLong() >= 0
+                    ? Span.ofMillis(Math.min(note.path("ageMs").asLong(), LONGEST_AGE_MS)) : null);
             Held gone = note.has("ended") ? playing.get(note.path("ended").asText()) : null;
             if (gone != null) {
                 gone.boxLost();
@@ -148,14 +175,10 @@
         this.client = BoxCalls.client(vertx, site, 2, 4);
     }
 
-    /** A viewing plays at a box; `life` is the box's, as its answer told. */
-    void playing(Held vw, BoxTable.Entry entry, String life) {
+    /** A viewing plays at a box. */
+    void playing(Held vw, BoxTable.Entry entry) {
         Box b = boxes.computeIfAbsent(entry, Box::new);
-        if (life != null && b.life != null && !b.life.equals(life)) {
-            b.lose(); // what played there before its new start
-            b = boxes.computeIfAbsent(entry, Box::new);
-        }
-        b.life = life == null ? b.life : life;
+        b.usedAt = Wall.micros();
         b.playing.put(vw.id(), vw);
         if (b.stream == null && b.failures == 0) {
             b.open();
@@ -166,15 +189,34 @@
     void over(Held vw, BoxTable.Entry entry) {
         Box b = boxes.get(entry);
         if (b != null && b.playing.remove(vw.id()) != null) {
-            b.closeIfEmpty();
+            b.usedAt = Wall.micros();
+            b.closeWhenUnused();
         }
     }
 
+    /** An answer of a box has told its life and age, or neither. */
+    void lifeTold(BoxTable.Entry entry, String life, String ageMs) {
+        Span age = ageMs != null && ageMs.matches("[0-9]{1,13}")
+                ? Span.ofMillis(Math.min(Long.parseLong(ageMs), LONGEST_AGE_MS)) : null;
+        Box b = boxes.get(entry);
+        if (b != null) {
+            b.lives(life, age);
+        } else if (age != null) {
+            program.core().ageTold(entry, age);
+        }
+    }
+
+    /** Streams to boxes where something plays. */
+    int inUse() {
+        return (int) boxes.values().stream().filter(b -> !b.playing.isEmpty()).count();
+    }
+
     int open() {
         return boxes.size();
     }
 
     void close() {
+        List.copyOf(boxes.values()).forEach(Box::leave);
         client.close();
     }
 }
--- a/src/main/java/linengauge/front/Relay.java
+++ b/src/main/java/linengauge/front/Relay.java
@@ -96,6 +96,7 @@
                             return;
                         }
                         request = q;
+                        q.exceptionHandler(e -> { }); // what fails is told by the futures
                         for (String name : ASKED_ON) {
                             if (asked.headers().contains(name)) {
                                 q.putHeader(name, asked.headers().get(name));
--- a/src/main/java/linengauge/front/Stream.java
+++ b/src/main/java/linengauge/front/Stream.java
@@ -53,6 +53,7 @@
 
     private void send(HttpClientRequest q) {
         request = q;
+        q.exceptionHandler(e -> { }); // what fails is told by the futures
         q.send().onFailure(e -> program.onDesk(() -> end(0, "broken: " + e.getMessage()))).onSuccess(r -> {
             if (r.statusCode() != 200) {
                 program.onDesk(() -> end(r.statusCode(), "status " + r.statusCode()));
--- a/src/main/java/linengauge/session/BoxTable.java
+++ b/src/main/java/linengauge/session/BoxTable.java
@@ -10,6 +10,7 @@
 import linengauge.Moment;
 import linengauge.Outside;
 import linengauge.Policy;
+import linengauge.Span;
 
 /**
  * The box list as this front last heard it: ids to the module's handles. A box leaves once the list no longer names it
@@ -32,6 +33,9 @@
         private State state = State.GONE;
         private String address;
         private boolean kept;
+        private Row row;
+        /** When the box itself says that it started; later than the list's word where that is late. */
+        private Moment startedTold = Moment.DISTANT_PAST;
 
         private Entry(long id, Consumer<Entry> prober) {
             this.id = id;
@@ -121,7 +125,8 @@
     private void put(Entry e, Row row) {
         e.address = row.address() == null ? e.address : row.address();
         switch (row.state()) {
-            case SERVING -> e.handle.serving(row.weight(), row.cell(), row.kind(), row.building(), row.startedAt());
+            case SERVING -> e.handle.serving(row.weight(), row.cell(), row.kind(), row.building(),
+                    row.startedAt().orLater(e.startedTold));
             case DRAINING -> e.handle.draining();
             case GONE -> {
                 go(e);
@@ -129,10 +134,25 @@
             }
         }
         e.state = row.state();
+        e.row = row;
         e.kept = true;
         leaving.remove(e.id);
     }
 
+    /**
+     * A box has told when it started. Guards against a list that is late: a box that came back meanwhile would be taken
+     * for warm. Moments that differ by less than the slack are the same start, told with a little noise.
+     */
+    void started(Entry e, Moment at, Span slack) {
+        Moment known = e.row == null ? e.startedTold : e.row.startedAt().orLater(e.startedTold);
+        if (known.plus(slack).before(at)) {
+            e.startedTold = at;
+            if (e.state == State.SERVING) {
+                put(e, e.row);
+            }
+        }
+    }
+
     private void go(Entry e) {
         e.state = State.GONE;
         e.kept = false;
--- a/src/main/java/linengauge/session/Desk.java
+++ b/src/main/java/linengauge/session/Desk.java
@@ -21,6 +21,8 @@
 public final class Desk implements Outside {
     /** First byte of every datagram between fronts. */
     private static final byte DATAGRAM = 0x4c;
+    /** Ages told of one start differ by what answers wait and clocks round. */
+    private static final Span AGE_SLACK = Span.ofSeconds(1);
 
     /**
      * What the core is bounded by: viewings held at once; how long one that plays may ask for nothing; advice to those
@@ -227,6 +229,16 @@
         call(() -> box.handle().reported(linkAsked, uplinkAsked, streams));
     }
 
+    /** A box has told how long it has been running; its word beats a list that is late. */
+    public void ageTold(BoxTable.Entry box, Span age) {
+        call(() -> boxes.started(box, now.minus(age), AGE_SLACK));
+    }
+
+    /** A box with which this front was in touch cannot be reached: it may come back cold before the list says so. */
+    public void lostSight(BoxTable.Entry box) {
+        call(() -> box.handle().probed(false));
+    }
+
     public void probed(BoxTable.Entry box, boolean answered) {
         call(() -> box.handle().probed(answered));
     }
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -72,7 +72,7 @@
 
     public record Boxes(int connectMs, int connections, int waitingSetUps, int mediaConnections, int waitingMedia,
             int playlistBytes, int firstByteMs, int mediaSilenceMs, int probeMs, int keepAliveMs, int endTries,
-            int endRetryMs, int waitingEnds, int rungTries, int notesSilenceMs, int notesRetryMs, int notesTries,
+            int endRetryMs, int waitingEnds, int rungTries, int notesSilenceMs, int notesRetryMs, int notesTries, int notesLingerMs,
             int noteBytes) {
     }
 
--- a/src/main/java/linengauge/standin/BoxFleet.java
+++ b/src/main/java/linengauge/standin/BoxFleet.java
@@ -317,7 +317,8 @@
 
         private void answer(HttpServerRequest r, int status, String text) {
             if (!r.response().ended() && !r.response().closed()) {
-                r.response().setStatusCode(status).putHeader("Load", load()).end(text);
+                r.response().setStatusCode(status).putHeader("Load", load()).putHeader("Box-Life", Integer.toString(life))
+                        .putHeader("Box-Age-Ms", Long.toString(ageMs())).end(text);
             }
         }
 
@@ -328,6 +329,10 @@
                     links.uplinkLoad(number) * noise) : "") + "; streams=" + (viewings.size() + settingUp.size());
         }
 
+        private long ageMs() {
+            return Math.min(999_999_999L, System.currentTimeMillis() - Math.max(0, startedAt));
+        }
+
         private double warmth() {
             long age = System.currentTimeMillis() - startedAt;
             return age >= kind.coldMs ? 1 : kind.startCapacity + (1 - kind.startCapacity) * age / kind.coldMs;
@@ -392,8 +397,7 @@
                 }
                 answered[0] = true;
                 tap.saw("set-up-answered", "box", place.id(), "viewing", id, "tuneIn", tuneIn, "how", "plays");
-                r.response().putHeader("Box-Life", Integer.toString(life))
-                        .putHeader("Content-Type", "application/vnd.apple.mpegurl");
+                r.response().putHeader("Content-Type", "application/vnd.apple.mpegurl");
                 answer(r, 201, badPlaylists ? "<html>not a playlist</html>" : multivariant(run));
                 if (kind.loadInAnswers) {
                     note(front, String.format(java.util.Locale.ROOT, "{\"link\":%.3f}", links.linkLoad(number)), 0);
@@ -566,7 +570,7 @@
                 all.remove(to);
                 return all.isEmpty() ? null : all;
             }));
-            to.write("{\"life\":\"" + life + "\"}\n");
+            to.write("{\"life\":\"" + life + "\",\"ageMs\":" + ageMs() + "}\n");
         }
 
         private void note(int front, String text, int lateMs) {
