--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -7,6 +7,7 @@
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
 import linengauge.drill.Importer;
+import linengauge.drill.RelayDrill;
 import linengauge.drill.Report;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
@@ -75,6 +76,21 @@
         return ways.done(new DayDrill(day, ways.seed, ways.traffic).run());
     }
 
+    @Command(name = "relay", mixinStandardHelpOptions = true,
+            description = "What the front costs over a bare relay, in one run: joins, bytes, join time, loops, heap.")
+    int relay(@CommandLine.Mixin Ways ways, @Option(names = "--short", description = "a quick look, no measurement") boolean brief)
+            throws IOException, InterruptedException {
+        ways.log.apply();
+        return ways.done(new RelayDrill(ways.seed, brief).run());
+    }
+
+    @Command(name = "bare-relay", hidden = true, description = "The baseline of `drill relay`, as a process of its own.")
+    int bareRelay(@Parameters int port, @Parameters int box, @Parameters int loops) throws InterruptedException {
+        System.setProperty("logback.configurationFile", "linengauge/log-text.xml");
+        RelayDrill.bareRelay(port, box, loops);
+        return 0;
+    }
+
     @Command(name = "import", mixinStandardHelpOptions = true,
             description = "Turn a day drawn by the operators' simulator into a day script, scaled to loopback.")
     int bring(@Parameters(paramLabel = "DAY.json") Path drawn,
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import linengauge.Headend;
 import linengauge.PackageTerms;
 import linengauge.Span;
@@ -21,7 +22,8 @@
 
 /** The viewers' door on one loop (docs/protocol/viewer.md); as many of these share the address as the site file says. */
 final class Door extends VerticleBase {
-    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,63}";
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
 
     private final FrontProgram program;
     private final Site site;
@@ -175,7 +177,7 @@
         String pack = r.getParam("package");
         Integer number = pack == null ? null : packages.get(pack);
         String key = r.getParam("key");
-        if (!title.matches(NAME) || key != null && !key.matches(NAME)) {
+        if (!NAME.matcher(title).matches() || key != null && !NAME.matcher(key).matches()) {
             refuse(r, 400, "title and key are of letters, digits, '.', '_' and '-', 64 at most");
             return;
         }
@@ -215,7 +217,7 @@
         if (text == null) {
             return absent;
         }
-        return text.matches("[0-9]{1,9}") ? Long.parseLong(text) : -1;
+        return WHOLE.matcher(text).matches() ? Long.parseLong(text) : -1;
     }
 
     private void viewing(HttpServerRequest r, String id, String rest) {
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -49,6 +49,9 @@
     private Notes notes;
     private ListFeed feed;
     private DatagramSocket words;
+    private Wakes wakes;
+    /** A step of the core is running; read and written on the desk, where alone it is true. */
+    private volatile boolean within;
     private volatile boolean ready;
     private volatile boolean stopping;
 
@@ -89,6 +92,7 @@
                 deskContext = context;
                 // A fault of the carrier costs what it was about; the core's own bound still answers the viewer.
                 context.exceptionHandler(e -> LOG.error("a step on the desk failed", e));
+                wakes = new Wakes(vertx);
                 core = new Desk(house, site.bounds(), seeds.nextLong(), epoch, FrontProgram.this);
                 calls = new BoxCalls(vertx, site, seeds.nextLong(), FrontProgram.this);
                 notes = new Notes(vertx, site, seeds.nextLong(), FrontProgram.this);
@@ -160,12 +164,26 @@
         turnedAway.incrementAndGet();
     }
 
-    /** Runs a step on the desk, soon, with the time told. */
+    /**
+     * Runs a step on the desk with the time told: at once where the desk is running something of the library's, later
+     * where it is within a step of the core or on another loop.
+     */
     void onDesk(Runnable step) {
-        deskContext.runOnContext(v -> {
+        if (!within && Vertx.currentContext() == deskContext) {
+            deskStep(step);
+        } else {
+            deskContext.runOnContext(v -> deskStep(step));
+        }
+    }
+
+    private void deskStep(Runnable step) {
+        within = true;
+        try {
             core.clock(Wall.now());
             step.run();
-        });
+        } finally {
+            within = false;
+        }
     }
 
     /** Stops in order: nothing more is taken, what plays may go on for the site file's bound, then all is closed. */
@@ -221,8 +239,7 @@
 
     @Override
     public void wakeAfter(Span span, Runnable step) {
-        long ms = Math.max(1, (span.micros() + 999) / 1000);
-        vertx.setTimer(ms, t -> onDesk(step));
+        wakes.after(span.micros(), () -> onDesk(step));
     }
 
     @Override
--- a/src/main/java/linengauge/front/Notes.java
+++ b/src/main/java/linengauge/front/Notes.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.regex.Pattern;
 import linengauge.Span;
 import linengauge.session.Backoff;
 import linengauge.session.BoxTable;
@@ -23,6 +24,7 @@
  * box is out of sight: it may come back cold before the list tells of it.
  */
 final class Notes {
+    private static final Pattern DIGITS = Pattern.compile("[0-9]{1,13}");
     /** Older than this is long ago. */
     private static final long LONGEST_AGE_MS = 1_000_000_000L;
 
@@ -196,7 +198,7 @@
 
     /** An answer of a box has told its life and age, or neither. */
     void lifeTold(BoxTable.Entry entry, String life, String ageMs) {
-        Span age = ageMs != null && ageMs.matches("[0-9]{1,13}")
+        Span age = ageMs != null && DIGITS.matcher(ageMs).matches()
                 ? Span.ofMillis(Math.min(Long.parseLong(ageMs), LONGEST_AGE_MS)) : null;
         Box b = boxes.get(entry);
         if (b != null) {
--- a/src/main/java/linengauge/hls/Attributes.java
+++ b/src/main/java/linengauge/hls/Attributes.java
@@ -2,9 +2,12 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** Attribute lists of tags (RFC 8216, section 4.2). */
 final class Attributes {
+    private static final Pattern NAME = Pattern.compile("[A-Z0-9-]+");
+
     private Attributes() {
     }
 
@@ -18,7 +21,7 @@
                 throw new BadPlaylist(line, "an attribute has no value");
             }
             String name = list.substring(i, equals).trim();
-            if (!name.matches("[A-Z0-9-]+")) {
+            if (!NAME.matcher(name).matches()) {
                 throw new BadPlaylist(line, "'" + name + "' is no attribute name");
             }
             int end;
--- a/src/main/java/linengauge/hls/Paths.java
+++ b/src/main/java/linengauge/hls/Paths.java
@@ -4,6 +4,7 @@
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.regex.Pattern;
 
 /**
  * Addresses in a box's playlist as paths under a viewing and back. A path of letters, digits, dots, dashes and slashes
@@ -12,6 +13,7 @@
  */
 public final class Paths {
     private static final int LONGEST = 1024;
+    private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._/-]+");
 
     private Paths() {
     }
@@ -22,7 +24,7 @@
         if (path == null) {
             return "/v/" + viewing + "/refused";
         }
-        return path.matches("[A-Za-z0-9._/-]+") ? "/v/" + viewing + "/m/" + path
+        return PLAIN.matcher(path).matches() ? "/v/" + viewing + "/m/" + path
                 : "/v/" + viewing + "/e/" + Base64.getUrlEncoder().withoutPadding()
                         .encodeToString(path.getBytes(StandardCharsets.UTF_8));
     }
@@ -47,6 +49,10 @@
 
     /** A relative reference (RFC 3986, section 5.2) against a base, both within the viewing; null where it leaves it. */
     private static String resolve(String base, String uri) {
+        if (PLAIN.matcher(uri).matches() && !uri.contains("..") && !uri.contains("//") && !uri.startsWith("/")
+                && !uri.startsWith("./") && !uri.contains("/./") && base.length() + uri.length() < LONGEST) {
+            return base + uri; // what nearly all are: nothing to resolve
+        }
         try {
             URI given = new URI(uri);
             if (given.isAbsolute() || given.getRawAuthority() != null || uri.startsWith("/") || uri.isEmpty()) {
