--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -9,6 +9,7 @@
 import linengauge.drill.Importer;
 import linengauge.drill.RelayDrill;
 import linengauge.drill.Report;
+import linengauge.drill.TryOut;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
 import linengauge.rules.Verdict;
@@ -73,7 +74,17 @@
             System.err.println(e.getMessage());
             return 1;
         }
-        return ways.done(new DayDrill(day, ways.seed, ways.traffic).run());
+        return ways.done(new DayDrill(day, ways.seed, ways.traffic, script.startsWith("builtin:")).run());
+    }
+
+    @Command(name = "try", mixinStandardHelpOptions = true,
+            description = "Start the bad day's fleet with no trouble and keep it running, to try by hand.")
+    int tryByHand(@CommandLine.Mixin Commands.LogForm log,
+            @Option(names = "--seconds", defaultValue = "600", description = "how long it runs (default: 600)") int seconds)
+            throws IOException, InterruptedException, BadSite {
+        log.apply();
+        TryOut.run(DayScript.read("builtin:bad-day"), seconds, System.out);
+        return 0;
     }
 
     @Command(name = "relay", mixinStandardHelpOptions = true,
