--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -23,6 +23,7 @@
 import linengauge.hls.Playlists;
 import linengauge.session.Backoff;
 import linengauge.session.BoxTable;
+import linengauge.session.Carrier;
 import linengauge.session.Held;
 import linengauge.site.Site;
 import org.slf4j.LoggerFactory;
@@ -290,13 +291,15 @@
     private void call(HttpMethod method, BoxTable.Entry box, String uri, String body, int ms, Answered then) {
         boolean[] done = {false};
         HttpClientRequest[] request = {null};
+        Carrier.Wake[] limit = {null};
         Answered once = (status, r) -> program.onDesk(() -> {
             if (!done[0]) {
                 done[0] = true;
+                limit[0].cancel();
                 then.with(status, r);
             }
         });
-        program.wakeAfter(Span.ofMillis(ms), () -> {
+        limit[0] = program.wakeAfter(Span.ofMillis(ms), () -> {
             if (!done[0] && request[0] != null) {
                 request[0].reset();
             }
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -153,7 +153,7 @@
                 .put("held", core.viewings()).put("keys", core.keys()).put("titles", core.titlesHeld())
                 .put("routes", routes.size()).put("noteStreams", notes.open())
                 .put("noteStreamsInUse", notes.inUse()).put("callsWaiting", calls.waiting())
-                .put("viewerConnections", connections.get()).put("turnedAwayAtDoor", turnedAway.get())
+                .put("wakes", wakes.waiting()).put("viewerConnections", connections.get()).put("turnedAwayAtDoor", turnedAway.get())
                 .put("endsGivenUp", calls.endsGivenUp()).put("listBreaks", feed.breaks())
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
                 .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
@@ -246,8 +246,8 @@
     /* ---- what the core acts through ---- */
 
     @Override
-    public void wakeAfter(Span span, Runnable step) {
-        wakes.after(span.micros(), () -> onDesk(step));
+    public Wake wakeAfter(Span span, Runnable step) {
+        return wakes.after(span.micros(), () -> onDesk(step));
     }
 
     @Override
--- a/src/main/java/linengauge/front/Wakes.java
+++ b/src/main/java/linengauge/front/Wakes.java
@@ -1,17 +1,20 @@
 package linengauge.front;
 
 import io.vertx.core.Vertx;
-import java.util.PriorityQueue;
+import java.util.Arrays;
+import linengauge.session.Carrier;
 
 /**
- * Wake-ups of the desk on one timer of the library: viewings ask for several each, most of which have nothing left to do
- * when they come. Used on the desk only; a wake leaves when it is due, and no span is longer than the site file's longest.
+ * Wake-ups of the desk on one timer of the library: viewings ask for several each, most of which are called off. A heap
+ * that knows where each wake stands, so that one called off leaves at once and holds nothing. Used on the desk only; it is
+ * bounded by what the core may hold, and a wake leaves when it is due or called off.
  */
 final class Wakes {
-    private static final class Due implements Comparable<Due> {
+    private final class Due implements Carrier.Wake {
         private final long at;
         private final long number;
         private final Runnable step;
+        private int place;
 
         private Due(long at, long number, Runnable step) {
             this.at = at;
@@ -19,14 +22,21 @@
             this.step = step;
         }
 
+        private boolean before(Due o) {
+            return at != o.at ? at < o.at : number < o.number;
+        }
+
         @Override
-        public int compareTo(Due o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(number, o.number);
+        public void cancel() {
+            if (place >= 0) {
+                remove(this);
+            }
         }
     }
 
     private final Vertx vertx;
-    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private Due[] heap = new Due[64];
+    private int size;
     private long number;
     private long timerAt = Long.MAX_VALUE;
 
@@ -35,20 +45,65 @@
     }
 
     /** Runs the step once, not earlier than after so many microseconds and never within this call. */
-    void after(long micros, Runnable step) {
-        long at = Wall.micros() + Math.max(0, micros);
-        queue.add(new Due(at, number++, step));
+    Carrier.Wake after(long micros, Runnable step) {
+        Due d = new Due(Wall.micros() + Math.max(0, micros), number++, step);
+        if (size == heap.length) {
+            heap = Arrays.copyOf(heap, 2 * size);
+        }
+        up(d, size++);
         arm();
+        return d;
+    }
+
+    private void up(Due d, int from) {
+        int i = from;
+        while (i > 0 && d.before(heap[(i - 1) / 2])) {
+            set(heap[(i - 1) / 2], i);
+            i = (i - 1) / 2;
+        }
+        set(d, i);
+    }
+
+    private void down(Due d, int from) {
+        int i = from;
+        while (2 * i + 1 < size) {
+            int child = 2 * i + 1;
+            child += child + 1 < size && heap[child + 1].before(heap[child]) ? 1 : 0;
+            if (!heap[child].before(d)) {
+                break;
+            }
+            set(heap[child], i);
+            i = child;
+        }
+        set(d, i);
+    }
+
+    private void set(Due d, int i) {
+        heap[i] = d;
+        d.place = i;
+    }
+
+    private void remove(Due d) {
+        int i = d.place;
+        d.place = -1;
+        Due last = heap[--size];
+        heap[size] = null;
+        if (last != d) {
+            if (i > 0 && last.before(heap[(i - 1) / 2])) {
+                up(last, i);
+            } else {
+                down(last, i);
+            }
+        }
     }
 
     private void arm() {
-        Due next = queue.peek();
-        if (next == null || next.at >= timerAt) {
+        if (size == 0 || heap[0].at >= timerAt) {
             return;
         }
-        timerAt = next.at;
+        timerAt = heap[0].at;
         long mine = timerAt;
-        vertx.setTimer(Math.max(1, (next.at - Wall.micros() + 999) / 1000), t -> {
+        vertx.setTimer(Math.max(1, (mine - Wall.micros() + 999) / 1000), t -> {
             if (timerAt == mine) {
                 timerAt = Long.MAX_VALUE;
                 run();
@@ -61,8 +116,10 @@
         long now = Wall.micros();
         long last = number;
         try {
-            while (!queue.isEmpty() && queue.peek().at <= now && queue.peek().number < last) {
-                queue.poll().step.run();
+            while (size > 0 && heap[0].at <= now && heap[0].number < last) {
+                Due d = heap[0];
+                remove(d);
+                d.step.run();
             }
         } finally {
             arm();
@@ -70,6 +127,6 @@
     }
 
     int waiting() {
-        return queue.size();
+        return size;
     }
 }
--- a/src/main/java/linengauge/session/Carrier.java
+++ b/src/main/java/linengauge/session/Carrier.java
@@ -7,8 +7,13 @@
  * before it has returned.
  */
 public interface Carrier {
+    /** A step that is to run once, unless it is called off before; calling it off later does nothing. */
+    interface Wake {
+        void cancel();
+    }
+
     /** Runs the step once, not earlier than after the span. */
-    void wakeAfter(Span span, Runnable step);
+    Wake wakeAfter(Span span, Runnable step);
 
     /**
      * Sends a set-up to the viewing's box, if {@link Held#sendable} still says so when it can be written. Its outcome is
--- a/src/main/java/linengauge/session/Desk.java
+++ b/src/main/java/linengauge/session/Desk.java
@@ -158,7 +158,7 @@
             }
         });
         if (!vw.isAnswered()) {
-            wakeAfter(patience, () -> overdue(vw));
+            vw.answerBy(wake(patience, () -> overdue(vw)));
         }
         return vw;
     }
@@ -180,18 +180,13 @@
         }
     }
 
-    /** From now on the viewing ends once its viewer asks for nothing. */
-    void watch(Held vw) {
-        wakeAfter(bounds.idle(), () -> lookAt(vw));
+    /** The next look at whether a viewing that plays is still asked for. */
+    Carrier.Wake lookAfter(Span span, Held vw) {
+        return wake(span, () -> vw.look(bounds.idle()));
     }
 
-    private void lookAt(Held vw) {
-        if (vw.isPlaying()) {
-            Span again = vw.idleFor(bounds.idle());
-            if (Span.NONE.under(again)) {
-                wakeAfter(again, () -> lookAt(vw));
-            }
-        }
+    Span idle() {
+        return bounds.idle();
     }
 
     /* ---- boxes ---- */
@@ -279,7 +274,11 @@
 
     @Override
     public void wakeAfter(Span span, Runnable step) {
-        carrier.wakeAfter(span, () -> call(step));
+        wake(span, step);
+    }
+
+    Carrier.Wake wake(Span span, Runnable step) {
+        return carrier.wakeAfter(span, () -> call(step));
     }
 
     /**
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -27,6 +27,10 @@
     private boolean sent;
     private boolean playing;
     private boolean answered;
+    /** Called off as soon as what they wait for has come. */
+    private Carrier.Wake answerBy;
+    private Carrier.Wake timeOut;
+    private Carrier.Wake nextLook;
     private Outside.Ending last = Outside.Ending.NEVER_SENT;
 
     /** What was asked for: title and where it is held (cells from the first, 0: all), package, highest rung, key. */
@@ -95,7 +99,7 @@
         sent = false;
         int n = tuneIns++;
         desk.carrier().setUp(this, n);
-        desk.wakeAfter(timeout, () -> {
+        timeOut = desk.wake(timeout, () -> {
             if (waitsFor(n)) {
                 giveBack(n);
                 // One that still waits for its connection never ran: that is no secret from the module.
@@ -140,6 +144,7 @@
             return false;
         }
         answered = true;
+        callOff(answerBy);
         return true;
     }
 
@@ -174,8 +179,9 @@
             playing = true;
             desk.counts().played++;
             handle.playing();
+            callOff(timeOut);
             viewer.plays(this);
-            desk.watch(this);
+            nextLook = desk.lookAfter(desk.idle(), this);
         });
     }
 
@@ -221,6 +227,7 @@
             stop(Outside.Ending.FINISHED, how);
         } else if (!answered) {
             answered = true; // nobody waits for it any more
+            callOff(answerBy);
             desk.counts().left++;
             handle.viewerLeft();
             if (out) {
@@ -257,6 +264,8 @@
             giveBack(tuneIns - 1);
             out = false;
         }
+        callOff(timeOut);
+        callOff(nextLook);
         if (playing) {
             playing = false;
             viewer.ended(Viewer.End.STOPPED);
@@ -275,6 +284,8 @@
     }
 
     private void end(Outside.Ending how, boolean over) {
+        callOff(timeOut);
+        callOff(nextLook);
         out = false;
         last = how;
         handle.tuneInEnded(how, over);
@@ -284,13 +295,27 @@
         }
     }
 
-    /** Idle since long: ended; else the span after which to look again. */
-    Span idleFor(Span bound) {
+    /** Ended where nothing was asked of it for the bound; else looked at again when that could be. */
+    void look(Span bound) {
+        if (!playing) {
+            return;
+        }
         Span left = bound.minus(desk.now().since(viewer.lastAsked()));
         if (Span.NONE.under(left)) {
-            return left;
+            nextLook = desk.lookAfter(left, this);
+        } else {
+            leave(Viewer.End.IDLE);
+        }
+    }
+
+    /** The last resort by which the answer is given. */
+    void answerBy(Carrier.Wake wake) {
+        answerBy = wake;
+    }
+
+    private static void callOff(Carrier.Wake wake) {
+        if (wake != null) {
+            wake.cancel();
         }
-        leave(Viewer.End.IDLE);
-        return Span.NONE;
     }
 }
--- a/src/test/java/linengauge/front/FrontSocketsTest.java
+++ b/src/test/java/linengauge/front/FrontSocketsTest.java
@@ -250,6 +250,75 @@
         }
     }
 
+    @Test
+    void aBoxThatSendsNoMediaOrBreaksOffIsToldToTheViewerAsSuch() throws Exception {
+        try (Rig r = new Rig(1, "boxes: { firstByteMs: 300, mediaSilenceMs: 300, connectMs: 100 }, stop: { playingMs: 100 }")
+                .start()) {
+            Rig.Box box = r.boxes.get(0);
+            String segment = Rig.path(r.get(r.viewers, Rig.path(r.join(""))));
+            box.segments = q -> { };
+            assertEquals(504, r.get(r.viewers, segment).statusCode(), "nothing at all");
+            box.segments = q -> q.response().setStatusCode(500).end();
+            assertEquals(502, r.get(r.viewers, segment).statusCode());
+            box.segments = q -> q.response().putHeader("Content-Length", "1000").write("some");
+            assertThrows(AssertionError.class, () -> r.get(r.viewers, segment), "a short body is not passed off as whole");
+            box.segments = q -> q.response().end("again");
+            assertEquals("again", r.get(r.viewers, segment).body(), "one bad segment does not end the viewing");
+            box.segments = q -> { };
+            CompletableFuture<?>[] four = new CompletableFuture<?>[4];
+            for (int i = 0; i < 4; i++) {
+                four[i] = CompletableFuture.supplyAsync(() -> r.get(r.viewers, segment));
+            }
+            long before = box.saw("GET");
+            Rig.until(() -> box.saw("GET") >= before + 4 || four[0].isDone());
+            CompletableFuture.allOf(four).join();
+            box.segments = q -> q.response().setStatusCode(410).end();
+            assertEquals(410, r.get(r.viewers, segment).statusCode());
+            Rig.until(() -> r.state().getInteger("held") == 0);
+        }
+    }
+
+    @Test
+    void aPlaylistOverItsBoundIsRefusedAndNotHeldWhole() throws Exception {
+        try (Rig r = new Rig(1, "boxes: { playlistBytes: 2000 }, stop: { playingMs: 100 }").start()) {
+            r.boxes.get(0).setUps = q -> q.response().setStatusCode(201).end("#EXTM3U\n" + "#long\n".repeat(1000));
+            assertEquals(502, r.get(r.viewers, "/titles/t/main.m3u8?package=paid&patience=3000").statusCode());
+            Rig.until(() -> r.boxes.get(0).saw("DELETE") == 1);
+            r.untilEmpty();
+        }
+    }
+
+    @Test
+    void anEndThatABoxWillNotHearIsTriedABoundedNumberOfTimes() throws Exception {
+        try (Rig r = new Rig(1, "boxes: { endTries: 3, endRetryMs: 20 }, stop: { playingMs: 100 }").start()) {
+            Rig.Box box = r.boxes.get(0);
+            box.others = q -> q.response().setStatusCode(500).end();
+            box.setUps = q -> q.response().setStatusCode(500).end();
+            String media = Rig.path(joined(r, box));
+            r.client.send(java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://127.0.0.1:" + r.viewers
+                    + media.substring(0, media.indexOf('/', 3)))).DELETE().build(), HttpResponse.BodyHandlers.discarding());
+            Rig.until(() -> r.state().getLong("endsGivenUp") == 1);
+            assertEquals(3, box.saw("DELETE"));
+            r.untilEmpty();
+        }
+    }
+
+    private static HttpResponse<String> joined(Rig r, Rig.Box box) {
+        box.setUps = box::plays;
+        return r.join("");
+    }
+
+    @Test
+    void aBoxThatCannotBeHeardAnyMoreHasLostItsViewings() throws Exception {
+        try (Rig r = new Rig(1, "boxes: { notesRetryMs: 20, notesTries: 3 }, stop: { playingMs: 100 }").start()) {
+            String media = Rig.path(r.join(""));
+            Rig.until(() -> r.state().getInteger("noteStreamsInUse") == 1);
+            r.boxes.get(0).close();
+            Rig.until(() -> r.state().getInteger("held") == 0);
+            assertEquals("ended: BOX_LOST\n", r.get(r.viewers, media).body());
+        }
+    }
+
     @Test
     void aPortInUseIsSaidAtStart() throws Exception {
         try (Rig r = rig(1)) {
--- a/src/test/java/linengauge/session/DeskTest.java
+++ b/src/test/java/linengauge/session/DeskTest.java
@@ -183,6 +183,33 @@
         assertNotNull(w.answer, "three seconds after it was asked the viewer is gone");
     }
 
+    @Test
+    void aViewerIsAnsweredInTimeEvenIfEveryOtherWakeIsLost() {
+        CoreStage s = stage();
+        CoreStage.Front f = s.fronts.get(0);
+        s.boxes.forEach(b -> b.mood = CoreStage.Mood.SILENT);
+        f.losesWakesUnder = Span.ofSeconds(2);
+        CoreStage.Watcher w = f.ask(0, "t", PATIENCE, null);
+        s.pass(Span.ofMillis(2990));
+        assertEquals("aborted", w.answer);
+        assertEquals(0, f.desk.viewings());
+    }
+
+    @Test
+    void aViewingThatIsOverLeavesNoWakeBehind() {
+        CoreStage s = stage();
+        CoreStage.Front f = s.fronts.get(0);
+        int before = f.wakes;
+        for (int i = 0; i < 10; i++) {
+            CoreStage.Watcher w = f.ask(0, "t", PATIENCE, null);
+            s.pass(Span.ofMillis(200));
+            assertEquals("plays", w.answer);
+            f.on(Span.NONE, w.held::viewerLeft);
+            s.pass(Span.ofMillis(1));
+        }
+        assertEquals(before, f.wakes, "all called off, though the longest would have come in seconds");
+    }
+
     @Test
     void anOrderlyStopBlocksNewcomersAndEndsThoseThatPlay() {
         CoreStage s = stage();
