--- a/src/main/java/linengauge/rules/Day.java
+++ b/src/main/java/linengauge/rules/Day.java
@@ -71,6 +71,7 @@
     final Map<String, List<SetUp>> byViewing = new LinkedHashMap<>();
     private final Map<Integer, List<Stop>> stops = new HashMap<>();
     private final Map<Integer, List<Long>> kills = new HashMap<>();
+    private final Map<Integer, List<Long>> starts = new HashMap<>();
 
     private Day(Terms terms, List<Seen> all) {
         this.terms = terms;
@@ -148,6 +149,7 @@
                     of.set(of.size() - 1, new Stop(of.get(of.size() - 1).from, s.at()));
                 }
             }
+            case "front-started" -> starts.computeIfAbsent((int) s.whole("front"), f -> new ArrayList<>()).add(s.at());
             case "front-killed" -> {
                 kills.computeIfAbsent((int) s.whole("front"), f -> new ArrayList<>()).add(s.at());
                 for (SetUp u : setUps) {
@@ -216,4 +218,14 @@
     boolean killedWithin(int front, long from, long to) {
         return kills.getOrDefault(front, List.of()).stream().anyMatch(k -> k >= from && k <= to);
     }
+
+    /** The front had been killed and not been started again. */
+    boolean down(int front, long at) {
+        long killed = latest(kills, front, at);
+        return killed > latest(starts, front, at);
+    }
+
+    private static long latest(Map<Integer, List<Long>> of, int front, long at) {
+        return of.getOrDefault(front, List.of()).stream().filter(m -> m <= at).max(Long::compare).orElse(Long.MIN_VALUE);
+    }
 }
--- a/src/main/java/linengauge/rules/Judge.java
+++ b/src/main/java/linengauge/rules/Judge.java
@@ -33,12 +33,12 @@
         return j.verdict;
     }
 
-    /** Rule 1. A request counts as taken unless its front was killed, or stood still past the viewer's patience. */
+    /** Rule 1. A request counts as taken unless its front was dead or killed, or stood still past the viewer's patience. */
     private void oneAnswer() {
         for (Day.Ask a : day.asks.values()) {
             long patienceEnds = a.at + a.patience;
             long last = a.ends.isEmpty() ? patienceEnds : a.ends.get(a.ends.size() - 1).at();
-            if (day.killedWithin(a.front, a.at, Math.max(last, patienceEnds) + day.terms.slack())) {
+            if (day.down(a.front, a.at) || day.killedWithin(a.front, a.at, Math.max(last, patienceEnds) + day.terms.slack())) {
                 long answers = a.ends.stream().filter(e -> e.what().equals("answered")).count();
                 if (answers > 1) {
                     verdict.broken("one-answer", a.at, a.id, 0, "answered " + answers + " times by a front since killed");
--- a/src/test/java/linengauge/rules/JudgeTest.java
+++ b/src/test/java/linengauge/rules/JudgeTest.java
@@ -121,6 +121,10 @@
         Pen broken = sound().asked(6000, "k9", "plain").saw(6500, "'what':'broke','ask':'k9','front':0");
         breaks(broken, "one-answer", "broke");
         assertEquals(0, broken.saw(6400, "'what':'front-killed','front':0").judged().breaches().size());
+        Pen dead = sound().saw(5900, "'what':'front-killed','front':0").asked(6000, "k9", "plain")
+                .saw(6010, "'what':'broke','ask':'k9','front':0");
+        assertEquals(0, dead.judged().breaches().size(), "a dead front takes nothing");
+        breaks(dead.saw(5950, "'what':'front-started','front':0"), "one-answer", "broke");
     }
 
     @Test
--- a/src/test/java/linengauge/session/DeskTest.java
+++ b/src/test/java/linengauge/session/DeskTest.java
@@ -195,6 +195,18 @@
         assertEquals(0, f.desk.viewings());
     }
 
+    @Test
+    void whatIsAnsweredIsNeverAnsweredAgain() {
+        CoreStage s = stage();
+        CoreStage.Watcher w = s.fronts.get(0).ask(0, "t", PATIENCE, null);
+        s.pass(Span.ofMillis(200));
+        assertEquals("plays", w.answer);
+        w.held.abort();
+        w.held.block(Span.NONE);
+        assertEquals("plays", w.answer);
+        assertEquals(0, s.judged().broken("one-answer"));
+    }
+
     @Test
     void aViewingThatIsOverLeavesNoWakeBehind() {
         CoreStage s = stage();
