No first bytes of a box's answer are lost: what reads it is in place before it is sent

Calls run on a loop of their own, and an answer quicker than the desk came before its reader was set. The reader is now registered before the request is sent, for set-ups, plain calls and streams.

--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -110,8 +110,7 @@
                     .put("tuneIn", tuneIn).put("title", vw.ask().title())
                     .put("package", site.packages().get(vw.ask().pack()).name()).put("rung", rung).toString();
             request.putHeader("Content-Type", "application/json");
-            request.send(Buffer.buffer(body)).onSuccess(r -> read(vw, o, box, rung, r))
-                    .onFailure(e -> ended(vw, o, Ending.BROKEN));
+            sent(request, Buffer.buffer(body), r -> read(vw, o, box, rung, r), e -> ended(vw, o, Ending.BROKEN));
         }, e -> {
             boolean full = e instanceof io.vertx.core.http.ConnectionPoolTooBusyException;
             ended(vw, o, full ? Ending.NEVER_SENT : Ending.NOT_REACHED);
@@ -131,6 +130,20 @@
         }));
     }
 
+    /**
+     * Sends a request; what is to be done with its answer is known before, so that it is in place when the first bytes
+     * come on the loop of the call: an answer that is quicker than the desk would lose them.
+     */
+    static void sent(HttpClientRequest request, Buffer body, Consumer<HttpClientResponse> answered,
+            Consumer<Throwable> not) {
+        request.response().onSuccess(answered::accept).onFailure(not::accept);
+        if (body.length() == 0) {
+            request.end();
+        } else {
+            request.end(body);
+        }
+    }
+
     private void ended(Held vw, Out o, Ending how) {
         program.onDesk(() -> {
             if (!o.over) {
@@ -311,11 +324,13 @@
                 q.reset();
                 return;
             }
-            (body == null ? q.send() : q.putHeader("Content-Type", "application/json").send(Buffer.buffer(body)))
-                    .onSuccess(r -> {
-                        r.handler(b -> { });
-                        once.with(r.statusCode(), r);
-                    }).onFailure(e -> once.with(0, null));
+            if (body != null) {
+                q.putHeader("Content-Type", "application/json");
+            }
+            sent(q, body == null ? Buffer.buffer() : Buffer.buffer(body), r -> {
+                r.handler(b -> { });
+                once.with(r.statusCode(), r);
+            }, e -> once.with(0, null));
         }, e -> once.with(0, null));
     }
 
--- a/src/main/java/linengauge/front/Stream.java
+++ b/src/main/java/linengauge/front/Stream.java
@@ -1,5 +1,6 @@
 package linengauge.front;
 
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.RequestOptions;
@@ -54,7 +55,7 @@
     private void send(HttpClientRequest q) {
         request = q;
         q.exceptionHandler(e -> { }); // what fails is told by the futures
-        q.send().onFailure(e -> program.onDesk(() -> end(0, "broken: " + e.getMessage()))).onSuccess(r -> {
+        BoxCalls.sent(q, Buffer.buffer(), r -> {
             if (r.statusCode() != 200) {
                 program.onDesk(() -> end(r.statusCode(), "status " + r.statusCode()));
                 return;
@@ -65,7 +66,7 @@
                 heardAt = Wall.micros();
                 lines.hear(b);
             }));
-        });
+        }, e -> program.onDesk(() -> end(0, "broken: " + e.getMessage())));
     }
 
     private void listen() {
--- a/src/test/java/linengauge/front/FrontSocketsTest.java
+++ b/src/test/java/linengauge/front/FrontSocketsTest.java
@@ -14,6 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import linengauge.standin.BoxFleet;
+import linengauge.standin.FaultyLink;
 import org.junit.jupiter.api.Test;
 
 /** The hard cases of the front's sockets, each built with scripted boxes. */
@@ -319,6 +321,28 @@
         }
     }
 
+    @Test
+    void aBoxBehindALinkThatSwallowsTricklesOrResetsIsTakenForWhatItShows() throws Exception {
+        try (Rig r = rig(1)) {
+            Rig.Box box = r.boxes.get(0);
+            FaultyLink link = new FaultyLink(r.vertx, "127.0.0.1", box.port);
+            r.list.set(new BoxFleet.Place(1, "127.0.0.1", Rig.await(link.open()), 1, "a"), "s", "serving", 0);
+            Rig.until(() -> r.state().getLong("listRevision") == 3);
+            link.swallowAnswers(true);
+            int status = r.join("&patience=1500").statusCode();
+            assertTrue(status == 503 || status == 504, "" + status);
+            link.swallowAnswers(false);
+            link.trickle(100);
+            Rig.until(() -> r.join("").statusCode() == 200);
+            link.trickle(0);
+            link.resetOnAnswer(true);
+            long before = box.saw("PUT");
+            Rig.until(() -> r.get(r.viewers, "/titles/t/main.m3u8?package=paid&patience=3000").statusCode() == 502);
+            assertEquals(before + 1, box.saw("PUT"), "it may have run: not sent again");
+            link.cut();
+        }
+    }
+
     @Test
     void aPortInUseIsSaidAtStart() throws Exception {
         try (Rig r = rig(1)) {
