--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -391,8 +391,8 @@
             list(false);
         }
 
-        /** Nothing is held here any more and the list no longer names it. Guards against a box that comes back
-         * to the list with its pace forgotten: what was sent within the window still counts if it is cold. */
+        /** Nothing is held here any more and the list no longer names it. Guards against a box that comes
+         * back to the list with its pace forgotten: what was sent within the window counts if it is cold. */
         public boolean forgotten() {
             prune(sends, now.minus(fallWindow()));
             return !listed && viewings.isEmpty() && sends.isEmpty();
