Each drill has a loopback address of its own

Each now takes an address of 127.0.0.0/8 from its process id, where the system gives one; the bare relay is told the address.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -96,9 +96,10 @@
     }
 
     @Command(name = "bare-relay", hidden = true, description = "The baseline of `drill relay`, as a process of its own.")
-    int bareRelay(@Parameters int port, @Parameters int box, @Parameters int loops) throws InterruptedException {
+    int bareRelay(@Parameters String host, @Parameters int port, @Parameters int box, @Parameters int loops)
+            throws InterruptedException {
         System.setProperty("logback.configurationFile", "linengauge/log-text.xml");
-        RelayDrill.bareRelay(port, box, loops);
+        RelayDrill.bareRelay(host, port, box, loops);
         return 0;
     }
 
--- a/src/main/java/linengauge/drill/BareRelay.java
+++ b/src/main/java/linengauge/drill/BareRelay.java
@@ -25,7 +25,7 @@
     }
 
     /** Listens until the process ends. */
-    public static Future<?> start(int port, int box, int loops) {
+    public static Future<?> start(String host, int port, int box, int loops) {
         AtomicLong number = new AtomicLong();
         return Vertx.vertx().deployVerticle(() -> new VerticleBase() {
             private HttpClient client;
@@ -35,7 +35,7 @@
                 client = vertx.createHttpClient(new HttpClientOptions().setTcpNoDelay(true),
                         new PoolOptions().setHttp1MaxSize(256).setMaxWaitQueueSize(4096));
                 return vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setAcceptBacklog(1024))
-                        .requestHandler(this::asked).listen(port, Ports.HOST);
+                        .requestHandler(this::asked).listen(port, host);
             }
 
             private void asked(HttpServerRequest r) {
@@ -44,7 +44,7 @@
                 HttpMethod method = join ? HttpMethod.PUT : r.method();
                 String to = join ? "/viewings/" + number.incrementAndGet() : "/viewings/" + path.substring("/v/".length())
                         .replaceFirst("/m/", "/");
-                client.request(new RequestOptions().setMethod(method).setHost(Ports.HOST).setPort(box).setURI(to))
+                client.request(new RequestOptions().setMethod(method).setHost(host).setPort(box).setURI(to))
                         .compose(q -> join ? q.send(Buffer.buffer(SET_UP)) : q.send()).onSuccess(a -> {
                             r.response().setStatusCode(join ? 200 : a.statusCode());
                             if (a.getHeader("Content-Length") != null) {
--- a/src/main/java/linengauge/drill/Ports.java
+++ b/src/main/java/linengauge/drill/Ports.java
@@ -10,16 +10,29 @@
 
 /**
  * Free ports on loopback, under the range from which the system gives ports to connections: a front that is killed and
- * started again finds its own still free.
+ * started again finds its own still free. Each drill has a loopback address of its own where the system gives one
+ * (127.0.0.0/8, RFC 1122 section 3.2.1.3), so that drills beside each other cannot choose the same port.
  */
 public final class Ports {
-    public static final String HOST = "127.0.0.1";
+    private static final String COMMON = "127.0.0.1";
+    /** The address of everything that this process starts. */
+    public static final String HOST = own(ProcessHandle.current().pid());
     private static final int FIRST = 12_000;
     private static final int COUNT = 18_000;
 
     private Ports() {
     }
 
+    private static String own(long pid) {
+        String address = "127." + (16 + (pid >> 14) % 128) + "." + (pid >> 7) % 128 + "." + (1 + pid % 128);
+        try (ServerSocket s = new ServerSocket()) {
+            s.bind(new InetSocketAddress(InetAddress.getByName(address), 0));
+            return address;
+        } catch (IOException onlyOneLoopbackAddress) {
+            return COMMON;
+        }
+    }
+
     /** So many different ports, none in use now. */
     public static List<Integer> free(int count) throws IOException {
         SplittableRandom chance = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32);
--- a/src/main/java/linengauge/drill/RelayDrill.java
+++ b/src/main/java/linengauge/drill/RelayDrill.java
@@ -356,7 +356,7 @@
     private Carrying bare(int loops) throws IOException, InterruptedException {
         int port = Ports.free(1).get(0);
         started.add(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx512m", "-cp",
-                System.getProperty("java.class.path"), "linengauge.cli.Main", "drill", "bare-relay", "" + port, "" + box,
+                System.getProperty("java.class.path"), "linengauge.cli.Main", "drill", "bare-relay", Ports.HOST, "" + port, "" + box,
                 "" + loops).redirectErrorStream(true).redirectOutput(folder.resolve("bare.log").toFile()).start());
         waitFor(() -> {
             try (java.net.Socket s = new java.net.Socket(Ports.HOST, port)) {
@@ -395,8 +395,8 @@
     }
 
     /** The hidden process of the baseline. */
-    public static void bareRelay(int port, int box, int loops) throws InterruptedException {
-        BareRelay.start(port, box, loops);
+    public static void bareRelay(String host, int port, int box, int loops) throws InterruptedException {
+        BareRelay.start(host, port, box, loops);
         while (true) {
             TimeUnit.HOURS.sleep(1);
         }
--- a/src/test/java/linengauge/front/FrontSocketsTest.java
+++ b/src/test/java/linengauge/front/FrontSocketsTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import linengauge.drill.Ports;
 import linengauge.standin.BoxFleet;
 import linengauge.standin.FaultyLink;
 import org.junit.jupiter.api.Test;
@@ -35,7 +36,7 @@
             String segment = Rig.path(r.get(r.viewers, media));
             assertEquals("segment", r.get(r.viewers, segment).body());
             String id = media.substring(3, media.indexOf('/', 3));
-            r.client.send(java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://127.0.0.1:" + r.viewers + "/v/" + id))
+            r.client.send(java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://" + Ports.HOST + ":" + r.viewers + "/v/" + id))
                     .DELETE().build(), HttpResponse.BodyHandlers.discarding());
             Rig.until(() -> r.boxes.get(0).saw("DELETE /viewings/" + id) == 1);
             assertEquals(410, r.get(r.viewers, segment).statusCode());
@@ -117,7 +118,7 @@
     void aViewerThatBreaksOffTakesItsSetUpAlong() throws Exception {
         try (Rig r = rig(1)) {
             r.boxes.get(0).setUps = q -> { };
-            try (Socket s = new Socket("127.0.0.1", r.viewers)) {
+            try (Socket s = new Socket(Ports.HOST, r.viewers)) {
                 s.getOutputStream().write(request("/titles/t/main.m3u8?package=paid&patience=9000&key=me"));
                 Rig.until(() -> r.boxes.get(0).saw("PUT") == 1);
             }
@@ -180,7 +181,7 @@
             assertEquals(404, r.get(r.viewers, "/v/none/media.m3u8").statusCode());
             Socket[] idle = new Socket[12];
             for (int i = 0; i < idle.length; i++) {
-                idle[i] = new Socket("127.0.0.1", r.viewers);
+                idle[i] = new Socket(Ports.HOST, r.viewers);
             }
             Rig.until(() -> r.state().getInteger("turnedAwayAtDoor") > 0);
             Rig.until(() -> r.state().getInteger("viewerConnections") <= 1);
@@ -193,7 +194,7 @@
 
     /** What the front says to raw bytes until it closes the connection or has answered. */
     private static String said(Rig r, String raw) throws IOException {
-        try (Socket s = new Socket("127.0.0.1", r.viewers)) {
+        try (Socket s = new Socket(Ports.HOST, r.viewers)) {
             s.setSoTimeout(15_000);
             s.getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
             InputStream in = s.getInputStream();
@@ -212,7 +213,7 @@
                 pour(to, sent, whole);
             };
             String segment = Rig.path(r.get(r.viewers, Rig.path(r.join(""))));
-            try (Socket s = new Socket("127.0.0.1", r.viewers)) {
+            try (Socket s = new Socket(Ports.HOST, r.viewers)) {
                 s.getOutputStream().write(request(segment));
                 Rig.until(() -> sent.get() > 100_000);
                 long before;
@@ -297,7 +298,7 @@
             box.others = q -> q.response().setStatusCode(500).end();
             box.setUps = q -> q.response().setStatusCode(500).end();
             String media = Rig.path(joined(r, box));
-            r.client.send(java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://127.0.0.1:" + r.viewers
+            r.client.send(java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://" + Ports.HOST + ":" + r.viewers
                     + media.substring(0, media.indexOf('/', 3)))).DELETE().build(), HttpResponse.BodyHandlers.discarding());
             Rig.until(() -> r.state().getLong("endsGivenUp") == 1);
             assertEquals(3, box.saw("DELETE"));
@@ -325,8 +326,8 @@
     void aBoxBehindALinkThatSwallowsTricklesOrResetsIsTakenForWhatItShows() throws Exception {
         try (Rig r = rig(1)) {
             Rig.Box box = r.boxes.get(0);
-            FaultyLink link = new FaultyLink(r.vertx, "127.0.0.1", box.port);
-            r.list.set(new BoxFleet.Place(1, "127.0.0.1", Rig.await(link.open()), 1, "a"), "s", "serving", 0);
+            FaultyLink link = new FaultyLink(r.vertx, Ports.HOST, box.port);
+            r.list.set(new BoxFleet.Place(1, Ports.HOST, Rig.await(link.open()), 1, "a"), "s", "serving", 0);
             Rig.until(() -> r.state().getLong("listRevision") == 3);
             link.swallowAnswers(true);
             int status = r.join("&patience=1500").statusCode();
--- a/src/test/java/linengauge/front/Rig.java
+++ b/src/test/java/linengauge/front/Rig.java
@@ -50,7 +50,7 @@
 
         Box(int number, int port) throws Exception {
             this.port = port;
-            this.place = new BoxFleet.Place(number, "127.0.0.1", port, number, "a");
+            this.place = new BoxFleet.Place(number, Ports.HOST, port, number, "a");
             await(server.requestHandler(r -> {
                 r.response().exceptionHandler(e -> { });
                 if (r.path().equals("/notes")) {
@@ -70,7 +70,7 @@
                 } else {
                     others.accept(r);
                 }
-            }).listen(port, "127.0.0.1"));
+            }).listen(port, Ports.HOST));
         }
 
         void plays(HttpServerRequest r) {
@@ -99,17 +99,17 @@
         viewers = ports.get(0);
         control = ports.get(1);
         listPort = ports.get(2);
-        list = new BoxListService(vertx, "127.0.0.1", listPort, 0, 1, tap);
+        list = new BoxListService(vertx, Ports.HOST, listPort, 0, 1, tap);
         await(list.open());
         for (int i = 0; i < boxCount; i++) {
             boxes.add(new Box(i + 1, ports.get(3 + i)));
             list.set(boxes.get(i).place, "s", "serving", 0);
         }
-        site = "{ site: 'rig', buildings: ['a'], front: { number: 0, building: 'a', viewers: '127.0.0.1:" + viewers
-                + "', control: '127.0.0.1:" + control + "' }, fronts: { count: 1 }, ladder: [ { kb: 30, value: 0.4 }, "
+        site = "{ site: 'rig', buildings: ['a'], front: { number: 0, building: 'a', viewers: '" + Ports.HOST + ":" + viewers
+                + "', control: '" + Ports.HOST + ":" + control + "' }, fronts: { count: 1 }, ladder: [ { kb: 30, value: 0.4 }, "
                 + "{ kb: 60, value: 1 } ], packages: [ { name: 'plain', value: 1, joinTargetMs: 800 }, { name: 'paid', value: 1, "
                 + "joinTargetMs: 800, paidAtSetUp: true } ], fleet: { cells: 8, racks: 1, kinds: [ { name: 's', streams: 20 } ], "
-                + "linksKb: 8000, linkKbPerWeight: 4000, uplinkKb: 8000, shareLatenessMs: 500 }, list: { address: '127.0.0.1:"
+                + "linksKb: 8000, linkKbPerWeight: 4000, uplinkKb: 8000, shareLatenessMs: 500 }, list: { address: '" + Ports.HOST + ":"
                 + listPort + "', retryFirstMs: 50, retryMostMs: 200 }, " + more + " }";
     }
 
@@ -130,7 +130,7 @@
 
     HttpResponse<String> get(int port, String path) {
         try {
-            return client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            return client.send(HttpRequest.newBuilder(URI.create("http://" + Ports.HOST + ":" + port + path))
                     .timeout(Duration.ofSeconds(20)).build(), HttpResponse.BodyHandlers.ofString());
         } catch (IOException e) {
             throw new AssertionError(path, e);
