--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -14,7 +14,8 @@
 /** What decides or keeps state is free of sockets, threads, files and clocks, and arrows point down only. */
 @AnalyzeClasses(packages = "linengauge", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
-    private static final String[] CORES = {"linengauge", "linengauge.session", "linengauge.hls", "linengauge.rules"};
+    private static final String[] CORES = {"linengauge", "linengauge.session", "linengauge.hls", "linengauge.rules",
+        "linengauge.flow"};
 
     @ArchTest
     static final ArchRule CORES_DO_NO_IO = noClasses().that().resideInAnyPackage(CORES).should().dependOnClassesThat()
