Slow peers on the sockets: watch on each loop, door by address, budgets in the site file

The decisions of linengauge.flow had no carrier. Each loop of viewers' connections now has its own time, watch and waiting callers; what waits is read off the channel; a slow viewer's connection is cut and its viewing ended at once (LET_GO), a box in a trickle is a break for the module; the control address has places of its own; asks that wait for the desk are bounded. Site file: flow, control, new bounds of viewers, checked against each other.

--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -192,6 +192,7 @@
         o.over = true;
         out.remove(vw, o);
         program.viewerOf(vw).playlist(playlist);
+        program.viewerOf(vw).rungBytes(site.bytesOf(vw.ask().pack(), vw.rungNow()));
         vw.plays(o.tuneIn);
         if (vw.isPlaying()) {
             program.notes().playing(vw, box);
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -9,16 +9,18 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Pattern;
 import linengauge.Headend;
 import linengauge.PackageTerms;
 import linengauge.Span;
+import linengauge.flow.DoorBook;
 import linengauge.hls.Paths;
 import linengauge.session.Held;
 import linengauge.session.Viewer;
 import linengauge.site.Site;
+import org.slf4j.LoggerFactory;
 
 /** The viewers' door on one loop (docs/protocol/viewer.md); as many of these share the address as the site file says. */
 final class Door extends VerticleBase {
@@ -30,30 +32,33 @@
     private final Headend house;
     private final Map<String, Integer> packages;
     private final Map<String, Site.Held> cells;
-    private final AtomicInteger connections;
+    private final Sparse log = new Sparse(LoggerFactory.getLogger(Door.class));
+    private Loops here;
     private HttpClient media;
     private Relay relay;
     private HttpServer server;
     private Context loop;
 
-    Door(FrontProgram program, Headend house, AtomicInteger connections) {
+    Door(FrontProgram program, Headend house) {
         this.program = program;
         this.site = program.site();
         this.house = house;
         this.packages = site.packageNumbers();
         this.cells = site.titleCells();
-        this.connections = connections;
     }
 
     @Override
     public Future<?> start() {
         loop = context;
         media = BoxCalls.client(vertx, site, site.boxes().mediaConnections(), site.boxes().waitingMedia());
-        relay = new Relay(program, media, vertx);
+        here = new Loops(vertx, site);
+        program.loops().add(here);
+        relay = new Relay(program, media, vertx, here, log);
         Site.Viewers v = site.viewers();
         Site.Address at = Site.Address.of(site.front().viewers());
         server = vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(v.requestLineBytes())
                 .setMaxHeaderSize(v.headerBytes()).setAcceptBacklog(v.backlog()).setTcpNoDelay(true)
+                .setSendBufferSize(v.sendBufferBytes()) // what waits in the system's buffers is out of our sight
                 .setHttp2ClearTextEnabled(false)); // else a connection is seen only with its first bytes
         server.connectionHandler(this::connected);
         server.invalidRequestHandler(r -> refuse(r, r.decoderResult().cause() instanceof
@@ -69,64 +74,21 @@
         return media.close();
     }
 
-    /** When the connection last had a request under way; one that brings no whole request in time is closed. */
-    private final class Patience {
-        private int underWay;
-        private long quietSince = Wall.micros();
-        private boolean first = true;
-        private final HttpConnection connection;
-
-        private Patience(HttpConnection connection) {
-            this.connection = connection;
-            look(site.viewers().headersMs());
-        }
-
-        private void look(long ms) {
-            vertx.setTimer(Math.max(1, ms), t -> {
-                if (closed) {
-                    return;
-                }
-                long bound = first ? site.viewers().headersMs() : site.viewers().keepAliveMs();
-                long quiet = (Wall.micros() - quietSince) / 1000;
-                if (underWay > 0 || quiet < bound) {
-                    look(underWay > 0 ? bound : bound - quiet);
-                } else {
-                    connection.close();
-                }
-            });
-        }
-
-        private boolean closed;
-        /** The viewer whose answer this connection waits for; one at a time, as HTTP/1.1 answers in order. */
-        private Runnable waiting = () -> { };
-
-        private void began() {
-            first = false;
-            underWay++;
-        }
-
-        private void ended() {
-            underWay--;
-            quietSince = Wall.micros();
-        }
-    }
-
-    private final Map<HttpConnection, Patience> patiences = new java.util.HashMap<>();
+    private final Map<HttpConnection, Caller> callers = new HashMap<>();
 
     private void connected(HttpConnection connection) {
-        if (connections.incrementAndGet() > site.viewers().connections()) {
-            connections.decrementAndGet();
-            program.turnedAwayAtDoor();
+        String address = connection.remoteAddress().hostAddress();
+        DoorBook.Entry entry = program.gate().enters(address);
+        if (entry == DoorBook.Entry.SHUT_OUT) {
             connection.close();
             return;
         }
-        Patience p = new Patience(connection);
-        patiences.put(connection, p);
+        Caller c = new Caller(connection, entry, here, program, log);
+        callers.put(connection, c);
         connection.closeHandler(v -> {
-            p.closed = true;
-            patiences.remove(connection);
-            connections.decrementAndGet();
-            p.waiting.run();
+            callers.remove(connection);
+            program.gate().leaves(address, entry);
+            c.closed();
         });
     }
 
@@ -136,7 +98,7 @@
             if (status == 405) {
                 r.response().putHeader("Allow", "GET, DELETE");
             }
-            if (status == 400 || status == 414 || status == 431) {
+            if (status == 400 || status == 414 || status == 429 || status == 431 || status == 503) {
                 r.response().putHeader("Connection", "close");
             }
             r.response().end(why + "\n");
@@ -144,27 +106,39 @@
     }
 
     private void asked(HttpServerRequest r) {
-        Patience p = patiences.get(r.connection());
-        if (p != null) {
-            p.began();
-            boolean[] over = {false};
-            Runnable end = () -> {
-                if (!over[0]) {
-                    over[0] = true;
-                    p.ended();
-                }
-            };
-            r.response().endHandler(v -> end.run());
-            r.response().closeHandler(v -> end.run());
+        Caller c = callers.get(r.connection());
+        if (c == null) {
+            return; // closed meanwhile
+        }
+        boolean[] over = {false};
+        Runnable end = () -> {
+            if (!over[0]) {
+                over[0] = true;
+                c.answered();
+            }
+        };
+        r.response().endHandler(v -> end.run());
+        r.response().closeHandler(v -> end.run());
+        if (!c.asked()) {
+            refuse(r, 429, "too many requests wait on this connection");
+            return;
+        }
+        if (c.isTurnedAway()) {
+            blocked(r, "no place: come again");
+            return;
+        }
+        if (r.headers().size() > site.viewers().headerCount()) {
+            refuse(r, 431, "more than " + site.viewers().headerCount() + " headers");
+            return;
         }
         String path = r.path() == null ? "" : r.path();
         if (path.startsWith("/v/")) {
             int slash = path.indexOf('/', 3);
             String id = slash < 0 ? path.substring(3) : path.substring(3, slash);
-            viewing(r, id, slash < 0 ? "" : path.substring(slash + 1));
+            viewing(r, c, id, slash < 0 ? "" : path.substring(slash + 1));
         } else if (path.startsWith("/titles/") && path.endsWith("/main.m3u8")) {
             if (r.method() == HttpMethod.GET) {
-                join(r, path.substring("/titles/".length(), path.length() - "/main.m3u8".length()));
+                join(r, c, path.substring("/titles/".length(), path.length() - "/main.m3u8".length()));
             } else {
                 refuse(r, 405, "only GET");
             }
@@ -173,7 +147,7 @@
         }
     }
 
-    private void join(HttpServerRequest r, String title) {
+    private void join(HttpServerRequest r, Caller c, String title) {
         String pack = r.getParam("package");
         Integer number = pack == null ? null : packages.get(pack);
         String key = r.getParam("key");
@@ -200,17 +174,31 @@
         Held.Ask ask = new Held.Ask(title, where == null ? 0 : where.first(), where == null ? 0 : where.inRow(), number,
                 terms, (int) Math.min(ceiling, terms.highestRung()),
                 Span.ofMillis(Math.min(patience, site.viewers().longestPatienceMs())), key);
-        ViewerEnd end = new ViewerEnd(loop, r.response(), program.routes());
+        if (!program.gate().asks(key, Wall.now())) {
+            blocked(r, "blocked: this key asks too often");
+            return;
+        }
+        ViewerEnd end = new ViewerEnd(loop, r.response(), program.routes(), site.bytesOf(number, 0));
         r.response().exceptionHandler(e -> { });
-        Patience p = patiences.get(r.connection());
-        if (p != null) {
-            p.waiting = () -> program.onDesk(() -> {
-                if (end.held() != null && !end.held().isPlaying()) {
-                    end.held().viewerLeft();
-                }
-            });
-        }
-        program.onDesk(() -> end.held(program.core().take(ask, end)));
+        if (!program.askOnDesk(() -> end.held(program.core().take(ask, end)))) {
+            blocked(r, "blocked: too many ask at once");
+            return;
+        }
+        c.waits(() -> program.onDesk(() -> {
+            if (end.held() != null && !end.held().isPlaying()) {
+                end.held().viewerLeft();
+            }
+        }));
+    }
+
+    /** Blocked at the door: nothing was taken, and it may come again. */
+    private void blocked(HttpServerRequest r, String why) {
+        int ms = site.desk().adviceMs();
+        if (ms > 0) {
+            r.response().putHeader("Retry-After", Integer.toString((ms + 999) / 1000)).putHeader("Retry-After-Ms",
+                    Integer.toString(ms));
+        }
+        refuse(r, 503, why);
     }
 
     private static long whole(String text, long absent) {
@@ -220,7 +208,7 @@
         return WHOLE.matcher(text).matches() ? Long.parseLong(text) : -1;
     }
 
-    private void viewing(HttpServerRequest r, String id, String rest) {
+    private void viewing(HttpServerRequest r, Caller c, String id, String rest) {
         ViewerEnd viewer = program.routes().get(id);
         if (viewer == null) {
             Viewer.End how = program.routes().howEnded(id);
@@ -237,7 +225,7 @@
             if (at == null) {
                 refuse(r, 404, "no such thing");
             } else {
-                relay.relay(r, viewer, id, at);
+                relay.relay(r, c, viewer, id, at);
             }
         }
     }
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -10,9 +10,12 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -43,8 +46,12 @@
     private final Vertx callLoops;
     private final Vertx viewerLoops;
     private final Routes routes = new Routes();
-    private final AtomicInteger connections = new AtomicInteger();
-    private final AtomicLong turnedAway = new AtomicLong();
+    /** The loops of the viewers' connections, as they start. */
+    private final List<Loops> loops = new CopyOnWriteArrayList<>();
+    private final Gate gate;
+    /** Requests for viewings that wait for the desk; each leaves as the desk takes it. */
+    private final AtomicInteger asksWaiting = new AtomicInteger();
+    private final AtomicLong asksTurnedAway = new AtomicLong();
     private final CompletableFuture<String> over = new CompletableFuture<>();
     private Context deskContext;
     private Desk core;
@@ -61,6 +68,7 @@
     public FrontProgram(Site site) {
         this.site = site;
         this.house = site.headend();
+        this.gate = new Gate(site.door());
         this.vertx = loops(1);
         this.callLoops = loops(1);
         this.viewerLoops = loops(site.viewers().loops());
@@ -86,6 +94,31 @@
         return notes;
     }
 
+    List<Loops> loops() {
+        return loops;
+    }
+
+    Gate gate() {
+        return gate;
+    }
+
+    /**
+     * Takes a step to the desk that belongs to a request for a viewing; false, and not taken, where too many wait already.
+     * Guards the desk against a surge that it could only answer too late.
+     */
+    boolean askOnDesk(Runnable step) {
+        if (site.flow().guards() && asksWaiting.get() >= site.desk().waitingAsks()) {
+            asksTurnedAway.incrementAndGet();
+            return false;
+        }
+        asksWaiting.incrementAndGet();
+        onDesk(() -> {
+            asksWaiting.decrementAndGet();
+            step.run();
+        });
+        return true;
+    }
+
     ViewerEnd viewerOf(Held vw) {
         return (ViewerEnd) vw.viewer();
     }
@@ -110,7 +143,7 @@
                 return listen().compose(v -> control());
             }
         };
-        return vertx.deployVerticle(desk).compose(d -> viewerLoops.deployVerticle(() -> new Door(this, house, connections),
+        return vertx.deployVerticle(desk).compose(d -> viewerLoops.deployVerticle(() -> new Door(this, house),
                 new DeploymentOptions().setInstances(site.viewers().loops())
                         .setThreadingModel(ThreadingModel.EVENT_LOOP)))
                 .onSuccess(d -> LOG.info("listening {} {} {}", StructuredArguments.kv("front", site.front().number()),
@@ -132,7 +165,19 @@
 
     private Future<?> control() {
         Site.Address at = Site.Address.of(site.front().control());
-        HttpServer server = vertx.createHttpServer();
+        Site.Control c = site.control();
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(c.requestLineBytes())
+                .setMaxHeaderSize(c.headerBytes()).setIdleTimeoutUnit(TimeUnit.MILLISECONDS).setIdleTimeout(c.idleMs())
+                .setHttp2ClearTextEnabled(false));
+        int[] places = {c.connections()}; // of its own: viewers cannot take them
+        server.connectionHandler(connection -> {
+            if (places[0] == 0) {
+                connection.close();
+                return;
+            }
+            places[0]--;
+            connection.closeHandler(v -> places[0]++);
+        });
         server.requestHandler(r -> {
             switch (r.method() + " " + r.path()) {
                 case "GET /state" -> onDesk(() -> r.response().putHeader("Content-Type", "application/json")
@@ -153,7 +198,9 @@
                 .put("held", core.viewings()).put("keys", core.keys()).put("titles", core.titlesHeld())
                 .put("routes", routes.size()).put("noteStreams", notes.open())
                 .put("noteStreamsInUse", notes.inUse()).put("callsWaiting", calls.waiting())
-                .put("wakes", wakes.waiting()).put("viewerConnections", connections.get()).put("turnedAwayAtDoor", turnedAway.get())
+                .put("wakes", wakes.waiting()).put("viewerConnections", gate.served())
+                .put("door", gate.state().put("asksWaiting", asksWaiting.get()).put("asksTurnedAway", asksTurnedAway.get()))
+                .put("flow", Loops.sum(loops)).put("letGo", c.letGo)
                 .put("endsGivenUp", calls.endsGivenUp()).put("listBreaks", feed.breaks())
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
                 .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
@@ -168,10 +215,6 @@
         }
     }
 
-    void turnedAwayAtDoor() {
-        turnedAway.incrementAndGet();
-    }
-
     /**
      * Runs a step on the desk with the time told: at once where the desk is running something of the library's, later
      * where it is within a step of the core or on another loop.
@@ -257,6 +300,7 @@
 
     @Override
     public void rung(Held vw) {
+        viewerOf(vw).rungBytes(site.bytesOf(vw.ask().pack(), vw.rungNow()));
         calls.rung(vw);
     }
 
--- a/src/main/java/linengauge/front/Relay.java
+++ b/src/main/java/linengauge/front/Relay.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
+import linengauge.flow.Account;
 import linengauge.hls.BadPlaylist;
 import linengauge.hls.Paths;
 import linengauge.hls.Playlists;
@@ -30,15 +31,19 @@
     private final Site site;
     private final HttpClient client;
     private final Vertx vertx;
+    private final Loops here;
+    private final Sparse log;
 
-    Relay(FrontProgram program, HttpClient client, Vertx vertx) {
+    Relay(FrontProgram program, HttpClient client, Vertx vertx, Loops here, Sparse log) {
         this.program = program;
         this.site = program.site();
         this.client = client;
         this.vertx = vertx;
+        this.here = here;
+        this.log = log;
     }
 
-    void relay(HttpServerRequest asked, ViewerEnd viewer, String id, String at) {
+    void relay(HttpServerRequest asked, Caller caller, ViewerEnd viewer, String id, String at) {
         ViewerEnd.Route route = viewer.route();
         if (route == null) {
             fail(asked.response(), 410, "ended");
@@ -49,8 +54,14 @@
             fail(asked.response(), 429, "too many requests of one viewing at once");
             return;
         }
+        if (here.watch().isFull()) {
+            viewer.underWay().decrementAndGet();
+            asked.response().putHeader("Retry-After", "1");
+            fail(asked.response(), 503, "too many transfers at once");
+            return;
+        }
         viewer.asked();
-        new Pass(asked, viewer, id, at).start(route);
+        new Pass(asked, caller, viewer, id, at).start(route);
     }
 
     private static void fail(HttpServerResponse to, int status, String why) {
@@ -60,13 +71,16 @@
     }
 
     /** One request of a viewer, answered by its box. */
-    private final class Pass {
+    private final class Pass implements Account.Peer {
+        private final Caller caller;
+        private final Account box;
         private final HttpServerRequest asked;
         private final HttpServerResponse to;
         private final ViewerEnd viewer;
         private final String id;
         private final String at;
         private HttpClientRequest request;
+        private HttpClientResponse response;
         private long heardAt = Wall.micros();
         private boolean answered;
         private boolean paused;
@@ -74,7 +88,9 @@
         private long timer = -1;
         private Buffer playlist;
 
-        private Pass(HttpServerRequest asked, ViewerEnd viewer, String id, String at) {
+        private Pass(HttpServerRequest asked, Caller caller, ViewerEnd viewer, String id, String at) {
+            this.caller = caller;
+            this.box = here.watch().open(Account.Side.BOX, this);
             this.asked = asked;
             this.to = asked.response();
             this.viewer = viewer;
@@ -87,6 +103,10 @@
             to.exceptionHandler(e -> end());
             to.closeHandler(v -> end());
             listen(site.boxes().firstByteMs());
+            caller.takes(viewer, this::goOn);
+            caller.account().begins(site.flow().viewerShare() * viewer.lowestBytes());
+            box.begins(site.flow().boxShare() * viewer.rungBytes());
+            box.wanted(true);
             client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(route.host()).setPort(route.port())
                     .setURI("/viewings/" + id + "/" + at).setConnectTimeout(site.boxes().connectMs()))
                     .onFailure(e -> broken(502, "the media box cannot be reached"))
@@ -141,6 +161,7 @@
                 broken(502, "the media box answers " + status);
                 return;
             }
+            response = r;
             r.exceptionHandler(e -> broken(502, "the media box broke off"));
             if (status == 200 && at.endsWith(".m3u8")) {
                 playlist = Buffer.buffer();
@@ -161,16 +182,13 @@
             r.handler(b -> {
                 heardAt = Wall.micros();
                 viewer.asked();
+                box.came(b.length());
                 to.write(b);
-                if (to.writeQueueFull()) {
+                if (caller.account().queued(b.length()) || to.writeQueueFull()) {
                     paused = true;
+                    box.wanted(false);
                     r.pause();
-                    to.drainHandler(v -> {
-                        paused = false;
-                        heardAt = Wall.micros();
-                        viewer.asked();
-                        r.resume();
-                    });
+                    to.drainHandler(v -> goOn());
                 }
             });
             r.endHandler(v -> {
@@ -181,7 +199,32 @@
             });
         }
 
+        /** The viewer has taken what waited, or the pool has come to have something for it. */
+        @Override
+        public void goOn() {
+            if (paused && !over && caller.account().drained() && !to.writeQueueFull()) {
+                paused = false;
+                heardAt = Wall.micros();
+                viewer.asked();
+                box.wanted(true);
+                response.resume();
+            }
+        }
+
+        @Override
+        public long waiting() {
+            return 0; // a box brings; what waits is its viewer's
+        }
+
+        @Override
+        public void letGo(Account account) {
+            log.warn("box let go", viewer.held().id(), Caller.figures(account));
+            program.onDesk(() -> viewer.held().boxLost());
+            broken(504, "the media box brings too little");
+        }
+
         private void more(Buffer b) {
+            box.came(b.length());
             heardAt = Wall.micros();
             playlist.appendBuffer(b);
             if (playlist.length() > site.boxes().playlistBytes()) {
@@ -196,6 +239,7 @@
             try {
                 String base = at.contains("/") ? at.substring(0, at.lastIndexOf('/') + 1) : "";
                 String text = Playlists.media(playlist.getBytes(), uri -> Paths.under(id, base, uri));
+                caller.account().queued(text.length());
                 finish();
                 to.putHeader("Content-Type", "application/vnd.apple.mpegurl").putHeader("Cache-Control", "no-store")
                         .end(text);
@@ -233,6 +277,8 @@
         private void finish() {
             over = true;
             viewer.underWay().decrementAndGet();
+            box.close();
+            caller.account().ends();
             if (timer >= 0) {
                 vertx.cancelTimer(timer);
             }
--- a/src/main/java/linengauge/front/ViewerEnd.java
+++ b/src/main/java/linengauge/front/ViewerEnd.java
@@ -25,13 +25,30 @@
     private volatile Route route;
     /** Requests for media under way; each leaves as it ends. */
     private final AtomicInteger underWay = new AtomicInteger();
+    /** Bytes a second of the rung in force; written by the desk, read by the loops. */
+    private volatile double rungBytes;
+    /** Bytes a second of the lowest rung that its package allows. */
+    private final double lowestBytes;
     private Held held;
     private String playlist;
 
-    ViewerEnd(Context loop, HttpServerResponse response, Routes routes) {
+    ViewerEnd(Context loop, HttpServerResponse response, Routes routes, double lowestBytes) {
         this.loop = loop;
         this.response = response;
         this.routes = routes;
+        this.lowestBytes = lowestBytes;
+    }
+
+    double lowestBytes() {
+        return lowestBytes;
+    }
+
+    double rungBytes() {
+        return rungBytes;
+    }
+
+    void rungBytes(double perSecond) {
+        rungBytes = perSecond;
     }
 
     /** On the desk: the playlist that answers, once the box has given it. */
--- a/src/main/java/linengauge/session/Desk.java
+++ b/src/main/java/linengauge/session/Desk.java
@@ -39,6 +39,7 @@
         public long blocked;
         public long aborted;
         public long left;
+        public long letGo;
         public long turnedAwayFull;
         public long listGaps;
         public long wordsHeard;
@@ -185,6 +186,11 @@
         return wake(span, () -> vw.look(bounds.idle()));
     }
 
+    /** How long the front stood still just now. */
+    Span unseen() {
+        return standStill.unseen(now);
+    }
+
     Span idle() {
         return bounds.idle();
     }
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -216,6 +216,16 @@
         }
     }
 
+    /** The viewer takes less than it is owed and is let go: box, stream and seat are given back now. */
+    public void letGo() {
+        desk.call(() -> {
+            if (playing) {
+                desk.counts().letGo++;
+                leave(Viewer.End.LET_GO);
+            }
+        });
+    }
+
     /** The viewer has gone, asked for its end, or broke the connection on which it waited. */
     public void viewerLeft() {
         desk.call(() -> leave(Viewer.End.LEFT));
@@ -300,7 +310,8 @@
         if (!playing) {
             return;
         }
-        Span left = bound.minus(desk.now().since(viewer.lastAsked()));
+        // After a stand-still of the front what the viewer asked meanwhile is still to be read.
+        Span left = bound.minus(desk.now().since(viewer.lastAsked())).plus(desk.unseen());
         if (Span.NONE.under(left)) {
             nextLook = desk.lookAfter(left, this);
         } else {
--- a/src/main/java/linengauge/session/Viewer.java
+++ b/src/main/java/linengauge/session/Viewer.java
@@ -12,7 +12,7 @@
     enum Cause { FAILED, NO_ANSWER, FRONT_FAILED }
 
     /** How a viewing that played has ended. */
-    enum End { LEFT, IDLE, BOX_LOST, REPLACED, STOPPED }
+    enum End { LEFT, IDLE, BOX_LOST, REPLACED, STOPPED, LET_GO }
 
     void plays(Held vw);
 
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -7,12 +7,14 @@
 import linengauge.Headend;
 import linengauge.PackageTerms;
 import linengauge.Span;
+import linengauge.flow.DoorTerms;
+import linengauge.flow.FlowTerms;
 import linengauge.session.Desk;
 
 /** What a site file says, each part as its reader needs it. Spans ending in Ms are in milliseconds. */
 public record Site(String site, List<String> buildings, Front front, Fronts fronts, List<Rung> ladder,
         List<Package> packages, Fleet fleet, Rules rules, Permits permits, Titles titles, BoxList list,
-        Viewers viewers, Boxes boxes, DeskBounds desk, Stop stop) {
+        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Stop stop) {
 
     /** A host and a port. */
     public record Address(String host, int port) {
@@ -67,7 +69,17 @@
     }
 
     public record Viewers(int loops, int connections, int requestLineBytes, int headerBytes, int headersMs,
-            int keepAliveMs, int backlog, int longestPatienceMs, int writeBufferBytes) {
+            int keepAliveMs, int backlog, int longestPatienceMs, int writeBufferBytes, int perAddress, int turningAway,
+            int firstByteMs, int pipelined, int headerCount, int sendBufferBytes, int keyAsks, int keyWindowMs, int keys) {
+    }
+
+    /** Figures of the whole front; sums are parted among its loops. */
+    public record Flow(boolean guards, int beatMs, int lateMs, int windowMs, int evidenceMs, int graceMs, double viewerShare,
+            double boxShare, long waitingBytes, int floorBytes, int transfers, int letGoWindowMs, int letGoLeast,
+            double letGoPerMover) {
+    }
+
+    public record Control(int connections, int idleMs, int requestLineBytes, int headerBytes) {
     }
 
     public record Boxes(int connectMs, int connections, int waitingSetUps, int mediaConnections, int waitingMedia,
@@ -77,7 +89,7 @@
     }
 
     public record DeskBounds(int viewings, int idleMs, int adviceMs, int beatMs, int lateBeatMs,
-            int answerMarginMs) {
+            int answerMarginMs, int waitingAsks) {
     }
 
     public record Stop(int playingMs) {
@@ -109,6 +121,42 @@
                 Span.ofMillis(desk.beatMs), Span.ofMillis(desk.lateBeatMs), Span.ofMillis(desk.answerMarginMs));
     }
 
+    /** The most that is read from a box at once for one viewer: what the library's decoder hands on in one piece. */
+    public static final int CHUNK_BYTES = 8192;
+
+    /** Transfers of one loop: connections are dealt out in turns, so a quarter over its even part covers what chance does. */
+    private int transfersOfLoop() {
+        int even = (flow.transfers + viewers.loops - 1) / viewers.loops;
+        return viewers.loops == 1 ? even : even + even / 4 + 8;
+    }
+
+    /** Bytes that all floors of all loops take at most. */
+    long floors() {
+        return (long) viewers.loops * transfersOfLoop() * (flow.floorBytes + CHUNK_BYTES);
+    }
+
+    /** What slow peers are held to on each loop of viewers' connections. */
+    public FlowTerms flowOfLoop() {
+        return new FlowTerms(flow.guards, Span.ofMillis(flow.beatMs), Span.ofMillis(flow.lateMs),
+                Span.ofMillis(flow.windowMs), Span.ofMillis(flow.evidenceMs), Span.ofMillis(flow.graceMs), flow.viewerShare,
+                flow.boxShare, flow.waitingBytes / viewers.loops, viewers.writeBufferBytes, flow.floorBytes, CHUNK_BYTES,
+                transfersOfLoop(), Span.ofMillis(flow.letGoWindowMs),
+                flow.letGoLeast == 0 ? 0 : Math.max(1, flow.letGoLeast / viewers.loops), flow.letGoPerMover);
+    }
+
+    /** What the door is held to. */
+    public DoorTerms door() {
+        return new DoorTerms(flow.guards, viewers.connections, viewers.perAddress, viewers.turningAway,
+                Span.ofMillis(viewers.firstByteMs), Span.ofMillis(viewers.headersMs), Span.ofMillis(viewers.keepAliveMs),
+                viewers.pipelined, viewers.keyAsks, Span.ofMillis(viewers.keyWindowMs), viewers.keys);
+    }
+
+    /** Bytes a second of the lowest rung of a package, or of a rung. */
+    public double bytesOf(int pack, int rung) {
+        Package p = packages.get(pack);
+        return 1000 * ladder.get(Math.max(rung, or(p.lowestRung, 0))).kb * or(p.rateFactor, 1.0);
+    }
+
     /** The place of each package's name in the list. */
     public Map<String, Integer> packageNumbers() {
         Map<String, Integer> numbers = new HashMap<>();
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -99,6 +99,25 @@
                 "is over rules.drainGraceMs: a set-up could wait for its connection past a drain's grace");
         wants(s.rules().furtherMs() == 0 || s.rules().furtherFree() + s.rules().furtherShare() > 0,
                 "rules.furtherMs", "rationed to nothing: say permits.tuneIns 1 instead");
+        flow(s);
         wants(s.stop().playingMs() <= s.desk().idleMs() * 100L, "stop.playingMs", "is out of all measure");
     }
+
+    /** Budgets that cannot hold together. */
+    private void flow(Site s) {
+        Site.Flow f = s.flow();
+        Site.Viewers v = s.viewers();
+        wants(f.beatMs() * 2 <= f.evidenceMs(), "flow.evidenceMs", "must take two looks of flow.beatMs at least");
+        wants(f.evidenceMs() <= f.windowMs(), "flow.evidenceMs", "is over flow.windowMs: nobody could ever be found slow");
+        wants(f.transfers() >= s.desk().viewings(), "flow.transfers",
+                "must be desk.viewings at least, or one viewing's transfer could be turned away for another's");
+        wants(s.floors() <= f.waitingBytes() * 9 / 10, "flow.waitingBytes", "the floors of flow.transfers transfers on "
+                + v.loops() + " loops take " + s.floors() + " bytes, and a tenth must be left to share");
+        wants(f.floorBytes() <= v.writeBufferBytes(), "flow.floorBytes", "is over viewers.writeBufferBytes");
+        wants(s.desk().idleMs() >= f.lateMs() * 2, "desk.idleMs", "must be over twice flow.lateMs");
+        for (int i = 0; i < s.packages().size(); i++) {
+            wants(s.packages().get(i).joinTargetMs() > f.beatMs(), "flow.beatMs",
+                    "is over the join target of packages[" + i + "]");
+        }
+    }
 }
--- a/src/test/java/linengauge/front/FrontSocketsTest.java
+++ b/src/test/java/linengauge/front/FrontSocketsTest.java
@@ -167,7 +167,7 @@
 
     @Test
     void garbageOversizedAndSlowRequestsAreTurnedAwayAndHarmNobody() throws Exception {
-        try (Rig r = new Rig(1, "viewers: { headersMs: 300, requestLineBytes: 512, headerBytes: 1024, connections: 5 }, "
+        try (Rig r = new Rig(1, "viewers: { firstByteMs: 300, headersMs: 300, requestLineBytes: 512, headerBytes: 1024, connections: 5 }, "
                 + "stop: { playingMs: 100 }").start()) {
             assertTrue(said(r, "\u0000\u0001 garbage\r\n\r\n").matches("HTTP/1.[01] 400"));
             assertTrue(said(r, "GET /" + "x".repeat(600) + " HTTP/1.1\r\n\r\n").matches("HTTP/1.[01] 414"));
@@ -183,7 +183,7 @@
             for (int i = 0; i < idle.length; i++) {
                 idle[i] = new Socket(Ports.HOST, r.viewers);
             }
-            Rig.until(() -> r.state().getInteger("turnedAwayAtDoor") > 0);
+            Rig.until(() -> r.state().getJsonObject("door").getInteger("turnedAway") > 0);
             Rig.until(() -> r.state().getInteger("viewerConnections") <= 1);
             for (Socket s : idle) {
                 s.close();
