drill slow-peers: a thousand slow players beside healthy ones, and a stopped front

What slow peers do to healthy ones had to be seen on sockets. It found that pauses were weighed without what was taken between them: 39 of 60 honest ones went; evidence now counts all that moved in its window.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -9,6 +9,7 @@
 import linengauge.drill.Importer;
 import linengauge.drill.RelayDrill;
 import linengauge.drill.Report;
+import linengauge.drill.SlowDrill;
 import linengauge.drill.TryOut;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
@@ -95,6 +96,19 @@
         return ways.done(new RelayDrill(ways.seed, brief).run());
     }
 
+    @Command(name = "slow-peers", mixinStandardHelpOptions = true, description = "Healthy viewers beside a thousand slow ones;"
+            + " a front that stands still; who is let go, and who must not be.")
+    int slowPeers(@CommandLine.Mixin Ways ways, @Option(names = "--short", description = "about half a minute") boolean brief,
+            @Option(names = "--guards", paramLabel = "on|off", defaultValue = "on",
+                    description = "off: nobody is bounded, and the drill must fail") String guards)
+            throws IOException, InterruptedException {
+        if (!guards.equals("on") && !guards.equals("off")) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--guards is on or off, not '" + guards + "'");
+        }
+        ways.log.apply();
+        return ways.done(new SlowDrill(ways.seed, brief, guards.equals("on"), ways.traffic).run());
+    }
+
     @Command(name = "bare-relay", hidden = true, description = "The baseline of `drill relay`, as a process of its own.")
     int bareRelay(@Parameters String host, @Parameters int port, @Parameters int box, @Parameters int loops)
             throws InterruptedException {
--- a/src/main/java/linengauge/flow/Account.java
+++ b/src/main/java/linengauge/flow/Account.java
@@ -84,7 +84,7 @@
         return least;
     }
 
-    /** Bytes a second that it moved while it was owed any. */
+    /** Bytes that it moved for each second in which it was owed any. */
     public double rate() {
         return evidence.rate();
     }
@@ -173,7 +173,7 @@
         if (side == Side.VIEWER) {
             recount();
             moved = Math.max(0, total - totalAtLook + waitingAtLook - waiting);
-            owedThroughout = waitingAtLook > 0 && waiting > 0;
+            owedThroughout = waitingAtLook > 0; // also where it took the last of it: the wait for it has been counted
             waitingAtLook = waiting;
         } else {
             moved = total - totalAtLook;
--- a/src/main/java/linengauge/flow/Evidence.java
+++ b/src/main/java/linengauge/flow/Evidence.java
@@ -3,8 +3,9 @@
 import linengauge.Span;
 
 /**
- * How long a peer was owed bytes and how many moved meanwhile, over a window that slides in slots. Only what moved while
- * bytes were owed counts: what it took at once proves nothing against it, and does not excuse a later standstill.
+ * How long a peer was owed bytes, and how many moved, over a window that slides in slots while it has bytes on the way.
+ * What it took at once counts for it too: one that pauses and then catches up has taken its part. What it took before the
+ * window does not, so that a fast start excuses no later standstill.
  */
 final class Evidence {
     private static final int SLOTS = 16;
@@ -23,11 +24,11 @@
 
     /** A span has gone by, in which the peer was owed bytes or not, and so many moved. */
     void passed(Span span, boolean wasOwed, long bytes) {
+        moved[at] += bytes;
+        movedInAll += bytes;
         if (wasOwed) {
             owed[at] += span.micros();
-            moved[at] += bytes;
             owedInAll += span.micros();
-            movedInAll += bytes;
         }
         passed += span.micros();
         for (int i = 0; passed >= slotMicros && i <= SLOTS; i++) {
@@ -45,7 +46,7 @@
         return new Span(owedInAll);
     }
 
-    /** Bytes a second while bytes were owed; what was never owed counts as endless. */
+    /** Bytes for each second in which bytes were owed; what was never owed counts as endless. */
     double rate() {
         return owedInAll == 0 ? Double.POSITIVE_INFINITY : movedInAll * 1e6 / owedInAll;
     }
