Slow peers: the budget holds in direct memory too; places in the pool for every viewing

Filling every budget on a small heap showed what was outside them: slow readers held all pooled connections of a box and others got 502 after 250 ms; the library's allocator kept five times what waited and 700 weak viewers exhausted direct buffers, so a surge went unanswered. The pool now has places for all viewings of a box (checked in the site file), reads from boxes are bounded and reserved, the older allocator is used, and a front whose process may not have the budget does not start.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -100,13 +100,15 @@
             + " a front that stands still; who is let go, and who must not be.")
     int slowPeers(@CommandLine.Mixin Ways ways, @Option(names = "--short", description = "about half a minute") boolean brief,
             @Option(names = "--guards", paramLabel = "on|off", defaultValue = "on",
-                    description = "off: nobody is bounded, and the drill must fail") String guards)
+                    description = "off: nobody is bounded, and the drill must fail") String guards,
+            @Option(names = "--only", paramLabel = "WAY", description = "all slow ones in one way: ${COMPLETION-CANDIDATES}")
+            linengauge.standin.SlowCrowd.Way only)
             throws IOException, InterruptedException {
         if (!guards.equals("on") && !guards.equals("off")) {
             throw new CommandLine.ParameterException(spec.commandLine(), "--guards is on or off, not '" + guards + "'");
         }
         ways.log.apply();
-        return ways.done(new SlowDrill(ways.seed, brief, guards.equals("on"), ways.traffic).run());
+        return ways.done(new SlowDrill(ways.seed, brief, guards.equals("on"), only, ways.traffic).run());
     }
 
     @Command(name = "bare-relay", hidden = true, description = "The baseline of `drill relay`, as a process of its own.")
--- a/src/main/java/linengauge/drill/Grounds.java
+++ b/src/main/java/linengauge/drill/Grounds.java
@@ -159,7 +159,7 @@
                 .put("retryMostMs", 1000);
         s.putObject("viewers").put("loops", day.fronts().loops());
         s.putObject("boxes").put("notesSilenceMs", 3000).put("notesRetryMs", 200).put("firstByteMs", 3000)
-                .put("mediaSilenceMs", 3000).put("endRetryMs", 200);
+                .put("mediaSilenceMs", 3000).put("endRetryMs", 200).put("mediaConnections", Math.max(64, 4 * f.streams()));
         s.putObject("desk").put("viewings", day.fronts().viewings()).put("idleMs", 6000);
         s.putObject("stop").put("playingMs", day.fronts().stopMs());
         more.fields().forEachRemaining(room -> s.withObject("/" + room.getKey()).setAll((ObjectNode) room.getValue()));
--- a/src/main/java/linengauge/drill/RelayDrill.java
+++ b/src/main/java/linengauge/drill/RelayDrill.java
@@ -399,9 +399,9 @@
                 .put("streams", 1_000_000);
         s.putObject("list").put("address", Ports.HOST + ":" + list);
         s.putObject("viewers").put("loops", loops);
-        s.putObject("boxes").put("connections", 256).put("waitingSetUps", 4096).put("mediaConnections", 256);
-        s.putObject("flow").put("transfers", 20_000).put("waitingBytes", 1 << 30);
-        s.putObject("desk").put("viewings", 20_000).put("idleMs", 120_000);
+        s.putObject("boxes").put("connections", 256).put("waitingSetUps", 4096).put("mediaConnections", 32_000);
+        s.putObject("flow").put("transfers", 8000).put("waitingBytes", 300_000_000);
+        s.putObject("desk").put("viewings", 8000).put("idleMs", 120_000);
         s.putObject("stop").put("playingMs", 0);
         Path site = folder.resolve("front-" + loops + ".json5");
         Files.writeString(site, s.toString());
--- a/src/main/java/linengauge/drill/SlowDrill.java
+++ b/src/main/java/linengauge/drill/SlowDrill.java
@@ -22,6 +22,7 @@
 import linengauge.standin.PlayerCrowd;
 import linengauge.standin.SlowCrowd;
 import linengauge.standin.SlowCrowd.Way;
+import org.HdrHistogram.Histogram;
 
 /**
  * Healthy viewers join one front at a steady rate, first alone, then beside a thousand slow ones of every kind; then the
@@ -30,20 +31,26 @@
  */
 public final class SlowDrill {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final long WAITING_BYTES = 40_000_000;
+    private static final long WAITING_BYTES = 60_000_000;
+    /** The budget, and 8 MiB for each of the front's four loops. */
+    private static final long DIRECT_BYTES = WAITING_BYTES + 4 * (8 << 20);
     private static final int HEADERS_MS = 4000;
-    private static final int IDLE_MS = 6000;
-    /** Grace and evidence, a segment's start, and the looks of one window: what a slow reader may last at the most. */
-    private static final long SLOW_MS = 14_000;
+    private static final int IDLE_MS = 10_000;
+    /** What the window holds after a segment's start, and some looks: a slow reader lasts no longer. */
+    private static final long SLOW_MS = 9_000;
 
     private final long seed;
     private final boolean brief;
     private final boolean guards;
     private final Path traffic;
+    private final Way only;
+    private volatile long mostDirect;
     /** Healthy players have a loop of their own: what they see is not what the boxes' loop is busy with. */
     private final Vertx players = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 
-    public SlowDrill(long seed, boolean brief, boolean guards, Path traffic) {
+    /** The slow thousand is a mixture, or all of one way where one is given. */
+    public SlowDrill(long seed, boolean brief, boolean guards, Way only, Path traffic) {
+        this.only = only;
         this.seed = seed;
         this.brief = brief;
         this.guards = guards;
@@ -51,7 +58,7 @@
     }
 
     public Report run() throws IOException, InterruptedException {
-        Report report = new Report("slow-peers" + (guards ? "" : ", guards off"), seed);
+        Report report = new Report("slow-peers" + (only == null ? "" : ", all " + only) + (guards ? "" : ", guards off"), seed);
         SplittableRandom seeds = new SplittableRandom(seed);
         DayScript day;
         try {
@@ -61,7 +68,7 @@
         }
         List<String> record;
         try (Grounds g = new Grounds(day, "", seeds.nextLong(), site())) {
-            g.open("-Xmx160m", "-Xms48m", "-XX:+UseSerialGC");
+            g.open("-Xmx96m", "-Xms96m", "-XX:MaxDirectMemorySize=" + DIRECT_BYTES); // a heap that grows stops for it
             play(report, g, seeds);
             boolean ended = g.endFronts().values().stream().allMatch(e -> e);
             report.claim("the front ended in order when told", "yes", ended ? "yes" : "no", ended);
@@ -84,8 +91,9 @@
         ObjectNode s = JSON.createObjectNode();
         s.putObject("flow").put("guards", guards).put("waitingBytes", WAITING_BYTES).put("transfers", 2000);
         s.putObject("viewers").put("headersMs", HEADERS_MS).put("firstByteMs", HEADERS_MS).put("keepAliveMs", IDLE_MS)
-                .put("sendBufferBytes", 16_384).put("perAddress", 5000);
-        s.putObject("boxes").put("mediaConnections", 256).put("waitingMedia", 2000);
+                .put("sendBufferBytes", 4096).put("perAddress", 5000);
+        s.putObject("desk").put("idleMs", IDLE_MS);
+        s.putObject("boxes").put("waitingMedia", 2000);
         return s;
     }
 
@@ -116,24 +124,46 @@
         int stopped = brief ? 150 : 500;
         long arrivals = seeds.nextLong();
         FrontProcess front = g.fronts.get(0);
+        Thread sampler = new Thread(() -> {
+            while (front.alive()) {
+                try {
+                    JsonNode s = front.state();
+                    mostDirect = Math.max(mostDirect, s.path("directUsed").asLong());
+                    Thread.sleep(500);
+                } catch (IOException | InterruptedException e) {
+                    return; // the front has ended
+                }
+            }
+        }, "direct buffers");
+        sampler.setDaemon(true);
+        sampler.start();
         PlayerCrowd warm = healthy(g, seeds.nextLong(), brief ? 3000 : 6000);
         Thread.sleep(brief ? 3000 : 6000);
         settle(warm);
+        Lateness aloneLate = new Lateness(g.vertx, g.boxLoop);
         PlayerCrowd alone = healthy(g, arrivals, span);
         Thread.sleep(span);
         settle(alone);
+        report.figure("boxes' loop late alone: ms p50 p99", aloneLate.p50p99());
         try (SlowCrowd slow = new SlowCrowd(g.doors.get(0).host(), g.doors.get(0).port(), 0, "lesson", g.titles(), g.tap)) {
             Map<Way, Integer> come = new EnumMap<>(Way.class);
-            come.put(Way.BYTE_A_SECOND, thousand / 4);
-            come.put(Way.HEADER_A_SECOND, thousand / 4);
-            come.put(Way.NEVER_AGAIN, thousand / 5);
-            come.put(Way.THIRD, thousand / 10);
-            come.put(Way.PAUSES, thousand * 3 / 20);
-            come.put(Way.WEAK, thousand / 20);
+            if (only == null) {
+                come.put(Way.BYTE_A_SECOND, thousand / 4);
+                come.put(Way.HEADER_A_SECOND, thousand / 4);
+                come.put(Way.NEVER_AGAIN, thousand / 5);
+                come.put(Way.THIRD, thousand / 10);
+                come.put(Way.PAUSES, thousand * 3 / 20);
+                come.put(Way.WEAK, thousand / 20);
+            } else {
+                come.put(only, thousand);
+            }
             come.forEach((way, n) -> slow.come(way, n, 3000));
             Thread.sleep(1000);
+            Lateness besideLate = new Lateness(g.vertx, g.boxLoop);
             PlayerCrowd beside = healthy(g, arrivals, span);
-            Thread.sleep(Math.max(span, SLOW_MS + 3500));
+            Thread.sleep(span);
+            report.figure("boxes' loop late beside the slow: ms p50 p99", besideLate.p50p99());
+            Thread.sleep(Math.max(1, IDLE_MS + 5000 - span));
             settle(beside);
             joins(report, alone, beside);
             fates(report, slow.fates(), come, g.tap.lines());
@@ -142,6 +172,35 @@
             report.claim("bytes that waited at the most", "at most " + WAITING_BYTES, most, most <= WAITING_BYTES);
             report.figure("front after the slow thousand", s.path("flow") + " " + s.path("door"));
             stop(report, g, front, slow, stopped, seeds.nextLong());
+            report.claim("direct buffers of the front at the most, beside a heap of 96 MB", "at most " + DIRECT_BYTES,
+                    mostDirect, mostDirect <= DIRECT_BYTES);
+        }
+    }
+
+    /** How late a loop of stand-ins is, so that what is theirs is not taken for the front's. */
+    private static final class Lateness {
+        private final Histogram micros = new Histogram(60_000_000L, 2);
+        private final Vertx vertx;
+        private boolean over;
+
+        private Lateness(Vertx vertx, Context loop) {
+            this.vertx = vertx;
+            loop.runOnContext(v -> look(System.nanoTime()));
+        }
+
+        private void look(long from) {
+            vertx.setTimer(10, t -> {
+                if (!over) {
+                    micros.recordValue(Math.max(0, (System.nanoTime() - from) / 1000 - 10_000));
+                    look(System.nanoTime());
+                }
+            });
+        }
+
+        private String p50p99() {
+            over = true;
+            return String.format(Locale.ROOT, "%.1f %.1f", micros.getValueAtPercentile(50) / 1e3,
+                    micros.getValueAtPercentile(99) / 1e3);
         }
     }
 
--- a/src/main/java/linengauge/flow/Account.java
+++ b/src/main/java/linengauge/flow/Account.java
@@ -19,6 +19,9 @@
         /** The peer is found slow and within the budget: its bytes, places and streams are to be given back now. */
         void letGo(Account account);
 
+        /** Bytes have moved since the last look: it is not idle. */
+        void moved();
+
         /** A viewer that was held back may be given more: the other side is read again. */
         void goOn();
     }
@@ -182,6 +185,9 @@
         }
         totalAtLook = total;
         evidence.passed(span, ran && owedThroughout, moved);
+        if (moved > 0) {
+            peer.moved();
+        }
         return moved > 0 && moved >= least * span.seconds();
     }
 
--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -71,7 +71,11 @@
     }
 
     static HttpClient client(Vertx vertx, Site site, int connections, int waiting) {
-        return vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(site.boxes().connectMs())
+        return client(vertx, site, connections, waiting, HttpClientOptions.DEFAULT_RECEIVE_BUFFER_SIZE);
+    }
+
+    static HttpClient client(Vertx vertx, Site site, int connections, int waiting, int readBytes) {
+        return vertx.createHttpClient(new HttpClientOptions().setReceiveBufferSize(readBytes).setConnectTimeout(site.boxes().connectMs())
                 .setKeepAliveTimeout(Math.max(1, site.boxes().keepAliveMs() / 1000)).setTcpNoDelay(true)
                 .setMaxHeaderSize(site.viewers().headerBytes()).setDecoderInitialBufferSize(256),
                 new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(waiting));
--- a/src/main/java/linengauge/front/Caller.java
+++ b/src/main/java/linengauge/front/Caller.java
@@ -88,6 +88,13 @@
         return out == null ? 0 : out.totalPendingWriteBytes();
     }
 
+    @Override
+    public void moved() {
+        if (takes != null) {
+            takes.asked(); // one that reads a long segment asks for nothing meanwhile
+        }
+    }
+
     @Override
     public void goOn() {
         goOn.run();
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -50,7 +50,9 @@
     @Override
     public Future<?> start() {
         loop = context;
-        media = BoxCalls.client(vertx, site, site.boxes().mediaConnections(), site.boxes().waitingMedia());
+        // What has been read when a transfer is held back stays with the library: one read, so a read is bounded.
+        media = BoxCalls.client(vertx, site, site.boxes().mediaConnections(), site.boxes().waitingMedia(),
+                site.boxes().readBytes());
         here = new Loops(vertx, site);
         program.loops().add(here);
         relay = new Relay(program, media, vertx, here, log);
@@ -127,7 +129,11 @@
             blocked(r, "no place: come again");
             return;
         }
-        if (r.headers().size() > site.viewers().headerCount()) {
+        int headers = 0;
+        for (var i = r.headers().iterator(); i.hasNext(); i.next()) {
+            headers++; // size() counts a name that comes again once
+        }
+        if (headers > site.viewers().headerCount()) {
             refuse(r, 431, "more than " + site.viewers().headerCount() + " headers");
             return;
         }
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -1,5 +1,6 @@
 package linengauge.front;
 
+import io.netty.util.internal.PlatformDependent;
 import io.vertx.core.Context;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
@@ -12,6 +13,8 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -37,8 +40,19 @@
  * calls of the core and carries out what that decides.
  */
 public final class FrontProgram implements Carrier {
+    static {
+        // The library's newer allocator keeps a whole chunk for the last buffer in it: bytes that wait for slow viewers took
+        // five times their size. The older one shares chunks out again.
+        if (System.getProperty("io.netty.allocator.type") == null) {
+            System.setProperty("io.netty.allocator.type", "pooled");
+        }
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(FrontProgram.class);
 
+    /** What the library's pool of direct buffers takes for a loop beside what waits. */
+    private static final long DIRECT_BYTES_A_LOOP = 8L << 20;
+
     private final Site site;
     private final Headend house;
     /** The desk's own loop, one for calls to boxes, and those of the viewers' connections: none can starve another. */
@@ -125,6 +139,12 @@
 
     /** Starts the front; done once its listeners are bound, failed where one could not be. */
     public Future<?> start(long seed) {
+        long wanted = site.flow().waitingBytes() + DIRECT_BYTES_A_LOOP * (site.viewers().loops() + 2);
+        long has = PlatformDependent.maxDirectMemory();
+        if (site.flow().guards() && wanted > has) {
+            return Future.failedFuture("flow.waitingBytes and " + DIRECT_BYTES_A_LOOP + " for each loop take " + wanted
+                    + " bytes of direct buffers, and this process may have " + has + ": see -XX:MaxDirectMemorySize");
+        }
         SplittableRandom seeds = new SplittableRandom(seed);
         String epoch = Long.toString(System.currentTimeMillis(), 36);
         VerticleBase desk = new VerticleBase() {
@@ -205,9 +225,15 @@
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
                 .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
                 .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver)
+                .put("directUsed", directUsed())
                 .put("heapUsed", heap.totalMemory() - heap.freeMemory());
     }
 
+    private static long directUsed() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream().filter(b -> b.getName().equals("direct"))
+                .mapToLong(BufferPoolMXBean::getMemoryUsed).sum();
+    }
+
     void listHeard() {
         if (!ready && core.listRevision() != ListFollower.NONE) {
             ready = true;
--- a/src/main/java/linengauge/front/Relay.java
+++ b/src/main/java/linengauge/front/Relay.java
@@ -22,7 +22,6 @@
  */
 final class Relay {
     /** Requests of one viewing at a time; a player fetches a playlist beside a segment or two. */
-    private static final int AT_ONCE = 4;
     private static final List<String> PASSED_ON = List.of("Content-Type", "Content-Length", "Content-Range",
             "Accept-Ranges", "ETag", "Last-Modified", "Cache-Control");
     private static final List<String> ASKED_ON = List.of("Range", "If-Range", "Accept");
@@ -49,7 +48,7 @@
             fail(asked.response(), 410, "ended");
             return;
         }
-        if (viewer.underWay().incrementAndGet() > AT_ONCE) {
+        if (viewer.underWay().incrementAndGet() > site.viewers().atOnce()) {
             viewer.underWay().decrementAndGet();
             fail(asked.response(), 429, "too many requests of one viewing at once");
             return;
@@ -211,6 +210,11 @@
             }
         }
 
+        @Override
+        public void moved() {
+            // a box that brings is heard by the handler of its bytes
+        }
+
         @Override
         public long waiting() {
             return 0; // a box brings; what waits is its viewer's
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -70,7 +70,7 @@
 
     public record Viewers(int loops, int connections, int requestLineBytes, int headerBytes, int headersMs,
             int keepAliveMs, int backlog, int longestPatienceMs, int writeBufferBytes, int perAddress, int turningAway,
-            int firstByteMs, int pipelined, int headerCount, int sendBufferBytes, int keyAsks, int keyWindowMs, int keys) {
+            int firstByteMs, int pipelined, int atOnce, int headerCount, int sendBufferBytes, int keyAsks, int keyWindowMs, int keys) {
     }
 
     /** Figures of the whole front; sums are parted among its loops. */
@@ -83,7 +83,7 @@
     }
 
     public record Boxes(int connectMs, int connections, int waitingSetUps, int mediaConnections, int waitingMedia,
-            int playlistBytes, int firstByteMs, int mediaSilenceMs, int probeMs, int keepAliveMs, int endTries,
+            int playlistBytes, int readBytes, int firstByteMs, int mediaSilenceMs, int probeMs, int keepAliveMs, int endTries,
             int endRetryMs, int waitingEnds, int rungTries, int notesSilenceMs, int notesRetryMs, int notesTries, int notesLingerMs,
             int noteBytes) {
     }
@@ -121,9 +121,6 @@
                 Span.ofMillis(desk.beatMs), Span.ofMillis(desk.lateBeatMs), Span.ofMillis(desk.answerMarginMs));
     }
 
-    /** The most that is read from a box at once for one viewer: what the library's decoder hands on in one piece. */
-    public static final int CHUNK_BYTES = 8192;
-
     /** Transfers of one loop: connections are dealt out in turns, so a quarter over its even part covers what chance does. */
     private int transfersOfLoop() {
         int even = (flow.transfers + viewers.loops - 1) / viewers.loops;
@@ -132,14 +129,14 @@
 
     /** Bytes that all floors of all loops take at most. */
     long floors() {
-        return (long) viewers.loops * transfersOfLoop() * (flow.floorBytes + CHUNK_BYTES);
+        return (long) viewers.loops * transfersOfLoop() * (flow.floorBytes + boxes.readBytes);
     }
 
     /** What slow peers are held to on each loop of viewers' connections. */
     public FlowTerms flowOfLoop() {
         return new FlowTerms(flow.guards, Span.ofMillis(flow.beatMs), Span.ofMillis(flow.lateMs),
                 Span.ofMillis(flow.windowMs), Span.ofMillis(flow.evidenceMs), Span.ofMillis(flow.graceMs), flow.viewerShare,
-                flow.boxShare, flow.waitingBytes / viewers.loops, viewers.writeBufferBytes, flow.floorBytes, CHUNK_BYTES,
+                flow.boxShare, flow.waitingBytes / viewers.loops, viewers.writeBufferBytes, flow.floorBytes, boxes.readBytes,
                 transfersOfLoop(), Span.ofMillis(flow.letGoWindowMs),
                 flow.letGoLeast == 0 ? 0 : Math.max(1, flow.letGoLeast / viewers.loops), flow.letGoPerMover);
     }
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -114,6 +114,9 @@
         wants(s.floors() <= f.waitingBytes() * 9 / 10, "flow.waitingBytes", "the floors of flow.transfers transfers on "
                 + v.loops() + " loops take " + s.floors() + " bytes, and a tenth must be left to share");
         wants(f.floorBytes() <= v.writeBufferBytes(), "flow.floorBytes", "is over viewers.writeBufferBytes");
+        int streams = Math.min(s.desk().viewings(), s.fleet().kinds().stream().mapToInt(Site.Kind::streams).max().orElse(0));
+        wants(s.boxes().mediaConnections() >= (long) v.atOnce() * streams, "boxes.mediaConnections", "must hold viewers.atOnce "
+                + "transfers for each of " + streams + " viewings of one box, or slow readers keep others waiting for a place");
         wants(s.desk().idleMs() >= f.lateMs() * 2, "desk.idleMs", "must be over twice flow.lateMs");
         for (int i = 0; i < s.packages().size(); i++) {
             wants(s.packages().get(i).joinTargetMs() > f.beatMs(), "flow.beatMs",
--- a/src/main/java/linengauge/standin/SlowCrowd.java
+++ b/src/main/java/linengauge/standin/SlowCrowd.java
@@ -18,7 +18,7 @@
  */
 public final class SlowCrowd implements AutoCloseable {
     private static final int TICK_MS = 20;
-    private static final int RECEIVE_BYTES = 16_384;
+    private static final int RECEIVE_BYTES = 8192;
     private static final Pattern LENGTH = Pattern.compile("(?i)\r\nContent-Length: *([0-9]+)");
     private static final Pattern VIEWING = Pattern.compile("/v/([A-Za-z0-9-]+)/media\\.m3u8");
 
--- a/src/test/java/linengauge/flow/LoopStage.java
+++ b/src/test/java/linengauge/flow/LoopStage.java
@@ -62,6 +62,10 @@
             goneAt.add(now);
         }
 
+        @Override
+        public void moved() {
+        }
+
         @Override
         public void goOn() {
             held = false;
--- a/src/test/java/linengauge/flow/WatchTest.java
+++ b/src/test/java/linengauge/flow/WatchTest.java
@@ -212,6 +212,10 @@
             loop.gone.add(name);
         }
 
+        @Override
+        public void moved() {
+        }
+
         @Override
         public void goOn() {
         }
