--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -136,11 +136,19 @@
     public FlowTerms flowOfLoop() {
         return new FlowTerms(flow.guards, Span.ofMillis(flow.beatMs), Span.ofMillis(flow.lateMs),
                 Span.ofMillis(flow.windowMs), Span.ofMillis(flow.evidenceMs), Span.ofMillis(flow.graceMs), flow.viewerShare,
-                flow.boxShare, flow.waitingBytes / viewers.loops, viewers.writeBufferBytes, flow.floorBytes, boxes.readBytes,
+                flow.boxShare, flow.waitingBytes / viewers.loops, peerBytes(), flow.floorBytes, boxes.readBytes,
                 transfersOfLoop(), Span.ofMillis(flow.letGoWindowMs),
                 flow.letGoLeast == 0 ? 0 : Math.max(1, flow.letGoLeast / viewers.loops), flow.letGoPerMover);
     }
 
+    /**
+     * What one viewer may have waiting. The connection's own bound comes first and is lifted the moment the viewer takes;
+     * the pool's is for want of room, and looked at by the beat.
+     */
+    private long peerBytes() {
+        return viewers.writeBufferBytes + 2L * boxes.readBytes;
+    }
+
     /** What the door is held to. */
     public DoorTerms door() {
         return new DoorTerms(flow.guards, viewers.connections, viewers.perAddress, viewers.turningAway,
--- a/src/test/java/linengauge/front/SlowSocketsTest.java
+++ b/src/test/java/linengauge/front/SlowSocketsTest.java
@@ -219,6 +219,7 @@
                     String all = said(s, 10_000);
                     assertTrue(all.startsWith("HTTP/1.1 503") && all.contains("Retry-After: 1"), all);
                 }
+                Rig.until(() -> r.state().getJsonObject("door").getInteger("turningAway") == 0);
                 for (int i = 0; i < 2; i++) {
                     crowd.add(new Socket(Ports.HOST, r.viewers));
                 }
@@ -288,4 +289,55 @@
             assertEquals(r.state().getLong("taken"), r.state().getLong("played"));
         }
     }
+
+    @Test
+    void aFrontWhoseProcessMayNotHaveTheBudgetDoesNotStart() throws Exception {
+        try (Rig r = new Rig(1, "flow: { waitingBytes: 1000000000000 }")) {
+            Throwable e = org.junit.jupiter.api.Assertions.assertThrows(Exception.class, r::start);
+            assertTrue(e.toString().contains("-XX:MaxDirectMemorySize"), e.toString());
+            r.front = null;
+        }
+    }
+
+    @Test
+    void operatorsHavePlacesOfTheirOwnAndNoMoreThanThose() throws Exception {
+        try (Rig r = rig("control: { connections: 3 }, viewers: { connections: 2, firstByteMs: 20000 }")) {
+            List<Socket> crowd = new ArrayList<>();
+            try {
+                for (int i = 0; i < 300; i++) {
+                    crowd.add(new Socket(Ports.HOST, r.viewers));
+                }
+                Rig.until(() -> r.state().getJsonObject("door").getInteger("shutOut") > 0);
+                for (int i = 0; i < 5; i++) {
+                    crowd.add(new Socket(Ports.HOST, r.control));
+                }
+                assertEquals("", said(crowd.get(crowd.size() - 1), 1), "the fourth and later are closed");
+                assertTrue(r.state().getBoolean("ready"), "the one that asked before keeps its place");
+            } finally {
+                for (Socket s : crowd) {
+                    s.close();
+                }
+            }
+        }
+    }
+
+    @Test
+    void moreAsksThanTheDeskCanAnswerInTimeAreBlockedAtOnceAndTheRestAreAnswered() throws Exception {
+        try (Rig r = rig("desk: { waitingAsks: 1, idleMs: 60000 }")) {
+            List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+            for (int i = 0; i < 150; i++) {
+                all.add(r.client.sendAsync(java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://" + Ports.HOST + ":"
+                        + r.viewers + "/titles/t/main.m3u8?package=plain&patience=3000")).build(),
+                        HttpResponse.BodyHandlers.ofString()));
+            }
+            int turnedAway = 0;
+            for (CompletableFuture<HttpResponse<String>> a : all) {
+                int status = a.join().statusCode();
+                assertTrue(status == 200 || status == 503, "" + status);
+                turnedAway += a.join().body().equals("blocked: too many ask at once\n") ? 1 : 0;
+            }
+            assertEquals(turnedAway, r.state().getJsonObject("door").getInteger("asksTurnedAway"));
+            Rig.until(() -> r.state().getJsonObject("door").getInteger("asksWaiting") == 0);
+        }
+    }
 }
--- a/src/test/java/linengauge/site/SiteFileTest.java
+++ b/src/test/java/linengauge/site/SiteFileTest.java
@@ -51,6 +51,11 @@
         "building: \"b\"|building: \"c\"|f:3: front.building: names no building", "racks: 2|rack: 2|f:7: fleet: ",
         "joinTargetMs: 800|joinTargetMs: 20000|joinTargetMs: must be under", "site: 'x'|site: 'x|f:2: Illegal",
         "cells: 4|cells: \"4\"|f:7: fleet.cells: ", "127.0.0.1:5|127.0.0.1:70000|list.address: port 70000",
+        "messages: true }|messages: true }, flow: { transfers: 10 }|flow.transfers: must be desk.viewings",
+        "messages: true }|messages: true }, flow: { waitingBytes: 65536 }|flow.waitingBytes: the floors of flow.transfers",
+        "messages: true }|messages: true }, flow: { evidenceMs: 9000 }|flow.evidenceMs: is over flow.windowMs",
+        "messages: true }|messages: true }, flow: { evidenceMs: 250, beatMs: 200 }|flow.evidenceMs: must take two looks",
+        "messages: true }|messages: true }, boxes: { mediaConnections: 10 }|boxes.mediaConnections: must hold",
         "seats: 3|seats: 3, seats: 4|f:6: Duplicate", "words: \"127.0.0.1:3\" }|}|front.words: needed"})
     void aBadFileIsRefusedWithPathAndLine(String part, String by, String complaint) {
         BadSite e = assertThrows(BadSite.class, () -> SiteFile.parse("f", with(part, by == null ? "" : by)));
