Neighbours are heard at a bounded rate; whole reads no longer bound the system's buffer

A neighbour that sends without end would take the desk: each sender is heard at fronts.wordsPerSecond.

--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -36,6 +36,9 @@
 final class BoxCalls {
     static final ObjectMapper JSON = new ObjectMapper();
 
+    /** The library reads no more at once unless told; to tell it would also bound the system's buffer, for nothing. */
+    private static final int LARGEST_READ = 65_536;
+
     /** A set-up that is out. */
     private static final class Out {
         private final int tuneIn;
@@ -75,7 +78,9 @@
     }
 
     static HttpClient client(Vertx vertx, Site site, int connections, int waiting, int readBytes) {
-        return vertx.createHttpClient(new HttpClientOptions().setReceiveBufferSize(readBytes).setConnectTimeout(site.boxes().connectMs())
+        return vertx.createHttpClient(new HttpClientOptions()
+                .setReceiveBufferSize(readBytes < LARGEST_READ ? readBytes : HttpClientOptions.DEFAULT_RECEIVE_BUFFER_SIZE)
+                .setConnectTimeout(site.boxes().connectMs())
                 .setKeepAliveTimeout(Math.max(1, site.boxes().keepAliveMs() / 1000)).setTcpNoDelay(true)
                 .setMaxHeaderSize(site.viewers().headerBytes()).setDecoderInitialBufferSize(256),
                 new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(waiting));
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import linengauge.Headend;
 import linengauge.Span;
+import linengauge.flow.Intake;
 import linengauge.session.BoxTable;
 import linengauge.session.Carrier;
 import linengauge.session.Desk;
@@ -63,6 +64,8 @@
     /** The loops of the viewers' connections, as they start. */
     private final List<Loops> loops = new CopyOnWriteArrayList<>();
     private final Gate gate;
+    /** Used on the desk alone. */
+    private final Intake intake;
     /** Requests for viewings that wait for the desk; each leaves as the desk takes it. */
     private final AtomicInteger asksWaiting = new AtomicInteger();
     private final AtomicLong asksTurnedAway = new AtomicLong();
@@ -83,6 +86,7 @@
         this.site = site;
         this.house = site.headend();
         this.gate = new Gate(site.door());
+        this.intake = new Intake(site.fronts().wordsPerSecond(), 2 * site.fronts().count() + 8);
         this.vertx = loops(1);
         this.callLoops = loops(1);
         this.viewerLoops = loops(site.viewers().loops());
@@ -178,6 +182,9 @@
         Site.Address at = Site.Address.of(site.front().words());
         words = vertx.createDatagramSocket();
         return words.listen(at.port(), at.host()).onSuccess(s -> s.handler(p -> {
+            if (site.flow().guards() && !intake.hears(p.sender().hostAddress() + ":" + p.sender().port(), Wall.now())) {
+                return;
+            }
             byte[] bytes = p.data().getBytes();
             onDesk(() -> core.heard(bytes));
         }).exceptionHandler(e -> LOG.warn("datagrams", e)));
@@ -224,7 +231,7 @@
                 .put("endsGivenUp", calls.endsGivenUp()).put("listBreaks", feed.breaks())
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
                 .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
-                .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver)
+                .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver).put("wordsTooMany", intake.passedOver())
                 .put("directUsed", directUsed())
                 .put("heapUsed", heap.totalMemory() - heap.freeMemory());
     }
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -33,7 +33,7 @@
     public record Front(int number, String building, String viewers, String control, String words) {
     }
 
-    public record Fronts(int count, Map<String, String> words) {
+    public record Fronts(int count, Map<String, String> words, int wordsPerSecond) {
     }
 
     public record Rung(double kb, double value) {
--- a/src/test/java/linengauge/flow/DoorTest.java
+++ b/src/test/java/linengauge/flow/DoorTest.java
@@ -102,6 +102,27 @@
         assertEquals(TERMS.keys(), book.keysRemembered());
     }
 
+    @Test
+    void aNeighbourThatSendsWithoutEndIsHeardAtItsRateAndTheOthersAtTheirs() {
+        Intake intake = new Intake(100, 4);
+        int heard = 0;
+        int other = 0;
+        for (int ms = 0; ms < 10_000; ms++) {
+            now = now.plus(Span.ofMillis(1));
+            for (int i = 0; i < 5; i++) {
+                heard += intake.hears("flood", now) ? 1 : 0;
+            }
+            other += ms % 20 == 0 && intake.hears("quiet", now) ? 1 : 0;
+        }
+        assertTrue(heard <= 100 + 1000 && heard > 1000, "" + heard);
+        assertEquals(500, other);
+        assertEquals(50_000 - heard, intake.passedOver());
+        for (int i = 0; i < 1000; i++) {
+            intake.hears("stranger " + i, now);
+        }
+        assertEquals(4, intake.senders());
+    }
+
     private Knock knock() {
         return knocks.open(closed::add);
     }
