A held-back transfer stops the reading of its box at once

A thousand readers of a byte a second filled a heap of 96 MB: the library reads on for a paused response until its own queue is full. The box's connection is no longer read while its transfer is held back, and only its present user decides that.

--- a/src/main/java/linengauge/front/Relay.java
+++ b/src/main/java/linengauge/front/Relay.java
@@ -1,5 +1,7 @@
 package linengauge.front;
 
+import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -9,6 +11,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.util.List;
 import linengauge.flow.Account;
 import linengauge.hls.BadPlaylist;
@@ -26,6 +29,8 @@
             "Accept-Ranges", "ETag", "Last-Modified", "Cache-Control");
     private static final List<String> ASKED_ON = List.of("Range", "If-Range", "Accept");
 
+    private static final AttributeKey<Object> USER = AttributeKey.valueOf("linengauge.transfer");
+
     private final FrontProgram program;
     private final Site site;
     private final HttpClient client;
@@ -79,6 +84,7 @@
         private final String id;
         private final String at;
         private HttpClientRequest request;
+        private Channel channel;
         private HttpClientResponse response;
         private long heardAt = Wall.micros();
         private boolean answered;
@@ -115,6 +121,9 @@
                             return;
                         }
                         request = q;
+                        channel = ((ConnectionBase) q.connection()).channel();
+                        channel.attr(USER).set(this);
+                        read(true);
                         q.exceptionHandler(e -> { }); // what fails is told by the futures
                         for (String name : ASKED_ON) {
                             if (asked.headers().contains(name)) {
@@ -187,6 +196,7 @@
                     paused = true;
                     box.wanted(false);
                     r.pause();
+                    read(false);
                     to.drainHandler(v -> goOn());
                 }
             });
@@ -198,6 +208,17 @@
             });
         }
 
+        /**
+         * Whether anything more is read from the box's connection. The library goes on reading for a transfer that is held
+         * back, until a queue of its own is full: a thousand of them filled the heap. Only for the connection's present user:
+         * one whose answer has come whole may be held back while another already uses it.
+         */
+        private void read(boolean on) {
+            if (channel != null && channel.attr(USER).get() == this) {
+                channel.config().setAutoRead(on);
+            }
+        }
+
         /** The viewer has taken what waited, or the pool has come to have something for it. */
         @Override
         public void goOn() {
@@ -206,6 +227,7 @@
                 heardAt = Wall.micros();
                 viewer.asked();
                 box.wanted(true);
+                read(true);
                 response.resume();
             }
         }
@@ -280,6 +302,7 @@
 
         private void finish() {
             over = true;
+            read(true);
             viewer.underWay().decrementAndGet();
             box.close();
             caller.account().ends();
