VRRP over UDP, the front behind shared addresses, a stand-in LAN, drill failover

The state machine needed a carrier that viewers' load cannot starve, and the front a way to serve a shared address only while it holds it. linengauge.vrrp.udp runs on a thread of its own; the front has a listener for each shared address, open while a lease lasts that ends by itself; viewings that came by a shared address play on at the front's own.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
+import linengauge.drill.FailoverDrill;
 import linengauge.drill.Importer;
 import linengauge.drill.RelayDrill;
 import linengauge.drill.Report;
@@ -111,6 +112,31 @@
         return ways.done(new SlowDrill(ways.seed, brief, guards.equals("on"), only, ways.traffic).run());
     }
 
+    @Command(name = "failover", mixinStandardHelpOptions = true, description = "Two fronts behind shared addresses on a stand-in"
+            + " LAN: killed, stopped, told to end, cut off, flapping; what viewers see, and who claimed what.")
+    int failover(@CommandLine.Mixin Ways ways, @Option(names = "--rounds", paramLabel = "N", defaultValue = "50",
+                    description = "troubles, one at a time (default: 50)") int rounds,
+            @Option(names = "--short", description = "five rounds and no baseline, about a minute") boolean brief,
+            @Option(names = "--advert-ms", paramLabel = "MS", defaultValue = "100",
+                    description = "between advertisements (default: 100)") int advertMs,
+            @Option(names = "--additions", paramLabel = "on|off", defaultValue = "on",
+                    description = "off: the standard alone") String additions)
+            throws IOException, InterruptedException {
+        if (rounds < 1 || rounds > 1000 || advertMs < 10 || advertMs > 10_000 || advertMs % 10 != 0
+                || !additions.equals("on") && !additions.equals("off")) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--rounds is 1 to 1000, --advert-ms 10 to 10000 in whole"
+                    + " tens, --additions on or off");
+        }
+        ways.log.apply();
+        boolean more = additions.equals("on");
+        Report r = new Report("failover" + (more ? "" : ", additions off"), ways.seed);
+        new FailoverDrill(ways.seed, brief ? 5 : rounds, brief ? 0 : more ? 60 : 30, advertMs, more, ways.traffic).run(r, "pair");
+        if (!brief && more && advertMs == 100) {
+            new FailoverDrill(ways.seed + 1, Math.max(5, rounds / 5), 30, 1000, false, null).run(r, "baseline, 1 s adverts");
+        }
+        return ways.done(r);
+    }
+
     @Command(name = "bare-relay", hidden = true, description = "The baseline of `drill relay`, as a process of its own.")
     int bareRelay(@Parameters String host, @Parameters int port, @Parameters int box, @Parameters int loops)
             throws InterruptedException {
--- a/src/main/java/linengauge/drill/Ports.java
+++ b/src/main/java/linengauge/drill/Ports.java
@@ -20,6 +20,20 @@
     private static final int FIRST = 12_000;
     private static final int COUNT = 18_000;
 
+    /**
+     * The loopback address of one of several nodes of this process, all different from each other's and from {@link #HOST}:
+     * the drills' own have a third number under 128.
+     *
+     * @throws IOException where the system gives only one loopback address
+     */
+    public static String node(int number) throws IOException {
+        String[] n = HOST.split("[.]");
+        if (HOST.equals(COMMON)) {
+            throw new IOException("nodes want loopback addresses of their own, and only " + COMMON + " can be bound");
+        }
+        return "127." + n[1] + "." + (128 + (Integer.parseInt(n[2]) + 16 * number) % 128) + "." + n[3];
+    }
+
     private Ports() {
     }
 
--- a/src/main/java/linengauge/flow/Knock.java
+++ b/src/main/java/linengauge/flow/Knock.java
@@ -45,6 +45,11 @@
         return state;
     }
 
+    /** An answer is owed to it. */
+    public boolean isOwed() {
+        return underWay > 0;
+    }
+
     Caller caller() {
         return caller;
     }
--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -42,12 +42,15 @@
     /** A set-up that is out. */
     private static final class Out {
         private final int tuneIn;
+        /** Of the viewing's addresses, as its viewer is to have them. */
+        private final String base;
         private HttpClientRequest request;
         private boolean sent;
         private boolean over;
 
-        private Out(int tuneIn) {
+        private Out(int tuneIn, String base) {
             this.tuneIn = tuneIn;
+            this.base = base;
         }
     }
 
@@ -104,7 +107,7 @@
 
     void setUp(Held vw, int tuneIn) {
         BoxTable.Entry box = vw.box();
-        Out o = new Out(tuneIn);
+        Out o = new Out(tuneIn, program.viewerOf(vw).base());
         out.put(vw, o);
         others(setUps, to(box, HttpMethod.PUT, "/viewings/" + vw.id(), site.boxes().connectMs()), request -> {
             if (o.over || !vw.sendable(tuneIn)) {
@@ -185,8 +188,8 @@
         });
         r.endHandler(v -> {
             try {
-                String text = Playlists.multivariant(body.getBytes(), rung, "/v/" + vw.id() + "/media.m3u8",
-                        uri -> Paths.under(vw.id(), "", uri));
+                String text = Playlists.multivariant(body.getBytes(), rung, o.base + "/v/" + vw.id() + "/media.m3u8",
+                        uri -> o.base + Paths.under(vw.id(), "", uri));
                 program.onDesk(() -> plays(vw, o, box, text));
             } catch (BadPlaylist e) {
                 broken(vw, o, box, e.getMessage());
--- a/src/main/java/linengauge/front/Caller.java
+++ b/src/main/java/linengauge/front/Caller.java
@@ -11,6 +11,7 @@
 import linengauge.flow.Account;
 import linengauge.flow.DoorBook;
 import linengauge.flow.Knock;
+import linengauge.vrrp.udp.Lease;
 
 /**
  * One connection of a viewer: its place at the door, how far it is with its next request, and its account of bytes. What
@@ -22,6 +23,9 @@
     private final FrontProgram program;
     private final Sparse log;
     private final boolean turnedAway;
+    /** Of the shared address by which it came; null where it came by the front's own. */
+    private final Lease lease;
+    private boolean lastAnswer;
     private final Knock knock;
     private final Account account;
     private Runnable goOn = () -> { };
@@ -29,7 +33,8 @@
     /** What to do where the viewer breaks off while an answer is owed to it; one at a time, as HTTP/1.1 answers in order. */
     private Runnable waits = () -> { };
 
-    Caller(HttpConnection connection, DoorBook.Entry entry, Loops here, FrontProgram program, Sparse log) {
+    Caller(HttpConnection connection, DoorBook.Entry entry, Lease lease, Loops here, FrontProgram program, Sparse log) {
+        this.lease = lease;
         this.connection = connection;
         this.channel = ((ConnectionBase) connection).channel();
         this.program = program;
@@ -50,6 +55,18 @@
         return account;
     }
 
+    Lease lease() {
+        return lease;
+    }
+
+    /** The shared address is another front's now: what is owed here is still answered, and nothing more is taken. */
+    void gaveUp() {
+        lastAnswer = true;
+        if (!knock.isOwed()) {
+            channel.close();
+        }
+    }
+
     boolean isTurnedAway() {
         return turnedAway;
     }
@@ -61,7 +78,7 @@
 
     void answered() {
         knock.answered();
-        if (turnedAway) {
+        if (turnedAway || lastAnswer && !knock.isOwed()) {
             connection.close();
         }
     }
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -9,7 +9,9 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 import linengauge.Headend;
@@ -20,6 +22,8 @@
 import linengauge.session.Held;
 import linengauge.session.Viewer;
 import linengauge.site.Site;
+import linengauge.vrrp.RouterTerms;
+import linengauge.vrrp.udp.Lease;
 import org.slf4j.LoggerFactory;
 
 /** The viewers' door on one loop (docs/protocol/viewer.md); as many of these share the address as the site file says. */
@@ -36,7 +40,6 @@
     private Loops here;
     private HttpClient media;
     private Relay relay;
-    private HttpServer server;
     private Context loop;
 
     Door(FrontProgram program, Headend house) {
@@ -56,13 +59,25 @@
         here = new Loops(vertx, site);
         program.loops().add(here);
         relay = new Relay(program, media, vertx, here, log);
+        List<Future<?>> open = new ArrayList<>();
+        open.add(listen(site.front().viewers(), null));
+        for (Site.Router r : site.vrrp().routers()) {
+            if (r.viewers() != null && (r.accept() || r.priority() == RouterTerms.OWNER)) {
+                open.add(listen(r.viewers(), program.lease(r.vrid())));
+            }
+        }
+        return Future.all(open);
+    }
+
+    /** Opens one way in; where it is that of a shared address, it is open while the lease holds. */
+    private Future<?> listen(String address, Lease lease) {
         Site.Viewers v = site.viewers();
-        Site.Address at = Site.Address.of(site.front().viewers());
-        server = vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(v.requestLineBytes())
+        Site.Address at = Site.Address.of(address);
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(v.requestLineBytes())
                 .setMaxHeaderSize(v.headerBytes()).setAcceptBacklog(v.backlog()).setTcpNoDelay(true)
                 .setSendBufferSize(v.sendBufferBytes()) // what waits in the system's buffers is out of our sight
                 .setHttp2ClearTextEnabled(false)); // else a connection is seen only with its first bytes
-        server.connectionHandler(this::connected);
+        server.connectionHandler(c -> connected(c, lease));
         server.invalidRequestHandler(r -> refuse(r, r.decoderResult().cause() instanceof
                 io.netty.handler.codec.http.TooLongHttpLineException ? 414
                 : r.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpHeaderException ? 431 : 400,
@@ -78,14 +93,25 @@
 
     private final Map<HttpConnection, Caller> callers = new HashMap<>();
 
-    private void connected(HttpConnection connection) {
+    /** A shared address is another front's now. */
+    void gaveUp(Lease lease) {
+        loop.runOnContext(v -> {
+            for (Caller c : List.copyOf(callers.values())) {
+                if (c.lease() == lease) {
+                    c.gaveUp();
+                }
+            }
+        });
+    }
+
+    private void connected(HttpConnection connection, Lease lease) {
         String address = connection.remoteAddress().hostAddress();
         DoorBook.Entry entry = program.gate().enters(address);
         if (entry == DoorBook.Entry.SHUT_OUT) {
             connection.close();
             return;
         }
-        Caller c = new Caller(connection, entry, here, program, log);
+        Caller c = new Caller(connection, entry, lease, here, program, log);
         callers.put(connection, c);
         connection.closeHandler(v -> {
             callers.remove(connection);
@@ -125,6 +151,10 @@
             refuse(r, 429, "too many requests wait on this connection");
             return;
         }
+        if (c.lease() != null && !c.lease().holds()) {
+            blocked(r, "the address is another front's: come again"); // nothing is taken; a break would tell less
+            return;
+        }
         if (c.isTurnedAway()) {
             blocked(r, "no place: come again");
             return;
@@ -184,7 +214,8 @@
             blocked(r, "blocked: this key asks too often");
             return;
         }
-        ViewerEnd end = new ViewerEnd(loop, r.response(), program.routes(), site.bytesOf(number, 0));
+        ViewerEnd end = new ViewerEnd(loop, r.response(), program.routes(), site.bytesOf(number, 0),
+                c.lease() == null ? "" : "http://" + site.front().viewers());
         r.response().exceptionHandler(e -> { });
         if (!program.askOnDesk(() -> end.held(program.core().take(ask, end)))) {
             blocked(r, "blocked: too many ask at once");
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -13,8 +13,13 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
+import java.io.IOException;
 import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +29,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import linengauge.Headend;
+import linengauge.Moment;
 import linengauge.Span;
 import linengauge.flow.Intake;
 import linengauge.session.BoxTable;
@@ -32,6 +38,10 @@
 import linengauge.session.Held;
 import linengauge.session.ListFollower;
 import linengauge.site.Site;
+import linengauge.vrrp.Fitness;
+import linengauge.vrrp.udp.Lease;
+import linengauge.vrrp.udp.UdpNode;
+import linengauge.vrrp.udp.UdpTerms;
 import net.logstash.logback.argument.StructuredArguments;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,6 +61,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(FrontProgram.class);
 
+    /** A key that can be guessed is none. */
+    private static final int SHORTEST_KEY = 16;
     /** What the library's pool of direct buffers takes for a loop beside what waits. */
     private static final long DIRECT_BYTES_A_LOOP = 8L << 20;
 
@@ -79,6 +91,12 @@
     private Wakes wakes;
     /** A step of the core is running; read and written on the desk, where alone it is true. */
     private volatile boolean within;
+    /** Pairing with other fronts; null where there is none. */
+    private UdpNode vrrp;
+    private final List<Door> doors = new CopyOnWriteArrayList<>();
+    /** What the pairing asks for on its own thread. */
+    private volatile int servingBoxes;
+    private volatile long deskRanAt = Wall.micros();
     private volatile boolean ready;
     private volatile boolean stopping;
 
@@ -167,7 +185,16 @@
                 return listen().compose(v -> control());
             }
         };
-        return vertx.deployVerticle(desk).compose(d -> viewerLoops.deployVerticle(() -> new Door(this, house),
+        try {
+            pair();
+        } catch (IOException e) {
+            return Future.failedFuture(e.getMessage());
+        }
+        return vertx.deployVerticle(desk).compose(d -> viewerLoops.deployVerticle(() -> {
+            Door door = new Door(this, house);
+            doors.add(door);
+            return door;
+        },
                 new DeploymentOptions().setInstances(site.viewers().loops())
                         .setThreadingModel(ThreadingModel.EVENT_LOOP)))
                 .onSuccess(d -> LOG.info("listening {} {} {}", StructuredArguments.kv("front", site.front().number()),
@@ -175,6 +202,50 @@
                         StructuredArguments.kv("control", site.front().control())));
     }
 
+    /** Binds where partners are heard; the front takes part once it is ready. */
+    private void pair() throws IOException {
+        Site.Vrrp v = site.vrrp();
+        if (v.routers().isEmpty()) {
+            return;
+        }
+        byte[] key = null;
+        if (v.keyFile() != null) {
+            try {
+                key = new String(Files.readAllBytes(Path.of(v.keyFile())), StandardCharsets.UTF_8).strip()
+                        .getBytes(StandardCharsets.UTF_8);
+            } catch (IOException e) {
+                throw new IOException("vrrp.keyFile cannot be read: " + e.getMessage(), e);
+            }
+            if (key.length < SHORTEST_KEY) {
+                throw new IOException("vrrp.keyFile holds a key of fewer than " + SHORTEST_KEY + " bytes");
+            }
+        }
+        Span mostLate = Span.ofMillis(v.overloadedMs());
+        vrrp = new UdpNode(new UdpTerms(socket(v.listen()), v.partners().stream().map(FrontProgram::socket).toList(),
+                v.announce() == null ? null : socket(v.announce()), key, v.ipv4PseudoHeader(), v.datagramsAtOnce(),
+                v.receiveBytes(), site.routers()), new UdpNode.Owner() {
+                    @Override
+                    public void took(int vrid) {
+                        // the lease lets viewers in
+                    }
+
+                    @Override
+                    public void gaveUp(int vrid) {
+                        doors.forEach(d -> d.gaveUp(vrrp.lease(vrid)));
+                    }
+                }, () -> new Fitness(servingBoxes, Wall.now().since(new Moment(deskRanAt)), mostLate).isUnwell());
+    }
+
+    private static InetSocketAddress socket(String address) {
+        Site.Address at = Site.Address.of(address);
+        return new InetSocketAddress(at.host(), at.port());
+    }
+
+    /** Whether the shared address of a virtual router is this front's. */
+    Lease lease(int vrid) {
+        return vrrp.lease(vrid);
+    }
+
     private Future<?> listen() {
         if (!house.permits().messages() || site.front().words() == null) {
             return Future.succeededFuture();
@@ -232,6 +303,7 @@
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
                 .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
                 .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver).put("wordsTooMany", intake.passedOver())
+                .put("vrrp", vrrp == null ? new JsonObject() : new JsonObject(vrrp.state()))
                 .put("directUsed", directUsed())
                 .put("heapUsed", heap.totalMemory() - heap.freeMemory());
     }
@@ -242,8 +314,16 @@
     }
 
     void listHeard() {
+        int serving = 0;
+        for (BoxTable.Entry box : core.boxes().all()) {
+            serving += box.state() == BoxTable.State.SERVING ? 1 : 0;
+        }
+        servingBoxes = serving;
         if (!ready && core.listRevision() != ListFollower.NONE) {
             ready = true;
+            if (vrrp != null) {
+                vrrp.start();
+            }
             LOG.info("ready {}", StructuredArguments.kv("boxes", core.boxes().size()));
         }
     }
@@ -263,7 +343,9 @@
     private void deskStep(Runnable step) {
         within = true;
         try {
-            core.clock(Wall.now());
+            Moment now = Wall.now();
+            deskRanAt = now.micros();
+            core.clock(now);
             step.run();
         } finally {
             within = false;
@@ -276,6 +358,9 @@
             return;
         }
         stopping = true;
+        if (vrrp != null) {
+            vrrp.close(); // partners take over while what plays here goes on at the front's own address
+        }
         onDesk(() -> {
             LOG.info("stopping {}", StructuredArguments.kv("held", core.viewings()));
             core.stopTaking();
@@ -360,6 +445,9 @@
     public void failed(RuntimeException cause) {
         LOG.error("the core has failed: the front ends", cause);
         ready = false;
+        if (vrrp != null) {
+            vrrp.leave();
+        }
         wakes.after(200_000, () -> closeLoops("the core failed: " + cause));
     }
 
--- a/src/main/java/linengauge/front/ViewerEnd.java
+++ b/src/main/java/linengauge/front/ViewerEnd.java
@@ -29,16 +29,23 @@
     private volatile double rungBytes;
     /** Bytes a second of the lowest rung that its package allows. */
     private final double lowestBytes;
+    private final String base;
     private Held held;
     private String playlist;
 
-    ViewerEnd(Context loop, HttpServerResponse response, Routes routes, double lowestBytes) {
+    ViewerEnd(Context loop, HttpServerResponse response, Routes routes, double lowestBytes, String base) {
+        this.base = base;
         this.loop = loop;
         this.response = response;
         this.routes = routes;
         this.lowestBytes = lowestBytes;
     }
 
+    /** What stands before the paths in its first playlist: none, or this front's own address where it came by a shared one. */
+    String base() {
+        return base;
+    }
+
     double lowestBytes() {
         return lowestBytes;
     }
--- a/src/main/java/linengauge/rules/Day.java
+++ b/src/main/java/linengauge/rules/Day.java
@@ -57,6 +57,8 @@
         String key;
         String pack;
         long patience;
+        /** The network broke its connection: the shared address had gone to another front. */
+        boolean cut;
         final List<Seen> ends = new ArrayList<>();
     }
 
@@ -132,6 +134,13 @@
                 }
                 a.ends.add(s);
             }
+            case "cut" -> {
+                Ask a = asks.get(s.text("ask"));
+                if (a == null) {
+                    throw new BadRecord(line, "a cut of what was never asked: " + s.text("ask"));
+                }
+                a.cut = true;
+            }
             case "set-up" -> setUp(s, line);
             case "set-up-answered", "set-up-broken", "ended" -> ends(s);
             case "box-lost" -> {
--- a/src/main/java/linengauge/rules/Judge.java
+++ b/src/main/java/linengauge/rules/Judge.java
@@ -48,6 +48,9 @@
             if (day.running(a.front, patienceEnds) != patienceEnds) {
                 continue;
             }
+            if (a.cut && a.ends.size() == 1 && !a.ends.get(0).what().equals("answered")) {
+                continue; // the network broke it, as the shared address went to another front
+            }
             verdict.tried("one-answer");
             if (a.ends.size() != 1) {
                 verdict.broken("one-answer", a.at, a.id, 0, a.ends.size() + " ends of one request");
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -1,5 +1,7 @@
 package linengauge.site;
 
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -10,11 +12,13 @@
 import linengauge.flow.DoorTerms;
 import linengauge.flow.FlowTerms;
 import linengauge.session.Desk;
+import linengauge.vrrp.NodeAddress;
+import linengauge.vrrp.RouterTerms;
 
 /** What a site file says, each part as its reader needs it. Spans ending in Ms are in milliseconds. */
 public record Site(String site, List<String> buildings, Front front, Fronts fronts, List<Rung> ladder,
         List<Package> packages, Fleet fleet, Rules rules, Permits permits, Titles titles, BoxList list,
-        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Stop stop) {
+        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Vrrp vrrp, Stop stop) {
 
     /** A host and a port. */
     public record Address(String host, int port) {
@@ -92,6 +96,17 @@
             int answerMarginMs, int waitingAsks) {
     }
 
+    /** One shared address: VRRP's settings for it, and where this front takes the viewers that come by it. */
+    public record Router(int vrid, int priority, int advertMs, boolean preempt, boolean accept, List<String> addresses,
+            String viewers) {
+    }
+
+    /** Pairing with other fronts behind shared addresses; without routers there is none. listen, announce and keyFile may be absent. */
+    public record Vrrp(String listen, List<String> partners, String announce, String keyFile, boolean ipv4PseudoHeader,
+            int datagramsAtOnce, int receiveBytes, boolean frozen, int preemptDelayMs, int paceMs, int flapHalfLifeMs,
+            double flapsBeforeHold, int deafAfter, int unwellMinus, int unwellAfterMs, int overloadedMs, List<Router> routers) {
+    }
+
     public record Stop(int playingMs) {
     }
 
@@ -156,6 +171,25 @@
                 viewers.pipelined, viewers.keyAsks, Span.ofMillis(viewers.keyWindowMs), viewers.keys);
     }
 
+    /** The virtual routers of this front. The file has been checked: its addresses are literals. */
+    public List<RouterTerms> routers() {
+        RouterTerms.Additions more = new RouterTerms.Additions(vrrp.frozen, Span.ofMillis(vrrp.preemptDelayMs),
+                Span.ofMillis(vrrp.paceMs), Span.ofMillis(vrrp.flapHalfLifeMs), vrrp.flapsBeforeHold, vrrp.deafAfter,
+                vrrp.unwellMinus, Span.ofMillis(vrrp.unwellAfterMs));
+        return vrrp.routers.stream().map(r -> new RouterTerms(r.vrid, r.priority, Span.ofMillis(r.advertMs), r.preempt,
+                r.accept, r.addresses.stream().map(Site::literal).toList(), literal(Address.of(vrrp.listen).host()),
+                more)).toList();
+    }
+
+    /** An address from its text; null where it is none. */
+    static NodeAddress literal(String text) {
+        try {
+            return text.matches("[0-9.]+|[0-9A-Fa-f:]+") ? new NodeAddress(InetAddress.getByName(text).getAddress()) : null;
+        } catch (UnknownHostException e) {
+            return null;
+        }
+    }
+
     /** Bytes a second of the lowest rung of a package, or of a rung. */
     public double bytesOf(int pack, int rung) {
         Package p = packages.get(pack);
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import linengauge.vrrp.NodeAddress;
 
 /** What a schema cannot say: that the parts of a site file hold together. */
 final class SiteChecks {
@@ -19,6 +20,7 @@
         checks.place(site);
         checks.packages(site);
         checks.bounds(site);
+        checks.vrrp(site);
         return checks.faults;
     }
 
@@ -103,6 +105,51 @@
         wants(s.stop().playingMs() <= s.desk().idleMs() * 100L, "stop.playingMs", "is out of all measure");
     }
 
+    private void vrrp(Site s) {
+        Site.Vrrp v = s.vrrp();
+        if (v.routers().isEmpty()) {
+            return;
+        }
+        NodeAddress own = v.listen() == null ? null : Site.literal(Site.Address.of(v.listen()).host());
+        wants(own != null, "vrrp.listen", "needed as an address where there are routers: ties are decided by it");
+        wants(!v.partners().isEmpty(), "vrrp.partners", "a shared address wants a partner");
+        address(v.listen(), "vrrp.listen");
+        address(v.announce(), "vrrp.announce");
+        Set<NodeAddress> partners = new HashSet<>();
+        for (int i = 0; i < v.partners().size(); i++) {
+            String path = "vrrp.partners[" + i + "]";
+            NodeAddress p = Site.literal(Site.Address.of(v.partners().get(i)).host());
+            address(v.partners().get(i), path);
+            wants(p != null, path, "must be an address: it is what a partner is known by");
+            wants(p == null || partners.add(p) && !p.equals(own), path, "each partner has an address of its own");
+            wants(p == null || own == null || p.isIpv6() == own.isIpv6(), path, "of another family than vrrp.listen");
+        }
+        wants(v.deafAfter() == 0 || v.keyFile() != null, "vrrp.deafAfter",
+                "wants vrrp.keyFile: without it, old datagrams sent again could hold the address back");
+        Set<Integer> vrids = new HashSet<>();
+        Set<String> doors = new HashSet<>(Set.of(s.front().viewers(), s.front().control()));
+        for (int i = 0; i < v.routers().size(); i++) {
+            Site.Router r = v.routers().get(i);
+            String path = "vrrp.routers[" + i + "]";
+            wants(vrids.add(r.vrid()), path + ".vrid", "stands twice");
+            wants(r.advertMs() % 10 == 0, path + ".advertMs", "must be whole hundredths of a second");
+            wants(r.priority() < 255 || v.unwellMinus() == 0, path + ".priority",
+                    "the owner of an address (255) cannot fall behind: vrrp.unwellMinus must be 0");
+            wants(v.paceMs() <= 3 * r.advertMs(), "vrrp.paceMs", "is over three of " + path + ".advertMs: a loss would be taken "
+                    + "over late");
+            for (String a : r.addresses()) {
+                NodeAddress shared = Site.literal(a);
+                wants(shared != null, path + ".addresses", "'" + a + "' is no address");
+                wants(shared == null || own == null || shared.isIpv6() == own.isIpv6(), path + ".addresses",
+                        "'" + a + "' is of another family than vrrp.listen");
+            }
+            boolean takes = r.accept() || r.priority() == 255;
+            wants(!takes || r.viewers() != null, path + ".viewers", "needed where viewers are taken by the shared address");
+            address(r.viewers(), path + ".viewers");
+            wants(r.viewers() == null || doors.add(r.viewers()), path + ".viewers", "has a listener already");
+        }
+    }
+
     /** Budgets that cannot hold together. */
     private void flow(Site s) {
         Site.Flow f = s.flow();
--- a/src/main/java/linengauge/vrrp/Drop.java
+++ b/src/main/java/linengauge/vrrp/Drop.java
@@ -8,7 +8,7 @@
     LENGTH,
     /** The trailer is not by the key of this group. */
     SEAL,
-    /** The trailer's number is no higher than one heard before: a copy, or an old one sent again. */
+    /** The trailer's number was heard before, or lies far behind: a copy, or an old one sent again. */
     REPLAYED,
     VERSION,
     TYPE,
--- a/src/main/java/linengauge/vrrp/Seal.java
+++ b/src/main/java/linengauge/vrrp/Seal.java
@@ -22,9 +22,30 @@
     /** What the trailer takes. */
     public static final int BYTES = NUMBER_BYTES + MAC_BYTES;
 
+    /** The highest number heard and which of the 63 before it were: what is overtaken on its way is heard too (RFC 4303, 3.4.3). */
+    private static final class Heard {
+        private long highest = Long.MIN_VALUE / 4;
+        private long seen;
+
+        private boolean isNew(long n) {
+            if (n > highest) {
+                long up = n - highest;
+                seen = (up < Long.SIZE ? seen << up : 0) | 1;
+                highest = n;
+                return true;
+            }
+            long back = highest - n;
+            if (back >= Long.SIZE || (seen >> back & 1) == 1) {
+                return false;
+            }
+            seen |= 1L << back;
+            return true;
+        }
+    }
+
     private final Mac mac;
-    /** The highest number heard of each sender and virtual router; bounded, as only named partners are heard. */
-    private final Map<NodeAddress, Long> highest = new HashMap<>();
+    /** The numbers heard of each sender; bounded, as only named partners are heard. */
+    private final Map<NodeAddress, Heard> heard = new HashMap<>();
     private long number;
 
     /** @param firstNumber higher than any that this node has sent with this key: the wall's clock in microseconds */
@@ -61,10 +82,9 @@
             throw new BadPacket(Drop.SEAL);
         }
         long n = ByteBuffer.wrap(sealed).getLong(packet);
-        if (n <= highest.getOrDefault(from, Long.MIN_VALUE)) {
+        if (!heard.computeIfAbsent(from, f -> new Heard()).isNew(n)) {
             throw new BadPacket(Drop.REPLAYED);
         }
-        highest.put(from, n);
         return packet;
     }
 
