VRRP on sockets tested: garbage, leases, handover in order; drill explore

The carrier, the shared listener and the judge of holders had drills and no tests. Ports of a drill are drawn from one set; a listener that cannot be bound is named.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
+import linengauge.drill.ExploreDrill;
 import linengauge.drill.FailoverDrill;
 import linengauge.drill.Importer;
 import linengauge.drill.RelayDrill;
@@ -137,6 +138,20 @@
         return ways.done(r);
     }
 
+    @Command(name = "explore", mixinStandardHelpOptions = true, description = "Every schedule of troubles up to a bound, through"
+            + " VRRP's state machine as it runs: one node must come to be Active, and stay.")
+    int explore(@CommandLine.Mixin Ways ways,
+            @Option(names = "--depth", paramLabel = "N", defaultValue = "14", description = "happenings among which troubles"
+                    + " may come (default: 14)") int depth,
+            @Option(names = "--faults", paramLabel = "N", defaultValue = "2", description = "troubles at the most (default: 2)")
+            int faults) throws IOException {
+        if (depth < 1 || depth > 40 || faults < 0 || faults > 5) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--depth is 1 to 40, --faults 0 to 5");
+        }
+        ways.log.apply();
+        return ways.done(ExploreDrill.run(depth, faults));
+    }
+
     @Command(name = "bare-relay", hidden = true, description = "The baseline of `drill relay`, as a process of its own.")
     int bareRelay(@Parameters String host, @Parameters int port, @Parameters int box, @Parameters int loops)
             throws InterruptedException {
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -83,7 +83,8 @@
                 : r.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpHeaderException ? 431 : 400,
                 "not a request that can be read"));
         server.requestHandler(this::asked);
-        return server.listen(at.port(), at.host());
+        return server.listen(at.port(), at.host()).recover(e -> Future.failedFuture("viewers' listener " + address + ": "
+                + e.getMessage()));
     }
 
     @Override
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -285,7 +285,8 @@
                 default -> r.response().setStatusCode(404).end("no such thing\n");
             }
         });
-        return server.listen(at.port(), at.host());
+        return server.listen(at.port(), at.host()).recover(e -> Future.failedFuture("control listener " + site.front().control()
+                + ": " + e.getMessage()));
     }
 
     private JsonObject state() {
--- a/src/main/java/linengauge/rules/Holders.java
+++ b/src/main/java/linengauge/rules/Holders.java
@@ -127,8 +127,8 @@
             }
         }
         claims.forEach((key, other) -> {
-            if (other != mine && key.startsWith(vrid + "/") && at - other.last < interval * 3 / 2) {
-                long both = at - Math.max(Math.max(mine.since, other.since), quietSince);
+            if (other != mine && key.startsWith(vrid + "/") && other.last >= mine.since) {
+                long both = other.last - Math.max(Math.max(mine.since, other.since), quietSince);
                 out.bothMost = Math.max(out.bothMost, both);
                 if (both > bothBound) {
                     out.breaches.add(at + " address " + vrid + ": claimed by " + key.substring(key.indexOf('/') + 1) + " and "
--- a/src/test/java/linengauge/front/Rig.java
+++ b/src/test/java/linengauge/front/Rig.java
@@ -167,6 +167,11 @@
         throw new AssertionError("it never came to be");
     }
 
+    /** Ends what plays, so that a front that was told to stop need not wait for it. */
+    void endAll() {
+        front.onDesk(() -> front.core().endAll());
+    }
+
     void untilEmpty() throws InterruptedException {
         until(() -> state().getInteger("held") == 0 && state().getInteger("callsWaiting") == 0);
     }
--- /dev/null
+++ b/src/test/java/linengauge/front/SharedAddressTest.java
@@ -0,0 +1,148 @@
+package linengauge.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.SocketTimeoutException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import linengauge.Span;
+import linengauge.drill.Ports;
+import linengauge.vrrp.Advert;
+import linengauge.vrrp.NodeAddress;
+import linengauge.vrrp.Packets;
+import org.junit.jupiter.api.Test;
+
+/** A front behind a shared address, with a scripted partner. */
+class SharedAddressTest {
+    private static final Packets PACKETS = new Packets(false);
+
+    /** The other node: says what it is told to, and keeps the priorities that it hears. */
+    private static final class Partner implements AutoCloseable {
+        private final DatagramSocket socket;
+        private final List<Integer> heard = Collections.synchronizedList(new ArrayList<>());
+        private final int to;
+        private volatile int says = -1;
+
+        private Partner(int port, int to) throws Exception {
+            this.to = to;
+            socket = new DatagramSocket(port, InetAddress.getByName(Ports.node(1)));
+            socket.setSoTimeout(20);
+            Thread t = new Thread(this::run, "partner");
+            t.setDaemon(true);
+            t.start();
+        }
+
+        private static NodeAddress address(int node) throws Exception {
+            return new NodeAddress(InetAddress.getByName(Ports.node(node)).getAddress());
+        }
+
+        private void run() {
+            DatagramPacket in = new DatagramPacket(new byte[100], 100);
+            while (!socket.isClosed()) {
+                try {
+                    if (says >= 0) {
+                        byte[] b = PACKETS.encode(new Advert(9, says, Span.ofMillis(50), List.of(NodeAddress.of(192, 0, 2, 9))),
+                                address(1), address(0));
+                        socket.send(new DatagramPacket(b, b.length, InetAddress.getByName(Ports.node(0)), to));
+                    }
+                    socket.receive(in);
+                    heard.add(in.getData()[2] & 255);
+                } catch (SocketTimeoutException e) {
+                    continue;
+                } catch (Exception e) {
+                    return; // closed
+                }
+            }
+        }
+
+        @Override
+        public void close() {
+            socket.close();
+        }
+    }
+
+    private static String vrrp(List<Integer> ports, String more) throws Exception {
+        return "vrrp: { listen: '" + Ports.node(0) + ":" + ports.get(0) + "', partners: [ '" + Ports.node(1) + ":" + ports.get(1)
+                + "' ], routers: [ { vrid: 9, priority: 100, advertMs: 50, preempt: true, accept: true, addresses: [ '192.0.2.9' ], "
+                + "viewers: '" + Ports.HOST + ":" + ports.get(2) + "' } ], " + more + " }";
+    }
+
+    private static HttpResponse<String> joins(Rig r, int port) {
+        return r.get(port, "/titles/t/main.m3u8?package=plain&patience=3000");
+    }
+
+    @Test
+    void viewersOfASharedAddressAreTakenWhereItIsHeldAndPlayOnAtTheFrontsOwn() throws Exception {
+        List<Integer> ports = Ports.free(3);
+        try (Partner p = new Partner(ports.get(1), ports.get(0)); Rig r = new Rig(1, vrrp(ports, ""))) {
+            p.says = 200;
+            r.start();
+            Rig.until(() -> r.state().getJsonObject("vrrp").getLong("heard", 0L) > 3);
+            HttpResponse<String> elsewhere = joins(r, ports.get(2));
+            assertEquals(503, elsewhere.statusCode());
+            assertEquals(0, r.boxes.get(0).saw("PUT"), "nothing is taken at an address that is another's");
+            assertEquals(200, joins(r, r.viewers).statusCode(), "its own address is always its own");
+            p.says = -1; // the partner has died
+            Rig.until(() -> joins(r, ports.get(2)).statusCode() == 200);
+            HttpResponse<String> plays = joins(r, ports.get(2));
+            String own = "http://" + Ports.HOST + ":" + r.viewers;
+            String media = plays.body().lines().filter(l -> l.startsWith(own + "/v/")).findFirst().orElseThrow();
+            // A better one comes: the address goes, what plays stays.
+            p.says = 200;
+            Rig.until(() -> joins(r, ports.get(2)).statusCode() == 503);
+            assertEquals(200, r.get(r.viewers, media.substring(own.length())).statusCode());
+        }
+    }
+
+    @Test
+    void aFrontThatIsToldToEndGivesTheAddressUpAtOnceAndPlaysOnAtItsOwn() throws Exception {
+        List<Integer> ports = Ports.free(3);
+        try (Partner p = new Partner(ports.get(1), ports.get(0)); Rig r = new Rig(1, vrrp(ports, "") + ", stop: { playingMs: 60000 }")) {
+            r.start();
+            Rig.until(() -> joins(r, ports.get(2)).statusCode() == 200);
+            HttpResponse<String> plays = r.join("&key=last");
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(r.front::stop);
+            Rig.until(() -> p.heard.contains(0));
+            stop.get();
+            int zero = p.heard.indexOf(0);
+            Thread.sleep(200);
+            assertEquals(zero, p.heard.size() - 1, "nothing is said after giving up");
+            assertEquals(200, r.get(r.viewers, Rig.path(plays)).statusCode());
+            assertEquals(503, joins(r, ports.get(2)).statusCode());
+            r.endAll();
+        }
+    }
+
+    @Test
+    void anAnswerThatIsOwedWhenTheAddressGoesIsStillGiven() throws Exception {
+        List<Integer> ports = Ports.free(3);
+        try (Partner p = new Partner(ports.get(1), ports.get(0)); Rig r = new Rig(1, vrrp(ports, "")).start()) {
+            Rig.until(() -> joins(r, ports.get(2)).statusCode() == 200);
+            List<io.vertx.core.http.HttpServerRequest> held = Collections.synchronizedList(new ArrayList<>());
+            r.boxes.get(0).setUps = held::add;
+            CompletableFuture<HttpResponse<String>> waits = CompletableFuture.supplyAsync(() -> joins(r, ports.get(2)));
+            Rig.until(() -> held.size() == 1);
+            p.says = 200;
+            Rig.until(() -> r.state().getJsonObject("vrrp").getJsonArray("routers").getJsonObject(0).getString("state").equals("BACKUP"));
+            r.boxes.get(0).plays(held.get(0));
+            assertEquals(200, waits.get().statusCode());
+        }
+    }
+
+    @Test
+    void aKeyThatIsMissingOrShortStopsTheStart() throws Exception {
+        List<Integer> ports = Ports.free(3);
+        try (Rig r = new Rig(1, vrrp(ports, "keyFile: 'no-such-file'"))) {
+            assertTrue(assertThrows(Exception.class, r::start).toString().contains("vrrp.keyFile cannot be read"));
+            r.front = null;
+        }
+    }
+}
--- a/src/test/java/linengauge/rules/JudgeTest.java
+++ b/src/test/java/linengauge/rules/JudgeTest.java
@@ -187,6 +187,15 @@
         breaks(record, "further-tune-ins", "3 further tune-ins of 2.4");
     }
 
+    @Test
+    void whatTheNetworkBreaksIsNotTheFrontsAndWhatTheFrontBreaksIs() {
+        assertEquals(0, sound().asked(600, "k8", "plain").saw(610, "'what':'cut','ask':'k8','front':0")
+                .saw(611, "'what':'broke','ask':'k8','front':0").judged().breaches().size());
+        breaks(sound().asked(600, "k8", "plain").saw(611, "'what':'broke','ask':'k8','front':0"), "one-answer", "no answer");
+        breaks(sound().asked(600, "k8", "plain").saw(610, "'what':'cut','ask':'k8','front':0")
+                .answered(620, "k8", "blocked", "").answered(630, "k8", "blocked", ""), "one-answer", "2 ends");
+    }
+
     @Test
     void aColdBoxPushedIsFound() {
         Pen record = sound();
--- a/src/test/java/linengauge/site/SiteFileTest.java
+++ b/src/test/java/linengauge/site/SiteFileTest.java
@@ -56,6 +56,14 @@
         "messages: true }|messages: true }, flow: { evidenceMs: 9000 }|flow.evidenceMs: is over flow.windowMs",
         "messages: true }|messages: true }, flow: { evidenceMs: 250, beatMs: 200 }|flow.evidenceMs: must take two looks",
         "messages: true }|messages: true }, boxes: { mediaConnections: 10 }|boxes.mediaConnections: must hold",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|vrrp.partners: a shared address wants a partner",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], routers: [ { vrid: 1, priority: 100, advertMs: 105, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|vrrp.routers[0].advertMs: must be whole",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ] } ] }|vrrp.routers[0].viewers: needed",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"2001::1\" ], viewers: \"127.0.0.1:9\" } ] }|'2001::1' is of another family",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], deafAfter: 5, routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|vrrp.deafAfter: wants vrrp.keyFile",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], unwellMinus: 5, routers: [ { vrid: 1, priority: 255, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|the owner of an address",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.1:4\" ], routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|each partner has an address of its own",
+        "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], paceMs: 400, routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|vrrp.paceMs: is over three",
         "seats: 3|seats: 3, seats: 4|f:6: Duplicate", "words: \"127.0.0.1:3\" }|}|front.words: needed"})
     void aBadFileIsRefusedWithPathAndLine(String part, String by, String complaint) {
         BadSite e = assertThrows(BadSite.class, () -> SiteFile.parse("f", with(part, by == null ? "" : by)));
