--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -131,9 +131,12 @@
         ways.log.apply();
         boolean more = additions.equals("on");
         Report r = new Report("failover" + (more ? "" : ", additions off"), ways.seed);
-        new FailoverDrill(ways.seed, brief ? 5 : rounds, brief ? 0 : more ? 60 : 30, advertMs, more, ways.traffic).run(r, "pair");
+        new FailoverDrill(ways.seed, brief ? 5 : rounds, brief ? 0 : more ? 120 : 30, advertMs, more, ways.traffic).run(r, "pair");
         if (!brief && more && advertMs == 100) {
-            new FailoverDrill(ways.seed + 1, Math.max(5, rounds / 5), 30, 1000, false, null).run(r, "baseline, 1 s adverts");
+            new FailoverDrill(ways.seed + 1, Math.max(5, rounds / 10), 30, 1000, false, null).run(r, "baseline, 1 s adverts");
+        }
+        if (!brief) {
+            FailoverDrill.cost(r, advertMs);
         }
         return ways.done(r);
     }
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -103,7 +103,7 @@
 
     /** Pairing with other fronts behind shared addresses; without routers there is none. listen, announce and keyFile may be absent. */
     public record Vrrp(String listen, List<String> partners, String announce, String keyFile, boolean ipv4PseudoHeader,
-            int datagramsAtOnce, int receiveBytes, boolean frozen, int preemptDelayMs, int paceMs, int flapHalfLifeMs,
+            int datagramsAtOnce, int receiveBytes, int advertsPerInterval, boolean frozen, int preemptDelayMs, int paceMs, int flapHalfLifeMs,
             double flapsBeforeHold, int deafAfter, int unwellMinus, int unwellAfterMs, int overloadedMs, List<Router> routers) {
     }
 
@@ -173,7 +173,7 @@
 
     /** The virtual routers of this front. The file has been checked: its addresses are literals. */
     public List<RouterTerms> routers() {
-        RouterTerms.Additions more = new RouterTerms.Additions(vrrp.frozen, Span.ofMillis(vrrp.preemptDelayMs),
+        RouterTerms.Additions more = new RouterTerms.Additions(vrrp.advertsPerInterval, vrrp.frozen, Span.ofMillis(vrrp.preemptDelayMs),
                 Span.ofMillis(vrrp.paceMs), Span.ofMillis(vrrp.flapHalfLifeMs), vrrp.flapsBeforeHold, vrrp.deafAfter,
                 vrrp.unwellMinus, Span.ofMillis(vrrp.unwellAfterMs));
         return vrrp.routers.stream().map(r -> new RouterTerms(r.vrid, r.priority, Span.ofMillis(r.advertMs), r.preempt,
--- a/src/main/java/linengauge/vrrp/RouterTerms.java
+++ b/src/main/java/linengauge/vrrp/RouterTerms.java
@@ -30,6 +30,8 @@
     /**
      * What the standard does not have; each acts under its own condition, and {@link #NONE} is the standard alone.
      *
+     * @param perInterval advertisements in each interval that they name, 1 in the standard: partners lose some and still hear
+     *        enough, and take over no later
      * @param frozen whether a node that could not step for long takes itself for deposed
      * @param preemptDelay how long a node that has come, or has stepped down, leaves a worse one Active
      * @param pace the least span between giving the address up and taking it again
@@ -40,8 +42,8 @@
      * @param unwellMinus taken off the priority while this front is unwell
      * @param unwellAfter how long it must be unwell, or well again, before that counts
      */
-    public record Additions(boolean frozen, Span preemptDelay, Span pace, Span flapHalfLife, double flapsBeforeHold,
+    public record Additions(int perInterval, boolean frozen, Span preemptDelay, Span pace, Span flapHalfLife, double flapsBeforeHold,
             int deafAfter, int unwellMinus, Span unwellAfter) {
-        public static final Additions NONE = new Additions(false, Span.NONE, Span.NONE, Span.NONE, 0, 0, 0, Span.NONE);
+        public static final Additions NONE = new Additions(1, false, Span.NONE, Span.NONE, Span.NONE, 0, 0, 0, Span.NONE);
     }
 }
--- a/src/main/java/linengauge/vrrp/VirtualRouter.java
+++ b/src/main/java/linengauge/vrrp/VirtualRouter.java
@@ -106,6 +106,7 @@
     private Moment takeFrom = Moment.DISTANT_PAST;
     /** The one followed took the address from this node, and has not given it up. */
     private boolean deposed;
+    private boolean saidGoodbye;
     /** Since when a worse one has been Active beside this one; null where none is. */
     private Moment worseSince;
     private Moment worseAt = Moment.DISTANT_PAST;
@@ -137,6 +138,7 @@
         this.preemptFrom = o.preemptFrom;
         this.takeFrom = o.takeFrom;
         this.deposed = o.deposed;
+        this.saidGoodbye = o.saidGoodbye;
         this.worseSince = o.worseSince;
         this.worseAt = o.worseAt;
         this.followAnyUntil = o.followAnyUntil;
@@ -205,6 +207,7 @@
     public void start(Moment at) {
         tell(at);
         if (state == State.INITIALIZE) {
+            saidGoodbye = false;
             preemptFrom = now.plus(terms.additions().preemptDelay());
             takes(terms.isOwner() ? Event.STARTUP_OF_OWNER : Event.STARTUP, null);
         }
@@ -218,6 +221,17 @@
         }
     }
 
+    /**
+     * Said once more after {@link #shutdown}, where this node was Active then. Guards against a goodbye that is lost, or is
+     * overtaken by the advertisement before it, which would cost a whole Active_Down_Interval; partners bear it, as they
+     * bear any other of priority 0.
+     */
+    public void farewell() {
+        if (saidGoodbye && state == State.INITIALIZE) {
+            send(0);
+        }
+    }
+
     /** What the front says of itself. */
     public void unwell(boolean isUnwell, Moment at) {
         tell(at);
@@ -341,7 +355,10 @@
     private void act(Act act, Advert a) {
         switch (act) {
             case SEND -> send(priority());
-            case SEND_ZERO -> send(0);
+            case SEND_ZERO -> {
+                saidGoodbye = true;
+                send(0);
+            }
             case TAKE -> {
                 deposed = false;
                 port.take(terms.vrid());
@@ -350,7 +367,7 @@
             case LEARN -> activeInterval = a.interval();
             case OWN_INTERVAL -> activeInterval = terms.interval();
             case ARM_ADVER -> {
-                adverAt = now.plus(terms.interval());
+                adverAt = now.plus(new Span(terms.interval().micros() / terms.additions().perInterval()));
                 assertionsLeft = ASSERTIONS;
             }
             case ARM_DOWN -> downAt = now.plus(activeDown());
--- a/src/main/java/linengauge/vrrp/VirtualRouters.java
+++ b/src/main/java/linengauge/vrrp/VirtualRouters.java
@@ -96,6 +96,11 @@
         routers.values().forEach(r -> r.shutdown(now));
     }
 
+    /** Goodbyes said once more. */
+    public void farewell() {
+        routers.values().forEach(VirtualRouter::farewell);
+    }
+
     /** The front is fit to hold addresses, or not. */
     public void unwell(boolean isUnwell, Moment now) {
         routers.values().forEach(r -> r.unwell(isUnwell, now));
--- a/src/main/java/linengauge/vrrp/explore/Explorer.java
+++ b/src/main/java/linengauge/vrrp/explore/Explorer.java
@@ -82,6 +82,9 @@
                 troublesOf(w, n, depth, faults, trail);
             }
         }
+        if (w.nextAt() == null) {
+            return; // all are down, and nothing is on its way
+        }
         World on = new World(w);
         String broken = on.step();
         if (broken != null) {
--- a/src/main/java/linengauge/vrrp/udp/UdpNode.java
+++ b/src/main/java/linengauge/vrrp/udp/UdpNode.java
@@ -37,6 +37,10 @@
  */
 public final class UdpNode implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(UdpNode.class);
+    /** The name of the thread of each node. */
+    public static final String THREAD = "vrrp";
+    private static final int FAREWELLS = 3;
+    private static final int FAREWELL_MS = 8;
     private static final int LARGEST = 8192;
     private static final long SEEN_EVERY_MICROS = 100_000;
     private static final byte TAKEN = 1;
@@ -58,7 +62,7 @@
     private final ByteBuffer in = ByteBuffer.allocate(LARGEST);
     private final Selector selector;
     private final DatagramChannel channel;
-    private final Thread thread = new Thread(this::run, "vrrp");
+    private final Thread thread = new Thread(this::run, THREAD);
     private final CountDownLatch ended = new CountDownLatch(1);
     /** How late advertisements go out, microseconds. */
     private final Histogram late = new Histogram(60_000_000L, 2);
@@ -170,6 +174,12 @@
             }
             routers.shutdown(now());
             publish();
+            for (int i = 0; i < FAREWELLS; i++) {
+                Thread.sleep(FAREWELL_MS);
+                routers.farewell();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } catch (IOException | RuntimeException e) {
             if (!closing) {
                 LOG.error("vrrp has failed: this node takes no part", e); // its leases end by themselves
