VRRP by multicast as well; fronts of a drill keep their options when started again

Groups may reach each other by one multicast datagram in place of one for each partner, with who is heard still named. In drill failover only a front's first start had the options meant for it; those after had another collector, and its pauses stood in the figures of late adverts.

--- a/src/main/java/linengauge/drill/FrontProcess.java
+++ b/src/main/java/linengauge/drill/FrontProcess.java
@@ -21,6 +21,7 @@
     private final Path log;
     private final String control;
     private final Tap tap;
+    private String[] options = {"-Xmx256m", "-XX:MaxDirectMemorySize=512m", "-Xms48m", "-XX:+UseSerialGC"};
     private Process process;
 
     FrontProcess(int number, Path site, Path log, String control, Tap tap) {
@@ -36,11 +37,12 @@
     }
 
     void start(long seed) throws IOException {
-        start(seed, "-Xmx256m", "-XX:MaxDirectMemorySize=512m", "-Xms48m", "-XX:+UseSerialGC");
+        start(seed, options);
     }
 
-    /** Started with these options of the virtual machine. */
-    synchronized void start(long seed, String... options) throws IOException {
+    /** Started with these options of the virtual machine, now and whenever it is started again. */
+    synchronized void start(long seed, String... given) throws IOException {
+        options = given;
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
--- a/src/main/java/linengauge/drill/VrrpCost.java
+++ b/src/main/java/linengauge/drill/VrrpCost.java
@@ -34,7 +34,7 @@
                             List.of(NodeAddress.of(192, 0, 2, v)), new NodeAddress(at.get(i).getAddress().getAddress()),
                             RouterTerms.Additions.NONE));
                 }
-                nodes.add(new UdpNode(new UdpTerms(at.get(i), List.of(at.get(1 - i)), null, key, false, 256, 1 << 20, terms),
+                nodes.add(new UdpNode(new UdpTerms(at.get(i), List.of(at.get(1 - i)), null, null, null, key, false, 256, 1 << 20, terms),
                         new UdpNode.Owner() {
                             @Override
                             public void took(int vrid) {
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -222,6 +222,7 @@
         }
         Span mostLate = Span.ofMillis(v.overloadedMs());
         vrrp = new UdpNode(new UdpTerms(socket(v.listen()), v.partners().stream().map(FrontProgram::socket).toList(),
+                v.group() == null ? null : socket(v.group()), v.groupInterface(),
                 v.announce() == null ? null : socket(v.announce()), key, v.ipv4PseudoHeader(), v.datagramsAtOnce(),
                 v.receiveBytes(), site.routers()), new UdpNode.Owner() {
                     @Override
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -101,8 +101,11 @@
             String viewers) {
     }
 
-    /** Pairing with other fronts behind shared addresses; without routers there is none. listen, announce and keyFile may be absent. */
-    public record Vrrp(String listen, List<String> partners, String announce, String keyFile, boolean ipv4PseudoHeader,
+    /**
+     * Pairing with other fronts behind shared addresses; without routers there is none. listen, group and its
+     * interface, announce and keyFile may be absent.
+     */
+    public record Vrrp(String listen, List<String> partners, String group, String groupInterface, String announce, String keyFile, boolean ipv4PseudoHeader,
             int datagramsAtOnce, int receiveBytes, int advertsPerInterval, boolean frozen, int preemptDelayMs, int paceMs, int flapHalfLifeMs,
             double flapsBeforeHold, int deafAfter, int unwellMinus, int unwellAfterMs, int overloadedMs, List<Router> routers) {
     }
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -124,6 +124,11 @@
             wants(p == null || partners.add(p) && !p.equals(own), path, "each partner has an address of its own");
             wants(p == null || own == null || p.isIpv6() == own.isIpv6(), path, "of another family than vrrp.listen");
         }
+        if (v.group() != null) {
+            NodeAddress group = Site.literal(Site.Address.of(v.group()).host());
+            wants(group != null && group.isMulticast(), "vrrp.group", "is no multicast address");
+            wants(v.groupInterface() != null, "vrrp.groupInterface", "needed where there is a vrrp.group");
+        }
         wants(v.deafAfter() == 0 || v.keyFile() != null, "vrrp.deafAfter",
                 "wants vrrp.keyFile: without it, old datagrams sent again could hold the address back");
         Set<Integer> vrids = new HashSet<>();
--- a/src/main/java/linengauge/standin/PlayerCrowd.java
+++ b/src/main/java/linengauge/standin/PlayerCrowd.java
@@ -97,9 +97,9 @@
         for (int i = 0; i < titleWeights.length; i++) {
             titleWeights[i] = 1 / Math.pow(i + 1, 0.8);
         }
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setKeepAliveTimeout(10),
+        this.client = client(new HttpClientOptions().setConnectTimeout(1000).setKeepAliveTimeout(10),
                 new PoolOptions().setHttp1MaxSize(4000).setMaxWaitQueueSize(20_000));
-        this.once = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false),
+        this.once = client(new HttpClientOptions().setConnectTimeout(1000).setKeepAlive(false),
                 new PoolOptions().setHttp1MaxSize(4000).setMaxWaitQueueSize(20_000));
     }
 
@@ -107,6 +107,11 @@
         playedAt.add(at);
     }
 
+    /** Connections that break are seen by their requests; the library would log those between requests too. */
+    private HttpClient client(HttpClientOptions options, PoolOptions pool) {
+        return vertx.httpClientBuilder().with(options).with(pool).withConnectHandler(c -> c.exceptionHandler(e -> { })).build();
+    }
+
     /** Doors of shared addresses lead through this LAN. */
     public void by(SharedLan through) {
         lan = through;
--- a/src/main/java/linengauge/vrrp/NodeAddress.java
+++ b/src/main/java/linengauge/vrrp/NodeAddress.java
@@ -21,6 +21,11 @@
         return bytes.length == 16;
     }
 
+    /** RFC 5771 and RFC 4291, section 2.7. */
+    public boolean isMulticast() {
+        return isIpv6() ? bytes[0] == (byte) 0xff : (bytes[0] & 0xf0) == 0xe0;
+    }
+
     @Override
     public byte[] bytes() {
         return bytes.clone();
--- a/src/main/java/linengauge/vrrp/VirtualRouters.java
+++ b/src/main/java/linengauge/vrrp/VirtualRouters.java
@@ -18,7 +18,7 @@
 public final class VirtualRouters {
     /** The node on its wire. */
     public interface Wire {
-        /** Sends to one partner; it may be lost. */
+        /** Sends to one partner, or to the group; it may be lost. */
         void send(byte[] datagram, NodeAddress to);
 
         /** The shared address of a virtual router is this node's. */
@@ -30,7 +30,7 @@
     }
 
     private final NodeAddress own;
-    private final List<NodeAddress> partners;
+    private final List<NodeAddress> destinations;
     private final Set<NodeAddress> known;
     private final Packets packets;
     private final Seal seal;
@@ -46,12 +46,14 @@
      * Datagrams are not rationed by sender: without a key, garbage in a partner's name would use up its ration. Each costs
      * less than a microsecond to turn down (with a key, one digest), and whoever reads them looks at the timers between.
      *
+     * @param partners who is heard
+     * @param group a multicast address by which all partners are reached at once (section 5.1.1.2); null: each by its own
      * @param seal the group's key, or null for the standard's packet alone
      */
-    public VirtualRouters(NodeAddress own, List<NodeAddress> partners, List<RouterTerms> routers, Packets packets,
+    public VirtualRouters(NodeAddress own, List<NodeAddress> partners, NodeAddress group, List<RouterTerms> routers, Packets packets,
             Seal seal, Wire wire) {
         this.own = own;
-        this.partners = List.copyOf(partners);
+        this.destinations = group == null ? List.copyOf(partners) : List.of(group);
         this.known = new HashSet<>(partners);
         this.packets = packets;
         this.seal = seal;
@@ -82,7 +84,7 @@
     }
 
     private void send(Advert a) {
-        for (NodeAddress to : partners) {
+        for (NodeAddress to : destinations) {
             byte[] bytes = packets.encode(a, own, to);
             wire.send(seal == null ? bytes : seal.seal(bytes, own), to);
         }
@@ -121,8 +123,8 @@
         return first;
     }
 
-    /** A datagram of so many bytes from an address. What is no advertisement for a router here is counted by its cause. */
-    public void heard(byte[] bytes, int length, NodeAddress from, Moment now) {
+    /** A datagram of so many bytes from an address to this node's or the group's. What is no advertisement for a router here is counted by its cause. */
+    public void heard(byte[] bytes, int length, NodeAddress from, NodeAddress to, Moment now) {
         try {
             if (from.equals(own)) {
                 throw new BadPacket(Drop.OWN);
@@ -134,7 +136,7 @@
             if (seal != null) {
                 packet = seal.open(bytes, length, from);
             }
-            Advert a = packets.decode(bytes, packet, from, own);
+            Advert a = packets.decode(bytes, packet, from, to);
             VirtualRouter r = routers.get(a.vrid());
             if (r == null) {
                 throw new BadPacket(Drop.VRID);
--- a/src/main/java/linengauge/vrrp/udp/UdpNode.java
+++ b/src/main/java/linengauge/vrrp/udp/UdpNode.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.NetworkInterface;
 import java.net.StandardProtocolFamily;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -60,8 +61,12 @@
     private final Map<NodeAddress, InetSocketAddress> partners = new LinkedHashMap<>();
     private final Map<Integer, Lease> leases = new TreeMap<>();
     private final ByteBuffer in = ByteBuffer.allocate(LARGEST);
+    private final NodeAddress own;
+    private final NodeAddress group;
     private final Selector selector;
     private final DatagramChannel channel;
+    /** Hears the group; null where there is none. */
+    private final DatagramChannel groupChannel;
     private final Thread thread = new Thread(this::run, THREAD);
     private final CountDownLatch ended = new CountDownLatch(1);
     /** How late advertisements go out, microseconds. */
@@ -89,11 +94,13 @@
             leases.put(r.vrid(), new Lease());
         }
         Seal seal = terms.key() == null ? null : new Seal(terms.key(), System.currentTimeMillis() * 1000);
-        this.routers = new VirtualRouters(own, List.copyOf(partners.keySet()), terms.routers(),
+        this.own = own;
+        this.group = terms.group() == null ? null : new NodeAddress(terms.group().getAddress().getAddress());
+        this.routers = new VirtualRouters(own, List.copyOf(partners.keySet()), group, terms.routers(),
                 new Packets(terms.pseudoHeaderForIpv4()), seal, new VirtualRouters.Wire() {
                     @Override
                     public void send(byte[] datagram, NodeAddress to) {
-                        sendTo(datagram, partners.get(to));
+                        sendTo(datagram, to.equals(group) ? terms.group() : partners.get(to));
                         if (datagram[2] != 0) {
                             tell(TAKEN, datagram[1] & 255); // as bridges learn from the source of each (RFC 9568, 7.2)
                         }
@@ -115,14 +122,22 @@
                     }
                 });
         selector = Selector.open();
-        channel = DatagramChannel.open(own.isIpv6() ? StandardProtocolFamily.INET6 : StandardProtocolFamily.INET);
+        StandardProtocolFamily family = own.isIpv6() ? StandardProtocolFamily.INET6 : StandardProtocolFamily.INET;
+        channel = DatagramChannel.open(family);
+        groupChannel = group == null ? null : DatagramChannel.open(family);
         try {
             channel.setOption(StandardSocketOptions.SO_RCVBUF, terms.receiveBytes());
             channel.bind(terms.listen());
             channel.configureBlocking(false);
             channel.register(selector, SelectionKey.OP_READ);
+            if (groupChannel != null) {
+                join();
+            }
         } catch (IOException e) {
             channel.close();
+            if (groupChannel != null) {
+                groupChannel.close();
+            }
             selector.close();
             throw new IOException("vrrp cannot listen on " + terms.listen() + ": " + e.getMessage(), e);
         }
@@ -130,6 +145,21 @@
         thread.setPriority(Thread.MAX_PRIORITY);
     }
 
+    private void join() throws IOException {
+        NetworkInterface at = NetworkInterface.getByName(terms.groupInterface());
+        if (at == null) {
+            throw new IOException("no network interface " + terms.groupInterface());
+        }
+        groupChannel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        groupChannel.setOption(StandardSocketOptions.SO_RCVBUF, terms.receiveBytes());
+        groupChannel.bind(terms.group());
+        groupChannel.join(terms.group().getAddress(), at);
+        groupChannel.configureBlocking(false);
+        groupChannel.register(selector, SelectionKey.OP_READ);
+        channel.setOption(StandardSocketOptions.IP_MULTICAST_IF, at);
+        channel.setOption(StandardSocketOptions.IP_MULTICAST_TTL, 1); // one link alone
+    }
+
     /** Takes part from now on; the front is ready to serve. */
     public void start() {
         thread.start();
@@ -154,6 +184,9 @@
                 ended.await(1, TimeUnit.SECONDS);
             }
             channel.close();
+            if (groupChannel != null) {
+                groupChannel.close();
+            }
             selector.close();
         } catch (IOException e) {
             LOG.warn("vrrp", e);
@@ -198,18 +231,9 @@
             selector.selectNow();
         }
         selector.selectedKeys().clear();
-        for (int i = 0; i < terms.atOnce(); i++) {
-            in.clear();
-            InetSocketAddress from;
-            try {
-                from = (InetSocketAddress) channel.receive(in);
-            } catch (IOException refused) {
-                continue; // a partner that is not there: the system says so of an earlier datagram
-            }
-            if (from == null) {
-                break;
-            }
-            routers.heard(in.array(), in.position(), new NodeAddress(from.getAddress().getAddress()), now());
+        read(channel, own);
+        if (groupChannel != null) {
+            read(groupChannel, group);
         }
         Moment now = now();
         Moment was = routers.due();
@@ -221,6 +245,26 @@
         publish();
     }
 
+    /** What has come, as far as one turn goes; the rest is read after the timers were looked at. */
+    private void read(DatagramChannel from, NodeAddress to) {
+        for (int i = 0; i < terms.atOnce(); i++) {
+            in.clear();
+            InetSocketAddress sender;
+            try {
+                sender = (InetSocketAddress) from.receive(in);
+            } catch (IOException refused) {
+                continue; // a partner that is not there: the system says so of an earlier datagram
+            }
+            if (sender == null) {
+                return;
+            }
+            NodeAddress by = new NodeAddress(sender.getAddress().getAddress());
+            if (from == channel || !by.equals(own)) { // a group gives back what was sent to it
+                routers.heard(in.array(), in.position(), by, to, now());
+            }
+        }
+    }
+
     private void publish() {
         for (VirtualRouter r : routers.routers()) {
             leases.get(r.terms().vrid()).until(r.servesUntil().micros());
--- a/src/test/java/linengauge/vrrp/PacketsTest.java
+++ b/src/test/java/linengauge/vrrp/PacketsTest.java
@@ -90,7 +90,7 @@
         for (int i = 0; i < 100_000; i++) {
             byte[] garbage = new byte[chance.nextInt(64)];
             chance.nextBytes(garbage);
-            node.routers.heard(garbage, garbage.length, A, new Moment(i));
+            node.routers.heard(garbage, garbage.length, A, B, new Moment(i));
         }
         long dropped = node.routers.drops().values().stream().mapToLong(n -> n).sum();
         assertEquals(100_000, dropped + node.routers.heard());
@@ -103,7 +103,7 @@
         private final VirtualRouters routers;
 
         private Node(Seal seal) {
-            routers = new VirtualRouters(B, List.of(A), List.of(terms(7, 100), terms(8, 255)), STANDARD, seal, this);
+            routers = new VirtualRouters(B, List.of(A), null, List.of(terms(7, 100), terms(8, 255)), STANDARD, seal, this);
             routers.start(new Moment(0));
         }
 
@@ -113,7 +113,7 @@
         }
 
         private void hears(byte[] bytes, NodeAddress from) {
-            routers.heard(bytes, bytes.length, from, new Moment(1));
+            routers.heard(bytes, bytes.length, from, B, new Moment(1));
         }
 
         private long dropped(Drop cause) {
--- a/src/test/java/linengauge/vrrp/udp/UdpNodeTest.java
+++ b/src/test/java/linengauge/vrrp/udp/UdpNodeTest.java
@@ -34,6 +34,10 @@
         private volatile int unwell = -1;
 
         private Group(int count, int vrids, int priorityStep) throws IOException {
+            this(count, vrids, priorityStep, null);
+        }
+
+        private Group(int count, int vrids, int priorityStep, InetSocketAddress group) throws IOException {
             List<Integer> ports = Ports.free(count);
             for (int i = 0; i < count; i++) {
                 at.add(new InetSocketAddress(Ports.node(i), ports.get(i)));
@@ -50,7 +54,7 @@
                 List<String> mine = java.util.Collections.synchronizedList(new ArrayList<>());
                 told.add(mine);
                 int number = i;
-                nodes.add(new UdpNode(new UdpTerms(at.get(i), others, null, null, false, 64, 262_144, routers), new UdpNode.Owner() {
+                nodes.add(new UdpNode(new UdpTerms(at.get(i), others, group, "lo", null, null, false, 64, 262_144, routers), new UdpNode.Owner() {
                     @Override
                     public void took(int vrid) {
                         mine.add("took " + vrid);
@@ -113,6 +117,20 @@
         }
     }
 
+    @Test
+    void nodesOfAGroupReachEachOtherWithOneDatagram() throws Exception {
+        // A group's last two numbers and its port are this process's own, so that no other test joins it.
+        String[] own = Ports.HOST.split("[.]");
+        InetSocketAddress group = new InetSocketAddress("239.18." + own[2] + "." + own[3], Ports.free(1).get(0));
+        try (Group g = new Group(3, 1, 10, group).start()) {
+            until(() -> g.holders(1).equals(List.of(0)));
+            g.nodes.get(0).close();
+            until(() -> g.holders(1).equals(List.of(1)));
+            assertEquals(List.of(), g.told.get(2));
+            assertEquals(0, g.dropped(1, "OWN"));
+        }
+    }
+
     @Test
     void aHundredAddressesAreHeldByOneNodeEachAndThreeEqualNodesSettleByAddress() throws Exception {
         try (Group g = new Group(3, 100, 0).start()) {
@@ -167,7 +185,7 @@
         g.close();
         List<Integer> ports = Ports.free(1);
         InetSocketAddress at = new InetSocketAddress(Ports.node(0), ports.get(0));
-        try (UdpNode n = new UdpNode(new UdpTerms(at, List.of(new InetSocketAddress(Ports.node(1), 9)), null, null, false, 64,
+        try (UdpNode n = new UdpNode(new UdpTerms(at, List.of(new InetSocketAddress(Ports.node(1), 9)), null, null, null, null, false, 64,
                 65_536, List.of(new RouterTerms(1, 255, Span.ofMillis(50), true, true, List.of(NodeAddress.of(192, 0, 2, 1)),
                         new NodeAddress(at.getAddress().getAddress()), MORE))), new UdpNode.Owner() {
                             @Override
@@ -197,7 +215,7 @@
     void anAddressInUseIsToldAtOnce() throws Exception {
         try (DatagramSocket other = new DatagramSocket(0, InetAddress.getByName(Ports.HOST))) {
             InetSocketAddress at = new InetSocketAddress(Ports.HOST, other.getLocalPort());
-            IOException e = assertThrows(IOException.class, () -> new UdpNode(new UdpTerms(at, List.of(), null, null, false, 1, 4096,
+            IOException e = assertThrows(IOException.class, () -> new UdpNode(new UdpTerms(at, List.of(), null, null, null, null, false, 1, 4096,
                     List.of()), null, () -> false));
             assertTrue(e.getMessage().contains("vrrp cannot listen on"), e.getMessage());
             assertFalse(other.isClosed());
