VRRP: tests for guards that could be taken out unnoticed; answers judged once, with a test

Each guard of the state machine was taken out in turn. Forgetting of a deaf partner, a clock that steps back, a partner that falls behind, and goodbyes of a node that was not Active failed no test; they have one each now. The drill's own check of requests answered twice could not be fed a broken record; it is the judge's now, with one.

--- a/src/main/java/linengauge/drill/FailoverDrill.java
+++ b/src/main/java/linengauge/drill/FailoverDrill.java
@@ -390,26 +390,10 @@
             report.figure(name + ": nodes that woke and kept silent", o.woken);
             report.figure(name + ": handovers in all", o.handovers);
             o.breaches.stream().limit(10).forEach(b -> report.figure(name + ": " + b, "broken"));
-            answeredOnce(report, name, record);
-        } catch (BadRecord | IOException e) {
+            report.claim(name + ": requests answered twice, or by a front they were not handed to", "0 and 0 of " + o.answered,
+                    o.answeredTwice + " and " + o.answeredByOther, o.answeredTwice + o.answeredByOther == 0 && o.answered > 0);
+        } catch (BadRecord e) {
             report.claim(name + ": the record can be judged", "yes", e.getMessage(), false);
         }
     }
-
-    /** A request is answered by the front that it was handed to and by no other: the viewing named is of that front. */
-    private static void answeredOnce(Report report, String name, List<String> record) throws IOException {
-        Map<String, Integer> answers = new HashMap<>();
-        int twice = 0;
-        int other = 0;
-        for (String line : record) {
-            JsonNode l = JSON.readTree(line);
-            if (l.path("what").asText().equals("answered")) {
-                twice += answers.merge(l.path("ask").asText(), 1, Integer::sum) > 1 ? 1 : 0;
-                String viewing = l.path("viewing").asText("");
-                other += viewing.contains("-") && !viewing.startsWith(l.path("front").asInt() + "-") ? 1 : 0;
-            }
-        }
-        report.claim(name + ": requests answered twice, or by a front they were not handed to", "0 and 0 of "
-                + answers.size(), twice + " and " + other, twice + other == 0 && !answers.isEmpty());
-    }
 }
--- a/src/main/java/linengauge/rules/Holders.java
+++ b/src/main/java/linengauge/rules/Holders.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -29,6 +31,10 @@
         public long handovers;
         /** The same, for each VRID, as moments. */
         public final Map<Long, List<Long>> handoversAt = new TreeMap<>();
+        /** Requests answered; more than once; and by a viewing of a front that they were not handed to. */
+        public long answered;
+        public long answeredTwice;
+        public long answeredByOther;
         public final List<String> breaches = new ArrayList<>();
     }
 
@@ -46,6 +52,7 @@
     private final Map<Long, Long> holder = new HashMap<>();
     private final Map<Long, Long> stoppedAt = new HashMap<>();
     private final Map<Long, Long> wokeAt = new HashMap<>();
+    private final Set<String> answers = new HashSet<>();
     private boolean quiet;
     private long quietSince;
 
@@ -88,6 +95,7 @@
             case "front-stopped" -> stoppedAt.put(l.path("front").asLong(), at);
             case "front-continued" -> wokeAt.put(l.path("front").asLong(), at);
             case "announced" -> announced(l.path("vrid").asLong(), l.path("node").asLong(), at);
+            case "answered" -> answered(l.path("ask").asText(), l.path("viewing").asText(""), l.path("front").asLong());
             case "advert" -> {
                 if (l.path("priority").asInt() > 0) {
                     claimed(l.path("vrid").asLong(), l.path("node").asLong(), at);
@@ -106,6 +114,16 @@
         }
     }
 
+    /** The front of a viewing stands first in its id. */
+    private void answered(String ask, String viewing, long front) {
+        if (answers.add(ask)) {
+            out.answered++;
+        } else {
+            out.answeredTwice++;
+        }
+        out.answeredByOther += viewing.contains("-") && !viewing.startsWith(front + "-") ? 1 : 0;
+    }
+
     private void claimed(long vrid, long node, long at) {
         woken(vrid, node, at);
         Claim mine = claims.computeIfAbsent(vrid + "/" + node, k -> new Claim());
--- a/src/test/java/linengauge/rules/HoldersTest.java
+++ b/src/test/java/linengauge/rules/HoldersTest.java
@@ -90,6 +90,17 @@
         assertEquals(1, o.woken);
     }
 
+    @Test
+    void aRequestAnsweredTwiceOrByAnotherFrontIsCounted() throws BadRecord {
+        saw(1, "answered", ",\"ask\":\"a\",\"front\":0,\"viewing\":\"0-x-1\"");
+        saw(2, "answered", ",\"ask\":\"b\",\"front\":1,\"viewing\":null");
+        assertEquals(0, judged().answeredTwice + judged().answeredByOther);
+        saw(3, "answered", ",\"ask\":\"a\",\"front\":0,\"viewing\":\"0-x-1\"");
+        saw(4, "answered", ",\"ask\":\"c\",\"front\":0,\"viewing\":\"1-x-1\"");
+        Holders.Outcome o = judged();
+        assertEquals(List.of(3L, 1L, 1L), List.of(o.answered, o.answeredTwice, o.answeredByOther));
+    }
+
     @Test
     void aLineThatIsNotJsonIsRefused() {
         record.add("nonsense");
--- a/src/test/java/linengauge/vrrp/VirtualRouterTest.java
+++ b/src/test/java/linengauge/vrrp/VirtualRouterTest.java
@@ -168,7 +168,14 @@
         assertEquals(INITIALIZE, r.state());
         sent.clear();
         router(100, true, Additions.NONE).shutdown(now);
+        r.farewell();
         assertTrue(sent.isEmpty());
+        active(100, true, Additions.NONE);
+        r.farewell();
+        assertTrue(sent.isEmpty(), "it has not said goodbye yet");
+        r.shutdown(now);
+        r.farewell();
+        assertEquals(List.of(0, 0), sent.stream().map(Advert::priority).toList());
     }
 
     @Test
@@ -250,6 +257,15 @@
         assertEquals(BACKUP, r.state());
     }
 
+    @Test
+    void whatIsHeardAtAnEarlierMomentDoesNotMakeThePartnerLookSilent() {
+        router(100, true, Additions.NONE);
+        partner(200, 1000);
+        r.heard(new Advert(7, 200, INTERVAL, List.of(SHARED)), LOWER, new Moment(-5_000_000));
+        r.clock(now);
+        assertEquals(BACKUP, r.state());
+    }
+
     @Test
     void preemptionWaitsForItsDelayAndALossDoesNot() {
         Additions delayed = new Additions(1, false, Span.ofMillis(5000), Span.NONE, Span.NONE, 0, 0, 0, Span.NONE);
@@ -314,6 +330,15 @@
         assertEquals(254, r.priority());
     }
 
+    @Test
+    void aPartnerThatFallsBehindIsTakenOverFromAndHasNotFlapped() {
+        active(100, true, new Additions(1, false, Span.NONE, Span.NONE, Span.ofSeconds(30), 1, 0, 0, Span.NONE));
+        partner(200, 500);
+        partner(50, 600);
+        assertEquals(ACTIVE, r.state());
+        assertEquals(0, r.counts().flaps);
+    }
+
     @Test
     void aDeafPartnerIsLeftTheAddressAndTriedAgainLater() {
         active(200, true, new Additions(1, true, Span.NONE, Span.NONE, Span.NONE, 0, 10, 0, Span.NONE));
@@ -331,6 +356,20 @@
         assertTrue(r.counts().deafPartners >= 2, "tried again");
     }
 
+    @Test
+    void aPartnerThatWasDeafLongAgoIsFollowedNoLongerThanTheFirstTime() {
+        active(200, true, new Additions(1, true, Span.NONE, Span.NONE, Span.NONE, 0, 10, 0, Span.NONE));
+        for (int i = 0; i < 3; i++) {
+            partner(100, 1300);
+            assertEquals(BACKUP, r.state());
+            long before = r.counts().activations;
+            partner(100, 9000);
+            assertEquals(before + 1, r.counts().activations, "time " + i);
+            pass(20_000); // it hears again, and says nothing
+            assertEquals(ACTIVE, r.state());
+        }
+    }
+
     @Test
     void whoIsUnwellForLongFallsBehindAndComesBackAfterAsLong() {
         active(200, true, new Additions(1, false, Span.NONE, Span.NONE, Span.NONE, 0, 0, 120, Span.ofMillis(1000)));
