VRRP: a test for how long a flapping partner is held off

The cap of the penalty and the end of a hold could be taken out without a test failing.

Measured: 20 flaps in ten seconds are held off for three half-lives at the most (test in virtual time).

--- a/src/test/java/linengauge/vrrp/VirtualRouterTest.java
+++ b/src/test/java/linengauge/vrrp/VirtualRouterTest.java
@@ -330,6 +330,20 @@
         assertEquals(254, r.priority());
     }
 
+    @Test
+    void howeverOftenAPartnerFlapsItGetsTheAddressAfterThreeHalfLives() {
+        active(100, true, new Additions(1, false, Span.NONE, Span.NONE, Span.ofSeconds(10), 1, 0, 0, Span.NONE));
+        for (int i = 0; i < 20; i++) {
+            heard(255, LOWER);
+            pass(500);
+        }
+        assertEquals(254, r.priority());
+        pass(20_000);
+        assertEquals(254, r.priority());
+        pass(11_000);
+        assertEquals(100, r.priority());
+    }
+
     @Test
     void aPartnerThatFallsBehindIsTakenOverFromAndHasNotFlapped() {
         active(100, true, new Additions(1, false, Span.NONE, Span.NONE, Span.ofSeconds(30), 1, 0, 0, Span.NONE));
