Broken streams of list and notes are taken up again as background work

Their retries had timers of their own and no common bound: a list and three hundred note streams that break at once were all reopened by a desk that was late already. An end that is told again after the front has closed its clients is passed over; it was logged as a failed step.

--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -54,6 +54,7 @@
         }
     }
 
+    private boolean closed;
     private final Site site;
     private final FrontProgram program;
     private final HttpClient setUps;
@@ -255,6 +256,9 @@
     }
 
     private void end(BoxTable.Entry box, String uri, int tries, Backoff pause) {
+        if (closed) {
+            return; // the front has ended; the box's lease ends it there
+        }
         call(HttpMethod.DELETE, box, uri, null, site.boxes().firstByteMs(), (status, r) -> {
             if (status >= 200 && status < 300 || status == 404 || status == 410) {
                 ends--;
@@ -385,6 +389,7 @@
     }
 
     void close() {
+        closed = true;
         setUps.close();
         others.close();
     }
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -87,6 +87,7 @@
     private BoxCalls calls;
     private Notes notes;
     private ListFeed feed;
+    private Chores chores;
     private DatagramSocket words;
     private Wakes wakes;
     /** A step of the core is running; read and written on the desk, where alone it is true. */
@@ -126,6 +127,10 @@
         return core;
     }
 
+    Chores chores() {
+        return chores;
+    }
+
     Notes notes() {
         return notes;
     }
@@ -177,6 +182,7 @@
                 context.exceptionHandler(e -> LOG.error("a step on the desk failed", e));
                 wakes = new Wakes(vertx);
                 core = new Desk(house, site.bounds(), seeds.nextLong(), epoch, FrontProgram.this);
+                chores = new Chores(FrontProgram.this, site.work().terms(), seeds.nextLong());
                 calls = new BoxCalls(callLoops, site, seeds.nextLong(), FrontProgram.this);
                 notes = new Notes(callLoops, site, seeds.nextLong(), FrontProgram.this);
                 feed = new ListFeed(callLoops, site, seeds.nextLong(), FrontProgram.this);
@@ -305,6 +311,7 @@
                 .put("taken", c.taken).put("played", c.played).put("blocked", c.blocked).put("aborted", c.aborted)
                 .put("left", c.left).put("full", c.turnedAwayFull).put("listGaps", c.listGaps)
                 .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver).put("wordsTooMany", intake.passedOver())
+                .put("work", chores.state())
                 .put("vrrp", vrrp == null ? new JsonObject() : new JsonObject(vrrp.state()))
                 .put("directUsed", directUsed())
                 .put("heapUsed", heap.totalMemory() - heap.freeMemory());
--- a/src/main/java/linengauge/front/ListFeed.java
+++ b/src/main/java/linengauge/front/ListFeed.java
@@ -26,6 +26,11 @@
 final class ListFeed {
     private static final Logger LOG = LoggerFactory.getLogger(ListFeed.class);
 
+    /** Before all other background work: without its list a front goes by what was. */
+    private static final int URGENT = 0;
+    /** What opening a stream is thought to take of the desk, until it has been seen. */
+    static final Span OPENING = new Span(300);
+
     private final FrontProgram program;
     private final Site site;
     private final HttpClient client;
@@ -79,11 +84,18 @@
     }
 
     private void again() {
-        program.wakeAfter(pause.next(), () -> {
+        Span after = pause.next();
+        if (!program.chores().wish("box list", URGENT, after, OPENING, () -> {
             if (stream == null) {
                 open();
             }
-        });
+        })) {
+            program.wakeAfter(after, () -> {
+                if (stream == null) {
+                    again();
+                }
+            });
+        }
     }
 
     private void heard(byte[] line) {
--- a/src/main/java/linengauge/front/Notes.java
+++ b/src/main/java/linengauge/front/Notes.java
@@ -28,6 +28,9 @@
     /** Older than this is long ago. */
     private static final long LONGEST_AGE_MS = 1_000_000_000L;
 
+    /** Urgency of streams that failed more than once: after the box list. */
+    private static final int RETRIES = 1;
+
     private final class Box {
         private final BoxTable.Entry entry;
         /** Viewings that play here, by id; each leaves as it ends. */
@@ -73,15 +76,32 @@
                 lose();
                 leave();
             } else {
-                // The first time at once: a box that restarts is found out before the next set-up goes there.
-                program.wakeAfter(failures == 1 ? Span.NONE : pause.next(), () -> {
+                if (failures == 1) {
+                    // At once, and no background work: a box that restarts is found out before the next set-up goes there.
+                    program.wakeAfter(Span.NONE, this::openAgain);
+                } else {
+                    tryLater();
+                }
+            }
+        }
+
+        private void tryLater() {
+            Span after = pause.next();
+            if (!program.chores().wish("notes of " + entry, RETRIES, after, ListFeed.OPENING, this::openAgain)) {
+                program.wakeAfter(after, () -> {
                     if (stream == null && boxes.get(entry) == this) {
-                        open();
+                        tryLater();
                     }
                 });
             }
         }
 
+        private void openAgain() {
+            if (stream == null && boxes.get(entry) == this) {
+                open();
+            }
+        }
+
         private void lose() {
             for (Held vw : List.copyOf(playing.values())) {
                 vw.boxLost();
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -14,11 +14,12 @@
 import linengauge.session.Desk;
 import linengauge.vrrp.NodeAddress;
 import linengauge.vrrp.RouterTerms;
+import linengauge.work.WorkTerms;
 
 /** What a site file says, each part as its reader needs it. Spans ending in Ms are in milliseconds. */
 public record Site(String site, List<String> buildings, Front front, Fronts fronts, List<Rung> ladder,
         List<Package> packages, Fleet fleet, Rules rules, Permits permits, Titles titles, BoxList list,
-        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Vrrp vrrp, Stop stop) {
+        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Work work, Vrrp vrrp, Stop stop) {
 
     /** A host and a port. */
     public record Address(String host, int port) {
@@ -96,6 +97,15 @@
             int answerMarginMs, int waitingAsks) {
     }
 
+    /** Background work: in any window so much of the desk's time and so many bytes, and a part of both while it is late. */
+    public record Work(int windowMs, int deskMs, long bytes, double floor, int lateMs, int jobs, int atOnce, int ageingMs,
+            int firstPauseMs, int mostPauseMs) {
+        public WorkTerms terms() {
+            return new WorkTerms(Span.ofMillis(windowMs), Span.ofMillis(deskMs), bytes, floor, Span.ofMillis(lateMs), jobs, atOnce,
+                    Span.ofMillis(ageingMs), Span.ofMillis(firstPauseMs), Span.ofMillis(mostPauseMs));
+        }
+    }
+
     /** One shared address: VRRP's settings for it, and where this front takes the viewers that come by it. */
     public record Router(int vrid, int priority, int advertMs, boolean preempt, boolean accept, List<String> addresses,
             String viewers) {
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -20,7 +20,7 @@
         checks.place(site);
         checks.packages(site);
         checks.bounds(site);
-        checks.vrrp(site);
+        checks.workAndPairs(site);
         return checks.faults;
     }
 
@@ -105,7 +105,10 @@
         wants(s.stop().playingMs() <= s.desk().idleMs() * 100L, "stop.playingMs", "is out of all measure");
     }
 
-    private void vrrp(Site s) {
+    private void workAndPairs(Site s) {
+        Site.Work w = s.work();
+        wants(w.deskMs() < w.windowMs(), "work.deskMs", "must be under work.windowMs: viewers come first");
+        wants(w.firstPauseMs() <= w.mostPauseMs(), "work.firstPauseMs", "is over work.mostPauseMs");
         Site.Vrrp v = s.vrrp();
         if (v.routers().isEmpty()) {
             return;
--- a/src/test/java/linengauge/site/SiteFileTest.java
+++ b/src/test/java/linengauge/site/SiteFileTest.java
@@ -64,6 +64,7 @@
         "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], unwellMinus: 5, routers: [ { vrid: 1, priority: 255, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|the owner of an address",
         "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.1:4\" ], routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|each partner has an address of its own",
         "messages: true }|messages: true }, vrrp: { listen: \"127.0.0.1:4\", partners: [ \"127.0.0.2:4\" ], paceMs: 400, routers: [ { vrid: 1, priority: 100, advertMs: 100, preempt: true, accept: true, addresses: [ \"192.0.2.1\" ], viewers: \"127.0.0.1:9\" } ] }|vrrp.paceMs: is over three",
+        "messages: true }|messages: true }, work: { deskMs: 2000 }|work.deskMs: must be under work.windowMs",
         "seats: 3|seats: 3, seats: 4|f:6: Duplicate", "words: \"127.0.0.1:3\" }|}|front.words: needed"})
     void aBadFileIsRefusedWithPathAndLine(String part, String by, String complaint) {
         BadSite e = assertThrows(BadSite.class, () -> SiteFile.parse("f", with(part, by == null ? "" : by)));
