--- a/src/test/java/linengauge/front/SharedAddressTest.java
+++ b/src/test/java/linengauge/front/SharedAddressTest.java
@@ -7,8 +7,10 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -139,6 +141,22 @@
         }
     }
 
+    @Test
+    void connectionsThatRestAtTheAddressAreClosedWhenItGoes() throws Exception {
+        List<Integer> ports = Ports.free(3);
+        try (Partner p = new Partner(ports.get(1), ports.get(0)); Rig r = new Rig(1, vrrp(ports, "")).start();
+                Socket rests = new Socket(Ports.HOST, ports.get(2))) {
+            Rig.until(() -> joins(r, ports.get(2)).statusCode() == 200);
+            rests.setSoTimeout(10_000); // under the bound after which one that rests is closed anyway
+            rests.getOutputStream().write("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals('H', rests.getInputStream().read());
+            p.says = 200;
+            while (rests.getInputStream().read() >= 0) {
+                continue; // the rest of its answer, and then the end
+            }
+        }
+    }
+
     @Test
     void aKeyThatIsMissingOrShortStopsTheStart() throws Exception {
         List<Integer> ports = Ports.free(3);
