--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -15,7 +15,7 @@
 @AnalyzeClasses(packages = "linengauge", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
     private static final String[] CORES = {"linengauge", "linengauge.session", "linengauge.hls", "linengauge.rules",
-        "linengauge.flow", "linengauge.vrrp", "linengauge.vrrp.explore", "linengauge.work"};
+        "linengauge.flow", "linengauge.vrrp", "linengauge.vrrp.explore", "linengauge.work", "linengauge.memory"};
 
     @ArchTest
     static final ArchRule CORES_DO_NO_IO = noClasses().that().resideInAnyPackage(CORES).should().dependOnClassesThat()
--- a/src/test/java/linengauge/front/SharedAddressTest.java
+++ b/src/test/java/linengauge/front/SharedAddressTest.java
@@ -1,6 +1,7 @@
 package linengauge.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +12,8 @@
 import java.net.SocketTimeoutException;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -18,6 +21,7 @@
 import linengauge.Span;
 import linengauge.drill.Ports;
 import linengauge.vrrp.Advert;
+import linengauge.vrrp.Fitness;
 import linengauge.vrrp.NodeAddress;
 import linengauge.vrrp.Packets;
 import org.junit.jupiter.api.Test;
@@ -157,6 +161,27 @@
         }
     }
 
+    @Test
+    void aFrontThatSeesNoServingBoxFallsBehindItsPartner() throws Exception {
+        List<Integer> ports = Ports.free(3);
+        try (Partner p = new Partner(ports.get(1), ports.get(0)); Rig r = new Rig(1,
+                vrrp(ports, "unwellMinus: 60, unwellAfterMs: 50")).start()) {
+            p.says = 80;
+            Rig.until(() -> p.heard.contains(100));
+            r.list.set(r.boxes.get(0).place, "s", "draining", 0);
+            Rig.until(() -> r.state().getJsonObject("vrrp").getJsonArray("routers").getJsonObject(0).getString("state").equals("BACKUP"));
+            r.list.set(r.boxes.get(0).place, "s", "serving", 0);
+            Rig.until(() -> r.state().getJsonObject("vrrp").getJsonArray("routers").getJsonObject(0).getString("state").equals("ACTIVE"));
+        }
+    }
+
+    @Test
+    void aDeskThatDoesNotComeRoundIsUnwellWhereThatIsBounded() {
+        assertTrue(new Fitness(3, Span.ofMillis(400), Span.ofMillis(400)).isUnwell());
+        assertFalse(new Fitness(3, Span.ofMillis(399), Span.ofMillis(400)).isUnwell());
+        assertFalse(new Fitness(3, Span.ofMillis(10_000), Span.NONE).isUnwell());
+    }
+
     @Test
     void aKeyThatIsMissingOrShortStopsTheStart() throws Exception {
         List<Integer> ports = Ports.free(3);
@@ -164,5 +189,13 @@
             assertTrue(assertThrows(Exception.class, r::start).toString().contains("vrrp.keyFile cannot be read"));
             r.front = null;
         }
+        Path key = Files.createTempFile("linengauge", ".key");
+        Files.writeString(key, "short\n");
+        try (Rig r = new Rig(1, vrrp(ports, "keyFile: '" + key + "'"))) {
+            assertTrue(assertThrows(Exception.class, r::start).toString().contains("fewer than 16 bytes"));
+            r.front = null;
+        } finally {
+            Files.delete(key);
+        }
     }
 }
