platform: the front's sockets and timers behind one port, so that a fleet can be modelled

Need: a fleet of fronts in virtual time has to run the platform's own classes (connections, tests of boxes, the door), and these called Vert.x directly. Net is the port: connections, listening, timers, the time. VertxNet carries it on one loop as before, PlatformFront is the front without socket or thread, Service the process with file, signals and log. No behaviour is meant to change; tests of the platform pass.

--- a/src/main/java/linengauge/platform/BoxLink.java
+++ b/src/main/java/linengauge/platform/BoxLink.java
@@ -1,6 +1,5 @@
 package linengauge.platform;
 
-import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -36,7 +35,7 @@
     BoxLink(BoxLinks links, BoxTable.Entry box) {
         this.links = links;
         this.box = box;
-        this.reach = new Reach(REACH, links.service().now());
+        this.reach = new Reach(REACH, links.front().now());
     }
 
     BoxTable.Entry box() {
@@ -47,8 +46,8 @@
         return links;
     }
 
-    private Service service() {
-        return links.service();
+    private PlatformFront front() {
+        return links.front();
     }
 
     /* ---- what the core wants ---- */
@@ -56,7 +55,7 @@
     void setUp(Held vw, int tuneIn) {
         Wire w = wire();
         if (w == null) {
-            service().later(() -> vw.failed(tuneIn, Ending.NEVER_SENT));
+            front().later(() -> vw.failed(tuneIn, Ending.NEVER_SENT));
         } else {
             w.setUp(vw, tuneIn);
         }
@@ -65,7 +64,7 @@
     void probe() {
         Wire w = wire();
         if (w == null) {
-            service().later(() -> service().desk().probed(box, false));
+            front().later(() -> front().desk().probed(box, false));
         } else {
             w.test(links.testId());
         }
@@ -83,7 +82,7 @@
             }
         }
         over(seat.id());
-        if (!reach.lost(service().now())) {
+        if (!reach.lost(front().now())) {
             say(BoxLines.end(seat.id()));
         }
     }
@@ -150,42 +149,38 @@
     /* ---- what its connections tell ---- */
 
     void up(Wire w) {
-        reach.up(w.closingsWhenBegun(), service().now());
+        reach.up(w.closingsWhenBegun(), front().now());
         for (byte[] line = sayings.poll(); line != null; line = sayings.poll()) {
             w.write(line);
         }
     }
 
     void heard() {
-        reach.sign(service().now());
+        reach.sign(front().now());
     }
 
     /** A connection has closed, or did not come up. */
-    void closed(Wire w, boolean wasUp, Throwable cause) {
+    void closed(Wire w, boolean wasUp, boolean refused) {
         wires.remove(w);
         links.placeFree();
         if (wasUp) {
             reach.closed();
             return;
         }
-        reach.failed(service().now());
-        if (cause instanceof ConnectException && !isTimeOut(cause)) {
+        reach.failed(front().now());
+        if (refused) {
             lost("refused"); // nothing listens there: its process has died, and what it played with it
         }
     }
 
-    private static boolean isTimeOut(Throwable cause) {
-        return cause.getClass().getSimpleName().contains("Timeout");
-    }
-
     private void lost(String why) {
         if (!standing.isEmpty()) {
-            service().said("box lost", box, why + ", " + standing.size() + " viewings");
+            front().said("box lost", box, why + ", " + standing.size() + " viewings");
             for (Seat seat : List.copyOf(standing.values())) {
                 over(seat.id());
                 seat.held().boxLost();
             }
-            service().desk().lostSight(box);
+            front().desk().lostSight(box);
         }
     }
 
@@ -236,7 +231,7 @@
 
     void reported(BoxLines.Load load) {
         if (load != null) {
-            service().desk().reported(box, load.linkAsked(), load.uplinkAsked(), load.streams());
+            front().desk().reported(box, load.linkAsked(), load.uplinkAsked(), load.streams());
         }
     }
 
@@ -253,7 +248,7 @@
         int usable = 0;
         boolean coming = false;
         for (Wire w : List.copyOf(wires)) {
-            w.look(now, usable > 0 ? SPARE_RESTS : service().briefing().restingClosed().times(0.8));
+            w.look(now, usable > 0 ? SPARE_RESTS : front().briefing().restingClosed().times(0.8));
             usable += w.isRetired() ? 0 : 1;
             coming |= !w.isUp();
         }
--- a/src/main/java/linengauge/platform/BoxLinks.java
+++ b/src/main/java/linengauge/platform/BoxLinks.java
@@ -1,6 +1,5 @@
 package linengauge.platform;
 
-import io.vertx.core.net.NetClient;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,26 +11,20 @@
 
 /** All media boxes' connections, by the box's id: a successor may have the address of one that has gone. */
 final class BoxLinks implements Carrier {
-    private final Service service;
-    private final NetClient client;
+    private final PlatformFront front;
     private final int places;
     private int wires;
     private long tests;
     /** Emptied by {@link #look}: a link leaves once its box has gone and nothing of it is left. */
     private final Map<Long, BoxLink> links = new LinkedHashMap<>();
 
-    BoxLinks(Service service, NetClient client, int places) {
-        this.service = service;
-        this.client = client;
+    BoxLinks(PlatformFront front, int places) {
+        this.front = front;
         this.places = places;
     }
 
-    Service service() {
-        return service;
-    }
-
-    NetClient client() {
-        return client;
+    PlatformFront front() {
+        return front;
     }
 
     /** Whether one more connection may be opened; each counts until it has closed. */
@@ -79,7 +72,7 @@
 
     void look() {
         for (BoxLink link : List.copyOf(links.values())) {
-            if (link.look(service.now())) {
+            if (link.look(front.now())) {
                 links.remove(link.box().id());
             }
         }
@@ -87,8 +80,7 @@
 
     @Override
     public Wake wakeAfter(Span span, Runnable step) {
-        long timer = service.after(span, step);
-        return () -> service.vertx().cancelTimer(timer);
+        return front.after(span, step);
     }
 
     @Override
@@ -118,7 +110,7 @@
 
     @Override
     public void failed(RuntimeException cause) {
-        service.failed(cause);
+        front.failed(cause);
     }
 
     /** Figures for the log: connections and links. */
--- a/src/main/java/linengauge/platform/Door.java
+++ b/src/main/java/linengauge/platform/Door.java
@@ -1,9 +1,5 @@
 package linengauge.platform;
 
-import io.vertx.core.Future;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
-import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -33,30 +29,21 @@
     private record Release(long id, boolean cut, Moment until) {
     }
 
-    private final Service service;
+    private final PlatformFront front;
     private final Guests guests;
-    private final NetServer server;
     /** Viewings by their ids on the wire; each leaves with its refusal or its end. */
     private final Map<Long, Seat> seats = new HashMap<>();
     private final Set<ViewerLine> lines = new LinkedHashSet<>();
     /** Ends that no connection was there for; bounded, and emptied by the next connection or by time. */
     private final ArrayDeque<Release> releases = new ArrayDeque<>();
 
-    Door(Service service, int places) {
-        this.service = service;
+    Door(PlatformFront front, int places) {
+        this.front = front;
         this.guests = new Guests(new Guests.Terms(places, SIGN));
-        this.server = service.vertx().createNetServer(new NetServerOptions().setAcceptBacklog(1024).setTcpNoDelay(true)
-                .setReuseAddress(true));
-        server.connectHandler(socket -> service.entered(() -> arrived(socket)));
-        server.exceptionHandler(e -> said("connection not taken", null, String.valueOf(e.getMessage())));
     }
 
-    Future<NetServer> listen(String address) {
-        return server.listen(Posting.port(address), Posting.host(address));
-    }
-
-    Service service() {
-        return service;
+    PlatformFront front() {
+        return front;
     }
 
     int viewings() {
@@ -73,17 +60,16 @@
     }
 
     void said(String kind, Object about, String detail) {
-        service.said(kind, about, detail);
+        front.said(kind, about, detail);
     }
 
-    private void arrived(NetSocket socket) {
+    void arrived(Net.Connection socket) {
         ViewerLine line = new ViewerLine(this, socket);
-        Guest guest = guests.arrived(line::close, service.now());
+        Guest guest = guests.arrived(line::close, front.now());
         if (guest == null) {
-            socket.handler(null);
-            socket.closeHandler(null);
+            socket.hears(data -> { }, () -> { });
             socket.close();
-            said("no place for a viewer", socket.remoteAddress(), "");
+            said("no place for a viewer", socket.peer(), "");
             return;
         }
         line.guest(guest);
@@ -105,9 +91,9 @@
     /* ---- what viewers say ---- */
 
     void setUp(ViewerLine line, long id, SetUpForm form) {
-        int pack = service.briefing().packages().indexOf(form.pack());
-        int cells = service.briefing().headend().fleet().cells();
-        int rungs = service.briefing().headend().ladderKb().length;
+        int pack = front.briefing().packages().indexOf(form.pack());
+        int cells = front.briefing().headend().fleet().cells();
+        int rungs = front.briefing().headend().ladderKb().length;
         boolean handedOver = form.at() != null;
         if (pack < 0 || !within(form.firstCell(), cells) || !within(form.cellsInRow(), cells + 1L)
                 || !within(form.ceiling(), rungs) || handedOver && Texts.box(form.at()) < 0
@@ -121,25 +107,25 @@
             again(line, before, handedOver);
             return;
         }
-        PackageTerms terms = service.briefing().headend().packages().get(pack);
+        PackageTerms terms = front.briefing().headend().packages().get(pack);
         int ceiling = form.ceiling() < 0 ? terms.highestRung() : (int) form.ceiling();
         var ask = new Held.Ask(form.title(), (int) Math.max(0, form.firstCell()), (int) Math.max(0, form.cellsInRow()), pack,
-                terms, ceiling, Span.ofMillis(Math.max(0, form.leftMs())).minus(service.unread()), null);
+                terms, ceiling, Span.ofMillis(Math.max(0, form.leftMs())).minus(front.unread()), null);
         if (handedOver) {
             line.viewers();
             Seat seat = new Seat(this, id, form.pack(), null, null);
             seats.put(id, seat);
             seat.home(line);
-            seat.held(service.desk().handOver(ask, Texts.box(form.at()), seat));
+            seat.held(front.desk().handOver(ask, Texts.box(form.at()), seat));
             if (seat.held() != null) {
-                service.boxes().stands(seat);
+                front.boxes().stands(seat);
             }
             return;
         }
         Seat seat = new Seat(this, id, form.pack(), form.description(), line);
         seats.put(id, seat);
         line.waits(seat, form.description().length());
-        Held held = service.desk().take(ask, seat);
+        Held held = front.desk().take(ask, seat);
         seat.held(held);
     }
 
@@ -204,7 +190,7 @@
             if (releases.size() == MOST_RELEASES) {
                 releases.poll();
             }
-            releases.add(new Release(id, cut, service.now().plus(RELEASE_KEPT)));
+            releases.add(new Release(id, cut, front.now().plus(RELEASE_KEPT)));
         }
     }
 
--- a/src/main/java/linengauge/platform/JournalFeed.java
+++ b/src/main/java/linengauge/platform/JournalFeed.java
@@ -1,8 +1,5 @@
 package linengauge.platform;
 
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetSocket;
 import java.util.List;
 import linengauge.Moment;
 import linengauge.Span;
@@ -11,27 +8,26 @@
 import linengauge.session.BoxTable.Row;
 
 /**
- * Follows the journal service. A stream that breaks, or says nothing for clearly longer than its sign of life is apart, is
+ * Follows the journal front. A stream that breaks, or says nothing for clearly longer than its sign of life is apart, is
  * asked for again at once and then with short, bounded pauses, from the last event held.
  */
 final class JournalFeed {
     private static final Span SILENCE = Span.ofMillis(2200);
     private static final Span FIRST_PAUSE = Span.ofMillis(50);
+    private static final int MOST_UNREAD = 1024;
     private static final Span LONGEST_PAUSE = Span.ofMillis(800);
 
-    private final Service service;
-    private final NetClient client;
+    private final PlatformFront front;
     private String address;
     private long last;
-    private NetSocket socket;
+    private Net.Connection socket;
     /** Counts connections tried: what an earlier one still says is passed over. */
     private int turn;
     private Moment heardAt;
     private Span pause = Span.NONE;
 
-    JournalFeed(Service service, NetClient client, String address) {
-        this.service = service;
-        this.client = client;
+    JournalFeed(PlatformFront front, String address) {
+        this.front = front;
         this.address = address;
     }
 
@@ -55,55 +51,57 @@
             socket.close();
             socket = null;
         }
-        heardAt = service.now();
-        client.connect(Posting.port(address), Posting.host(address)).onComplete(done -> service.entered(() -> {
-            if (mine != turn) {
-                if (done.succeeded()) {
-                    done.result().close();
+        heardAt = front.now();
+        front.connect(address, MOST_UNREAD, new Net.Tried() {
+            @Override
+            public void up(Net.Connection connection) {
+                if (mine == turn) {
+                    follow(connection, mine);
+                } else {
+                    connection.close();
                 }
-            } else if (done.failed()) {
-                broke(mine, "not reached: " + done.cause().getMessage());
-            } else {
-                follow(done.result(), mine);
             }
-        }));
+
+            @Override
+            public void failed(boolean refused, String why) {
+                broke(mine, "not reached: " + why);
+            }
+        });
     }
 
-    private void follow(NetSocket s, int mine) {
+    private void follow(Net.Connection s, int mine) {
         socket = s;
-        heardAt = service.now();
+        heardAt = front.now();
         JournalFrames frames = new JournalFrames((number, whole, rows) -> {
             if (mine == turn) {
                 event(number, whole, rows);
             }
         });
-        s.handler(data -> service.entered(() -> {
+        s.hears(data -> front.entered(() -> {
             if (mine == turn) {
-                heardAt = service.now();
+                heardAt = front.now();
                 pause = Span.NONE;
                 try {
-                    frames.feed(data.getBytes());
+                    frames.feed(data);
                 } catch (BadMessage e) {
                     broke(mine, e.getMessage());
                 }
             }
-        }));
-        s.exceptionHandler(e -> { });
-        s.closeHandler(v -> service.entered(() -> broke(mine, "closed")));
-        s.write(Buffer.buffer(JournalFrames.from(last)));
+        }), () -> front.entered(() -> broke(mine, "closed")));
+        s.write(JournalFrames.from(last));
     }
 
     private void broke(int mine, String why) {
         if (mine != turn) {
             return;
         }
-        service.said("journal service broke off", address, why);
+        front.said("journal service broke off", address, why);
         if (pause.equals(Span.NONE)) {
             pause = FIRST_PAUSE;
             connect();
         } else {
             turn++;
-            service.after(pause, () -> {
+            front.after(pause, () -> {
                 if (mine + 1 == turn) {
                     connect();
                 }
@@ -115,7 +113,7 @@
     /** To be called some times a second. */
     void look(Moment now) {
         if (socket != null && SILENCE.under(now.since(heardAt))) {
-            service.said("journal service silent", address, "");
+            front.said("journal service silent", address, "");
             connect();
         }
     }
@@ -125,16 +123,16 @@
             return; // told before
         }
         if (!whole && number != last + 1) {
-            service.said("journal service skipped", address, last + " to " + number);
+            front.said("journal service skipped", address, last + " to " + number);
             connect();
             return;
         }
         last = number;
         if (whole) {
-            service.desk().listed(number, rows);
+            front.desk().listed(number, rows);
         } else {
-            service.desk().listChanged(number - 1, number, rows);
+            front.desk().listChanged(number - 1, number, rows);
         }
-        service.boxes().listed();
+        front.boxes().listed();
     }
 }
--- /dev/null
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -0,0 +1,199 @@
+package linengauge.platform;
+
+import java.util.function.Consumer;
+import linengauge.Moment;
+import linengauge.Span;
+import linengauge.briefing.Briefing;
+import linengauge.platform.keep.Lag;
+import linengauge.platform.keep.Places;
+import linengauge.session.Carrier.Wake;
+import linengauge.session.Desk;
+
+/**
+ * A front in the operators' platform (docs/protocol/platform.md): viewers, boxes, the journal service and the core, all of
+ * them carried by one {@link Net}. Whatever comes from outside enters by {@link #entered}, which tells the core the time.
+ */
+public final class PlatformFront {
+    private static final Span LOOK = Span.ofMillis(200);
+    private static final Span BEAT = Span.ofMillis(20);
+    private static final Span STILL_COMING = Span.ofMillis(750);
+    private static final Span LONGEST_STOP = Span.ofSeconds(3);
+    private static final Span BEFORE_KILL = Span.ofMillis(500);
+    private static final Span AFTER_LAST_WORD = Span.ofMillis(60);
+    /** No idle bound; and no stand-still of the core's own noticing: each request says how long it may have lain. */
+    private static final Desk.Bounds BOUNDS = new Desk.Bounds(8000, Span.NONE, Span.ofMillis(600), Span.ofMillis(500),
+            Span.ofSeconds(3600), Span.ofMillis(60));
+
+    /** Where it tells what operators should know. */
+    public interface Told {
+        /** Something that may come by the thousand: what kind, of whom, and more. */
+        void warn(String kind, Object about, String detail);
+
+        /** Something that comes seldom. */
+        void info(String line);
+
+        /** It has ended: in order (empty, null), or by a failure, which is named. */
+        void over(String failed, RuntimeException cause);
+    }
+
+    private final Posting posting;
+    private final Net net;
+    private final Told told;
+    private final Lag lag;
+    private final BoxLinks boxes;
+    private final Door door;
+    private final Desk desk;
+    private final JournalFeed journal;
+    private Moment now;
+    private boolean stopping;
+
+    /** To be made and used where the net's calls run. */
+    public PlatformFront(Posting posting, Net net, Told told) {
+        this.posting = posting;
+        this.net = net;
+        this.told = told;
+        this.now = net.now();
+        this.lag = new Lag(now);
+        Places places = Places.of(posting.descriptors());
+        this.boxes = new BoxLinks(this, places.boxes());
+        this.door = new Door(this, places.viewers());
+        this.desk = new Desk(posting.briefing().headend(), BOUNDS, posting.seed(), Long.toString(now.micros(), 36), boxes);
+        this.journal = new JournalFeed(this, posting.journal());
+    }
+
+    /** Begins to serve; the outcome is told once: null, or why it cannot. */
+    public void start(Consumer<String> outcome) {
+        desk.clock(now);
+        posting.known().forEach(journal::known);
+        journal.connect();
+        net.every(BEAT, () -> {
+            now = net.now();
+            lag.beat(now);
+        });
+        net.every(LOOK, () -> entered(() -> {
+            door.look(now);
+            boxes.look();
+            journal.look(now);
+        }));
+        net.listen(posting.listen(), Door.MOST_UNREAD, new Net.Listener() {
+            @Override
+            public void listens(String failed) {
+                if (failed == null) {
+                    told.info("serving on " + posting.listen() + " with " + desk.boxes().size() + " boxes known");
+                }
+                outcome.accept(failed == null ? null : "cannot listen on " + posting.listen() + ": " + failed);
+            }
+
+            @Override
+            public void arrived(Net.Connection connection) {
+                entered(() -> door.arrived(connection));
+            }
+
+            @Override
+            public void notTaken(String why) {
+                said("connection not taken", null, why);
+            }
+        });
+    }
+
+    /** Anything that comes from outside: the core is told the time, then it runs. */
+    void entered(Runnable deed) {
+        tick();
+        deed.run();
+    }
+
+    /**
+     * The time anew, for each message of a piece that was read: the process may have been held up in its midst, and a yes
+     * must not leave after the viewer's patience.
+     */
+    void tick() {
+        now = net.now();
+        desk.clock(now);
+    }
+
+    /** Tries a connection; what comes of it enters as an event of its own. */
+    void connect(String address, int mostUnread, Net.Tried then) {
+        net.connect(address, mostUnread, new Net.Tried() {
+            @Override
+            public void up(Net.Connection connection) {
+                entered(() -> then.up(connection));
+            }
+
+            @Override
+            public void failed(boolean refused, String why) {
+                entered(() -> then.failed(refused, why));
+            }
+        });
+    }
+
+    /** Runs it as an event of its own, once the present one is over. */
+    void later(Runnable deed) {
+        net.later(() -> entered(deed));
+    }
+
+    /** Runs it once, after the span and never within the present event. */
+    Wake after(Span span, Runnable deed) {
+        return net.after(span, () -> entered(deed));
+    }
+
+    /** How long what is read now may have lain unread. */
+    Span unread() {
+        return lag.unread(now);
+    }
+
+    Moment now() {
+        return now;
+    }
+
+    Desk desk() {
+        return desk;
+    }
+
+    BoxLinks boxes() {
+        return boxes;
+    }
+
+    Door door() {
+        return door;
+    }
+
+    Briefing briefing() {
+        return posting.briefing();
+    }
+
+    void said(String kind, Object about, String detail) {
+        told.warn(kind, about, detail);
+    }
+
+    void failed(RuntimeException cause) {
+        told.over("the module failed: " + cause, cause);
+    }
+
+    /** A new configuration: of it the address of the journal service counts. */
+    public void postedAnew(Posting anew) {
+        entered(() -> journal.moved(anew.journal()));
+    }
+
+    /**
+     * The end in order: what comes is taken for as long as it may still come, every answer is given, and what plays is kept
+     * playing until shortly before the process could be killed.
+     */
+    public void stop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        tick();
+        told.info("told to stop: " + door.viewings() + " viewings, " + door.connections() + " connections");
+        // The listener stays: closing it would close every connection that came by it, with what is owed there.
+        after(STILL_COMING, desk::stopTaking);
+        Span patience = briefing().longestPatience();
+        after(patience.orLess(LONGEST_STOP).orMore(STILL_COMING).plus(BEFORE_KILL), () -> {
+            told.info("ending: " + door.viewings() + " viewings, " + door.connections() + " connections, " + boxes.figures());
+            desk.endAll();
+            told.info("ended: " + door.viewings() + " viewings, " + door.connections() + " connections, " + door.untold()
+                    + " ends untold");
+            net.after(AFTER_LAST_WORD, () -> told.over("", null));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/linengauge/platform/VertxNet.java
@@ -0,0 +1,135 @@
+package linengauge.platform;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.net.ConnectException;
+import java.util.function.Consumer;
+import linengauge.Moment;
+import linengauge.Span;
+import linengauge.carry.Wall;
+import linengauge.session.Carrier.Wake;
+
+/** Sockets and timers on one event loop. */
+final class VertxNet implements Net {
+    private final Vertx vertx;
+    private final Context loop;
+    private final NetClient client;
+    private final NetServer server;
+
+    VertxNet(Span dial) {
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+                .setFileSystemOptions(new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
+        this.loop = vertx.getOrCreateContext();
+        this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setReconnectAttempts(0)
+                .setConnectTimeout((int) Math.max(50, dial.micros() / 1000)));
+        this.server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024).setTcpNoDelay(true)
+                .setReuseAddress(true));
+    }
+
+    /** From any thread: runs it on the loop. */
+    void onLoop(Runnable deed) {
+        loop.runOnContext(v -> deed.run());
+    }
+
+    /** Closes everything and waits for it; not to be called on the loop. */
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @Override
+    public Moment now() {
+        return Wall.now();
+    }
+
+    @Override
+    public void connect(String address, int mostUnread, Tried then) {
+        client.connect(Posting.port(address), Posting.host(address)).onComplete(done -> {
+            if (done.succeeded()) {
+                then.up(new Socket(done.result(), mostUnread));
+            } else {
+                Throwable cause = done.cause();
+                boolean timeOut = cause.getClass().getSimpleName().contains("Timeout");
+                then.failed(cause instanceof ConnectException && !timeOut, String.valueOf(cause.getMessage()));
+            }
+        });
+    }
+
+    @Override
+    public void listen(String address, int mostUnread, Listener listener) {
+        server.connectHandler(socket -> listener.arrived(new Socket(socket, mostUnread)));
+        server.exceptionHandler(e -> listener.notTaken(String.valueOf(e.getMessage())));
+        server.listen(Posting.port(address), Posting.host(address)).onComplete(done ->
+                listener.listens(done.succeeded() ? null : String.valueOf(done.cause().getMessage())));
+    }
+
+    @Override
+    public Wake after(Span span, Runnable step) {
+        long timer = vertx.setTimer(ms(span), t -> step.run());
+        return () -> vertx.cancelTimer(timer);
+    }
+
+    @Override
+    public void every(Span span, Runnable step) {
+        vertx.setPeriodic(ms(span), t -> step.run());
+    }
+
+    @Override
+    public void later(Runnable step) {
+        vertx.runOnContext(v -> step.run());
+    }
+
+    private static long ms(Span span) {
+        return Math.max(1, (span.micros() + 999) / 1000);
+    }
+
+    private record Socket(NetSocket socket, int mostUnread) implements Connection {
+        private Socket {
+            socket.setWriteQueueMaxSize(mostUnread);
+            socket.exceptionHandler(e -> { }); // the close that follows says all
+        }
+
+        @Override
+        public void hears(Consumer<byte[]> data, Runnable closed) {
+            socket.handler(b -> data.accept(b.getBytes()));
+            socket.closeHandler(v -> closed.run());
+        }
+
+        @Override
+        public void write(byte[] message) {
+            socket.write(Buffer.buffer(message));
+        }
+
+        @Override
+        public boolean isFull() {
+            return socket.writeQueueFull();
+        }
+
+        @Override
+        public void pause() {
+            socket.pause();
+        }
+
+        @Override
+        public void resume() {
+            socket.resume();
+        }
+
+        @Override
+        public void close() {
+            socket.close();
+        }
+
+        @Override
+        public String peer() {
+            return String.valueOf(socket.remoteAddress());
+        }
+    }
+}
--- a/src/main/java/linengauge/platform/ViewerLine.java
+++ b/src/main/java/linengauge/platform/ViewerLine.java
@@ -1,7 +1,5 @@
 package linengauge.platform;
 
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,7 +12,7 @@
 /** One connection from viewers. */
 final class ViewerLine implements ViewerMessages.Heard {
     private final Door door;
-    private final NetSocket socket;
+    private final Net.Connection socket;
     private final ViewerMessages reader = new ViewerMessages(this);
     /** Viewings whose answer is owed here; each leaves with its answer. */
     private final Set<Seat> waiting = new LinkedHashSet<>();
@@ -24,13 +22,10 @@
     /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
     private int keeps;
 
-    ViewerLine(Door door, NetSocket socket) {
+    ViewerLine(Door door, Net.Connection socket) {
         this.door = door;
         this.socket = socket;
-        socket.setWriteQueueMaxSize(Door.MOST_UNREAD);
-        socket.handler(data -> door.service().entered(() -> read(data)));
-        socket.closeHandler(v -> door.service().entered(this::gone));
-        socket.exceptionHandler(e -> { }); // the close that follows says all
+        socket.hears(data -> door.front().entered(() -> read(data)), () -> door.front().entered(this::gone));
     }
 
     void guest(Guest given) {
@@ -46,15 +41,15 @@
         return viewers;
     }
 
-    private void read(Buffer data) {
+    private void read(byte[] data) {
         if (closed) {
             return;
         }
         try {
-            boolean ended = reader.feed(data.getBytes()) > 0;
-            guest.read(ended, reader.isMidMessage(), door.service().now());
+            boolean ended = reader.feed(data) > 0;
+            guest.read(ended, reader.isMidMessage(), door.front().now());
         } catch (BadMessage e) {
-            door.said("unreadable viewer", socket.remoteAddress(), e.getMessage());
+            door.said("unreadable viewer", socket.peer(), e.getMessage());
             close();
         }
     }
@@ -100,7 +95,7 @@
 
     void unwait(Seat seat) {
         if (waiting.remove(seat)) {
-            guest.settled(door.service().now());
+            guest.settled(door.front().now());
             boolean held = keeps > Door.MOST_KEPT;
             keeps -= seat.length();
             if (held && keeps <= Door.MOST_KEPT) {
@@ -114,18 +109,18 @@
         if (closed) {
             return;
         }
-        if (socket.writeQueueFull()) {
-            door.said("viewer does not read", socket.remoteAddress(), "");
-            door.service().later(this::close);
+        if (socket.isFull()) {
+            door.said("viewer does not read", socket.peer(), "");
+            door.front().later(this::close);
             return;
         }
-        socket.write(Buffer.buffer(message));
+        socket.write(message);
     }
 
     @Override
     public void setUp(long id, SetUpForm form) {
         if (!closed) {
-            door.service().tick();
+            door.front().tick();
             door.setUp(this, id, form);
         }
     }
@@ -145,7 +140,7 @@
 
     @Override
     public void unfit(long id, String why) {
-        door.said("unfit set-up", socket.remoteAddress(), why);
+        door.said("unfit set-up", socket.peer(), why);
         write(ViewerMessages.unfit(id));
     }
 
--- a/src/main/java/linengauge/platform/Wire.java
+++ b/src/main/java/linengauge/platform/Wire.java
@@ -1,7 +1,5 @@
 package linengauge.platform;
 
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,12 +9,16 @@
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.BoxLines;
 import linengauge.platform.keep.Line;
+import linengauge.session.Carrier.Wake;
 import linengauge.session.Held;
 
 /** One connection to a media box, from being tried until it has closed. */
 final class Wire implements BoxLines.Heard {
     private static final int MOST_UNREAD = 256 * 1024;
 
+    /** How it ended: closed by either side, or never there. */
+    private enum Gone { CLOSED, NOT_REACHED, REFUSED }
+
     /** A set-up that is out on it, or waits for it to come up. */
     private static final class Out {
         private final Held held;
@@ -36,8 +38,8 @@
     private final BoxLines reader = new BoxLines(this);
     private final Map<Long, Out> outs = new LinkedHashMap<>();
     /** Tests whose result is waited for, with their timers. */
-    private final Map<Long, Long> tests = new LinkedHashMap<>();
-    private NetSocket socket;
+    private final Map<Long, Wake> tests = new LinkedHashMap<>();
+    private Net.Connection socket;
     private boolean closed;
     private final Line line;
 
@@ -45,11 +47,11 @@
         this.link = link;
         this.address = address;
         this.closingsWhenBegun = closingsWhenBegun;
-        this.line = new Line(service().now());
+        this.line = new Line(front().now());
     }
 
-    private Service service() {
-        return link.links().service();
+    private PlatformFront front() {
+        return link.links().front();
     }
 
     boolean isUp() {
@@ -75,27 +77,29 @@
     }
 
     void connect() {
-        link.links().client().connect(Posting.port(address), Posting.host(address)).onComplete(done ->
-                service().entered(() -> {
-                    if (done.failed()) {
-                        gone(done.cause());
-                    } else if (closed) {
-                        done.result().close();
-                    } else {
-                        up(done.result());
-                    }
-                }));
+        front().connect(address, MOST_UNREAD, new Net.Tried() {
+            @Override
+            public void up(Net.Connection connection) {
+                if (closed) {
+                    connection.close();
+                } else {
+                    Wire.this.up(connection);
+                }
+            }
+
+            @Override
+            public void failed(boolean refused, String why) {
+                gone(refused ? Gone.REFUSED : Gone.NOT_REACHED);
+            }
+        });
     }
 
-    private void up(NetSocket s) {
+    private void up(Net.Connection s) {
         socket = s;
-        s.setWriteQueueMaxSize(MOST_UNREAD);
-        s.handler(data -> service().entered(() -> read(data)));
-        s.exceptionHandler(e -> { }); // the close that follows says all
-        s.closeHandler(v -> service().entered(() -> gone(null)));
+        s.hears(data -> front().entered(() -> read(data)), () -> front().entered(() -> gone(Gone.CLOSED)));
         link.up(this);
         for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
-            service().tick();
+            front().tick();
             send(o.getKey(), o.getValue());
         }
         for (long id : List.copyOf(tests.keySet())) {
@@ -103,17 +107,17 @@
         }
     }
 
-    private void read(Buffer data) {
+    private void read(byte[] data) {
         if (closed) {
             return;
         }
         link.heard();
-        line.heard(service().now());
+        line.heard(front().now());
         try {
-            boolean ended = reader.feed(data.getBytes()) > 0;
-            line.read(ended, reader.isMidLine(), service().now());
+            boolean ended = reader.feed(data) > 0;
+            line.read(ended, reader.isMidLine(), front().now());
         } catch (BadMessage e) {
-            service().said("unreadable box", link.box(), e.getMessage());
+            front().said("unreadable box", link.box(), e.getMessage());
             close(e.getMessage());
         }
     }
@@ -122,12 +126,12 @@
         if (!isUp()) {
             return;
         }
-        if (socket.writeQueueFull()) {
-            service().later(() -> close("does not read"));
+        if (socket.isFull()) {
+            front().later(() -> close("does not read"));
             return;
         }
-        line.used(service().now());
-        socket.write(Buffer.buffer(message));
+        line.used(front().now());
+        socket.write(message);
     }
 
     /* ---- what is sent ---- */
@@ -143,22 +147,22 @@
     private void send(long id, Out out) {
         if (!out.held.sendable(out.tuneIn)) {
             outs.remove(id, out);
-            service().later(() -> out.held.failed(out.tuneIn, Ending.NEVER_SENT));
+            front().later(() -> out.held.failed(out.tuneIn, Ending.NEVER_SENT));
             return;
         }
         out.written = true;
-        out.writtenAt = service().now();
+        out.writtenAt = front().now();
         Seat seat = (Seat) out.held.viewer();
         write(BoxLines.setUp(id, seat.pack(), out.held.ask().title(), Math.max(1, out.held.waitLeft().micros() / 1000),
                 out.held.rungNow(), seat.description()));
     }
 
     void test(long id) {
-        Moment asked = service().now();
-        tests.put(id, service().after(service().briefing().dial(), () -> {
+        Moment asked = front().now();
+        tests.put(id, front().after(front().briefing().dial(), () -> {
             if (tests.remove(id) != null) {
                 line.unanswered(asked);
-                service().desk().probed(link.box(), false);
+                front().desk().probed(link.box(), false);
             }
         }));
         if (isUp()) {
@@ -193,7 +197,7 @@
         }
         Seat seat = (Seat) out.held.viewer();
         seat.answered(description);
-        service().tick();
+        front().tick();
         out.held.plays(out.tuneIn);
         // Where the core did not want it any more it has been taken back meanwhile, on this very connection.
         if (outs.remove(id, out)) {
@@ -216,10 +220,10 @@
     @Override
     public void tested(long id, boolean passed, BoxLines.Load load) {
         link.reported(load);
-        Long timer = tests.remove(id);
+        Wake timer = tests.remove(id);
         if (timer != null) {
-            service().vertx().cancelTimer(timer);
-            service().desk().probed(link.box(), passed);
+            timer.cancel();
+            front().desk().probed(link.box(), passed);
         }
     }
 
@@ -260,15 +264,15 @@
 
     void close(String why) {
         if (!closed) {
-            NetSocket s = socket;
-            gone(null);
+            Net.Connection s = socket;
+            gone(Gone.CLOSED);
             if (s != null) {
                 s.close();
             }
         }
     }
 
-    private void gone(Throwable cause) {
+    private void gone(Gone how) {
         if (closed) {
             return;
         }
@@ -277,10 +281,10 @@
         for (Out out : BoxLinks.taken(outs)) {
             out.held.failed(out.tuneIn, out.written ? Ending.BROKEN : Ending.NOT_REACHED);
         }
-        for (long timer : BoxLinks.taken(tests)) {
-            service().vertx().cancelTimer(timer);
-            service().desk().probed(link.box(), false);
+        for (Wake timer : BoxLinks.taken(tests)) {
+            timer.cancel();
+            front().desk().probed(link.box(), false);
         }
-        link.closed(this, wasUp || cause == null, cause);
+        link.closed(this, wasUp || how == Gone.CLOSED, how == Gone.REFUSED);
     }
 }
