--- a/src/main/java/linengauge/platform/BoxLinks.java
+++ b/src/main/java/linengauge/platform/BoxLinks.java
@@ -113,6 +113,14 @@
         front.failed(cause);
     }
 
+    int linked() {
+        return links.size();
+    }
+
+    int connections() {
+        return wires;
+    }
+
     /** Figures for the log: connections and links. */
     String figures() {
         return links.size() + " boxes, " + wires + " connections";
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -36,6 +36,11 @@
         void over(String failed, RuntimeException cause);
     }
 
+    /** How full its tables are. */
+    public record Figures(int viewings, int ids, int viewersConnections, int endsUntold, int boxes, int boxesLinked,
+            int boxConnections, int titles) {
+    }
+
     private final Posting posting;
     private final Net net;
     private final Told told;
@@ -169,6 +174,11 @@
         told.over("the module failed: " + cause, cause);
     }
 
+    public Figures figures() {
+        return new Figures(desk.viewings(), door.viewings(), door.connections(), door.untold(), desk.boxes().size(), boxes.linked(),
+                boxes.connections(), desk.titlesHeld());
+    }
+
     /** A new configuration: of it the address of the journal service counts. */
     public void postedAnew(Posting anew) {
         entered(() -> journal.moved(anew.journal()));
--- a/src/main/java/linengauge/platform/Posting.java
+++ b/src/main/java/linengauge/platform/Posting.java
@@ -23,14 +23,23 @@
  * Where and as what the platform posts this front: the configuration that it is started with (docs/protocol/platform.md,
  * "Configuration"). Descriptors: how many files and sockets the process may hold.
  */
-record Posting(String listen, String journal, long seed, int descriptors, Briefing briefing, List<Piece> known) {
+public record Posting(String listen, String journal, long seed, int descriptors, Briefing briefing, List<Piece> known) {
     /** One event of the box list. */
-    record Piece(long number, boolean whole, List<Row> rows) {
+    public record Piece(long number, boolean whole, List<Row> rows) {
     }
 
     /** Reads and checks the whole file; throws with one line that says what is wrong with it. */
     static Posting read(Path file) throws BadBriefing {
-        try (JsonParser p = new JsonFactory().createParser(Files.readAllBytes(file))) {
+        try {
+            return read(Files.readAllBytes(file));
+        } catch (IOException e) {
+            throw new BadBriefing("it cannot be read: " + e);
+        }
+    }
+
+    /** The same of what stands in such a file. */
+    public static Posting read(byte[] text) throws BadBriefing {
+        try (JsonParser p = new JsonFactory().createParser(text)) {
             JsonToken first = p.nextToken();
             if (first != JsonToken.START_OBJECT || !(JsonTree.read(p, first) instanceof Map<?, ?> all) || p.nextToken() != null) {
                 throw new BadBriefing("it should hold one object");
--- a/src/main/java/linengauge/standin/PlatformBox.java
+++ b/src/main/java/linengauge/standin/PlatformBox.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -177,7 +178,11 @@
     public void close() throws IOException {
         door.close();
         for (Socket s : sockets) {
-            s.setSoLinger(true, 0);
+            try {
+                s.setSoLinger(true, 0);
+            } catch (SocketException e) {
+                // its other side has closed it meanwhile
+            }
             s.close();
         }
     }
