Silent boxes are tested on the connection they have, and later, not by a new one each 2.5 s

At fault: Reach.doubtful, which had BoxLink.look open a new connection whenever a box had said nothing for 2.5 s; a box says nothing for longer than that where a front has one or two viewings on it.

Now a silence of 5 s has the box tested once on an open connection; 0.5 s later connections are tried; the box is lost when they have failed for 3.5 s, or for 1 s with no sign for 7 s: what played there is released within the platform's 8 s. A spare connection that rests is closed without being followed by a new one, and stays while a viewing without a connection of its own stands there. A refused connection says nothing of a box that has another one up: its table is full.

--- a/src/main/java/linengauge/platform/BoxLink.java
+++ b/src/main/java/linengauge/platform/BoxLink.java
@@ -18,8 +18,13 @@
 final class BoxLink {
     private static final int MOST_WIRES = 4;
     private static final int MOST_SAYINGS = 512;
-    private static final Reach.Terms REACH = new Reach.Terms(Span.ofMillis(2500), Span.ofMillis(3500), Span.ofMillis(50),
-            Span.ofMillis(800));
+    /**
+     * Boxes are silent by nature where nothing is set up and nothing is short, and each new connection is priced over the
+     * whole fleet: only so late is silence looked into that what played at a box that has vanished is still released within
+     * the 8 s that the platform gives, with a second for a front that is itself late.
+     */
+    static final Reach.Terms REACH = new Reach.Terms(Span.ofMillis(5000), Span.ofMillis(500), Span.ofMillis(3500),
+            Span.ofMillis(7000), Span.ofMillis(1000), Span.ofMillis(50), Span.ofMillis(800));
     /** Connections beyond the first are closed when they have rested so long. */
     private static final Span SPARE_RESTS = Span.ofSeconds(4);
 
@@ -117,16 +122,19 @@
         }
     }
 
-    /** A connection for one more set-up or test: one with none open, else a new one, else the one with the fewest. */
-    private Wire wire() {
+    /** The connection with the fewest set-ups and tests out that takes more, or null. */
+    private Wire leastLoaded() {
         Wire least = null;
-        int usable = 0;
         for (Wire w : wires) {
-            if (!w.isRetired()) {
-                usable++;
-                least = least == null || w.load() < least.load() ? w : least;
-            }
+            least = w.isRetired() || least != null && w.load() >= least.load() ? least : w;
         }
+        return least;
+    }
+
+    /** A connection for one more set-up or test: one with none open, else a new one, else the one with the fewest. */
+    private Wire wire() {
+        Wire least = leastLoaded();
+        long usable = wires.stream().filter(w -> !w.isRetired()).count();
         if (least != null && (least.load() == 0 || usable >= MOST_WIRES)) {
             return least;
         }
@@ -159,17 +167,29 @@
         reach.sign(front().now());
     }
 
-    /** A connection has closed, or did not come up. */
-    void closed(Wire w, boolean wasUp, boolean refused) {
+    /**
+     * A connection has closed, or did not come up. One that this front closed since it rested leaves nothing unsaid: nothing
+     * that plays was set up on it, and what has no connection of its own keeps all open ({@link #look}).
+     */
+    void closed(Wire w, boolean wasUp, boolean refused, boolean rested) {
         wires.remove(w);
         links.placeFree();
+        for (Seat seat : standing.values()) {
+            if (seat.wire() == w) {
+                seat.wire(null);
+            }
+        }
         if (wasUp) {
-            reach.closed();
+            if (!rested) {
+                reach.closed();
+            }
             return;
         }
         reach.failed(front().now());
-        if (refused) {
-            lost("refused"); // nothing listens there: its process has died, and what it played with it
+        if (refused && wires.stream().noneMatch(Wire::isUp)) {
+            // Nothing listens there: its process has died, and what it played with it. Where another connection is up it lives,
+            // and has no place for more; had it died, that one would close now, and the next one tried be refused.
+            lost("refused");
         }
     }
 
@@ -247,12 +267,17 @@
         }
         int usable = 0;
         boolean coming = false;
+        // The end of a viewing without a connection of its own may come on any that is open.
+        boolean spareRests = standing.values().stream().allMatch(seat -> seat.wire() != null);
         for (Wire w : List.copyOf(wires)) {
-            w.look(now, usable > 0 ? SPARE_RESTS : front().briefing().restingClosed().times(0.8));
+            w.look(now, usable == 0 ? front().briefing().restingClosed().times(0.8) : spareRests ? SPARE_RESTS : Span.NONE);
             usable += w.isRetired() ? 0 : 1;
             coming |= !w.isUp();
         }
         if (!standing.isEmpty() && !coming) {
+            if (usable > 0 && reach.wantsTest(now)) {
+                leastLoaded().ask(links.testId());
+            }
             if (reach.wantsConnection(usable, now)) {
                 open();
             }
--- a/src/main/java/linengauge/platform/Wire.java
+++ b/src/main/java/linengauge/platform/Wire.java
@@ -41,6 +41,8 @@
     private final Map<Long, Wake> tests = new LinkedHashMap<>();
     private Net.Connection socket;
     private boolean closed;
+    /** This front closes it since nothing is left on it. */
+    private boolean rested;
     private final Line line;
 
     Wire(BoxLink link, String address, int closingsWhenBegun) {
@@ -170,6 +172,11 @@
         }
     }
 
+    /** Asks whether the box is there at all: any answer is a sign, none is judged by {@link BoxLink#look}. */
+    void ask(long id) {
+        write(BoxLines.test(id));
+    }
+
     /** Takes back a set-up that is out here; false where it is not. */
     boolean withdraw(Held vw, int tuneIn) {
         long id = ((Seat) vw.viewer()).id();
@@ -256,7 +263,10 @@
     void look(Moment now, Span rests) {
         switch (line.verdict(load(), isUp() ? rests : Span.NONE, now)) {
             case SPOILT -> close("a line that does not end");
-            case RESTS -> close("rests");
+            case RESTS -> {
+                rested = !line.isRetired();
+                close("rests");
+            }
             default -> {
             }
         }
@@ -285,6 +295,6 @@
             timer.cancel();
             front().desk().probed(link.box(), false);
         }
-        link.closed(this, wasUp || how == Gone.CLOSED, how == Gone.REFUSED);
+        link.closed(this, wasUp || how == Gone.CLOSED, how == Gone.REFUSED, rested);
     }
 }
--- a/src/main/java/linengauge/platform/keep/Reach.java
+++ b/src/main/java/linengauge/platform/keep/Reach.java
@@ -10,12 +10,18 @@
  * to a box is cut longer than that and the box plays on: its viewers come again.
  */
 public final class Reach {
-    /** Silence after which a connection is tried; tries that fail for so long mean lost; pauses between tries, doubled. */
-    public record Terms(Span silence, Span lost, Span firstPause, Span longestPause) {
+    /**
+     * Silence after which the box is tested, and how long that may go unanswered until a connection is tried; tries that fail
+     * for so long mean lost; and so do tries that fail for the least span where there has been no sign for the latest; pauses
+     * between tries, doubled.
+     */
+    public record Terms(Span silence, Span answer, Span lost, Span latest, Span least, Span firstPause, Span longestPause) {
     }
 
     private final Terms terms;
     private Moment signAt;
+    /** It has been tested since the last sign. */
+    private boolean tested;
     private Moment failedSince;
     private Moment nextTry = Moment.DISTANT_PAST;
     private Span pause;
@@ -29,7 +35,7 @@
         this.pause = terms.firstPause();
     }
 
-    /** A connection that had been up has closed: what the box said on it last may not have come. */
+    /** A connection has closed on which the box may have said something last that has not come. */
     public void closed() {
         closings++;
     }
@@ -55,11 +61,19 @@
     /** Something was read from the box. */
     public void sign(Moment now) {
         signAt = now;
+        tested = false;
         failedSince = null;
         pause = terms.firstPause();
         nextTry = Moment.DISTANT_PAST;
     }
 
+    /** Whether to test it now, on a connection that is open: once in a silence. */
+    public boolean wantsTest(Moment now) {
+        boolean wants = !tested && terms.silence().under(now.since(signAt));
+        tested |= wants;
+        return wants;
+    }
+
     /** A connection did not come up. */
     public void failed(Moment now) {
         failedSince = failedSince == null ? now : failedSince;
@@ -74,10 +88,11 @@
 
     /** It has been silent for so long that a new connection should show whether it is there. */
     private boolean doubtful(Moment now) {
-        return terms.silence().under(now.since(signAt)) && mayTry(now);
+        return terms.silence().plus(terms.answer()).under(now.since(signAt)) && mayTry(now);
     }
 
     public boolean lost(Moment now) {
-        return failedSince != null && !now.before(failedSince.plus(terms.lost()));
+        return failedSince != null && (!now.before(failedSince.plus(terms.lost()))
+                || !now.before(signAt.plus(terms.latest())) && !now.before(failedSince.plus(terms.least())));
     }
 }
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -68,7 +68,8 @@
     }
 
     private static Reach reach() {
-        return new Reach(new Reach.Terms(Span.ofMillis(2500), Span.ofMillis(3500), Span.ofMillis(50), Span.ofMillis(800)), at(0));
+        return new Reach(new Reach.Terms(Span.ofMillis(2000), Span.ofMillis(500), Span.ofMillis(3500), Span.ofMillis(60_000), Span.ofMillis(1000), Span.ofMillis(50),
+                Span.ofMillis(800)), at(0));
     }
 
     @Test
@@ -90,6 +91,27 @@
         assertTrue(reach.wantsConnection(0, at(6501)));
     }
 
+    /** On the terms in force: what plays at a box that has vanished is released within 8 s of its last sign. */
+    @Test
+    void silenceIsTestedOnceThenConnectionsAreTriedAndTheBoxIsLostInTime() {
+        Reach reach = new Reach(BoxLink.REACH, at(0));
+        assertFalse(reach.wantsTest(at(5000)), "boxes are silent by nature");
+        assertTrue(reach.wantsTest(at(5001)));
+        assertFalse(reach.wantsTest(at(5400)));
+        assertFalse(reach.wantsConnection(1, at(5500)));
+        assertTrue(reach.wantsConnection(1, at(5501)));
+        reach.failed(at(5800));
+        reach.failed(at(6300));
+        assertFalse(reach.lost(at(6999)));
+        assertTrue(reach.lost(at(7000)));
+        reach.sign(at(7001));
+        assertFalse(reach.lost(at(7100)));
+        assertTrue(reach.wantsTest(at(12_100)), "a new silence");
+        reach.failed(at(13_700));
+        assertFalse(reach.lost(at(14_600)), "one try alone proves too little");
+        assertTrue(reach.lost(at(14_700)));
+    }
+
     /** What a box says as a connection closes is lost, and said again on the next one that is opened. */
     @Test
     void aCloseIsFollowedByAConnectionBegunAfterIt() {
