Newcomers on old news take their part of the uplink, at boxes that are connected already

Cause: where a probe is too dear to ask one for each newcomer (0.08 of a viewing against the 0.015 spent), all fronts place by news that is seconds old; Viewing.fit leaves a middle rate free on each box, which a hundred fronts take at the same moment, and past the fill it falls to the lowest rung.

There a newcomer now takes the rung nearest to size / (N + 1) of the uplink, up to the brim, or by the usual cap with a fifth of the uplink free; and a box where the front plays already is preferred by the price of a connection. Where probes are cheap or fronts may talk nothing changes.

--- a/src/bench/java/linengauge/session/DeskBench.java
+++ b/src/bench/java/linengauge/session/DeskBench.java
@@ -110,7 +110,7 @@
                 new double[] {0.25, 0.45, 0.65, 0.82, 1},
                 new Headend.Fleet(boxes, Math.max(1, boxes / 8), new int[] {1000}, 1e6 * boxes, 1e6, 8e6, Span.ofMillis(800)),
                 new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 0, 0, Span.NONE),
-                new Headend.Permits(4, false, false, false, 0.01, 0.01, Span.ofSeconds(2)));
+                new Headend.Permits(4, false, false, false, 0.01, 0.01, 0, Span.ofSeconds(2)));
         desk = new Desk(house, new Desk.Bounds(100_000, Span.ofSeconds(60), Span.NONE, Span.ofMillis(25), Span.ofMillis(200),
                 Span.ofMillis(40)), 1, "bench", carrier);
         desk.clock(new Moment(now));
--- a/src/main/java/linengauge/Headend.java
+++ b/src/main/java/linengauge/Headend.java
@@ -19,8 +19,8 @@
             Span fallAfter, double furtherFree, double furtherShare, Span furtherSpan) {
     }
 
-    /** What the front may do, and the prices that it weighs. */
+    /** What the front may do, and the prices that it weighs: of a probe, a crossing, a new connection to a box. */
     public record Permits(int tuneIns, boolean messages, boolean probes, boolean reportsUplink,
-            double probePrice, double crossingPrice, Span longestAdvice) {
+            double probePrice, double crossingPrice, double connectPrice, Span longestAdvice) {
     }
 }
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -58,6 +58,10 @@
     private static final Span COME_BACK = Span.ofMillis(600);
     private static final Span FIRST_AVOID = Span.ofSeconds(1);
     private static final int MOST_DOUBLINGS = 3;
+    /** Left free of an uplink, of its size, where a newcomer takes more than its fair part on old news. */
+    private static final double KEPT_FREE = 0.2;
+    /** A point of the price of a connection weighs as much as so many of an uplink's load. */
+    private static final double LOAD_FOR_PRICE = 2;
     private static final double COLD_PART = 0.8;
     private static final Span COLD_SLACK = Span.ofMillis(500);
 
@@ -66,6 +70,8 @@
     private final SplittableRandom chance;
     private final double middleKb;
     private final double othersPart;
+    /** Fronts may not talk and a probe is too dear to ask one for each newcomer: its boxes are known by old news alone. */
+    private final boolean oldNews;
     /** Boxes by cell, as listed; and those with viewings of this front, till the last ends. */
     private final List<List<MediaBox>> cells = new ArrayList<>();
     private final List<MediaBox> occupied = new ArrayList<>();
@@ -87,6 +93,7 @@
         double[] kb = house.ladderKb();
         this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
         this.othersPart = 1 - 1.0 / house.fronts();
+        this.oldNews = !house.permits().messages() && PROBE_SPEND < house.permits().probePrice();
         for (int i = 0; i < Math.max(1, house.fleet().cells()); i++) {
             cells.add(new ArrayList<>());
         }
@@ -286,6 +293,15 @@
             return Math.max(0, likely() - own) * linkSize / Math.max(linkSize, linksKb());
         }
 
+        /** N of the uplink: the front's own viewings, and others' taken to be of the middle rate. */
+        double sharers() {
+            double n = Math.max(0, likely() - own) / middleKb;
+            for (MediaBox b : occupied) {
+                n += b.rack == this ? b.viewings.size() : 0;
+            }
+            return n;
+        }
+
         /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
         boolean cleared() {
             for (MediaBox b : occupied) {
@@ -817,6 +833,8 @@
 
         private double score(MediaBox b) {
             double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
+            // Others of this front's play there: it is connected, and what is heard is heard for all of them.
+            score += b.viewings.isEmpty() ? 0 : house.permits().connectPrice() * LOAD_FOR_PRICE * b.rack.size();
             score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
             score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
             score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
@@ -854,13 +872,25 @@
         /** The highest rung that fits cap and room, or else the lowest of the package. */
         private int fit(MediaBox b) {
             for (int r = ceiling; r > terms.lowestRung(); r--) {
-                if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room())) {
+                double kept = oldNews ? KEPT_FREE * b.rack.size() : 0;
+                if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room() - kept)
+                        || oldNews && fairlyFits(b, r)) {
                     return r;
                 }
             }
             return terms.lowestRung();
         }
 
+        /** On old news all fronts see the same room, and take it at once, or none, and start at the lowest rung.
+         * There a newcomer takes the rung nearest to its fair part of the uplink, up to the brim: the more
+         * already play, the less. It harms where one front alone fills an uplink: it could have had all. */
+        private boolean fairlyFits(MediaBox b, int r) {
+            double brim = Math.min(b.link.size() - b.link.likely(), b.rack.size() - b.rack.likely());
+            double part = b.rack.size() / (b.rack.sharers() + 1);
+            return rate(r) <= brim && rate(r) * rate(r - 1) <= part * part
+                    && b.capped(rate(r), b.link.room(), Double.POSITIVE_INFINITY);
+        }
+
         private void tuneIn(MediaBox b) {
             int fits = fit(b);
             Span toTarget = target.since(now);
--- a/src/main/java/linengauge/briefing/Briefing.java
+++ b/src/main/java/linengauge/briefing/Briefing.java
@@ -75,7 +75,8 @@
         var permits = new Headend.Permits((int) number(limits, "maxAttempts", 1),
                 Boolean.TRUE.equals(limits.get("peers")),
                 Boolean.TRUE.equals(limits.get("probing")), uplink, number(charges, "probe", 0),
-                number(charges, "crossZone", 0), advice ? span(limits, "maxRetryAfterUs") : Span.NONE);
+                number(charges, "crossZone", 0), number(charges, "handshake", 0),
+                advice ? span(limits, "maxRetryAfterUs") : Span.NONE);
         return new Headend((int) Math.max(1, number(conf, "balancers", 1)), (int) number(conf, "me", 0),
                 (int) number(conf, "zone", 0), List.copyOf(packages), ladder, numbers(domain, "worthByRung"), fleet, figures, permits);
     }
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -140,7 +140,7 @@
                         Span.ofMillis(rules.fallAfterMs), rules.furtherFree, rules.furtherShare,
                         Span.ofMillis(rules.furtherMs)),
                 new Headend.Permits(permits.tuneIns, permits.messages, permits.probes, permits.reportsUplink,
-                        permits.probePrice, permits.crossingPrice, Span.ofMillis(permits.longestAdviceMs)));
+                        permits.probePrice, permits.crossingPrice, 0, Span.ofMillis(permits.longestAdviceMs)));
     }
 
     /** What the core is bounded by. */
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -193,7 +193,7 @@
                 new double[] {0.25, 0.45, 0.65, 0.82, 1},
                 new Headend.Fleet(4, 1, new int[] {24}, 4000, 1000, 4000, Span.ofMillis(800)),
                 new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 3, 0.2, ration),
-                new Headend.Permits(4, messages, probes, probes, 0.008, 0.01, Span.ofSeconds(2)));
+                new Headend.Permits(4, messages, probes, probes, 0.008, 0.01, 0, Span.ofSeconds(2)));
     }
 
     static PackageTerms terms(int floor, int seats, boolean paid) {
--- a/src/test/java/linengauge/session/CoreStage.java
+++ b/src/test/java/linengauge/session/CoreStage.java
@@ -266,7 +266,7 @@
                     new double[] {0.25, 0.45, 0.65, 0.82, 1}, new Headend.Fleet(4, 2, new int[] {24}, 1000.0 * boxCount, 1000,
                             1700, Span.ofMillis(800)),
                     new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 3, 0.2, ration),
-                    new Headend.Permits(4, messages, probes, probes, 0.008, 0.01, Span.ofSeconds(2)));
+                    new Headend.Permits(4, messages, probes, probes, 0.008, 0.01, 0, Span.ofSeconds(2)));
             this.fronts.add(new Front(i, house, seed + i));
             tellAll(this.fronts.get(i));
         }
--- a/src/test/java/linengauge/session/LateAnswerTest.java
+++ b/src/test/java/linengauge/session/LateAnswerTest.java
@@ -82,7 +82,7 @@
         Headend house = new Headend(1, 0, 0, List.of(pack), new double[] {100, 200}, new double[] {0.5, 1},
                 new Headend.Fleet(1, 1, new int[] {50}, 10_000, 5000, 50_000, Span.ofSeconds(1)),
                 new Headend.Rules(Span.ofSeconds(5), 0.5, 2, Span.ofSeconds(1), 0, 0, Span.NONE),
-                new Headend.Permits(3, false, false, true, 0, 0, Span.ofSeconds(1)));
+                new Headend.Permits(3, false, false, true, 0, 0, 0, Span.ofSeconds(1)));
         Desk desk = new Desk(house, new Desk.Bounds(10, Span.NONE, Span.NONE, Span.ofMillis(500), Span.ofSeconds(5), Span.NONE), 1,
                 "e", carrier);
         desk.clock(new Moment(0));
