What one connection brings is read in turns; ends that overtake a handing over are kept

Need: a front just started reads the viewings handed over to it in one piece, at its slowest, and everybody else waits for all of them; the loop's longest turn was said nowhere. A connection now reads for 10 ms a turn (by a timer: Netty runs up to 64 tasks put off before it reads from anybody else), takes nothing more meanwhile, and counts patience from when the piece may have come. Turns over 200 ms are told, and the longest at the end.

A guest's connection is closed only when overdue at two looks in a row, so that a set-up which came while the loop was held up is read first.

--- a/src/main/java/linengauge/platform/BoxLink.java
+++ b/src/main/java/linengauge/platform/BoxLink.java
@@ -9,6 +9,7 @@
 import linengauge.Outside.Ending;
 import linengauge.Span;
 import linengauge.platform.codec.BoxLines;
+import linengauge.platform.keep.EarlyEnds;
 import linengauge.platform.keep.Reach;
 import linengauge.session.BoxTable;
 import linengauge.session.Held;
@@ -18,6 +19,9 @@
 final class BoxLink {
     private static final int MOST_WIRES = 4;
     private static final int MOST_SAYINGS = 512;
+    private static final int MOST_EARLY_ENDS = 256;
+    /** As long as the platform gives a front to release what has ended. */
+    private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
     /**
      * Boxes are silent by nature where nothing is set up and nothing is short, and each new connection is priced over the
      * whole fleet: only so late is silence looked into that what played at a box that has vanished is still released within
@@ -34,6 +38,7 @@
     private final List<Wire> wires = new ArrayList<>();
     /** Viewings that play at the box; each leaves with its end. */
     private final Map<Long, Seat> standing = new LinkedHashMap<>();
+    private final EarlyEnds earlyEnds = new EarlyEnds(MOST_EARLY_ENDS, EARLY_END_KEPT);
     /** What is to be said of them once a connection is there; bounded, the oldest goes. */
     private final ArrayDeque<byte[]> sayings = new ArrayDeque<>();
 
@@ -94,6 +99,11 @@
 
     void stands(Seat seat) {
         standing.put(seat.id(), seat);
+        Ending how = earlyEnds.take(seat.id());
+        if (how != null) {
+            front().later(() -> ended(seat.id(), how));
+            return;
+        }
         if (wires.isEmpty()) {
             open();
         }
@@ -224,7 +234,9 @@
 
     void ended(long id, Ending how) {
         Seat seat = over(id);
-        if (seat != null) {
+        if (seat == null) {
+            earlyEnds.heard(id, how, front().now());
+        } else {
             seat.held().boxEnded(how, switch (how) {
                 case FINISHED -> Viewer.End.OVER;
                 case WITHDRAWN -> Viewer.End.LEFT;
@@ -265,6 +277,7 @@
             List.copyOf(wires).forEach(w -> w.close("its box has gone"));
             return wires.isEmpty();
         }
+        earlyEnds.look(now);
         int usable = 0;
         boolean coming = false;
         // The end of a viewing without a connection of its own may come on any that is open.
--- a/src/main/java/linengauge/platform/Door.java
+++ b/src/main/java/linengauge/platform/Door.java
@@ -110,7 +110,7 @@
         PackageTerms terms = front.briefing().headend().packages().get(pack);
         int ceiling = form.ceiling() < 0 ? terms.highestRung() : (int) form.ceiling();
         var ask = new Held.Ask(form.title(), (int) Math.max(0, form.firstCell()), (int) Math.max(0, form.cellsInRow()), pack,
-                terms, ceiling, Span.ofMillis(Math.max(0, form.leftMs())).minus(front.unread()), null);
+                terms, ceiling, Span.ofMillis(Math.max(0, form.leftMs())).minus(line.lain()), null);
         if (handedOver) {
             line.viewers();
             Seat seat = new Seat(this, id, form.pack(), null, null);
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -16,6 +16,8 @@
 public final class PlatformFront {
     private static final Span LOOK = Span.ofMillis(200);
     private static final Span BEAT = Span.ofMillis(20);
+    /** A turn of the loop so long is told. */
+    private static final Span STOOD_STILL = Span.ofMillis(200);
     private static final Span STILL_COMING = Span.ofMillis(750);
     private static final Span LONGEST_STOP = Span.ofSeconds(3);
     private static final Span BEFORE_KILL = Span.ofMillis(500);
@@ -73,7 +75,10 @@
         journal.connect();
         net.every(BEAT, () -> {
             now = net.now();
-            lag.beat(now);
+            Span since = lag.beat(now);
+            if (STOOD_STILL.under(since)) {
+                said("stood still", since.micros() / 1000 + " ms", "");
+            }
         });
         net.every(LOOK, () -> entered(() -> {
             door.look(now);
@@ -199,7 +204,8 @@
         after(STILL_COMING, desk::stopTaking);
         Span patience = briefing().longestPatience();
         after(patience.orLess(LONGEST_STOP).orMore(STILL_COMING).plus(BEFORE_KILL), () -> {
-            told.info("ending: " + door.viewings() + " viewings, " + door.connections() + " connections, " + boxes.figures());
+            told.info("ending: " + door.viewings() + " viewings, " + door.connections() + " connections, " + boxes.figures()
+                    + ", longest turn " + lag.longest().micros() / 1000 + " ms");
             desk.endAll();
             told.info("ended: " + door.viewings() + " viewings, " + door.connections() + " connections, " + door.untold()
                     + " ends untold");
--- a/src/main/java/linengauge/platform/ViewerLine.java
+++ b/src/main/java/linengauge/platform/ViewerLine.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import linengauge.Moment;
+import linengauge.Span;
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.SetUpForm;
 import linengauge.platform.codec.ViewerMessages;
@@ -11,6 +13,10 @@
 
 /** One connection from viewers. */
 final class ViewerLine implements ViewerMessages.Heard {
+    /** What one connection may read in one turn of the loop. */
+    private static final Span TURN = Span.ofMillis(10);
+    private static final Span NEXT_TURN = Span.ofMillis(1);
+
     private final Door door;
     private final Net.Connection socket;
     private final ViewerMessages reader = new ViewerMessages(this);
@@ -19,6 +25,11 @@
     private Guest guest;
     private boolean viewers;
     private boolean closed;
+    /** Messages that have come wait for a turn of their own. */
+    private boolean goesOn;
+    private boolean paused;
+    /** When what is read may have come. */
+    private Moment lain = Moment.DISTANT_PAST;
     /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
     private int keeps;
 
@@ -42,18 +53,70 @@
     }
 
     private void read(byte[] data) {
+        if (closed) {
+            return;
+        }
+        if (!reader.isMidMessage()) {
+            lain = door.front().now().minus(door.front().unread());
+        }
+        reader.take(data);
+        readOn();
+    }
+
+    /**
+     * Reads what has come, for one turn's share of time; the rest in turns of its own, and nothing more is taken till then.
+     * Guards against a piece of hundreds of messages (viewings handed over, a rude client) that makes all others wait.
+     */
+    private void readOn() {
         if (closed) {
             return;
         }
         try {
-            boolean ended = reader.feed(data) > 0;
-            guest.read(ended, reader.isMidMessage(), door.front().now());
+            Moment until = door.front().now().plus(TURN);
+            boolean ended = false;
+            boolean more = true;
+            while (more && !closed && door.front().now().before(until)) {
+                more = reader.next();
+                ended |= more;
+                door.front().tick();
+            }
+            guest.read(ended, !more && reader.isMidMessage(), door.front().now());
+            if (more && !closed) {
+                goesOn = true;
+                pause();
+                // By a timer: what is merely put off runs before the loop reads from anybody else.
+                door.front().after(NEXT_TURN, () -> {
+                    goesOn = false;
+                    readOn();
+                });
+            } else {
+                resume();
+            }
         } catch (BadMessage e) {
             door.said("unreadable viewer", socket.peer(), e.getMessage());
             close();
         }
     }
 
+    private void pause() {
+        if (!paused) {
+            paused = true;
+            socket.pause();
+        }
+    }
+
+    private void resume() {
+        if (paused && !goesOn && keeps <= Door.MOST_KEPT) {
+            paused = false;
+            socket.resume();
+        }
+    }
+
+    /** How long what is being read now may have lain unread. */
+    Span lain() {
+        return door.front().now().since(lain);
+    }
+
     /** Closes it; what waits on it is answered by the close. */
     void close() {
         if (!closed) {
@@ -78,7 +141,7 @@
         guest.asked();
         keeps += length;
         if (keeps > Door.MOST_KEPT) {
-            socket.pause(); // read on once some are answered: memory is not for the sender to fill
+            pause(); // read on once some are answered: memory is not for the sender to fill
         }
     }
 
@@ -96,11 +159,8 @@
     void unwait(Seat seat) {
         if (waiting.remove(seat)) {
             guest.settled(door.front().now());
-            boolean held = keeps > Door.MOST_KEPT;
             keeps -= seat.length();
-            if (held && keeps <= Door.MOST_KEPT) {
-                socket.resume();
-            }
+            resume();
         }
     }
 
--- a/src/main/java/linengauge/platform/codec/ViewerMessages.java
+++ b/src/main/java/linengauge/platform/codec/ViewerMessages.java
@@ -8,7 +8,8 @@
 
 /**
  * Viewers' binary messages (docs/protocol/platform.md, "Viewers"). One reader a connection: it is fed what comes, in
- * pieces of any size, and calls {@link Heard}. It stores no more than one message, and none whose length passes the bound.
+ * pieces of any size, and calls {@link Heard}. It stores what came last and the beginning of one message, and none whose
+ * length passes the bound.
  */
 public final class ViewerMessages {
     /** Bytes of a whole message at the most. */
@@ -40,9 +41,9 @@
     }
 
     private final Heard heard;
-    /** The beginning of a message that has not come whole; empty between messages. */
-    private byte[] part = new byte[0];
-    private int held;
+    /** What has come and has not been read: from `at` on. Whoever feeds bounds it: no more comes while messages wait here. */
+    private byte[] come = new byte[0];
+    private int at;
 
     public ViewerMessages(Heard heard) {
         this.heard = heard;
@@ -50,34 +51,51 @@
 
     /** A message has begun and not ended. */
     public boolean isMidMessage() {
-        return held > 0;
+        return at < come.length;
     }
 
-    /** Reads on; returns how many messages ended. Throws where bytes cannot be messages: the connection is of no further use. */
-    public int feed(byte[] data) throws BadMessage {
-        byte[] all = data;
-        int end = data.length;
-        if (held > 0) {
-            all = Arrays.copyOf(part, held + data.length);
-            System.arraycopy(data, 0, all, held, data.length);
-            end = all.length;
+    /** Keeps what has come, to be read by {@link #next}. */
+    public void take(byte[] data) {
+        if (at == come.length) {
+            come = data;
+        } else {
+            byte[] all = Arrays.copyOfRange(come, at, come.length + data.length);
+            System.arraycopy(data, 0, all, come.length - at, data.length);
+            come = all;
+        }
+        at = 0;
+    }
+
+    /** Reads one message; false where none has come whole. Throws where bytes cannot be messages: the connection is of no
+     * further use. */
+    public boolean next() throws BadMessage {
+        if (come.length - at < 2) {
+            return false;
+        }
+        int length = (come[at] & 0xff) << 8 | come[at + 1] & 0xff;
+        if (length < LEAST || length + 2 > MOST) {
+            throw new BadMessage("a message of " + length + " bytes");
+        }
+        if (come.length - at < 2 + length) {
+            return false;
         }
-        int at = 0;
+        int from = at + 2;
+        at = from + length;
+        message(ByteBuffer.wrap(come, from, length));
+        if (at == come.length) {
+            come = new byte[0];
+            at = 0;
+        }
+        return true;
+    }
+
+    /** Takes it and reads on; returns how many messages ended. */
+    public int feed(byte[] data) throws BadMessage {
+        take(data);
         int ended = 0;
-        while (end - at >= 2) {
-            int length = (all[at] & 0xff) << 8 | all[at + 1] & 0xff;
-            if (length < LEAST || length + 2 > MOST) {
-                throw new BadMessage("a message of " + length + " bytes");
-            }
-            if (end - at < 2 + length) {
-                break;
-            }
-            message(ByteBuffer.wrap(all, at + 2, length));
-            at += 2 + length;
+        while (next()) {
             ended++;
         }
-        held = end - at;
-        part = held == 0 ? new byte[0] : Arrays.copyOfRange(all, at, end);
         return ended;
     }
 
--- a/src/main/java/linengauge/platform/keep/Guest.java
+++ b/src/main/java/linengauge/platform/keep/Guest.java
@@ -12,6 +12,7 @@
     /** Since when a message has begun and not ended; null between messages. */
     private Moment midSince;
     private Moment restsSince;
+    private boolean wasOverdue;
 
     Guest(Runnable close, Moment came) {
         this.close = close;
@@ -53,8 +54,15 @@
         return open == 0;
     }
 
+    /** Overdue now and when this was last asked. */
+    boolean overdueAgain(Guests.Terms terms, Moment now) {
+        boolean before = wasOverdue;
+        wasOverdue = overdue(terms, now);
+        return before && wasOverdue;
+    }
+
     /** It owes a sign of being a viewer, and has not given one in time. */
-    boolean overdue(Guests.Terms terms, Moment now) {
+    private boolean overdue(Guests.Terms terms, Moment now) {
         return rests() && !proven && !now.before(came.plus(terms.sign()))
                 || midSince != null && !now.before(midSince.plus(terms.sign()));
     }
--- a/src/main/java/linengauge/platform/keep/Guests.java
+++ b/src/main/java/linengauge/platform/keep/Guests.java
@@ -57,11 +57,14 @@
         guests.remove(g);
     }
 
-    /** To be called some times a second: closes those whose time is over. */
+    /**
+     * To be called some times a second: closes those whose time is over at two looks in a row. Guards against a loop that was
+     * held up: a set-up that came meanwhile is read between the two, and is not lost with its connection.
+     */
     public void look(Moment now) {
         List<Guest> over = new ArrayList<>();
         for (Guest g : guests) {
-            if (g.overdue(terms, now)) {
+            if (g.overdueAgain(terms, now)) {
                 over.add(g);
             }
         }
--- a/src/main/java/linengauge/platform/keep/Lag.java
+++ b/src/main/java/linengauge/platform/keep/Lag.java
@@ -11,15 +11,24 @@
 public final class Lag {
     private Moment last;
     private Moment before;
+    private Span longest = Span.NONE;
 
     public Lag(Moment now) {
         this.last = now;
         this.before = now;
     }
 
-    public void beat(Moment now) {
+    /** Returns how long it has been since the last beat. */
+    public Span beat(Moment now) {
         before = last;
         last = now;
+        longest = longest.orMore(last.since(before));
+        return last.since(before);
+    }
+
+    /** The longest span between two beats so far: how long anything has had to wait for its turn. */
+    public Span longest() {
+        return longest;
     }
 
     /** At the most, two beats where the loop keeps up: what had come before the last beat but one was read before it. */
--- a/src/main/java/linengauge/rehearsal/Pipe.java
+++ b/src/main/java/linengauge/rehearsal/Pipe.java
@@ -113,8 +113,12 @@
         }
 
         private void flow() {
-            while (data != null && !paused && !over && !held.isEmpty()) {
-                data.accept(held.poll());
+            if (data == null || paused || over || held.isEmpty()) {
+                return;
+            }
+            data.accept(held.poll());
+            if (!held.isEmpty()) {
+                host.event(this::flow);
             }
         }
 
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -8,7 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import linengauge.Moment;
+import linengauge.Outside.Ending;
 import linengauge.Span;
+import linengauge.platform.keep.EarlyEnds;
 import linengauge.platform.keep.Guest;
 import linengauge.platform.keep.Guests;
 import linengauge.platform.keep.Lag;
@@ -38,12 +40,17 @@
         Guest viewer = guest("viewer", 0);
         viewer.proven();
         guests.look(at(1999));
+        guests.look(at(1999));
         assertEquals(List.of(), closed);
         guests.look(at(2000));
+        assertEquals(List.of(), closed, "what has come since the loop last read is read first");
+        guests.look(at(2200));
         assertEquals(List.of("silent"), closed);
         half.read(false, true, at(2400)); // a drip is no end
         guests.look(at(2500));
+        guests.look(at(2700));
         assertEquals(List.of("silent", "half"), closed);
+        guests.look(at(99_000));
         guests.look(at(100_000));
         assertEquals(1, guests.size(), "who asked once may stay");
     }
@@ -179,4 +186,20 @@
         lag.beat(at(540));
         assertEquals(Span.ofMillis(25), lag.unread(at(545)));
     }
+
+    @Test
+    void anEndThatOvertakesTheHandingOverIsKeptForAWhileAndTakenOnce() {
+        EarlyEnds ends = new EarlyEnds(2, Span.ofMillis(8000));
+        ends.heard(1, Ending.FINISHED, at(0));
+        assertEquals(Ending.FINISHED, ends.take(1));
+        assertNull(ends.take(1));
+        for (long id = 2; id < 5; id++) {
+            ends.heard(id, Ending.BROKEN, at(id));
+        }
+        assertEquals(2, ends.size());
+        assertNull(ends.take(2), "the oldest has gone");
+        ends.look(at(8004));
+        assertNull(ends.take(3), "its time is over");
+        assertEquals(Ending.BROKEN, ends.take(4));
+    }
 }
