Time-outs that are the front's own, or one connection's, hold no box to a cold pace

The carrier now says what it knows: UNHEARD, where a connection that was up as the set-up was written is still up and has brought something since, so the process lives; HELD_UP, where the front stood still meanwhile. Else as before.

--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -39,10 +39,13 @@
         void probe();
     }
 
-    /** How a tune-in that is no longer out has ended. */
+    /**
+     * How a tune-in that is no longer out has ended. UNHEARD: no answer came, and the box was heard meanwhile on a connection
+     * that it has kept, so it lives and has not started anew; HELD_UP: no answer was read in time, as the front stood still.
+     */
     enum Ending {
         FINISHED(false), ERROR(false), TURNED_AWAY(true), NO_ANSWER(false), NOT_REACHED(true), BROKEN(false),
-        WITHDRAWN(false), NEVER_SENT(true);
+        UNHEARD(false), HELD_UP(false), WITHDRAWN(false), NEVER_SENT(true);
 
         /** It is certain that the set-up never ran. */
         public final boolean neverRan;
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -452,8 +452,13 @@
         }
 
         public void probed(boolean answered) {
-            if (!answered) {
-                failed(true);
+            probed(answered ? Outside.Ending.FINISHED : Outside.Ending.NO_ANSWER);
+        }
+
+        /** What came of a probe: FINISHED where it was answered. */
+        public void probed(Outside.Ending how) {
+            if (how != Outside.Ending.FINISHED && how != Outside.Ending.HELD_UP) {
+                failed(how != Outside.Ending.UNHEARD);
             }
             answerAskers();
         }
@@ -964,7 +969,7 @@
             leave();
             mayHaveRun |= !how.neverRan;
             switch (how) {
-                case ERROR, TURNED_AWAY -> b.failed(false);
+                case ERROR, TURNED_AWAY, UNHEARD -> b.failed(false);
                 case NO_ANSWER, NOT_REACHED, BROKEN -> b.failed(true);
                 default -> {
                 }
--- a/src/main/java/linengauge/platform/BoxLink.java
+++ b/src/main/java/linengauge/platform/BoxLink.java
@@ -19,6 +19,8 @@
 final class BoxLink {
     private static final int MOST_WIRES = 4;
     private static final int MOST_SAYINGS = 512;
+    /** A front that stood still so long has not waited for an answer. */
+    private static final Span OWN_DELAY = Span.ofMillis(150);
     private static final int MOST_EARLY_ENDS = 256;
     /** As long as the platform gives a front to release what has ended. */
     private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
@@ -245,6 +247,34 @@
         }
     }
 
+    Ending unanswered(Held vw, int tuneIn) {
+        for (Wire w : wires) {
+            Moment writtenAt = w.writtenAt(vw, tuneIn);
+            if (writtenAt != null) {
+                return silence(writtenAt, null);
+            }
+        }
+        return Ending.NO_ANSWER;
+    }
+
+    /**
+     * What it means that nothing came of something written then. Guards against taking every time-out for a box that has
+     * started anew, which holds it to a cold box's pace for long. A connection that was up then, is up still and has brought
+     * something since shows that its process lives on; and a front that stood still has proved nothing. It could hurt where a
+     * machine's connections outlive its processes: the platform resets them.
+     */
+    Ending silence(Moment writtenAt, Wire but) {
+        if (front().heldUp(OWN_DELAY, writtenAt)) {
+            return Ending.HELD_UP;
+        }
+        for (Wire w : wires) {
+            if (w != but && w.isUp() && w.upAt().before(writtenAt) && writtenAt.before(w.line().heardAt())) {
+                return Ending.UNHEARD;
+            }
+        }
+        return Ending.NO_ANSWER;
+    }
+
     /** The viewing of that id that plays here, or null. */
     Held playing(long id) {
         Seat seat = standing.get(id);
--- a/src/main/java/linengauge/platform/BoxLinks.java
+++ b/src/main/java/linengauge/platform/BoxLinks.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import linengauge.Outside;
 import linengauge.Span;
 import linengauge.session.BoxTable;
 import linengauge.session.Carrier;
@@ -98,6 +99,11 @@
         link(box).withdraw(vw, tuneIn);
     }
 
+    @Override
+    public Outside.Ending unanswered(Held vw, int tuneIn) {
+        return link(vw.box()).unanswered(vw, tuneIn);
+    }
+
     @Override
     public void probe(BoxTable.Entry box) {
         link(box).probe();
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -151,6 +151,10 @@
         return lag.unread(now);
     }
 
+    boolean heldUp(Span least, Moment since) {
+        return lag.heldUp(least, since, now);
+    }
+
     Moment now() {
         return now;
     }
--- a/src/main/java/linengauge/platform/Wire.java
+++ b/src/main/java/linengauge/platform/Wire.java
@@ -40,6 +40,7 @@
     /** Tests whose result is waited for, with their timers. */
     private final Map<Long, Wake> tests = new LinkedHashMap<>();
     private Net.Connection socket;
+    private Moment upAt = Moment.DISTANT_PAST;
     private boolean closed;
     /** This front closes it since nothing is left on it. */
     private boolean rested;
@@ -73,6 +74,17 @@
         return closingsWhenBegun;
     }
 
+    /** When it came up. */
+    Moment upAt() {
+        return upAt;
+    }
+
+    /** When that set-up was written here; null where it was not. */
+    Moment writtenAt(Held vw, int tuneIn) {
+        Out out = outs.get(((Seat) vw.viewer()).id());
+        return out != null && out.held == vw && out.tuneIn == tuneIn ? out.writtenAt : null;
+    }
+
     /** How it is used. */
     Line line() {
         return line;
@@ -98,6 +110,7 @@
 
     private void up(Net.Connection s) {
         socket = s;
+        upAt = front().now();
         s.hears(data -> front().entered(() -> read(data)), () -> front().entered(() -> gone(Gone.CLOSED)));
         link.up(this);
         for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
@@ -164,7 +177,7 @@
         tests.put(id, front().after(front().briefing().dial(), () -> {
             if (tests.remove(id) != null) {
                 line.unanswered(asked);
-                front().desk().probed(link.box(), false);
+                front().desk().probed(link.box(), link.silence(asked, null));
             }
         }));
         if (isUp()) {
@@ -289,7 +302,8 @@
         closed = true;
         boolean wasUp = socket != null;
         for (Out out : BoxLinks.taken(outs)) {
-            out.held.failed(out.tuneIn, out.written ? Ending.BROKEN : Ending.NOT_REACHED);
+            Ending broken = out.written && link.silence(out.writtenAt, this) == Ending.UNHEARD ? Ending.UNHEARD : Ending.BROKEN;
+            out.held.failed(out.tuneIn, out.written ? broken : Ending.NOT_REACHED);
         }
         for (Wake timer : BoxLinks.taken(tests)) {
             timer.cancel();
--- a/src/main/java/linengauge/platform/keep/Lag.java
+++ b/src/main/java/linengauge/platform/keep/Lag.java
@@ -26,6 +26,11 @@
         return last.since(before);
     }
 
+    /** Whether the loop stood still for at least so long between that moment and now, as far as its beats tell. */
+    public boolean heldUp(Span least, Moment since, Moment now) {
+        return !now.since(last).under(least) || !last.since(before).under(least) && !last.before(since);
+    }
+
     /** The longest span between two beats so far: how long anything has had to wait for its turn. */
     public Span longest() {
         return longest;
--- a/src/main/java/linengauge/session/Carrier.java
+++ b/src/main/java/linengauge/session/Carrier.java
@@ -1,5 +1,6 @@
 package linengauge.session;
 
+import linengauge.Outside;
 import linengauge.Span;
 
 /**
@@ -30,6 +31,14 @@
      */
     void withdraw(Held vw, BoxTable.Entry box, int tuneIn);
 
+    /**
+     * What to make of a set-up that has been sent and not answered in its time, asked before it is withdrawn: NO_ANSWER where
+     * nothing else is known, UNHEARD or HELD_UP where there is evidence of these.
+     */
+    default Outside.Ending unanswered(Held vw, int tuneIn) {
+        return Outside.Ending.NO_ANSWER;
+    }
+
     /** Asks a box for its load; the outcome is told by {@link Desk#probed}. */
     void probe(BoxTable.Entry box);
 
--- a/src/main/java/linengauge/session/Desk.java
+++ b/src/main/java/linengauge/session/Desk.java
@@ -262,6 +262,11 @@
         call(() -> box.handle().probed(answered));
     }
 
+    /** A probe has come to this: FINISHED where it was answered. */
+    public void probed(BoxTable.Entry box, Outside.Ending how) {
+        call(() -> box.handle().probed(how));
+    }
+
     /* ---- words between fronts ---- */
 
     @Override
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -125,9 +125,10 @@
     }
 
     private void timedOut(int n) {
-        giveBack(n);
         // One that still waits for its connection never ran: that is no secret from the module.
-        end(sent ? Outside.Ending.NO_ANSWER : Outside.Ending.NOT_REACHED, false);
+        Outside.Ending how = sent ? desk.carrier().unanswered(this, n) : Outside.Ending.NOT_REACHED;
+        giveBack(n);
+        end(how, false);
     }
 
     @Override
@@ -149,7 +150,7 @@
 
     @Override
     public void abort() {
-        abort(last == Outside.Ending.NO_ANSWER ? Viewer.Cause.NO_ANSWER : Viewer.Cause.FAILED);
+        abort(last == Outside.Ending.NO_ANSWER || last == Outside.Ending.UNHEARD || last == Outside.Ending.HELD_UP ? Viewer.Cause.NO_ANSWER : Viewer.Cause.FAILED);
     }
 
     void abort(Viewer.Cause cause) {
