A connection is closed before its set-ups are made elsewhere; waits in the backlog count

At fault: Wire.close told the core of the end first, which set up elsewhere at once, and closed the socket after it; until then the first was still out.

A loop takes 16 connections a turn; what waits for later turns lies unread, and Lag, which sees only beats, gave it its whole patience. keep.Backlog says since when a connection taken now may have waited. That this was the cause is inferred, not seen.

Tried and not kept: a front that plays 150 viewings to itself in memory before it listens.

--- a/src/main/java/linengauge/platform/Door.java
+++ b/src/main/java/linengauge/platform/Door.java
@@ -11,6 +11,7 @@
 import linengauge.platform.codec.SetUpForm;
 import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
+import linengauge.platform.keep.Backlog;
 import linengauge.platform.keep.Guest;
 import linengauge.platform.keep.Guests;
 import linengauge.session.Held;
@@ -24,6 +25,8 @@
     private static final long LONGEST_PATIENCE_MS = 600_000;
     private static final Span SIGN = Span.ofMillis(2200);
     private static final Span RELEASE_KEPT = Span.ofSeconds(8);
+    /** As many as the library's loop takes from the listener in one turn. */
+    private static final int TAKEN_A_TURN = 16;
     private static final int MOST_RELEASES = 8192;
 
     private record Release(long id, boolean cut, Moment until) {
@@ -31,6 +34,7 @@
 
     private final PlatformFront front;
     private final Guests guests;
+    private final Backlog backlog;
     /** Viewings by their ids on the wire; each leaves with its refusal or its end. */
     private final Map<Long, Seat> seats = new HashMap<>();
     private final Set<ViewerLine> lines = new LinkedHashSet<>();
@@ -40,6 +44,7 @@
     Door(PlatformFront front, int places) {
         this.front = front;
         this.guests = new Guests(new Guests.Terms(places, SIGN));
+        this.backlog = new Backlog(TAKEN_A_TURN, front.now());
     }
 
     PlatformFront front() {
@@ -64,7 +69,8 @@
     }
 
     void arrived(Net.Connection socket) {
-        ViewerLine line = new ViewerLine(this, socket);
+        backlog.taken();
+        ViewerLine line = new ViewerLine(this, socket, backlog.cameAfter());
         Guest guest = guests.arrived(line::close, front.now());
         if (guest == null) {
             socket.hears(data -> { }, () -> { });
@@ -81,6 +87,11 @@
         guests.left(guest);
     }
 
+    /** The loop's beat. */
+    void beat(Moment now) {
+        backlog.beat(now);
+    }
+
     void look(Moment now) {
         guests.look(now);
         while (!releases.isEmpty() && releases.peek().until().before(now)) {
@@ -113,7 +124,7 @@
                 terms, ceiling, Span.ofMillis(Math.max(0, form.leftMs())).minus(line.lain()), null);
         if (handedOver) {
             line.viewers();
-            Seat seat = new Seat(this, id, form.pack(), null, null);
+            Seat seat = new Seat(this, id, form.pack(), null, null, front.now());
             seats.put(id, seat);
             seat.home(line);
             seat.held(front.desk().handOver(ask, Texts.box(form.at()), seat));
@@ -122,7 +133,7 @@
             }
             return;
         }
-        Seat seat = new Seat(this, id, form.pack(), form.description(), line);
+        Seat seat = new Seat(this, id, form.pack(), form.description(), line, front.now().plus(ask.patience()));
         seats.put(id, seat);
         line.waits(seat, form.description().length());
         Held held = front.desk().take(ask, seat);
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -76,6 +76,7 @@
         net.every(BEAT, () -> {
             now = net.now();
             Span since = lag.beat(now);
+            door.beat(now);
             if (STOOD_STILL.under(since)) {
                 said("stood still", since.micros() / 1000 + " ms", "");
             }
--- a/src/main/java/linengauge/platform/Seat.java
+++ b/src/main/java/linengauge/platform/Seat.java
@@ -24,13 +24,21 @@
     /** The connection that it was set up on, while it plays; null for one that was handed over. */
     private Wire wire;
 
-    Seat(Door door, long id, String pack, String description, ViewerLine asker) {
+    /** Until when its viewer waits. */
+    private final Moment answerBy;
+
+    Seat(Door door, long id, String pack, String description, ViewerLine asker, Moment answerBy) {
         this.door = door;
         this.id = id;
         this.pack = pack;
         this.description = description;
         this.length = description == null ? 0 : description.length();
         this.asker = asker;
+        this.answerBy = answerBy;
+    }
+
+    Moment answerBy() {
+        return answerBy;
     }
 
     long id() {
--- a/src/main/java/linengauge/platform/ViewerLine.java
+++ b/src/main/java/linengauge/platform/ViewerLine.java
@@ -8,6 +8,7 @@
 import linengauge.Span;
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.SetUpForm;
+import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
 import linengauge.platform.keep.Guest;
 
@@ -33,9 +34,13 @@
     /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
     private int keeps;
 
-    ViewerLine(Door door, Net.Connection socket) {
+    /** It may have been waiting since then to be taken: what it sent first has lain as long. */
+    private Moment cameAfter;
+
+    ViewerLine(Door door, Net.Connection socket, Moment cameAfter) {
         this.door = door;
         this.socket = socket;
+        this.cameAfter = cameAfter;
         socket.hears(data -> door.front().entered(() -> read(data)), () -> door.front().entered(this::gone));
     }
 
@@ -58,6 +63,8 @@
         }
         if (!reader.isMidMessage()) {
             lain = door.front().now().minus(door.front().unread());
+            lain = cameAfter != null && cameAfter.before(lain) ? cameAfter : lain;
+            cameAfter = null;
         }
         reader.take(data);
         readOn();
@@ -132,6 +139,9 @@
         closed = true;
         door.left(this, guest);
         List<Seat> seats = new ArrayList<>(waiting);
+        if (!seats.isEmpty()) {
+            door.said("connection gone with set-ups open", Texts.id(seats.get(0).id()), seats.size() + " of " + socket.peer());
+        }
         waiting.clear();
         seats.forEach(door::giveUp);
     }
@@ -152,6 +162,9 @@
 
     void answer(Seat seat, byte[] message) {
         unwait(seat);
+        if (seat.answerBy().before(door.front().now())) {
+            door.said("answered late", Texts.id(seat.id()), door.front().now().since(seat.answerBy()).micros() / 1000 + " ms");
+        }
         write(message);
         viewers();
     }
--- a/src/main/java/linengauge/platform/Wire.java
+++ b/src/main/java/linengauge/platform/Wire.java
@@ -287,11 +287,11 @@
 
     void close(String why) {
         if (!closed) {
-            Net.Connection s = socket;
-            gone(Gone.CLOSED);
-            if (s != null) {
-                s.close();
+            // First the close, which gives up what is open on it: only then may that be set up elsewhere.
+            if (socket != null) {
+                socket.close();
             }
+            gone(Gone.CLOSED);
         }
     }
 
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -10,6 +10,7 @@
 import linengauge.Moment;
 import linengauge.Outside.Ending;
 import linengauge.Span;
+import linengauge.platform.keep.Backlog;
 import linengauge.platform.keep.EarlyEnds;
 import linengauge.platform.keep.Guest;
 import linengauge.platform.keep.Guests;
@@ -202,4 +203,24 @@
         assertNull(ends.take(3), "its time is over");
         assertEquals(Ending.BROKEN, ends.take(4));
     }
+
+    @Test
+    void aConnectionOfAWaveMayHaveWaitedSinceTheBacklogWasLastEmpty() {
+        Backlog backlog = new Backlog(3, at(0));
+        backlog.taken();
+        backlog.beat(at(20));
+        assertEquals(at(0), backlog.cameAfter());
+        backlog.beat(at(40));
+        assertEquals(at(20), backlog.cameAfter());
+        for (int turn = 0; turn < 4; turn++) {
+            for (int i = 0; i < 3; i++) {
+                backlog.taken();
+            }
+            backlog.beat(at(100 + 100 * turn));
+            assertEquals(at(20), backlog.cameAfter(), "more may wait");
+        }
+        backlog.taken();
+        backlog.beat(at(500));
+        assertEquals(at(400), backlog.cameAfter());
+    }
 }
