--- a/src/main/java/linengauge/platform/keep/Backlog.java
+++ b/src/main/java/linengauge/platform/keep/Backlog.java
@@ -3,10 +3,11 @@
 import linengauge.Moment;
 
 /**
- * Since when a connection taken now may have waited to be taken. A loop takes so many connections a turn and leaves the rest
- * to its next turns; what is sent on these lies unread meanwhile, which no beat of the loop shows. Guards against counting a
- * viewer's patience from the taking, as hundreds come at once from fronts that have died. It could hurt a viewer that comes
- * as the last of such a wave without having waited: it is answered sooner than it need be.
+ * Since when a connection taken now may have waited to be taken. A loop takes a connection in one turn and reads it in the
+ * next, takes so many a turn and leaves the rest to its next turns, and after a long turn its beats come one a turn until
+ * they have caught up: what is read first on a new connection may have come long before the last beats. Guards against
+ * counting a viewer's patience from the taking, as it comes to a front that was held up, or in a wave from fronts that have
+ * died. It could hurt a viewer that comes last without having waited: it is answered sooner than it need be.
  */
 public final class Backlog {
     private final int aTurn;
--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -383,4 +383,55 @@
         }
         assertTrue(v.rung >= 2);
     }
+
+    /** Taken for a restart, a lost answer or the front's own stand-still held a box to a cold one's pace for long. */
+    @Test
+    void aBoxThatWasHeardMeanwhileIsHeldToNoColdPace() {
+        for (Outside.Ending how : List.of(Outside.Ending.NO_ANSWER, Outside.Ending.UNHEARD, Outside.Ending.HELD_UP)) {
+            Stage s = stage(1, false);
+            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+            v.ends(how);
+            assertEquals(how == Outside.Ending.NO_ANSWER, v.out == null, how + ": it may have started anew");
+        }
+        Stage s = new Stage(Stage.place(2, false, true, Span.NONE, PLAIN), 7, 1);
+        s.pass(Span.ofSeconds(3));
+        s.boxes.get(0).handle.probed(Outside.Ending.HELD_UP);
+        s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        s.pass(Span.ofMillis(100));
+        s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        s.pass(Span.ofMillis(100));
+        assertTrue(s.viewers.stream().allMatch(v -> v.out != null), "two within the window, as at any warm box");
+    }
+
+    @Test
+    void onOldNewsANewcomerTakesTheRungNearestItsPartOfTheUplink() {
+        for (double price : new double[] {0.008, 0.08}) {
+            Headend h = Stage.place(200, false, true, Span.NONE, PLAIN);
+            Headend.Permits p = h.permits();
+            Stage s = new Stage(new Headend(h.fronts(), h.ownNumber(), h.building(), h.packages(), h.ladderKb(), h.rungValue(),
+                    h.fleet(), h.rules(), new Headend.Permits(p.tuneIns(), false, true, true, price, 0.01, 0, p.longestAdvice())), 7, 1);
+            s.pass(Span.ofSeconds(3));
+            s.boxes.get(0).handle.reported(0.3, 0.95, 10);
+            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+            s.pass(Span.ofMillis(100));
+            assertEquals(price > 0.01 ? 2 : 0, v.rung, "4000 kB over the 40 viewings of 95 kB that seem to be there");
+        }
+    }
+
+    @Test
+    void whereConnectionsArePricedNewcomersKeepToBoxesThatTheFrontPlaysOn() {
+        Headend h = Stage.place(200, false, false, Span.NONE, PLAIN);
+        for (double price : new double[] {0, 0.08}) {
+            Stage s = new Stage(new Headend(h.fronts(), h.ownNumber(), h.building(), h.packages(), h.ladderKb(), h.rungValue(),
+                    h.fleet(), h.rules(), new Headend.Permits(4, false, false, false, 0, 0, price, Span.ofSeconds(2))), 7, 4);
+            s.pass(Span.ofSeconds(3));
+            Policy.Title t = s.policy.title(0, 4);
+            s.plays(PLAIN, t, s.boxes.get(3), 2);
+            int there = 0;
+            for (int i = 0; i < 4; i++) {
+                there += s.take(PLAIN, t, PATIENCE).out == s.boxes.get(3) ? 1 : 0;
+            }
+            assertTrue(price > 0 ? there == 4 : there < 4, there + " of 4 at a price of " + price);
+        }
+    }
 }
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -223,4 +223,18 @@
         backlog.beat(at(500));
         assertEquals(at(400), backlog.cameAfter());
     }
+
+    @Test
+    void aStandStillOfTheFrontBetweenAskingAndNowIsSeen() {
+        Lag lag = new Lag(at(0));
+        lag.beat(at(20));
+        lag.beat(at(40));
+        assertFalse(lag.heldUp(Span.ofMillis(150), at(0), at(60)));
+        assertTrue(lag.heldUp(Span.ofMillis(150), at(50), at(190)), "no beat for so long");
+        lag.beat(at(300));
+        assertTrue(lag.heldUp(Span.ofMillis(150), at(50), at(310)));
+        assertFalse(lag.heldUp(Span.ofMillis(150), at(305), at(310)), "it was over before");
+        lag.beat(at(320));
+        assertFalse(lag.heldUp(Span.ofMillis(150), at(305), at(330)));
+    }
 }
