--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -173,7 +173,8 @@
 
     /* ---- what the carrier tells ---- */
 
-    private boolean waitsFor(int tuneIn) {
+    /** That tune-in is out, or is to be sent, and has not been answered. */
+    public boolean waitsFor(int tuneIn) {
         return out && !playing && tuneIn == tuneIns - 1;
     }
 
--- a/src/test/java/linengauge/platform/CloseOrderTest.java
+++ b/src/test/java/linengauge/platform/CloseOrderTest.java
@@ -26,7 +26,9 @@
 
     private final class Line implements Net.Connection {
         private final String to;
+        private final List<String> held = new ArrayList<>();
         private Consumer<byte[]> data;
+        private boolean reading;
 
         private Line(String to) {
             this.to = to;
@@ -40,7 +42,24 @@
         @Override
         public void write(byte[] message) {
             String line = new String(message, StandardCharsets.UTF_8);
-            done.add((line.contains("START") ? "set-up " : line.contains("FINISH") ? "end " : "other ") + to);
+            leave((line.contains("START") ? "set-up " : line.contains("FINISH") ? "end " : "other ") + to);
+        }
+
+        /** As the library does it: what is written or closed while it is being read leaves as the reading ends. */
+        private void leave(String what) {
+            (reading ? held : done).add(what);
+        }
+
+        private void comes(byte[] bytes) {
+            reading = true;
+            data.accept(bytes);
+            reading = false;
+            done.addAll(held);
+            held.clear();
+        }
+
+        private void comes(String line) {
+            comes((line + "\n").getBytes(StandardCharsets.UTF_8));
         }
 
         @Override
@@ -60,7 +79,7 @@
 
         @Override
         public void close() {
-            done.add("close " + to);
+            leave("close " + to);
         }
 
         @Override
@@ -109,9 +128,8 @@
         }
     }
 
-    /** A set-up is out until its connection is closed: made elsewhere before, it would be a second one. */
-    @Test
-    void theConnectionToABoxThatHasGoneIsClosedBeforeItsSetUpsAreMadeElsewhere() throws Exception {
+    /** A viewing with its first set-up out; returns the address of its box. */
+    private String setUpOut() throws Exception {
         var posting = Posting.read(TryOut.configuration(1, 2, 3, 4).getBytes(StandardCharsets.UTF_8));
         var front = new PlatformFront(posting, new Recorder(), new PlatformFront.Told() {
             @Override
@@ -131,30 +149,57 @@
         });
         front.start(failed -> { });
         settle();
-        Line journal = lines.get(0);
         Line viewer = new Line("viewer");
         listener.arrived(viewer);
-        viewer.data.accept(PlatformViewers.setUp(7, "lesson", 2000, ""));
+        viewer.comes(PlatformViewers.setUp(7, "lesson", 2000, ""));
         settle();
         // Probes were asked first: they are answered, and the viewing is set up.
-        for (Line box : List.copyOf(lines)) {
-            if (box != journal) {
-                for (int test = 1; test <= 3; test++) {
-                    box.data.accept(("{\"verb\":\"ECHOED\",\"tag\":\"" + String.format("%016x", test)
-                            + "\",\"opts\":{\"load\":\"x0:0.2;x1:0.2;outstanding:1\"},\"rc\":1}\n").getBytes(StandardCharsets.UTF_8));
-                }
+        for (Line box : List.copyOf(lines).subList(1, lines.size())) {
+            for (int test = 1; test <= 3; test++) {
+                box.comes("{\"verb\":\"ECHOED\",\"tag\":\"" + String.format("%016x", test)
+                        + "\",\"opts\":{\"load\":\"x0:0.2;x1:0.2;outstanding:1\"},\"rc\":1}");
             }
         }
         settle();
         String first = done.stream().filter(d -> d.startsWith("set-up")).findFirst().orElseThrow();
-        String at = first.substring("set-up ".length());
         done.clear();
+        return first.substring("set-up ".length());
+    }
+
+    private void onlyAfter(String end) {
+        List<String> setUps = done.stream().filter(d -> d.startsWith("set-up")).toList();
+        assertEquals(1, setUps.size(), done.toString());
+        assertTrue(done.contains(end) && done.indexOf(end) < done.indexOf(setUps.get(0)), done.toString());
+    }
+
+    private Line box(String at) {
+        return lines.stream().filter(l -> l.to.equals(at)).findFirst().orElseThrow();
+    }
+
+    /** A set-up is out until its connection is closed: made elsewhere before, it would be a second one. */
+    @Test
+    void theConnectionToABoxThatHasGoneIsClosedBeforeItsSetUpsAreMadeElsewhere() throws Exception {
+        String at = setUpOut();
         byte[] gone = PlatformJournal.record(at.endsWith(":3") ? 1 : 2, 3, 2, 0, 0);
-        journal.data.accept(ByteBuffer.allocate(13 + gone.length).putInt(9 + gone.length).putLong(2).put((byte) 2).put(gone).array());
+        lines.get(0).comes(ByteBuffer.allocate(13 + gone.length).putInt(9 + gone.length).putLong(2).put((byte) 2).put(gone).array());
+        settle();
+        onlyAfter("close " + at);
+    }
+
+    @Test
+    void anAnswerThatCameTooLateIsTakenBackBeforeTheNextSetUpLeaves() throws Exception {
+        String at = setUpOut();
+        micros += 600_000;
+        box(at).comes("{\"verb\":\"STARTED\",\"tag\":\"" + String.format("%016x", 7) + "\",\"opts\":{},\"blob\":\"b\"}");
+        settle();
+        onlyAfter("end " + at);
+    }
+
+    @Test
+    void aConnectionThatSaysWhatCannotBeReadIsClosedBeforeItsSetUpsAreMadeElsewhere() throws Exception {
+        String at = setUpOut();
+        box(at).comes("no such thing");
         settle();
-        int closed = done.indexOf("close " + at);
-        int again = done.stream().filter(d -> d.startsWith("set-up")).findFirst().map(done::indexOf).orElse(-1);
-        assertTrue(closed >= 0 && again > closed, done.toString());
-        assertEquals(1, done.stream().filter(d -> d.startsWith("set-up")).count());
+        onlyAfter("close " + at);
     }
 }
