--- a/src/main/java/linengauge/rehearsal/FleetDay.java
+++ b/src/main/java/linengauge/rehearsal/FleetDay.java
@@ -157,6 +157,10 @@
         return size.boxes();
     }
 
+    boolean isUp(int front) {
+        return seats.get(front).takenIn;
+    }
+
     int life(int front) {
         return seats.get(front).life;
     }
