--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -70,7 +70,7 @@
     private final SplittableRandom chance;
     private final double middleKb;
     private final double othersPart;
-    /** Fronts may not talk and a probe is too dear to ask one for each newcomer: its boxes are known by old news alone. */
+    /** Fronts may not talk and a probe is too dear for each newcomer: boxes are known by old news. */
     private final boolean oldNews;
     /** Boxes by cell, as listed; and those with viewings of this front, till the last ends. */
     private final List<List<MediaBox>> cells = new ArrayList<>();
@@ -839,7 +839,8 @@
         private double score(MediaBox b) {
             double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
             // Others of this front's play there: it is connected, and what is heard is heard for all of them.
-            score += b.viewings.isEmpty() ? 0 : house.permits().connectPrice() * LOAD_FOR_PRICE * b.rack.size();
+            double connected = house.permits().connectPrice() * LOAD_FOR_PRICE * b.rack.size();
+            score += b.viewings.isEmpty() ? 0 : connected;
             score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
             score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
             score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
@@ -886,7 +887,7 @@
             return terms.lowestRung();
         }
 
-        /** On old news all fronts see the same room, and take it at once, or none, and start at the lowest rung.
+        /** On old news all fronts see the same room and take it at once, or none and start at the lowest.
          * There a newcomer takes the rung nearest to its fair part of the uplink, up to the brim: the more
          * already play, the less. It harms where one front alone fills an uplink: it could have had all. */
         private boolean fairlyFits(MediaBox b, int r) {
--- a/src/main/java/linengauge/platform/JournalFeed.java
+++ b/src/main/java/linengauge/platform/JournalFeed.java
@@ -8,7 +8,7 @@
 import linengauge.session.BoxTable.Row;
 
 /**
- * Follows the journal front. A stream that breaks, or says nothing for clearly longer than its sign of life is apart, is
+ * Follows the journal service. A stream that breaks, or says nothing for clearly longer than its sign of life is apart, is
  * asked for again at once and then with short, bounded pauses, from the last event held.
  */
 final class JournalFeed {
