--- a/src/main/java/linengauge/platform/ViewerLine.java
+++ b/src/main/java/linengauge/platform/ViewerLine.java
@@ -29,14 +29,14 @@
     /** Messages that have come wait for a turn of their own. */
     private boolean goesOn;
     private boolean paused;
-    /** When what is read may have come. */
+    /** When what is read may have come, and what follows the message that has begun. */
     private Moment lain = Moment.DISTANT_PAST;
+    private Moment nextLain;
+    /** What is read next may have come as early: since the connection waited to be taken, or since it was read last. */
+    private Moment cameAfter;
     /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
     private int keeps;
 
-    /** It may have been waiting since then to be taken: what it sent first has lain as long. */
-    private Moment cameAfter;
-
     ViewerLine(Door door, Net.Connection socket, Moment cameAfter) {
         this.door = door;
         this.socket = socket;
@@ -61,10 +61,13 @@
         if (closed) {
             return;
         }
-        if (!reader.isMidMessage()) {
-            lain = door.front().now().minus(door.front().unread());
-            lain = cameAfter != null && cameAfter.before(lain) ? cameAfter : lain;
-            cameAfter = null;
+        Moment came = door.front().now().minus(door.front().unread());
+        came = cameAfter != null && cameAfter.before(came) ? cameAfter : came;
+        cameAfter = null;
+        if (reader.isMidMessage()) {
+            nextLain = came; // of what begins in it, not of the message that it ends
+        } else {
+            lain = came;
         }
         reader.take(data);
         readOn();
@@ -85,6 +88,10 @@
             while (more && !closed && door.front().now().before(until)) {
                 more = reader.next();
                 ended |= more;
+                if (more && nextLain != null) {
+                    lain = nextLain;
+                    nextLain = null;
+                }
                 door.front().tick();
             }
             guest.read(ended, !more && reader.isMidMessage(), door.front().now());
@@ -108,6 +115,7 @@
     private void pause() {
         if (!paused) {
             paused = true;
+            cameAfter = door.front().now();
             socket.pause();
         }
     }
