--- a/src/main/java/linengauge/cli/Main.java
+++ b/src/main/java/linengauge/cli/Main.java
@@ -1,13 +1,8 @@
 package linengauge.cli;
 
-import java.io.FileDescriptor;
-import java.io.FileInputStream;
-import java.io.FileOutputStream;
-import java.io.IOException;
 import linengauge.platform.Service;
 import linengauge.platform.TryOut;
 import linengauge.standin.PlatformTryOut;
-import linengauge.wire.BadLine;
 import linengauge.wire.WireHost;
 
 /** The program's door. The bench's adapter starts without any of the libraries that the rest of the program needs. */
@@ -17,8 +12,12 @@
 
     public static void main(String[] args) {
         String only = args.length == 1 ? args[0] : "";
-        System.exit(only.equals("wirehost") ? host() : only.equals("serve") ? serve() : only.equals("serve-tryout") ? tryOut()
-                : Commands.run(args));
+        System.exit(switch (only) {
+            case "wirehost" -> WireHost.onStandardStreams();
+            case "serve" -> serve();
+            case "serve-tryout" -> tryOut();
+            default -> Commands.run(args);
+        });
     }
 
     /** Started often and with little memory: without the command line's library. */
@@ -39,16 +38,4 @@
             return 1;
         }
     }
-
-    private static int host() {
-        try (var in = new FileInputStream(FileDescriptor.in); var out = new FileOutputStream(FileDescriptor.out)) {
-            new WireHost(in, out, System.err).run();
-            return 0;
-        } catch (BadLine e) {
-            System.err.println("linengauge: " + e.getMessage());
-        } catch (IOException e) {
-            System.err.println("linengauge: standard input or output broke: " + e.getMessage());
-        }
-        return 1;
-    }
 }
--- a/src/main/java/linengauge/wire/WireHost.java
+++ b/src/main/java/linengauge/wire/WireHost.java
@@ -7,6 +7,9 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -32,6 +35,19 @@
     private final Map<Integer, WireFront> fronts = new HashMap<>();
     private final Map<Integer, List<Row>> pools = new HashMap<>();
 
+    /** Hosts on standard input and output until that ends; returns the process's exit code. */
+    public static int onStandardStreams() {
+        try (var in = new FileInputStream(FileDescriptor.in); var out = new FileOutputStream(FileDescriptor.out)) {
+            new WireHost(in, out, System.err).run();
+            return 0;
+        } catch (BadLine e) {
+            System.err.println("linengauge: " + e.getMessage());
+        } catch (IOException e) {
+            System.err.println("linengauge: standard input or output broke: " + e.getMessage());
+        }
+        return 1;
+    }
+
     public WireHost(InputStream in, OutputStream out, PrintStream complaints) {
         this.in = new BufferedInputStream(in, 1 << 16);
         this.out = out;
