What silence means is decided without I/O; two faults of the fleet's box model mended

Followed in the judge's records: the box had ended that viewing by its own lease at 9.7 s and told its front, which set it up elsewhere; the model recorded no end where the lease ended it (BoxModel.over), so the judge still counted it as out there. The front kept the rule; ruled out by the records: the first box's end is written before the second set-up leaves.

Also: which ending a time-out has (NO_ANSWER, UNHEARD, HELD_UP) was decided in the carrier BoxLink; it stands now in keep.Silence, with the terms of Reach beside it. Two rules on architecture keep it so: the platform's front acts through its port alone, the rehearsal in virtual time alone.

--- a/src/main/java/linengauge/platform/BoxLink.java
+++ b/src/main/java/linengauge/platform/BoxLink.java
@@ -11,6 +11,7 @@
 import linengauge.platform.codec.BoxLines;
 import linengauge.platform.keep.EarlyEnds;
 import linengauge.platform.keep.Reach;
+import linengauge.platform.keep.Silence;
 import linengauge.session.BoxTable;
 import linengauge.session.Held;
 import linengauge.session.Viewer;
@@ -19,18 +20,9 @@
 final class BoxLink {
     private static final int MOST_WIRES = 4;
     private static final int MOST_SAYINGS = 512;
-    /** A front that stood still so long has not waited for an answer. */
-    private static final Span OWN_DELAY = Span.ofMillis(150);
     private static final int MOST_EARLY_ENDS = 256;
     /** As long as the platform gives a front to release what has ended. */
     private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
-    /**
-     * Boxes are silent by nature where nothing is set up and nothing is short, and each new connection is priced over the
-     * whole fleet: only so late is silence looked into that what played at a box that has vanished is still released within
-     * the 8 s that the platform gives, with a second for a front that is itself late.
-     */
-    static final Reach.Terms REACH = new Reach.Terms(Span.ofMillis(5000), Span.ofMillis(500), Span.ofMillis(3500),
-            Span.ofMillis(7000), Span.ofMillis(1000), Span.ofMillis(50), Span.ofMillis(800));
     /** Connections beyond the first are closed when they have rested so long. */
     private static final Span SPARE_RESTS = Span.ofSeconds(4);
 
@@ -47,7 +39,7 @@
     BoxLink(BoxLinks links, BoxTable.Entry box) {
         this.links = links;
         this.box = box;
-        this.reach = new Reach(REACH, links.front().now());
+        this.reach = new Reach(Reach.Terms.PLATFORM, links.front().now());
     }
 
     BoxTable.Entry box() {
@@ -257,22 +249,10 @@
         return Ending.NO_ANSWER;
     }
 
-    /**
-     * What it means that nothing came of something written then. Guards against taking every time-out for a box that has
-     * started anew, which holds it to a cold box's pace for long. A connection that was up then, is up still and has brought
-     * something since shows that its process lives on; and a front that stood still has proved nothing. It could hurt where a
-     * machine's connections outlive its processes: the platform resets them.
-     */
+    /** What it means that nothing came of something written then; one connection, if any, has just broken. */
     Ending silence(Moment writtenAt, Wire but) {
-        if (front().heldUp(OWN_DELAY, writtenAt)) {
-            return Ending.HELD_UP;
-        }
-        for (Wire w : wires) {
-            if (w != but && w.isUp() && w.upAt().before(writtenAt) && writtenAt.before(w.line().heardAt())) {
-                return Ending.UNHEARD;
-            }
-        }
-        return Ending.NO_ANSWER;
+        return Silence.meaning(writtenAt, front().lag(), front().now(), wires.stream().filter(w -> w != but && w.isUp()).map(Wire::line)
+                .toList());
     }
 
     /** The viewing of that id that plays here, or null. */
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -152,8 +152,8 @@
         return lag.unread(now);
     }
 
-    boolean heldUp(Span least, Moment since) {
-        return lag.heldUp(least, since, now);
+    Lag lag() {
+        return lag;
     }
 
     Moment now() {
--- a/src/main/java/linengauge/platform/Wire.java
+++ b/src/main/java/linengauge/platform/Wire.java
@@ -40,7 +40,6 @@
     /** Tests whose result is waited for, with their timers. */
     private final Map<Long, Wake> tests = new LinkedHashMap<>();
     private Net.Connection socket;
-    private Moment upAt = Moment.DISTANT_PAST;
     private boolean closed;
     /** This front closes it since nothing is left on it. */
     private boolean rested;
@@ -74,11 +73,6 @@
         return closingsWhenBegun;
     }
 
-    /** When it came up. */
-    Moment upAt() {
-        return upAt;
-    }
-
     /** When that set-up was written here; null where it was not. */
     Moment writtenAt(Held vw, int tuneIn) {
         Out out = outs.get(((Seat) vw.viewer()).id());
@@ -110,7 +104,7 @@
 
     private void up(Net.Connection s) {
         socket = s;
-        upAt = front().now();
+        line.up(front().now());
         s.hears(data -> front().entered(() -> read(data)), () -> front().entered(() -> gone(Gone.CLOSED)));
         link.up(this);
         for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
--- a/src/main/java/linengauge/platform/keep/Line.java
+++ b/src/main/java/linengauge/platform/keep/Line.java
@@ -16,6 +16,7 @@
     /** What is to become of it. */
     public enum Verdict { STAYS, RESTS, SPOILT }
 
+    private Moment upAt = Moment.DISTANT_PAST;
     private Moment heardAt;
     private Moment usedAt;
     private Moment midSince;
@@ -27,6 +28,15 @@
         this.usedAt = now;
     }
 
+    /** It has come up. */
+    public void up(Moment now) {
+        upAt = now;
+    }
+
+    Moment upAt() {
+        return upAt;
+    }
+
     /** Something comes. */
     public void heard(Moment now) {
         heardAt = now;
--- a/src/main/java/linengauge/platform/keep/Reach.java
+++ b/src/main/java/linengauge/platform/keep/Reach.java
@@ -16,6 +16,13 @@
      * between tries, doubled.
      */
     public record Terms(Span silence, Span answer, Span lost, Span latest, Span least, Span firstPause, Span longestPause) {
+        /**
+         * Boxes are silent by nature where nothing is set up and nothing is short, and each new connection is priced over the
+         * whole fleet: only so late is silence looked into that what played at a box that has vanished is still released
+         * within the 8 s that the platform gives (its protocol page), with a second for a front that is itself late.
+         */
+        public static final Terms PLATFORM = new Terms(Span.ofMillis(5000), Span.ofMillis(500), Span.ofMillis(3500),
+                Span.ofMillis(7000), Span.ofMillis(1000), Span.ofMillis(50), Span.ofMillis(800));
     }
 
     private final Terms terms;
--- a/src/main/java/linengauge/rehearsal/BoxModel.java
+++ b/src/main/java/linengauge/rehearsal/BoxModel.java
@@ -6,9 +6,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import linengauge.Moment;
 import linengauge.Span;
@@ -60,6 +62,8 @@
     private final Map<String, Pipe.End> settingUp = new LinkedHashMap<>();
     /** Ends, to be said to their fronts on the next connection from these: once more, or for the first time. */
     private final Map<String, List<String>> untold = new LinkedHashMap<>();
+    /** Those whose end a front has written; each leaves as that arrives, or with the box's life. */
+    private final Set<String> givenUp = new HashSet<>();
     private double askedKb;
     private Moment startedAt;
     private Mood mood = Mood.WELL;
@@ -124,6 +128,7 @@
         List.copyOf(playing.values()).forEach(p -> drop(p).cut(this));
         playing.clear();
         settingUp.clear();
+        givenUp.clear();
         untold.clear();
         day.roads().died(address, p -> { });
         ends.clear();
@@ -198,6 +203,7 @@
         for (String line : new String(written, StandardCharsets.UTF_8).split("\n")) {
             if (line.startsWith("{\"verb\":\"FINISH\"")) {
                 String tag = line.replaceFirst(".*\"tag\":\"([0-9a-f]{16})\".*", "$1");
+                givenUp.add(tag);
                 ledger.saw("ended", "box", id, "viewing", day.viewers().viewing(tag), "why", "asked");
             }
         }
@@ -247,6 +253,9 @@
 
     private void setUp(Pipe.End end, JsonNode n, String tag) {
         Viewers.Watch watch = day.viewers().watch(tag);
+        if (givenUp.contains(tag)) {
+            return; // held up on its way until its front had given it up: never out, and what ends it follows
+        }
         if (watch == null) {
             if (!day.viewers().sent(tag)) {
                 throw new IllegalStateException("a set-up that no viewer sent: " + tag);
@@ -324,6 +333,7 @@
     private void over(String tag, Playing p) {
         if (playing.remove(tag, p)) {
             drop(p).over(this);
+            ledger.saw("ended", "box", id, "viewing", p.watch.viewing(), "why", "lease");
             String said = line("FINISH", tag, 16, null);
             Pipe.End by = p.end != null && p.end.isOpen() ? p.end : ends.stream().filter(e -> e.isOpen()
                     && e.peer().equals("f" + p.watch.front())).findFirst().orElse(null);
@@ -335,6 +345,7 @@
     }
 
     private void finished(String tag) {
+        givenUp.remove(tag);
         settingUp.remove(tag);
         Playing p = playing.remove(tag);
         if (p != null) {
--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -49,6 +49,20 @@
             "linengauge.site..", "linengauge.hls..", "linengauge.vrrp..", "linengauge.memory..", "linengauge.work..",
             "com.fasterxml.jackson.databind..", "com.networknt..", "picocli..", "io.vertx.core.http..");
 
+    /** The front of the platform acts through its port alone; the port's sockets and the process round it are named here. */
+    @ArchTest
+    static final ArchRule THE_PLATFORM_ACTS_THROUGH_ITS_PORT = noClasses().that().resideInAPackage("linengauge.platform..").and()
+            .doNotHaveSimpleName("VertxNet").and().doNotHaveSimpleName("Socket").and().doNotHaveSimpleName("Service").and()
+            .doNotHaveSimpleName("TryOut").should().dependOnClassesThat().resideInAnyPackage("io.vertx..", "io.netty..", "java.net..",
+                    "java.nio.channels..", "java.util.concurrent..", "linengauge.carry..").orShould().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    static final ArchRule THE_REHEARSAL_IS_IN_VIRTUAL_TIME = noClasses().that().resideInAPackage("linengauge.rehearsal").should()
+            .dependOnClassesThat().resideInAnyPackage("io.vertx..", "io.netty..", "java.net..", "java.nio.channels..", "java.nio.file..",
+                    "java.util.concurrent..", "linengauge.carry..").orShould().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis").orShould().callMethod(Math.class, "random");
+
     @ArchTest
     static final ArchRule STAND_INS_KNOW_NO_FRONT = noClasses().that().resideInAPackage("linengauge.standin").should()
             .dependOnClassesThat().resideInAnyPackage("linengauge", "linengauge.front..", "linengauge.session..");
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -102,7 +102,7 @@
     /** On the terms in force: what plays at a box that has vanished is released within 8 s of its last sign. */
     @Test
     void silenceIsTestedOnceThenConnectionsAreTriedAndTheBoxIsLostInTime() {
-        Reach reach = new Reach(BoxLink.REACH, at(0));
+        Reach reach = new Reach(Reach.Terms.PLATFORM, at(0));
         assertFalse(reach.wantsTest(at(5000)), "boxes are silent by nature");
         assertTrue(reach.wantsTest(at(5001)));
         assertFalse(reach.wantsTest(at(5400)));
