Patience behind a pause counts for all that waited; what comes in turns keeps its own time

The record shows four requests on that one connection set up 1.0 to 1.3 s after they were asked, while the front answered others within 70 ms: they lay on a connection that was paused while forty viewings handed over were read in turns. Lines at fault: ViewerLine.read took the mark of the pause for the first piece after it only, and pause() set the mark anew to the present while older pieces still lay unread, so that what followed was held to be fresh. Ruled out: the box (its set-up took 30 ms), other connections, the beat's own bound.

Change. keep.Arrivals, free of I/O: pieces wait beside the reader up to 16 KB, each with the moment after which it came; a pause begins beyond that only, and all that follows one is as old as what came last before it, until the loop has read on for two beats. Reading in turns pauses nothing by itself any more.

KeepTest and PlatformFrontTest fail with the mark used once, never dropped, or not kept over a pause.

--- a/src/main/java/linengauge/platform/ViewerLine.java
+++ b/src/main/java/linengauge/platform/ViewerLine.java
@@ -10,6 +10,7 @@
 import linengauge.platform.codec.SetUpForm;
 import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
+import linengauge.platform.keep.Arrivals;
 import linengauge.platform.keep.Guest;
 
 /** One connection from viewers. */
@@ -32,15 +33,14 @@
     /** When what is read may have come, and what follows the message that has begun. */
     private Moment lain = Moment.DISTANT_PAST;
     private Moment nextLain;
-    /** What is read next may have come as early: since the connection waited to be taken, or since it was read last. */
-    private Moment cameAfter;
+    private final Arrivals arrivals;
     /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
     private int keeps;
 
     ViewerLine(Door door, Net.Connection socket, Moment cameAfter) {
         this.door = door;
         this.socket = socket;
-        this.cameAfter = cameAfter;
+        this.arrivals = new Arrivals(cameAfter, door.front().now());
         socket.hears(data -> door.front().entered(() -> read(data)), () -> door.front().entered(this::gone));
     }
 
@@ -61,21 +61,18 @@
         if (closed) {
             return;
         }
-        Moment came = door.front().now().minus(door.front().unread());
-        came = cameAfter != null && cameAfter.before(came) ? cameAfter : came;
-        cameAfter = null;
-        if (reader.isMidMessage()) {
-            nextLain = came; // of what begins in it, not of the message that it ends
-        } else {
-            lain = came;
+        Moment now = door.front().now();
+        arrivals.come(data, now.minus(door.front().unread()), now);
+        if (!goesOn) {
+            readOn();
+        } else if (arrivals.isFull(reader.unread())) {
+            pause();
         }
-        reader.take(data);
-        readOn();
     }
 
     /**
-     * Reads what has come, for one turn's share of time; the rest in turns of its own, and nothing more is taken till then.
-     * Guards against a piece of hundreds of messages (viewings handed over, a rude client) that makes all others wait.
+     * Reads what has come, for one turn's share of time; the rest in turns of its own. Guards against a piece of hundreds of
+     * messages (viewings handed over, a rude client) that makes all others wait.
      */
     private void readOn() {
         if (closed) {
@@ -92,37 +89,54 @@
                     lain = nextLain;
                     nextLain = null;
                 }
+                more = more || takesNext();
                 door.front().tick();
             }
             guest.read(ended, !more && reader.isMidMessage(), door.front().now());
             if (more && !closed) {
                 goesOn = true;
-                pause();
+                if (arrivals.isFull(reader.unread())) {
+                    pause();
+                }
                 // By a timer: what is merely put off runs before the loop reads from anybody else.
                 door.front().after(NEXT_TURN, () -> {
                     goesOn = false;
                     readOn();
                 });
-            } else {
-                resume();
             }
+            resume();
         } catch (BadMessage e) {
             door.said("unreadable viewer", socket.peer(), e.getMessage());
             close();
         }
     }
 
+    private boolean takesNext() {
+        Arrivals.Piece piece = arrivals.next();
+        if (piece == null) {
+            return false;
+        }
+        if (reader.isMidMessage()) {
+            nextLain = piece.came(); // of what begins in it, not of the message that it ends
+        } else {
+            lain = piece.came();
+        }
+        reader.take(piece.data());
+        return true;
+    }
+
     private void pause() {
         if (!paused) {
             paused = true;
-            cameAfter = door.front().now();
+            arrivals.paused();
             socket.pause();
         }
     }
 
     private void resume() {
-        if (paused && !goesOn && keeps <= Door.MOST_KEPT) {
+        if (paused && !arrivals.isFull(reader.unread()) && keeps <= Door.MOST_KEPT) {
             paused = false;
+            arrivals.resumed(door.front().now());
             socket.resume();
         }
     }
--- a/src/main/java/linengauge/platform/codec/ViewerMessages.java
+++ b/src/main/java/linengauge/platform/codec/ViewerMessages.java
@@ -54,6 +54,11 @@
         return at < come.length;
     }
 
+    /** Bytes that have come and have not been read. */
+    public int unread() {
+        return come.length - at;
+    }
+
     /** Keeps what has come, to be read by {@link #next}. */
     public void take(byte[] data) {
         if (at == come.length) {
--- a/src/main/java/linengauge/rehearsal/Pipe.java
+++ b/src/main/java/linengauge/rehearsal/Pipe.java
@@ -1,5 +1,6 @@
 package linengauge.rehearsal;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import linengauge.Span;
@@ -9,6 +10,8 @@
 final class Pipe {
     /** What the tap hears as the near end closes it. */
     static final byte[] CLOSED = {};
+    /** Bytes that one reading brings at the most. */
+    private static final int MOST_AT_ONCE = 64 * 1024;
 
     private final Clockwork clock;
     private final Span latency;
@@ -116,12 +119,21 @@
             if (data == null || paused || over || held.isEmpty()) {
                 return;
             }
-            data.accept(held.poll());
+            data.accept(stream());
             if (!held.isEmpty()) {
                 host.event(this::flow);
             }
         }
 
+        /** What is held, as one piece: a connection keeps no borders between what was written. */
+        private byte[] stream() {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            while (!held.isEmpty() && (all.size() == 0 || all.size() + held.peek().length <= MOST_AT_ONCE)) {
+                all.writeBytes(held.poll());
+            }
+            return all.toByteArray();
+        }
+
         @Override
         public void write(byte[] message) {
             if (over) {
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -10,6 +10,7 @@
 import linengauge.Moment;
 import linengauge.Outside.Ending;
 import linengauge.Span;
+import linengauge.platform.keep.Arrivals;
 import linengauge.platform.keep.Backlog;
 import linengauge.platform.keep.EarlyEnds;
 import linengauge.platform.keep.Guest;
@@ -237,4 +238,28 @@
         lag.beat(at(320));
         assertFalse(lag.heldUp(Span.ofMillis(150), at(305), at(330)));
     }
+
+    @Test
+    void whatWaitedForAConnectionIsAsOldAsThatUntilAllOfItHasCome() {
+        Arrivals taken = new Arrivals(at(100), at(600));
+        taken.come(new byte[10], at(690), at(700));
+        taken.come(new byte[10], at(690), at(705));
+        taken.come(new byte[10], at(710), at(720));
+        assertEquals(List.of(at(100), at(100), at(710)), List.of(taken.next().came(), taken.next().came(), taken.next().came()));
+        taken.come(new byte[Arrivals.MOST], at(790), at(800));
+        assertTrue(taken.isFull(1) && !taken.isFull(0));
+        taken.paused();
+        taken.next();
+        taken.resumed(at(900));
+        taken.come(new byte[1], at(895), at(901));
+        taken.paused();
+        taken.resumed(at(950));
+        taken.come(new byte[1], at(940), at(951));
+        taken.come(new byte[1], at(951), at(960));
+        assertEquals(List.of(at(790), at(790), at(951)), List.of(taken.next().came(), taken.next().came(), taken.next().came()));
+        assertNull(taken.next());
+        Arrivals idle = new Arrivals(at(100), at(600));
+        idle.come(new byte[1], at(2000), at(2010));
+        assertEquals(at(2000), idle.next().came(), "nothing that waited to be taken comes so late");
+    }
 }
--- a/src/test/java/linengauge/platform/PlatformFrontTest.java
+++ b/src/test/java/linengauge/platform/PlatformFrontTest.java
@@ -116,15 +116,40 @@
         PaperNet net = PaperNet.front();
         net.step = Span.ofMillis(1);
         Line many = net.viewers();
-        many.comes(many(100, 220, 20_000));
+        many.comes(PlatformViewers.message(52, 1, 61, new byte[] {0}));
+        var ends = new ByteArrayOutputStream();
+        for (int id = 1000; ends.size() < 40 * 1024; id++) {
+            ends.writeBytes(PlatformViewers.message(12, id, 61, new byte[] {16}));
+        }
+        long pausedAt = net.now().micros();
+        many.comes(ends.toByteArray());
         assertTrue(many.paused);
-        for (int i = 0; i < 200 && many.paused; i++) {
+        for (int i = 0; i < 2000 && many.paused; i++) {
             net.pass(Span.ofMillis(5));
         }
         assertFalse(many.paused);
-        many.comes(many(300, 301, 250));
-        net.pass(Span.ofSeconds(1));
-        assertFalse(net.setUps.contains(300L), "it may have been sent as the connection was paused");
+        long paused = (net.now().micros() - pausedAt) / 1000; // over 24 KB of them; 16 KB are still to be read
+        many.comes(many(500, 501, paused * 7 / 6));
+        net.pass(Span.ofMillis(3 * paused));
+        assertFalse(net.setUps.contains(500L), "it may have been sent as the connection was paused");
+        many.comes(many(502, 503, 250));
+        net.pass(Span.ofMillis(200));
+        assertTrue(net.setUps.contains(502L), "all that waited has come by then");
+    }
+
+    /** Reading in turns is not a pause: what comes meanwhile is kept, as old as it is, and waits for what came before it. */
+    @Test
+    void whatComesBehindALongPieceIsAsOldAsItsOwnComing() throws Exception {
+        PaperNet net = PaperNet.front();
+        net.step = Span.ofMillis(1);
+        Line many = net.viewers();
+        many.comes(many(100, 200, 20_000));
+        assertFalse(many.paused);
+        many.comes(many(500, 501, 100));
+        many.comes(many(501, 502, 3000));
+        net.pass(Span.ofSeconds(2));
+        assertFalse(net.setUps.contains(500L), "its viewer had gone when its turn came");
+        assertTrue(net.setUps.contains(501L), "its viewer had not");
     }
 
     /** A piece that ends one message and begins others is not as old as that one's beginning. */
