--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -16,7 +16,8 @@
 class ArchitectureTest {
     private static final String[] CORES = {"linengauge", "linengauge.session", "linengauge.hls", "linengauge.rules",
         "linengauge.flow", "linengauge.vrrp", "linengauge.vrrp.explore", "linengauge.work", "linengauge.memory",
-        "linengauge.briefing", "linengauge.platform.codec", "linengauge.platform.keep"};
+        "linengauge.briefing", "linengauge.platform.codec", "linengauge.platform.keep", "linengauge.members",
+        "linengauge.members.explore"};
 
     @ArchTest
     static final ArchRule CORES_DO_NO_IO = noClasses().that().resideInAnyPackage(CORES).should().dependOnClassesThat()
@@ -42,12 +43,12 @@
             "linengauge.session..", "linengauge.site..", "linengauge.platform..").should().dependOnClassesThat()
             .resideInAnyPackage("linengauge.standin..", "linengauge.drill..", "linengauge.cli..", "linengauge.rules..");
 
-    /** Started in little memory: neither the site file's schema nor HTTP, playlists, VRRP or stores come with it. */
+    /** Started in little memory: neither the site file's schema nor HTTP, playlists, VRRP, stores or members come with it. */
     @ArchTest
     static final ArchRule THE_PLATFORM_IS_LIGHT = noClasses().that().resideInAnyPackage("linengauge.platform..",
             "linengauge.briefing", "linengauge.carry").should().dependOnClassesThat().resideInAnyPackage("linengauge.front..",
             "linengauge.site..", "linengauge.hls..", "linengauge.vrrp..", "linengauge.memory..", "linengauge.work..",
-            "com.fasterxml.jackson.databind..", "com.networknt..", "picocli..", "io.vertx.core.http..");
+            "linengauge.members..", "com.fasterxml.jackson.databind..", "com.networknt..", "picocli..", "io.vertx.core.http..");
 
     /** The front of the platform acts through its port alone; the port's sockets and the process round it are named here. */
     @ArchTest
--- a/src/test/java/linengauge/platform/CodecTest.java
+++ b/src/test/java/linengauge/platform/CodecTest.java
@@ -186,6 +186,8 @@
     @Test
     void aLineWithoutEndIsGivenUpAtTheBound() {
         assertThrows(BadMessage.class, () -> box("{\"verb\":\"" + "x".repeat(BoxLines.MOST), 500));
+        assertThrows(BadMessage.class, () -> box("{\"verb\":\"" + "x".repeat(BoxLines.MOST - 20) + "\"}" + " ".repeat(20) + "\n",
+                BoxLines.MOST - 12), "nor at the bound where its end comes with what passes it");
     }
 
     /** Without cause 1 a box answers a test with no report, and the front would believe its own reckoning alone. */
