Members over UDP with a key; five processes frozen, killed, left, and a stranger not heard

The members' core ran in virtual time alone; each piece has to hold between processes of the program.

Change. linengauge.members.udp: one thread, bounded reads between two looks at the timers, each datagram with the keyed trailer by the sender's number; addresses in numbers alone, as a name could make it wait. drill member (hidden) runs one front's members as a process, its record tells what it holds and what it dropped.

MemberProcessesTest, 13 s, five processes: a frozen one is given up by all and back again without having given up anybody; the killed seed is given up and its next life taken in; one that leaves is not missed; a stranger with another key and 2,000 datagrams of noise change nothing.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -3,16 +3,20 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
+import linengauge.Span;
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
 import linengauge.drill.ExploreDrill;
 import linengauge.drill.FailoverDrill;
 import linengauge.drill.Importer;
+import linengauge.drill.MemberProcess;
 import linengauge.drill.RelayDrill;
 import linengauge.drill.Report;
 import linengauge.drill.SlowDrill;
 import linengauge.drill.TryOut;
+import linengauge.members.Member;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
 import linengauge.rules.Verdict;
@@ -180,6 +184,17 @@
         return 0;
     }
 
+    @Command(name = "member", hidden = true, description = "One front's members alone, until the input says something.")
+    int member(@Option(names = "--number", required = true) int number, @Option(names = "--at", required = true) String at,
+            @Option(names = "--zone") int zone, @Option(names = "--region") int region,
+            @Option(names = "--seed", required = true) List<String> seeds, @Option(names = "--key-file", required = true) Path key,
+            @Option(names = "--record", required = true) Path record, @Option(names = "--period-ms", defaultValue = "1000") long period,
+            @CommandLine.Mixin Commands.LogForm log) throws IOException, InterruptedException {
+        log.apply();
+        MemberProcess.run(new Member(number, at, zone, region), seeds, key, record, Span.ofMillis(period));
+        return 0;
+    }
+
     @Command(name = "judge", mixinStandardHelpOptions = true, description = "Judge a record of traffic again, alone.")
     int judge(@Parameters(paramLabel = "FILE.jsonl") Path record,
             @Option(names = "--report", paramLabel = "FILE.json") Path file) throws IOException {
--- /dev/null
+++ b/src/main/java/linengauge/drill/MemberProcess.java
@@ -0,0 +1,61 @@
+package linengauge.drill;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import linengauge.Span;
+import linengauge.members.Member;
+import linengauge.members.MembersTerms;
+import linengauge.members.News;
+import linengauge.members.udp.MembersNode;
+
+/**
+ * One front's members alone, as a process: its record is one line for each change as it comes and one for its view, ten a
+ * second, each with the wall's clock in milliseconds. It ends as its input does, and then says that it leaves.
+ */
+public final class MemberProcess {
+    private static final long EACH_MS = 100;
+
+    private MemberProcess() {
+    }
+
+    /** Runs until the input ends; the period is that of the usual terms, all their spans in proportion. */
+    public static void run(Member own, List<String> seeds, Path keyFile, Path record, Span period)
+            throws IOException, InterruptedException {
+        MembersTerms u = MembersTerms.USUAL;
+        double scale = period.seconds() / u.period().seconds();
+        MembersTerms terms = new MembersTerms(period, u.answer().times(scale), u.helpers(), u.suspicion(), u.longest(), u.confirmed(),
+                u.healthMost(), u.retellings(), u.deadKept(), u.regather().times(scale), u.most());
+        try (BufferedWriter out = Files.newBufferedWriter(record);
+                MembersNode node = new MembersNode(terms, own, seeds, Files.readAllBytes(keyFile), n -> line(out, "changed", one(n)))) {
+            node.start();
+            while (System.in.available() == 0) {
+                Thread.sleep(EACH_MS);
+                MembersNode.Drops d = node.drops();
+                line(out, "holds", "\"others\":[" + node.held().stream().map(MemberProcess::one).collect(Collectors.joining(","))
+                        + "],\"strangers\":" + d.strangers() + ",\"replayed\":" + d.replayed() + ",\"unreadable\":" + d.unreadable());
+            }
+        }
+    }
+
+    private static String one(News n) {
+        return "{\"number\":" + n.member().number() + ",\"standing\":\"" + n.standing() + "\",\"incarnation\":" + n.incarnation()
+                + ",\"by\":" + n.by() + ",\"zone\":" + n.member().zone() + "}";
+    }
+
+    private static void line(BufferedWriter out, String what, String rest) {
+        String body = what.equals("changed") ? "\"other\":" + rest : rest;
+        synchronized (out) {
+            try {
+                out.write("{\"at\":" + System.currentTimeMillis() + ",\"what\":\"" + what + "\"," + body + "}\n");
+                out.flush();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+}
