A front takes part among members where its site file says so, and shows what it holds

Members ran as a process of their own only; an operator's front has to join them, and show them.

The front binds before it listens to viewers, tells of itself once it is ready, and says that it leaves as it stops; the control address shows the others and what was dropped; the log has each change.

Nothing is decided by it yet.

--- a/src/main/java/linengauge/drill/MemberProcess.java
+++ b/src/main/java/linengauge/drill/MemberProcess.java
@@ -26,10 +26,7 @@
     /** Runs until the input ends; the period is that of the usual terms, all their spans in proportion. */
     public static void run(Member own, List<String> seeds, Path keyFile, Path record, Span period)
             throws IOException, InterruptedException {
-        MembersTerms u = MembersTerms.USUAL;
-        double scale = period.seconds() / u.period().seconds();
-        MembersTerms terms = new MembersTerms(period, u.answer().times(scale), u.helpers(), u.suspicion(), u.longest(), u.confirmed(),
-                u.healthMost(), u.retellings(), u.deadKept(), u.regather().times(scale), u.most());
+        MembersTerms terms = MembersTerms.USUAL.inPeriods(period);
         try (BufferedWriter out = Files.newBufferedWriter(record);
                 MembersNode node = new MembersNode(terms, own, seeds, Files.readAllBytes(keyFile), n -> line(out, "changed", one(n)))) {
             node.start();
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -12,6 +12,7 @@
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.lang.management.BufferPoolMXBean;
@@ -33,6 +34,9 @@
 import linengauge.Span;
 import linengauge.carry.Wall;
 import linengauge.flow.Intake;
+import linengauge.members.Member;
+import linengauge.members.MembersTerms;
+import linengauge.members.udp.MembersNode;
 import linengauge.session.BoxTable;
 import linengauge.session.Carrier;
 import linengauge.session.Desk;
@@ -95,6 +99,8 @@
     private volatile boolean within;
     /** Pairing with other fronts; null where there is none. */
     private UdpNode vrrp;
+    /** Who of the fleet is there; null where the site file does not ask for it. */
+    private MembersNode members;
     private final List<Door> doors = new CopyOnWriteArrayList<>();
     /** What the pairing asks for on its own thread. */
     private volatile int servingBoxes;
@@ -194,6 +200,7 @@
         };
         try {
             pair();
+            meet();
         } catch (IOException e) {
             return Future.failedFuture(e.getMessage());
         }
@@ -215,18 +222,7 @@
         if (v.routers().isEmpty()) {
             return;
         }
-        byte[] key = null;
-        if (v.keyFile() != null) {
-            try {
-                key = new String(Files.readAllBytes(Path.of(v.keyFile())), StandardCharsets.UTF_8).strip()
-                        .getBytes(StandardCharsets.UTF_8);
-            } catch (IOException e) {
-                throw new IOException("vrrp.keyFile cannot be read: " + e.getMessage(), e);
-            }
-            if (key.length < SHORTEST_KEY) {
-                throw new IOException("vrrp.keyFile holds a key of fewer than " + SHORTEST_KEY + " bytes");
-            }
-        }
+        byte[] key = v.keyFile() == null ? null : key(v.keyFile(), "vrrp.keyFile");
         Span mostLate = Span.ofMillis(v.overloadedMs());
         vrrp = new UdpNode(new UdpTerms(socket(v.listen()), v.partners().stream().map(FrontProgram::socket).toList(),
                 v.group() == null ? null : socket(v.group()), v.groupInterface(),
@@ -244,6 +240,45 @@
                 }, () -> new Fitness(servingBoxes, Wall.now().since(new Moment(deskRanAt)), mostLate).isUnwell());
     }
 
+    private static byte[] key(String file, String named) throws IOException {
+        byte[] key;
+        try {
+            key = new String(Files.readAllBytes(Path.of(file)), StandardCharsets.UTF_8).strip().getBytes(StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IOException(named + " cannot be read: " + e.getMessage(), e);
+        }
+        if (key.length < SHORTEST_KEY) {
+            throw new IOException(named + " holds a key of fewer than " + SHORTEST_KEY + " bytes");
+        }
+        return key;
+    }
+
+    /** Binds where other members are heard; the front tells of itself once it is ready. */
+    private void meet() throws IOException {
+        Site.Members m = site.members();
+        if (m.listen() == null) {
+            return;
+        }
+        Member own = new Member(site.front().number(), m.listen(), house.building(), m.region());
+        members = new MembersNode(MembersTerms.USUAL.inPeriods(Span.ofMillis(m.periodMs())), own, m.seeds(),
+                key(m.keyFile(), "members.keyFile"), n -> LOG.info("member {} {} {} {}", StructuredArguments.kv("number", n.member().number()),
+                        StructuredArguments.kv("standing", n.standing()), StructuredArguments.kv("incarnation", n.incarnation()),
+                        StructuredArguments.kv("by", n.by())));
+    }
+
+    private JsonObject membersState() {
+        if (members == null) {
+            return new JsonObject();
+        }
+        JsonArray all = new JsonArray();
+        members.held().forEach(n -> all.add(new JsonObject().put("number", n.member().number()).put("zone", n.member().zone())
+                .put("region", n.member().region()).put("address", n.member().address()).put("standing", n.standing().name())
+                .put("incarnation", n.incarnation()).put("by", n.by())));
+        MembersNode.Drops d = members.drops();
+        return new JsonObject().put("others", all).put("strangers", d.strangers()).put("replayed", d.replayed())
+                .put("unreadable", d.unreadable());
+    }
+
     private static InetSocketAddress socket(String address) {
         Site.Address at = Site.Address.of(address);
         return new InetSocketAddress(at.host(), at.port());
@@ -314,6 +349,7 @@
                 .put("wordsHeard", c.wordsHeard).put("wordsPassedOver", c.wordsPassedOver).put("wordsTooMany", intake.passedOver())
                 .put("work", chores.state())
                 .put("vrrp", vrrp == null ? new JsonObject() : new JsonObject(vrrp.state()))
+                .put("members", membersState())
                 .put("directUsed", directUsed())
                 .put("heapUsed", heap.totalMemory() - heap.freeMemory());
     }
@@ -334,6 +370,9 @@
             if (vrrp != null) {
                 vrrp.start();
             }
+            if (members != null) {
+                members.start();
+            }
             LOG.info("ready {}", StructuredArguments.kv("boxes", core.boxes().size()));
         }
     }
@@ -371,6 +410,9 @@
         if (vrrp != null) {
             vrrp.close(); // partners take over while what plays here goes on at the front's own address
         }
+        if (members != null) {
+            members.close(); // nobody has to find out that it is gone
+        }
         onDesk(() -> {
             LOG.info("stopping {}", StructuredArguments.kv("held", core.viewings()));
             core.stopTaking();
--- a/src/main/java/linengauge/members/MembersTerms.java
+++ b/src/main/java/linengauge/members/MembersTerms.java
@@ -23,4 +23,11 @@
     /** Fit for some hundreds of fronts in a few buildings. */
     public static final MembersTerms USUAL = new MembersTerms(Span.ofMillis(1000), Span.ofMillis(300), 3, 4, 6, 3, 8, 4,
             Span.ofSeconds(600), Span.ofSeconds(5), 1024);
+
+    /** The same with another period, and what goes by it in proportion. */
+    public MembersTerms inPeriods(Span each) {
+        double scale = each.seconds() / period.seconds();
+        return new MembersTerms(each, answer.times(scale), helpers, suspicion, longest, confirmed, healthMost, retellings, deadKept,
+                regather.times(scale), most);
+    }
 }
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -19,7 +19,7 @@
 /** What a site file says, each part as its reader needs it. Spans ending in Ms are in milliseconds. */
 public record Site(String site, List<String> buildings, Front front, Fronts fronts, List<Rung> ladder,
         List<Package> packages, Fleet fleet, Rules rules, Permits permits, Titles titles, BoxList list,
-        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Work work, Vrrp vrrp, Stop stop) {
+        Viewers viewers, Boxes boxes, DeskBounds desk, Flow flow, Control control, Work work, Vrrp vrrp, Members members, Stop stop) {
 
     /** A host and a port. */
     public record Address(String host, int port) {
@@ -120,6 +120,10 @@
             double flapsBeforeHold, int deafAfter, int unwellMinus, int unwellAfterMs, int overloadedMs, List<Router> routers) {
     }
 
+    /** Who of the fleet is there; without an address to listen at, this front asks nobody and tells nobody. */
+    public record Members(String listen, List<String> seeds, String keyFile, int region, int periodMs) {
+    }
+
     public record Stop(int playingMs) {
     }
 
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -105,10 +105,31 @@
         wants(s.stop().playingMs() <= s.desk().idleMs() * 100L, "stop.playingMs", "is out of all measure");
     }
 
+    private void members(Site s) {
+        Site.Members m = s.members();
+        if (m.listen() == null) {
+            wants(m.seeds().isEmpty(), "members.listen", "needed where there are members.seeds");
+            return;
+        }
+        inNumbers(m.listen(), "members.listen");
+        wants(m.keyFile() != null, "members.keyFile", "needed: whoever could speak for any front could give up all of them");
+        wants(s.fronts().count() < 2 || !m.seeds().isEmpty(), "members.seeds", "needed: somebody to begin with");
+        for (int i = 0; i < m.seeds().size(); i++) {
+            inNumbers(m.seeds().get(i), "members.seeds[" + i + "]");
+        }
+    }
+
+    /** The others are told it as it stands here, and nobody looks names up while others wait. */
+    private void inNumbers(String address, String path) {
+        address(address, path);
+        wants(Site.literal(Site.Address.of(address).host()) != null, path, "must be an address in numbers");
+    }
+
     private void workAndPairs(Site s) {
         Site.Work w = s.work();
         wants(w.deskMs() < w.windowMs(), "work.deskMs", "must be under work.windowMs: viewers come first");
         wants(w.firstPauseMs() <= w.mostPauseMs(), "work.firstPauseMs", "is over work.mostPauseMs");
+        members(s);
         Site.Vrrp v = s.vrrp();
         if (v.routers().isEmpty()) {
             return;
