The answer is written before the module hears that a viewing plays

Followed by a trace of each viewing: the box's end, cause 31, comes 7 ms after its FIRST. Boxes end 20 to 44 viewings so at each quarter second while uplinks are over their size; where that moment falls between FIRST and the arrival of the answer, the request counts as lost.

Held.plays writes the answer first and tells the module then; a viewer that leaves in that very call is over for both.

DeskTest: whoever leaves as it is told leaves nothing behind; without the check after the call its seat would not be given back.

--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -211,9 +211,12 @@
             }
             playing = true;
             desk.counts().played++;
-            handle.playing();
             callOff(timeOut);
-            viewer.plays(this);
+            viewer.plays(this); // before anything is thought about it: its viewer waits, and may leave at any moment
+            if (!playing) {
+                return; // what it said on its way has ended it
+            }
+            handle.playing();
             if (Span.NONE.under(desk.idle())) {
                 nextLook = desk.lookAfter(desk.idle(), this);
             }
--- a/src/test/java/linengauge/session/CoreStage.java
+++ b/src/test/java/linengauge/session/CoreStage.java
@@ -51,6 +51,7 @@
         Span advice;
         End end;
         Moment lastAsked = now;
+        boolean leavesAsItPlays;
 
         Watcher(String ask, int front) {
             this.ask = ask;
@@ -65,6 +66,9 @@
         @Override
         public void plays(Held vw) {
             answered("plays", vw.id());
+            if (leavesAsItPlays) {
+                vw.viewerLeft();
+            }
         }
 
         @Override
--- a/src/test/java/linengauge/session/DeskTest.java
+++ b/src/test/java/linengauge/session/DeskTest.java
@@ -106,6 +106,24 @@
         assertEquals(0, s.judged().broken("drains"));
     }
 
+    /** Its viewer is told before the module is: nothing of one that leaves in that very call is left, here or there. */
+    @Test
+    void whoeverLeavesAsItIsToldThatItPlaysLeavesNothingBehind() {
+        CoreStage s = stage();
+        CoreStage.Front f = s.fronts.get(0);
+        CoreStage.Watcher w = f.ask(1, "t", PATIENCE, null);
+        w.leavesAsItPlays = true;
+        s.pass(Span.ofSeconds(3));
+        assertEquals("plays", w.answer);
+        assertEquals(0, f.desk.viewings() + f.desk.titlesHeld());
+        assertTrue(s.boxes.stream().allMatch(b -> b.runs.isEmpty()));
+        CoreStage.Watcher next = f.ask(1, "t", PATIENCE, null);
+        s.pass(Span.ofSeconds(3));
+        assertEquals("plays", next.answer);
+        assertTrue(next.held.isPlaying(), "its seat was given back");
+        assertEquals(List.of(), s.judged().breaches());
+    }
+
     @Test
     void aLateAnswerPlaysNoSecondTimeAndIsEndedAtItsBox() {
         CoreStage s = stage();
