--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -213,11 +213,8 @@
             desk.counts().played++;
             callOff(timeOut);
             viewer.plays(this); // before anything is thought about it: its viewer waits, and may leave at any moment
-            if (!playing) {
-                return; // what it said on its way has ended it
-            }
-            handle.playing();
-            if (Span.NONE.under(desk.idle())) {
+            handle.playing(); // passed over where what it said on its way has ended it
+            if (playing && Span.NONE.under(desk.idle())) {
                 nextLook = desk.lookAfter(desk.idle(), this);
             }
         });
