A front whose core has failed says among members that it leaves

The front ends its pairing at once where its core fails, but went on answering members' pings until the process was gone: others would have held for there what takes no viewing. MembersNode.leave, which does not wait, called beside the pairing's; a field that nothing read is gone. MembersTest and MemberProcessesTest pass; the call itself is not tested, as no test makes the core of a started front fail.

--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -500,6 +500,9 @@
         if (vrrp != null) {
             vrrp.leave();
         }
+        if (members != null) {
+            members.leave();
+        }
         wakes.after(200_000, () -> closeLoops("the core failed: " + cause));
     }
 
--- a/src/main/java/linengauge/members/udp/MembersNode.java
+++ b/src/main/java/linengauge/members/udp/MembersNode.java
@@ -44,7 +44,6 @@
     public record Drops(long strangers, long replayed, long unreadable) {
     }
 
-    private final MembersTerms terms;
     private final Member own;
     private final Seal seal;
     private final Membership members;
@@ -73,7 +72,6 @@
         if (key.length < 16) {
             throw new IllegalArgumentException("a key of 16 bytes at least, not " + key.length);
         }
-        this.terms = terms;
         this.own = own;
         long clock = System.currentTimeMillis();
         this.seal = new Seal(key, clock * 1000);
@@ -137,11 +135,16 @@
         return drops;
     }
 
-    /** Tells some that it leaves, and ends; waited for, a second at most. */
-    @Override
-    public void close() {
+    /** Tells some that it leaves, and ends; does not wait for it. */
+    public void leave() {
         closing = true;
         selector.wakeup();
+    }
+
+    /** {@link #leave}, waited for, a second at most. */
+    @Override
+    public void close() {
+        leave();
         try {
             if (thread.isAlive() && !ended.await(1, TimeUnit.SECONDS)) {
                 LOG.warn("members: still at work");
