--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -211,10 +211,10 @@
             }
             playing = true;
             desk.counts().played++;
-            handle.playing();
             callOff(timeOut);
-            viewer.plays(this);
-            if (Span.NONE.under(desk.idle())) {
+            viewer.plays(this); // before anything is thought about it: its viewer waits, and may leave at any moment
+            handle.playing(); // passed over where what it said on its way has ended it
+            if (playing && Span.NONE.under(desk.idle())) {
                 nextLook = desk.lookAfter(desk.idle(), this);
             }
         });
