On old news newcomers begin at the lowest rung while any box is short

Sessions are ended at each quarter second while a link is short. Ruled out by the trace: late or missing answers, closed connections, second set-ups, stand-stills. What the front can mend is that viewers have reason to go. A trace of each choice shows set-ups at rungs 2 to 4 on boxes heard short 0.04 to 1 s before: what steps down there, and the others' steps, which are taken for granted (Policy.othersAlike), look like room at once, in Policy.fit and fairlyFits.

Policy.fit: on old news, while a short share was heard within SHORT_NEWS, as such notes come once a second while it lasts, a newcomer begins at the lowest rung. No constant is new. Two loops over old changes are one line each now.

PolicyTest: another box short, rung 0; without the line rung 4.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -83,6 +83,7 @@
     private Moment started;
     private double allShares; // of all serving boxes
     private double probesLeft = 1;
+    private Moment heardShortAt = Moment.DISTANT_PAST; // a share short of the rates, at any box
     /** The load of a link that nothing is known of: the mean of what boxes report. */
     private double usual = USUAL;
 
@@ -186,9 +187,7 @@
         void heardOf(double kb) {
             recent.add(new Change(now, kb));
             since += kb;
-            while (!recent.isEmpty() && recent.peek().at().before(now.minus(CHANGE_LIFE))) {
-                recent.poll();
-            }
+            recent.removeIf(c -> c.at().before(now.minus(CHANGE_LIFE)));
         }
 
         void hear(double load, Moment trueAt) {
@@ -197,9 +196,7 @@
             }
             told = load * size();
             toldTrueAt = trueAt;
-            while (!recent.isEmpty() && recent.peek().at().before(trueAt)) {
-                recent.poll();
-            }
+            recent.removeIf(c -> c.at().before(trueAt));
             since = 0;
             for (Change c : recent) {
                 since += c.kb();
@@ -526,6 +523,7 @@
                 return;
             }
             shortAt = now;
+            heardShortAt = now;
             Moment trueAt = now.minus(house.fleet().shareLateness()).minus(SMOOTHED);
             double asked = 1 / Math.max(LEAST_SHARE, share);
             if (rack.cleared() || link.load() >= rack.load()) {
@@ -875,9 +873,11 @@
             return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
         }
 
-        /** The highest rung that fits cap and room, or else the lowest of the package. */
+        /** The highest rung that fits cap and room, or else the lowest of the package: so too on old news while any box
+         * is short, as what steps down there and elsewhere looks like room, which all take. It harms where one is. */
         private int fit(MediaBox b) {
-            for (int r = ceiling; r > terms.lowestRung(); r--) {
+            boolean crowded = oldNews && now.since(heardShortAt).under(SHORT_NEWS);
+            for (int r = ceiling; r > terms.lowestRung() && !crowded; r--) {
                 double kept = oldNews ? KEPT_FREE * b.rack.size() : 0;
                 if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room() - kept)
                         || oldNews && fairlyFits(b, r)) {
--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -418,6 +418,24 @@
         }
     }
 
+    /** Rungs that step down somewhere look like room; newcomers of all fronts took it, and viewers left within a second. */
+    @Test
+    void onOldNewsNewcomersBeginLowWhileAnyBoxIsShort() {
+        for (boolean isShort : new boolean[] {false, true}) {
+            Headend h = Stage.place(200, false, true, Span.NONE, PLAIN);
+            Stage s = new Stage(new Headend(h.fronts(), h.ownNumber(), h.building(), h.packages(), h.ladderKb(), h.rungValue(),
+                    h.fleet(), h.rules(), new Headend.Permits(4, false, true, true, 0.08, 0.01, 0, Span.ofSeconds(2))), 7, 2);
+            s.pass(Span.ofSeconds(3));
+            Stage.Viewer there = s.plays(PLAIN, s.policy.title(1, 1), s.boxes.get(1), 1);
+            s.boxes.get(0).handle.reported(0.1, 0.1, 1);
+            s.boxes.get(1).handle.reported(0.9, 0.1, 1); // it is the link there, not the uplink of both
+            there.handle.shareDelivered(isShort ? 0.9 : 1);
+            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 1), PATIENCE);
+            s.pass(Span.ofMillis(100));
+            assertEquals(isShort, v.rung == 0, "rung " + v.rung + ", another box short: " + isShort);
+        }
+    }
+
     @Test
     void whereConnectionsArePricedNewcomersKeepToBoxesThatTheFrontPlaysOn() {
         Headend h = Stage.place(200, false, false, Span.NONE, PLAIN);
