--- /dev/null
+++ b/src/main/java/linengauge/council/explore/Plan.java
@@ -0,0 +1,27 @@
+package linengauge.council.explore;
+
+import java.util.List;
+
+/**
+ * What is explored.
+ *
+ * @param voters how many, 3 usually
+ * @param depth things that happen, at the most
+ * @param wakes how often a voter's own timer may be the next thing
+ * @param faults crashes, stand-stills and emptied folders, at the most
+ * @param wishes decisions that are wanted of whoever takes itself for the leader
+ * @param reads questions of how far all is decided
+ * @param changes of voters that are wanted: one goes, a fourth comes
+ * @param prelude what has happened before, in the words of a schedule
+ * @param states after which the exploration is given up as too large
+ */
+public record Plan(int voters, int depth, int wakes, int faults, int wishes, int reads, int changes, boolean emptied,
+        List<String> prelude, int states, Maker maker) {
+    /** 0 leads term 1, and all have heard so. */
+    public static final List<String> LED = List.of("wakes 0", "VOTE_FOR_ME 0 to 1", "VOTE_FOR_ME 0 to 2", "VOTED 1 to 0", "APPEND 0 to 1", "TAKEN 1 to 0",
+            "APPEND 0 to 2", "TAKEN 2 to 0", "APPEND 0 to 1", "APPEND 0 to 2");
+
+    public Plan at(Maker other) {
+        return new Plan(voters, depth, wakes, faults, wishes, reads, changes, emptied, prelude, states, other);
+    }
+}
