The council over TCP with a key and a store: five processes killed, frozen, cut, emptied

The council's core ran in virtual time alone; each piece has to hold between processes of the program.

Change. linengauge.council.tcp: CouncilNode on a thread of its own (a voter where it has a store, a follower always; bounded connections, queues, greetings and pauses), Frames (a greeting each way, then half an HMAC over side, greetings, number and bytes), CouncilStore over memory's generations: a newer generation that is broken is refused, as going back would forget a promise. drill council-member (hidden) runs one part as a process. standin.CutLink: a way over TCP cut and slowed each direction by itself.

Weaker than asked: a full disk is proved in virtual time alone, voters replaced under load by one wish; no front starts it.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -4,8 +4,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import linengauge.Span;
+import linengauge.drill.CouncilProcess;
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
 import linengauge.drill.ExploreDrill;
@@ -195,6 +197,17 @@
         return 0;
     }
 
+    @Command(name = "council-member", hidden = true, description = "One front's part in a council alone; its input says what is wanted.")
+    int councilMember(@Option(names = "--number", required = true) int number, @Option(names = "--listen", required = true) String listen,
+            @Option(names = "--voter", required = true) Map<Integer, String> voters, @Option(names = "--way") Map<Integer, String> ways,
+            @Option(names = "--store") Path store, @Option(names = "--found") boolean founds,
+            @Option(names = "--key-file", required = true) Path key, @Option(names = "--record", required = true) Path record,
+            @Option(names = "--beat-ms", defaultValue = "100") long beat, @CommandLine.Mixin Commands.LogForm log) throws IOException {
+        log.apply();
+        return CouncilProcess.run(new CouncilProcess.Start(number, listen, voters, ways == null ? Map.of() : ways, store, founds, key, record,
+                Span.ofMillis(beat)));
+    }
+
     @Command(name = "judge", mixinStandardHelpOptions = true, description = "Judge a record of traffic again, alone.")
     int judge(@Parameters(paramLabel = "FILE.jsonl") Path record,
             @Option(names = "--report", paramLabel = "FILE.json") Path file) throws IOException {
