--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -17,7 +17,7 @@
     private static final String[] CORES = {"linengauge", "linengauge.session", "linengauge.hls", "linengauge.rules",
         "linengauge.flow", "linengauge.vrrp", "linengauge.vrrp.explore", "linengauge.work", "linengauge.memory",
         "linengauge.briefing", "linengauge.platform.codec", "linengauge.platform.keep", "linengauge.members",
-        "linengauge.members.explore", "linengauge.council", "linengauge.council.explore"};
+        "linengauge.members.explore", "linengauge.council", "linengauge.council.explore", "linengauge.zones"};
 
     @ArchTest
     static final ArchRule CORES_DO_NO_IO = noClasses().that().resideInAnyPackage(CORES).should().dependOnClassesThat()
@@ -48,7 +48,7 @@
     static final ArchRule THE_PLATFORM_IS_LIGHT = noClasses().that().resideInAnyPackage("linengauge.platform..",
             "linengauge.briefing", "linengauge.carry").should().dependOnClassesThat().resideInAnyPackage("linengauge.front..",
             "linengauge.site..", "linengauge.hls..", "linengauge.vrrp..", "linengauge.memory..", "linengauge.work..",
-            "linengauge.members..", "linengauge.council..", "com.fasterxml.jackson.databind..", "com.networknt..", "picocli..", "io.vertx.core.http..");
+            "linengauge.members..", "linengauge.council..", "linengauge.zones..", "com.fasterxml.jackson.databind..", "com.networknt..", "picocli..", "io.vertx.core.http..");
 
     /** The front of the platform acts through its port alone; the port's sockets and the process round it are named here. */
     @ArchTest
