Newcomers begin low only where their box or most boxes played on are short

At fault: Policy.fit asked for any box.

Policy.fit: the box chosen, or more than half of those that the front plays on, told short within SHORT_NEWS.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -83,7 +83,6 @@
     private Moment started;
     private double allShares; // of all serving boxes
     private double probesLeft = 1;
-    private Moment heardShortAt = Moment.DISTANT_PAST; // a share short of the rates, at any box
     /** The load of a link that nothing is known of: the mean of what boxes report. */
     private double usual = USUAL;
 
@@ -302,8 +301,7 @@
         /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
         boolean cleared() {
             for (MediaBox b : occupied) {
-                if (b.rack == this && SHORT_NEWS.under(now.since(b.shortAt))
-                        && b.settingUp() < b.viewings.size()) {
+                if (b.rack == this && !b.shortNow() && b.settingUp() < b.viewings.size()) {
                     return true;
                 }
             }
@@ -517,13 +515,16 @@
             return n;
         }
 
+        private boolean shortNow() {
+            return now.since(shortAt).under(SHORT_NEWS);
+        }
+
         /** A share of the rates is heard as a load of one over it, of whichever is fuller, link or uplink. */
         private void heardShare(double share) {
             if (share >= 0.98) {
                 return;
             }
             shortAt = now;
-            heardShortAt = now;
             Moment trueAt = now.minus(house.fleet().shareLateness()).minus(SMOOTHED);
             double asked = 1 / Math.max(LEAST_SHARE, share);
             if (rack.cleared() || link.load() >= rack.load()) {
@@ -873,10 +874,11 @@
             return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
         }
 
-        /** The highest rung that fits cap and room, or else the lowest of the package: so too on old news while any box
-         * is short, as what steps down there and elsewhere looks like room, which all take. It harms where one is. */
+        /** The highest rung that fits cap and room, or else the lowest: so too on old news where it or most
+         * boxes played on are short: what steps down looks like room to all. It harms where those are few. */
         private int fit(MediaBox b) {
-            boolean crowded = oldNews && now.since(heardShortAt).under(SHORT_NEWS);
+            boolean crowded = oldNews && (b.shortNow()
+                    || occupied.size() < 2 * occupied.stream().filter(MediaBox::shortNow).count());
             for (int r = ceiling; r > terms.lowestRung() && !crowded; r--) {
                 double kept = oldNews ? KEPT_FREE * b.rack.size() : 0;
                 if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room() - kept)
