--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -874,11 +874,11 @@
             return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
         }
 
-        /** The highest rung that fits cap and room, or else the lowest: so too on old news where it or most
-         * boxes played on are short: what steps down looks like room to all. It harms where those are few. */
+        /** The highest rung that fits cap and room, or the lowest: so too on old news where it or any two
+         * boxes played on are short: what steps down looks like room to all. It harms if others are not. */
         private int fit(MediaBox b) {
             boolean crowded = oldNews && (b.shortNow()
-                    || occupied.size() < 2 * occupied.stream().filter(MediaBox::shortNow).count());
+                    || 1 < occupied.stream().filter(MediaBox::shortNow).count());
             for (int r = ceiling; r > terms.lowestRung() && !crowded; r--) {
                 double kept = oldNews ? KEPT_FREE * b.rack.size() : 0;
                 if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room() - kept)
