The council's connections keep nothing before the key is shown; bounds on what waits

Read again: a stranger could have a connection hold a frame of half a megabyte before its key was looked at, on 512 connections, and by dripping keep it for ever, as the time to greet was counted from its last byte (CouncilNode.tidy). Readers told how far to wait had no bound and no end (Follower.readable), nor had the addresses that were not reached (CouncilNode.again). Frames were tested by one wrong key alone.

Each side's first frame is empty and proves the key; until it has come nothing longer is kept, nothing is told, the time counts from the opening, and 64 such connections are taken at the most. Words that wait for it count as unsent. Readers that wait for an index count and end as the others do; addresses are forgotten at 64.

FramesTest, seven cases: pieces of any size, each byte changed, frames left out, doubled, sent back, replayed elsewhere, lengths that are none, no key; five guards taken out in turn each fail it (a replay did so once the test replayed the proof). CouncilProcessesTest and ChamberTest pass.

--- a/src/main/java/linengauge/council/Follower.java
+++ b/src/main/java/linengauge/council/Follower.java
@@ -65,6 +65,9 @@
         }
     }
 
+    private record Ready(long index, Reader reader) {
+    }
+
     private final Terms terms;
     private final int own;
     private final Port port;
@@ -73,7 +76,8 @@
     private final TreeMap<Integer, String> first;
     private final TreeMap<Long, Open> wishes = new TreeMap<>();
     private final List<Reader> readers = new ArrayList<>();
-    private final TreeMap<Long, List<Runnable>> readable = new TreeMap<>();
+    /** Told how far to wait, in no order; each leaves as that far is known, or as its time is over. */
+    private final List<Ready> readable = new ArrayList<>();
     private Moment now;
     private Moment askAt;
     private Moment heardAt;
@@ -152,7 +156,7 @@
     /** Runs it once all that was decided before now is known here; not at all where that takes too long. */
     public boolean whenSure(Moment at, Runnable then) {
         now = at;
-        if (readers.size() >= MOST_WISHES) {
+        if (readers.size() + readable.size() >= MOST_WISHES) {
             return false;
         }
         readers.add(new Reader(then, now.plus(terms.wishes()), now));
@@ -198,6 +202,7 @@
             send(Word.of(Word.Kind.PROPOSE, own, 0, 0).round(first.entry.number()).with(List.of(first.entry)));
         }
         readers.removeIf(r -> !now.before(r.until));
+        readable.removeIf(r -> !now.before(r.reader().until));
         for (Reader r : readers) {
             if (!now.before(r.askAt)) {
                 leader = r.unanswered ? -1 : leader;
@@ -267,7 +272,7 @@
                 for (Reader r : List.copyOf(readers)) {
                     if (r.request == w.round() && w.yes()) {
                         readers.remove(r);
-                        readable.computeIfAbsent(w.index(), x -> new ArrayList<>()).add(r.then);
+                        readable.add(new Ready(w.index(), r));
                         askAt = now;
                     } else if (r.request == w.round()) {
                         r.unanswered = false;
@@ -313,8 +318,11 @@
     }
 
     private void sure() {
-        while (!readable.isEmpty() && readable.firstKey() <= decided.index()) {
-            readable.pollFirstEntry().getValue().forEach(Runnable::run);
+        for (Ready r : List.copyOf(readable)) {
+            if (r.index() <= decided.index()) {
+                readable.remove(r);
+                r.reader().then.run();
+            }
         }
     }
 
--- a/src/main/java/linengauge/council/tcp/CouncilNode.java
+++ b/src/main/java/linengauge/council/tcp/CouncilNode.java
@@ -42,10 +42,12 @@
 public final class CouncilNode implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(CouncilNode.class);
     private static final int MOST_CONNECTIONS = 512;
+    private static final int MOST_UNPROVEN = 64;
+    private static final int MOST_ADDRESSES = 64;
     private static final int MOST_UNSENT = 2 * Word.MOST;
     private static final int MOST_DEEDS = 256;
     private static final int READ_BYTES = 64 * 1024;
-    private static final Span GREETED = Span.ofSeconds(2);
+    private static final Span PROVEN = Span.ofSeconds(2);
     private static final Span IDLE = Span.ofSeconds(30);
     private static final Span AGAIN = Span.ofMillis(100);
     private static final Span AGAIN_AT_MOST = Span.ofSeconds(1);
@@ -66,9 +68,11 @@
         private final long asker;
         private final boolean called;
         private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
-        private final ArrayDeque<byte[]> ungreeted = new ArrayDeque<>();
+        /** Words for the other side, until it has shown the key. */
+        private final ArrayDeque<byte[]> early = new ArrayDeque<>();
+        private final Moment openedAt = now();
         private int unsentBytes;
-        private Moment usedAt = now();
+        private Moment usedAt = openedAt;
         private SelectionKey key;
 
         private Link(SocketChannel channel, boolean called) throws IOException {
@@ -91,14 +95,15 @@
         private void send(Word w) {
             usedAt = now();
             byte[] body = w.bytes();
-            if (unsentBytes + body.length > MOST_UNSENT || ungreeted.size() > MOST_DEEDS) {
+            if (unsentBytes + body.length > MOST_UNSENT) {
                 return; // lost, as on any way that is too slow
             }
-            if (frames.isGreeted()) {
+            if (frames.isProven()) {
                 queue(ByteBuffer.wrap(frames.sealed(body)));
                 write();
             } else {
-                ungreeted.add(body);
+                unsentBytes += body.length;
+                early.add(body);
             }
         }
 
@@ -152,14 +157,16 @@
                 return;
             }
             usedAt = now();
-            boolean before = frames.isGreeted();
+            boolean wasGreeted = frames.isGreeted();
             List<byte[]> bodies = frames.read(Arrays.copyOf(in.array(), in.position()));
-            if (!before && frames.isGreeted()) {
-                for (byte[] b = ungreeted.poll(); b != null; b = ungreeted.poll()) {
-                    queue(ByteBuffer.wrap(frames.sealed(b)));
-                }
-                write();
+            if (!wasGreeted && frames.isGreeted()) {
+                queue(ByteBuffer.wrap(frames.proof()));
             }
+            while (frames.isProven() && !early.isEmpty()) {
+                unsentBytes -= early.peek().length;
+                queue(ByteBuffer.wrap(frames.sealed(early.poll())));
+            }
+            write();
             for (byte[] b : bodies) {
                 heard(this, Word.read(b));
             }
@@ -387,7 +394,8 @@
         if (c == null) {
             return;
         }
-        if (links.size() >= MOST_CONNECTIONS) {
+        long unproven = links.values().stream().filter(l -> !l.called && !l.frames.isProven()).count();
+        if (links.size() >= MOST_CONNECTIONS || unproven >= MOST_UNPROVEN) {
             c.close();
             return;
         }
@@ -400,10 +408,10 @@
         l.write();
     }
 
-    /** Connections that do not greet, and those that nothing has used for long. */
+    /** Connections that do not show the key in time, however they drip, and those that nothing has used for long. */
     private void tidy(Moment t) {
         for (Link l : List.copyOf(links.values())) {
-            if ((l.frames.isGreeted() ? IDLE : GREETED).under(t.since(l.usedAt))) {
+            if (l.frames.isProven() ? IDLE.under(t.since(l.usedAt)) : PROVEN.under(t.since(l.openedAt))) {
                 l.close();
             }
         }
@@ -419,6 +427,10 @@
             if (t.before(again.getOrDefault(address, Moment.DISTANT_PAST))) {
                 return; // lost; who speaks will speak again
             }
+            if (again.size() >= MOST_ADDRESSES) {
+                again.clear();
+                pause.clear();
+            }
             Span p = pause.getOrDefault(address, AGAIN);
             again.put(address, t.plus(p));
             pause.put(address, p.times(2).orLess(AGAIN_AT_MOST));
--- a/src/main/java/linengauge/council/tcp/Frames.java
+++ b/src/main/java/linengauge/council/tcp/Frames.java
@@ -14,7 +14,8 @@
  * What goes over one connection, both ways: a greeting with 16 random bytes, then frames of length, bytes and half of an
  * HMAC-SHA-256 (RFC 2104, RFC 4868) over the side that speaks, both greetings, the frame's number on its way and the bytes.
  * Guards against strangers, and against frames that are changed, left out, put elsewhere or sent again on another connection.
- * It holds no socket.
+ * The first frame of each side is empty: until it has come, nothing longer is kept, so that a stranger fills no memory. It
+ * holds no socket.
  */
 final class Frames {
     private static final String KIND = "HmacSHA256";
@@ -32,6 +33,7 @@
     private long sent;
     private long heard;
     private byte[] part = new byte[0];
+    private boolean proven;
 
     /**
      * @param nonce 16 bytes, random
@@ -52,6 +54,16 @@
         return ByteBuffer.allocate(GREETING_BYTES).putInt(GREETING).putInt(FORM).put(own).array();
     }
 
+    /** The other side has shown the key: it may be told something. */
+    boolean isProven() {
+        return proven;
+    }
+
+    /** This side's first frame, once the other has greeted. */
+    byte[] proof() {
+        return sealed(new byte[0]);
+    }
+
     /** The other side has greeted: frames can be written. */
     boolean isGreeted() {
         return theirs != null;
@@ -82,7 +94,7 @@
         }
         while (at.remaining() >= 4) {
             int length = at.getInt(at.position());
-            if (length < 0 || length > LONGEST) {
+            if (length < 0 || length > (proven ? LONGEST : 0)) {
                 throw new IllegalArgumentException("a frame of " + length + " bytes");
             }
             if (at.remaining() < 4 + length + MAC_BYTES) {
@@ -96,7 +108,10 @@
             if (!MessageDigest.isEqual(told, sum(!called, heard++, body))) {
                 throw new IllegalArgumentException("a frame without the fleet's key");
             }
-            bodies.add(body);
+            if (proven) {
+                bodies.add(body);
+            }
+            proven = true;
         }
         part = Arrays.copyOfRange(all, at.position(), all.length);
         return bodies;
