One place reads an address in numbers, for members and the council

CouncilNode had MembersNode's reading of an address again, line by line; a mend of one would have missed the other. Change. carry.Address.inNumbers, used by both. MemberProcessesTest, CouncilProcessesTest, MembersTest, FramesTest and ArchitectureTest pass.

--- a/src/main/java/linengauge/council/tcp/CouncilNode.java
+++ b/src/main/java/linengauge/council/tcp/CouncilNode.java
@@ -1,10 +1,7 @@
 package linengauge.council.tcp;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.net.UnknownHostException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -23,6 +20,7 @@
 import java.util.function.BiConsumer;
 import linengauge.Moment;
 import linengauge.Span;
+import linengauge.carry.Address;
 import linengauge.council.CouncilTerms;
 import linengauge.council.Follower;
 import linengauge.council.Machine;
@@ -230,7 +228,7 @@
         server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            server.bind(inNumbers(settings.listen()));
+            server.bind(Address.inNumbers(settings.listen()));
             server.configureBlocking(false);
             server.register(selector, SelectionKey.OP_ACCEPT);
         } catch (IOException e) {
@@ -266,19 +264,6 @@
         thread.setDaemon(true);
     }
 
-    private static InetSocketAddress inNumbers(String address) {
-        int colon = address == null ? -1 : address.lastIndexOf(':');
-        String host = colon < 0 ? "" : address.substring(0, colon).replaceAll("[\\[\\]]", "");
-        if (!host.matches("[0-9.]+|[0-9a-fA-F:]*:[0-9a-fA-F:.]*") || !address.substring(colon + 1).matches("[0-9]{1,5}")) {
-            throw new IllegalArgumentException("no address in numbers with a port: " + address);
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(address.substring(colon + 1)));
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("no address in numbers with a port: " + address, e);
-        }
-    }
-
     public void start() {
         thread.start();
     }
@@ -437,7 +422,7 @@
             try {
                 SocketChannel c = SocketChannel.open();
                 l = new Link(c, true);
-                c.connect(inNumbers(address));
+                c.connect(Address.inNumbers(address));
                 calls.put(address, l);
                 add(l);
             } catch (IOException | IllegalArgumentException e) {
--- a/src/main/java/linengauge/members/udp/MembersNode.java
+++ b/src/main/java/linengauge/members/udp/MembersNode.java
@@ -1,9 +1,7 @@
 package linengauge.members.udp;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
@@ -15,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import linengauge.Moment;
+import linengauge.carry.Address;
 import linengauge.members.Member;
 import linengauge.members.Membership;
 import linengauge.members.MembersTerms;
@@ -97,7 +96,7 @@
         selector = Selector.open();
         channel = DatagramChannel.open();
         try {
-            channel.bind(inNumbers(own.address()));
+            channel.bind(Address.inNumbers(own.address()));
             channel.configureBlocking(false);
             channel.register(selector, SelectionKey.OP_READ);
         } catch (IOException e) {
@@ -108,20 +107,6 @@
         thread.setDaemon(true);
     }
 
-    /** An address in numbers; no name is ever looked up, as that could wait. */
-    static InetSocketAddress inNumbers(String address) {
-        int colon = address.lastIndexOf(':');
-        String host = colon < 0 ? "" : address.substring(0, colon).replaceAll("[\\[\\]]", "");
-        if (!host.matches("[0-9.]+|[0-9a-fA-F:]*:[0-9a-fA-F:.]*") || !address.substring(colon + 1).matches("[0-9]{1,5}")) {
-            throw new IllegalArgumentException("no address in numbers with a port: " + address);
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(address.substring(colon + 1)));
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("no address in numbers with a port: " + address, e);
-        }
-    }
-
     public void start() {
         thread.start();
     }
@@ -233,7 +218,7 @@
 
     private void sendTo(String address, Words words) {
         try {
-            channel.send(ByteBuffer.wrap(seal.seal(words.bytes(), sealedBy(own.number()))), inNumbers(address));
+            channel.send(ByteBuffer.wrap(seal.seal(words.bytes(), sealedBy(own.number()))), Address.inNumbers(address));
         } catch (IOException | IllegalArgumentException e) {
             LOG.debug("members: not sent to {}: {}", address, e.getMessage()); // as lost; pings find out
         }
