Shares of zones follow demand at a pace; regions, relapses and the hold-off's end tested

Read again: demand that rocks by more than a twentieth changed the table with every look, four times a second, for the whole fleet; regions' terms, the longest hold-off, forgotten relapses and the least number of words had no test that fails without them. Weighing.look: a change of shares alone waits a step after the one before. ZonesTest: five cases more; pace, rest, hold-off's end and least words taken out in turn each fail it.

--- a/src/main/java/linengauge/zones/Weighing.java
+++ b/src/main/java/linengauge/zones/Weighing.java
@@ -34,6 +34,7 @@
     private final TreeMap<Integer, Course> courses = new TreeMap<>();
     /** What each place can serve, kB a second; one without room known takes nothing in. */
     private final TreeMap<Integer, Double> rooms = new TreeMap<>();
+    private Moment sharedAt = Moment.DISTANT_PAST;
 
     public Weighing(WeighingTerms terms, ZoneTable table) {
         this.terms = terms;
@@ -70,6 +71,11 @@
         }
         shares(next);
         next.entrySet().removeIf(e -> isAlike(table.row(e.getKey()), e.getValue()));
+        if (next.entrySet().stream().allMatch(e -> table.row(e.getKey()).standing() == e.getValue().standing())
+                && now.before(sharedAt.plus(terms.step()))) {
+            return Map.of(); // demand that rocks is followed at a pace: each change is news to the whole fleet
+        }
+        sharedAt = next.isEmpty() ? sharedAt : now;
         next.forEach((place, r) -> {
             if (r.standing() == Standing.COMING_BACK) {
                 courses.get(place).steppedAt = now;
--- a/src/test/java/linengauge/zones/ZonesTest.java
+++ b/src/test/java/linengauge/zones/ZonesTest.java
@@ -109,6 +109,15 @@
         }
     }
 
+    @Test
+    void theLongestHoldOffIsTwoMinutes() {
+        table.apply(++index, 0, ZoneTable.change(0, Map.of(2, new Row(Standing.GIVEN_UP, 0, 1, 9, "", 0))));
+        pass(119, lost());
+        assertEquals(Standing.GIVEN_UP, table.row(2).standing());
+        pass(3, lost());
+        assertEquals(Standing.COMING_BACK, table.row(2).standing());
+    }
+
     @Test
     void flappingEachTwoSecondsForAMinuteMovesLittle() {
         pass(2, lost());
@@ -154,6 +163,61 @@
         assertTrue(table.isAtRest());
     }
 
+    @Test
+    void demandThatRocksIsFollowedAtAPace() {
+        for (int i = 0; i < 40; i++) {
+            asked[0] = i % 2 == 0 ? 1300 : 1700;
+            pass(0.5, lost());
+        }
+        assertTrue(moves.size() <= 11, moves.toString());
+        assertEquals(Standing.SHARING, table.row(0).standing());
+    }
+
+    @Test
+    void twoFrontsAloneCondemnNobody() {
+        weighing.room(0, ROOM);
+        for (; now.before(new Moment(10_000_000)); now = now.plus(STEP)) {
+            weighing.heard(now, 1, 0, new Evidence(100, 100, 0));
+            if (now.micros() > 5_000_000) {
+                weighing.heard(now, 2, 0, new Evidence(100, 100, 0));
+            }
+            assertEquals(Map.of(), weighing.look(now));
+        }
+    }
+
+    @Test
+    void relapsesAreForgottenAfterALongRest() {
+        pass(2, lost());
+        pass(3, lost(2));
+        pass(30, lost());
+        assertEquals(1, table.row(2).relapses());
+        pass(290, lost());
+        assertEquals(Row.AT_REST, table.row(2));
+    }
+
+    /** Regions by the same means, later and dearer: what gives a zone up leaves its region. */
+    @Test
+    void aRegionIsGivenUpLaterAndComesBackLater() {
+        Weighing regions = new Weighing(WeighingTerms.REGIONS, table);
+        double gone = -1;
+        double back = -1;
+        for (int i = 0; i < 400; i++, now = now.plus(STEP)) {
+            double at = now.micros() / 1e6;
+            for (int front = 0; front < 6; front++) {
+                regions.room(0, ROOM);
+                regions.heard(now, front, 0, new Evidence(20, at >= 5 && at < 15 ? 20 : 0, 50));
+            }
+            Map<Integer, Row> next = regions.look(now);
+            if (!next.isEmpty()) {
+                table.apply(++index, 0, ZoneTable.change(table.number(), next));
+                gone = gone < 0 && table.row(0).standing() == Standing.GIVEN_UP ? at : gone;
+                back = back < 0 && table.row(0).standing() == Standing.COMING_BACK ? at : back;
+            }
+        }
+        assertTrue(gone >= 9 && gone <= 10, "given up at " + gone);
+        assertTrue(back >= 35 && back <= 36, "back at " + back);
+    }
+
     @Test
     void oneSickFrontCondemnsNobody() {
         sick = 7;
