One faulty link for all; the council's processes deaf, with a full disk, replaced under load

FaultyLink holds either direction unread, as a network that drops packets does; its flags may be set from any thread. CouncilProcessesTest: a deaf leader steps down and, back, raises no term; a leader whose folder is moved away keeps silent until it is back; the emptied voter is replaced while a follower goes on wanting decisions, all of which are decided.

--- a/src/main/java/linengauge/standin/FaultyLink.java
+++ b/src/main/java/linengauge/standin/FaultyLink.java
@@ -6,22 +6,27 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A TCP link between any two that can be made to delay, trickle, swallow one way, or reset. */
+/** A TCP link between any two that can be made to delay, trickle, hold or swallow one way, or reset. Its methods may be called from any thread. */
 public final class FaultyLink {
     private final Vertx vertx;
     private final NetClient client;
     private final String host;
     private final int to;
-    private final List<NetSocket> open = new ArrayList<>();
+    private record End(NetSocket socket, boolean answers) {
+    }
+
+    private final List<End> open = new CopyOnWriteArrayList<>();
     private NetServer server;
-    private int delayMs;
-    private int trickleBytes;
-    private boolean swallowAnswers;
-    private boolean swallowAsked;
-    private boolean resetOnAnswer;
+    private volatile int delayMs;
+    private volatile int trickleBytes;
+    private volatile boolean swallowAnswers;
+    private volatile boolean swallowAsked;
+    private volatile boolean resetOnAnswer;
+    private volatile boolean holdAsked;
+    private volatile boolean holdAnswers;
 
     public FaultyLink(Vertx vertx, String host, int to) {
         this.vertx = vertx;
@@ -34,22 +39,39 @@
     public Future<Integer> open() {
         server = vertx.createNetServer();
         server.connectHandler(near -> {
-            open.add(near);
+            End asks = new End(near, false);
+            open.add(asks);
             near.pause();
             client.connect(to, host).onFailure(e -> near.close()).onSuccess(far -> {
-                open.add(far);
-                carry(near, far, false);
-                carry(far, near, true);
-                near.resume();
+                End answers = new End(far, true);
+                open.add(answers);
+                carry(asks, far);
+                carry(answers, near);
+                goOn(asks);
+                goOn(answers);
             });
         });
         return server.listen(0, host).map(NetServer::actualPort);
     }
 
-    private void carry(NetSocket from, NetSocket on, boolean answers) {
+    private boolean isHeld(End e) {
+        return e.answers ? holdAnswers : holdAsked;
+    }
+
+    private void goOn(End e) {
+        if (isHeld(e)) {
+            e.socket.pause();
+        } else {
+            e.socket.resume();
+        }
+    }
+
+    private void carry(End end, NetSocket on) {
+        NetSocket from = end.socket;
+        boolean answers = end.answers;
         from.exceptionHandler(e -> { });
         from.closeHandler(v -> {
-            open.remove(from);
+            open.remove(end);
             vertx.setTimer(Math.max(1, delayMs), t -> on.close());
         });
         from.handler(b -> {
@@ -66,7 +88,7 @@
                 on.write(b);
                 if (on.writeQueueFull()) {
                     from.pause();
-                    on.drainHandler(v -> from.resume());
+                    on.drainHandler(v -> goOn(end));
                 }
             }
         });
@@ -89,6 +111,18 @@
         trickleBytes = bytes;
     }
 
+    /** What is asked stays unread from now on, and is carried once this is over: as where a network drops its packets. */
+    public void holdAsked(boolean on) {
+        holdAsked = on;
+        open.forEach(this::goOn);
+    }
+
+    /** The same of what is answered. */
+    public void holdAnswers(boolean on) {
+        holdAnswers = on;
+        open.forEach(this::goOn);
+    }
+
     public void swallowAnswers(boolean on) {
         swallowAnswers = on;
     }
@@ -104,8 +138,6 @@
 
     /** Breaks all connections now. */
     public void cut() {
-        for (NetSocket s : List.copyOf(open)) {
-            s.close();
-        }
+        open.forEach(e -> e.socket.close());
     }
 }
--- a/src/test/java/linengauge/council/CouncilProcessesTest.java
+++ b/src/test/java/linengauge/council/CouncilProcessesTest.java
@@ -7,9 +7,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -23,7 +23,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import linengauge.cli.Main;
-import linengauge.standin.CutLink;
+import linengauge.standin.FaultyLink;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -43,7 +43,9 @@
     private final List<Integer> ports = new ArrayList<>();
     private final Process[] processes = new Process[ALL + 1];
     private final List<List<Path>> records = new ArrayList<>();
-    private final CutLink[][] links = new CutLink[ALL + 1][VOTERS];
+    private final Vertx vertx = Vertx.vertx();
+    private final int[][] ways = new int[ALL + 1][VOTERS];
+    private final FaultyLink[][] links = new FaultyLink[ALL + 1][VOTERS];
 
     @BeforeEach
     void start() throws Exception {
@@ -58,7 +60,8 @@
         }
         for (int i = 0; i <= ALL; i++) {
             for (int v = 0; v < VOTERS; v++) {
-                links[i][v] = new CutLink(here, new InetSocketAddress(here, ports.get(v)));
+                links[i][v] = new FaultyLink(vertx, "127.0.0.1", ports.get(v));
+                ways[i][v] = links[i][v].open().toCompletionStage().toCompletableFuture().get();
             }
         }
         for (int i = 0; i < ALL; i++) {
@@ -74,11 +77,7 @@
                 p.destroyForcibly().waitFor();
             }
         }
-        for (CutLink[] row : links) {
-            for (CutLink l : row) {
-                l.close();
-            }
-        }
+        vertx.close().toCompletionStage().toCompletableFuture().get();
     }
 
     private void life(int number, String key, boolean founds) throws Exception {
@@ -89,7 +88,7 @@
                 "--number", "" + number, "--listen", "127.0.0.1:" + ports.get(number), "--key-file", dir.resolve(key).toString(), "--record",
                 record.toString(), "--beat-ms", "60"));
         for (int v = 0; v < VOTERS; v++) {
-            command.addAll(List.of("--voter", v + "=127.0.0.1:" + ports.get(v), "--way", v + "=" + links[number][v].address()));
+            command.addAll(List.of("--voter", v + "=127.0.0.1:" + ports.get(v), "--way", v + "=127.0.0.1:" + ways[number][v]));
         }
         if (number < VOTERS) {
             command.addAll(List.of("--store", dir.resolve("store-" + number).toString()));
@@ -164,6 +163,18 @@
         return -1;
     }
 
+    /** One wish more with each look, up to as many as may wait; for use while something else is waited for. */
+    private boolean wantedMeanwhile(int[] load) {
+        try {
+            if (load[0] < 40) {
+                want(4, "load-" + load[0]++);
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private boolean decided(int by, String text) {
         return lines(by, "decided").stream().anyMatch(l -> l.path("text").asText().equals(text));
     }
@@ -254,7 +265,7 @@
     void aLeaderThatIsNotHeardOneWayIsFollowedByAnother() throws Exception {
         int was = leader();
         for (int v = 0; v < VOTERS; v++) {
-            links[was][v].there().cut(v != was); // it hears all the others
+            links[was][v].holdAsked(v != was); // it hears all the others
         }
         int other = (was + 1) % VOTERS;
         until(() -> !stands(was).path("role").asText().equals("LEADER"));
@@ -262,12 +273,33 @@
         until(() -> decided(3, "without-it"));
         assertFalse(stands(other).path("role").isMissingNode());
         for (int v = 0; v < VOTERS; v++) {
-            links[was][v].there().cut(false);
+            links[was][v].holdAsked(false);
         }
         until(() -> leader() >= 0);
         comesRound();
     }
 
+    @Test
+    void aLeaderThatHearsNobodyStepsDownAndDeposesNobodyAfterwards() throws Exception {
+        int was = leader();
+        for (int v = 0; v < VOTERS; v++) {
+            links[v][was].holdAsked(v != was); // the others hear it
+        }
+        until(() -> !stands(was).path("role").asText().equals("LEADER"));
+        want(3, "meanwhile");
+        until(() -> decided(3, "meanwhile") && leader() >= 0);
+        int now = leader();
+        long term = stands(now).path("term").asLong();
+        Thread.sleep(1500); // it wants to lead all the while
+        for (int v = 0; v < VOTERS; v++) {
+            links[v][was].holdAsked(false);
+        }
+        until(() -> stands(was).path("leader").asInt(-1) == now);
+        comesRound();
+        assertEquals(term, stands(now).path("term").asLong(), "asked first, it raised no term");
+        assertEquals(now, leader());
+    }
+
     @Test
     void withoutAMajorityNothingIsDecidedAndNothingIsLost() throws Exception {
         want(3, "first");
@@ -305,9 +337,38 @@
         until(() -> decided(3, "meanwhile"));
         assertTrue(lines(was, "stands").stream().noneMatch(l -> l.path("role").asText().matches("CANDIDATE|LEADER|WOULD_LEAD")));
         say(3, "without " + was);
-        until(() -> stands(3).path("voters").toString().split(",").length == 2);
+        int[] load = {0};
+        until(() -> wantedMeanwhile(load) && stands(3).path("voters").toString().split(",").length == 2);
         say(3, "with " + was + " " + store + " 127.0.0.1:" + ports.get(was));
-        until(() -> stands(3).path("voters").toString().equals("[0,1,2]"));
+        until(() -> wantedMeanwhile(load) && stands(3).path("voters").toString().equals("[0,1,2]"));
+        for (int i = 0; i < load[0]; i++) {
+            String text = "load-" + i;
+            until(() -> decided(4, text));
+        }
+        assertTrue(load[0] > 3, "replaced while there was something to decide");
+        comesRound();
+    }
+
+    /** Its folder is moved away, so that every write fails, as on a full disk, and back. */
+    @Test
+    void aLeaderWhoseDiskTakesNothingKeepsSilentUntilItDoes() throws Exception {
+        want(3, "first");
+        until(() -> decided(3, "first"));
+        int was = leader();
+        Path away = dir.resolve("away");
+        Files.move(dir.resolve("store-" + was), away);
+        want(3, "meanwhile");
+        until(() -> decided(3, "meanwhile") && leader() >= 0 && leader() != was);
+        for (int i = 0; i < 5; i++) {
+            want(4, "more-" + i);
+        }
+        until(() -> decided(4, "more-4"));
+        assertNotEquals(was, leader());
+        Files.move(away, dir.resolve("store-" + was));
+        kill((was + 1) % VOTERS); // the council needs it again
+        want(3, "with-it");
+        until(() -> decided(3, "with-it"));
+        life((was + 1) % VOTERS, "key", false);
         comesRound();
     }
 
