--- a/src/main/java/linengauge/council/Voter.java
+++ b/src/main/java/linengauge/council/Voter.java
@@ -243,10 +243,15 @@
 
     /** Guards (Ongaro 2015, the mend of 4.1): two leaders' steps from one ground could have majorities that never meet. */
     protected boolean mayChange(Voters next) {
-        return next.isOneStepFrom(voters) && log.lastVotersIndex() <= commit && firstOwn <= commit
+        return next.isOneStepFrom(voters) && log.lastVotersIndex() <= commit && ownIsDecided()
                 && next.most(n -> n == own || heardOf(n)); // or nothing could be decided ever after
     }
 
+    /** An entry of the own term is decided: no other leader's step can come to be decided any more. */
+    protected boolean ownIsDecided() {
+        return firstOwn <= commit;
+    }
+
     /** A word has come, proved to be of the fleet. */
     public void heard(Moment at, Word w) {
         now = at;
--- a/src/main/java/linengauge/council/explore/World.java
+++ b/src/main/java/linengauge/council/explore/World.java
@@ -109,13 +109,9 @@
 
     /** Plays what has happened before, which counts for no bound; the rule that it breaks, or null. */
     String prelude() {
-        for (String said : plan.prelude()) {
-            String choice = onTheWay.keySet().stream().map(k -> "arrives " + k).filter(c -> Explorer.told(c).equals(said)).findFirst()
-                    .orElse(said);
-            String wrong = go(choice);
-            if (wrong != null) {
-                return wrong;
-            }
+        String wrong = play(plan.prelude(), true);
+        if (wrong != null) {
+            return wrong;
         }
         wakes = 0;
         faults = 0;
@@ -123,6 +119,25 @@
         return null;
     }
 
+    /**
+     * Plays a schedule in the words that it is told in; the rule that it breaks, or null.
+     *
+     * @param all each step has to be there to be chosen; else what is not is left out, as where a guard has refused what led to it
+     */
+    String play(List<String> schedule, boolean all) {
+        for (String said : schedule) {
+            String choice = choices(false).stream().filter(c -> Explorer.told(c).equals(said)).findFirst().orElse(null);
+            if (choice == null && all) {
+                throw new IllegalArgumentException("cannot happen now: " + said + "; what can: " + choices(false).stream().map(Explorer::told).toList());
+            }
+            String wrong = choice == null ? null : go(choice);
+            if (wrong != null) {
+                return wrong;
+            }
+        }
+        return null;
+    }
+
     World(World o) {
         this.plan = o.plan;
         for (Node n : o.nodes) {
@@ -145,29 +160,33 @@
 
     /** All that can happen next, in words that {@link #go} takes. */
     List<String> choices() {
+        return choices(true);
+    }
+
+    private List<String> choices(boolean bounded) {
         List<String> all = new ArrayList<>();
         onTheWay.keySet().forEach(k -> all.add("arrives " + k));
         for (Node n : nodes) {
-            if (wakes < plan.wakes()) {
+            if (!bounded || wakes < plan.wakes()) {
                 all.add("wakes " + n.number);
             }
-            if (faults < plan.faults()) {
+            if (!bounded || faults < plan.faults()) {
                 all.add("crashes " + n.number);
                 if (n.voter.role() == Voter.Role.LEADER) {
                     all.add("stands still " + n.number);
                 }
-                if (plan.emptied()) {
+                if (!bounded || plan.emptied()) {
                     all.add("emptied " + n.number);
                 }
             }
             if (n.voter.role() == Voter.Role.LEADER) {
-                if (wishes < plan.wishes()) {
+                if (!bounded || wishes < plan.wishes()) {
                     all.add("wish " + n.number);
                 }
-                if (readsFrom.size() < plan.reads()) {
+                if (!bounded || readsFrom.size() < plan.reads()) {
                     all.add("read " + n.number);
                 }
-                if (changes < plan.changes()) {
+                if (!bounded || changes < plan.changes()) {
                     all.add("without " + n.number);
                     all.add("with " + n.number);
                 }
@@ -222,11 +241,12 @@
                 int goes = n.voter.voters().voting().stream().filter(v -> v != n.number).findFirst().orElse(n.number);
                 return acts(n, () -> n.voter.change(n.clock, n.voter.voters().without(goes)));
             }
-            default -> {
+            case "with" -> {
                 changes++;
                 int comes = nodes.size() - 1;
                 return acts(n, () -> n.voter.change(n.clock, n.voter.voters().with(comes, chair(comes))));
             }
+            default -> throw new IllegalArgumentException("no such thing: " + choice);
         }
     }
 
--- a/src/test/java/linengauge/council/explore/ExplorerTest.java
+++ b/src/test/java/linengauge/council/explore/ExplorerTest.java
@@ -82,9 +82,22 @@
         needs(Guard.ONE_CHANGE, new Plan(3, 6, 1, 0, 0, 0, 2, false, Plan.LED, 2_000_000, PLAIN), "without entry");
     }
 
+    /** Four voters, and a fifth that comes (Ongaro 2015): 0's step is at 0 and 4, 1's at 1 and 2, and their majorities have nobody in common. */
+    private static final List<String> TWO_STEPS_FROM_ONE_GROUND = List.of("wakes 0", "VOTE_FOR_ME 0 to 1", "VOTED 1 to 0", "VOTE_FOR_ME 0 to 2",
+            "VOTED 2 to 0", "with 0", "wakes 0", "APPEND 0 to 4", "TAKEN 4 to 0", "INSTALL 0 to 4", "TAKEN 4 to 0", "APPEND 0 to 4", "TAKEN 4 to 0", "APPEND 0 to 4",
+            "VOTE_FOR_ME 0 to 3", "VOTED 3 to 0", "wakes 1", "VOTE_FOR_ME 1 to 2", "VOTED 2 to 1", "VOTE_FOR_ME 1 to 3", "VOTED 3 to 1", "without 1", "APPEND 1 to 2", "TAKEN 2 to 1",
+            "APPEND 1 to 2", "TAKEN 2 to 1", "VOTE_FOR_ME 1 to 0", "wakes 0", "VOTE_FOR_ME 0 to 4", "VOTED 4 to 0", "VOTE_FOR_ME 0 to 3", "VOTED 3 to 0");
+
+    @Test
+    void aStepWaitsForAnEntryOfTheOwnTerm() {
+        Plan bounds = new Plan(4, 0, 9, 0, 0, 0, 2, false, List.of(), 0, Lacking.maker(Guard.ASKS_FIRST, Guard.OWN_DECIDED));
+        assertEquals("0 leads term 3 without entry 2, which was decided in term 2", new World(bounds).play(TWO_STEPS_FROM_ONE_GROUND, true));
+        assertNull(new World(bounds.at(PLAIN)).play(TWO_STEPS_FROM_ONE_GROUND, false));
+    }
+
     @Test
     void theWholeOfFigure8IsHarmless() {
         Plan plan = new Plan(3, 1, 1, 0, 0, 0, 0, false, FIGURE_8, 10, PLAIN);
-        assertEquals(null, new World(plan).prelude());
+        assertNull(new World(plan).prelude());
     }
 }
--- a/src/test/java/linengauge/council/explore/Lacking.java
+++ b/src/test/java/linengauge/council/explore/Lacking.java
@@ -12,7 +12,7 @@
 /** A voter with some of its guards taken out. */
 final class Lacking extends Voter {
     /** What can be taken out. */
-    enum Guard { ASKS_FIRST, SAVES, STORES, OWN_TERM, FRESH, ONE_CHANGE, MOST }
+    enum Guard { ASKS_FIRST, SAVES, STORES, OWN_TERM, FRESH, ONE_CHANGE, OWN_DECIDED, MOST }
 
     private final Set<Guard> out;
 
@@ -76,6 +76,11 @@
         return out.contains(Guard.ONE_CHANGE) || super.mayChange(next);
     }
 
+    @Override
+    protected boolean ownIsDecided() {
+        return out.contains(Guard.OWN_DECIDED) || super.ownIsDecided();
+    }
+
     @Override
     protected boolean checksMost() {
         return !out.contains(Guard.MOST);
