--- a/src/main/java/linengauge/platform/ViewerLine.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -10,21 +10,21 @@
 import linengauge.platform.codec.SetUpForm;
 import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
-import linengauge.platform.keep.Arrivals;
-import linengauge.platform.keep.Guest;
+import linengauge.platform.keep.ReceiveQueue;
+import linengauge.platform.keep.IdleConnection;
 
 /** One connection from viewers. */
-final class ViewerLine implements ViewerMessages.Heard {
+final class ClientConnection implements ViewerMessages.Heard {
     /** What one connection may read in one turn of the loop. */
     private static final Span TURN = Span.ofMillis(10);
     private static final Span NEXT_TURN = Span.ofMillis(1);
 
-    private final Door door;
+    private final ClientListener door;
     private final Net.Connection socket;
     private final ViewerMessages reader = new ViewerMessages(this);
     /** Viewings whose answer is owed here; each leaves with its answer. */
-    private final Set<Seat> waiting = new LinkedHashSet<>();
-    private Guest guest;
+    private final Set<ClientSession> waiting = new LinkedHashSet<>();
+    private IdleConnection guest;
     private boolean viewers;
     private boolean closed;
     /** Messages that have come wait for a turn of their own. */
@@ -33,18 +33,18 @@
     /** When what is read may have come, and what follows the message that has begun. */
     private Moment lain = Moment.DISTANT_PAST;
     private Moment nextLain;
-    private final Arrivals arrivals;
+    private final ReceiveQueue arrivals;
     /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
     private int keeps;
 
-    ViewerLine(Door door, Net.Connection socket, Moment cameAfter) {
+    ClientConnection(ClientListener door, Net.Connection socket, Moment cameAfter) {
         this.door = door;
         this.socket = socket;
-        this.arrivals = new Arrivals(cameAfter, door.front().now());
-        socket.hears(data -> door.front().entered(() -> read(data)), () -> door.front().entered(this::gone));
+        this.arrivals = new ReceiveQueue(cameAfter, door.front().now());
+        socket.hears(data -> door.front().onEvent(() -> read(data)), () -> door.front().onEvent(this::gone));
     }
 
-    void guest(Guest given) {
+    void guest(IdleConnection given) {
         guest = given;
     }
 
@@ -106,13 +106,13 @@
             }
             resume();
         } catch (BadMessage e) {
-            door.said("unreadable viewer", socket.peer(), e.getMessage());
+            door.log("unreadable viewer", socket.peer(), e.getMessage());
             close();
         }
     }
 
     private boolean takesNext() {
-        Arrivals.Piece piece = arrivals.next();
+        ReceiveQueue.Piece piece = arrivals.next();
         if (piece == null) {
             return false;
         }
@@ -134,7 +134,7 @@
     }
 
     private void resume() {
-        if (paused && !arrivals.isFull(reader.unread()) && keeps <= Door.MOST_KEPT) {
+        if (paused && !arrivals.isFull(reader.unread()) && keeps <= ClientListener.MOST_KEPT) {
             paused = false;
             arrivals.resumed(door.front().now());
             socket.resume();
@@ -160,38 +160,38 @@
         }
         closed = true;
         door.left(this, guest);
-        List<Seat> seats = new ArrayList<>(waiting);
+        List<ClientSession> seats = new ArrayList<>(waiting);
         if (!seats.isEmpty()) {
-            door.said("connection gone with set-ups open", Texts.id(seats.get(0).id()), seats.size() + " of " + socket.peer());
+            door.log("connection gone with set-ups open", Texts.id(seats.get(0).id()), seats.size() + " of " + socket.peer());
         }
         waiting.clear();
         seats.forEach(door::giveUp);
     }
 
-    void waits(Seat seat, int length) {
+    void waits(ClientSession seat, int length) {
         waiting.add(seat);
         guest.asked();
         keeps += length;
-        if (keeps > Door.MOST_KEPT) {
+        if (keeps > ClientListener.MOST_KEPT) {
             pause(); // read on once some are answered: memory is not for the sender to fill
         }
     }
 
     /** Its viewing plays from here on. */
-    void seated(Seat seat) {
+    void seated(ClientSession seat) {
         seat.home(this);
     }
 
-    void answer(Seat seat, byte[] message) {
+    void answer(ClientSession seat, byte[] message) {
         unwait(seat);
         if (seat.answerBy().before(door.front().now())) {
-            door.said("answered late", Texts.id(seat.id()), door.front().now().since(seat.answerBy()).micros() / 1000 + " ms");
+            door.log("answered late", Texts.id(seat.id()), door.front().now().since(seat.answerBy()).micros() / 1000 + " ms");
         }
         write(message);
         viewers();
     }
 
-    void unwait(Seat seat) {
+    void unwait(ClientSession seat) {
         if (waiting.remove(seat)) {
             guest.settled(door.front().now());
             keeps -= seat.length();
@@ -205,7 +205,7 @@
             return;
         }
         if (socket.isFull()) {
-            door.said("viewer does not read", socket.peer(), "");
+            door.log("viewer does not read", socket.peer(), "");
             door.front().later(this::close);
             return;
         }
@@ -235,7 +235,7 @@
 
     @Override
     public void unfit(long id, String why) {
-        door.said("unfit set-up", socket.peer(), why);
+        door.log("unfit set-up", socket.peer(), why);
         write(ViewerMessages.unfit(id));
     }
 
--- a/src/main/java/linengauge/platform/Door.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -11,13 +11,13 @@
 import linengauge.platform.codec.SetUpForm;
 import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
-import linengauge.platform.keep.Backlog;
-import linengauge.platform.keep.Guest;
-import linengauge.platform.keep.Guests;
+import linengauge.platform.keep.AcceptBacklog;
+import linengauge.platform.keep.IdleConnection;
+import linengauge.platform.keep.IdleConnections;
 import linengauge.session.Held;
 
 /** Where viewers connect: ids to viewings, and what is owed to viewers whose connection has gone. */
-final class Door {
+final class ClientListener {
     /** Bytes that may wait for a viewer that does not read. */
     static final int MOST_UNREAD = 64 * 1024;
     /** Descriptions of set-ups that wait on one connection; what passes it is read later. */
@@ -33,18 +33,18 @@
     }
 
     private final PlatformFront front;
-    private final Guests guests;
-    private final Backlog backlog;
+    private final IdleConnections guests;
+    private final AcceptBacklog backlog;
     /** Viewings by their ids on the wire; each leaves with its refusal or its end. */
-    private final Map<Long, Seat> seats = new HashMap<>();
-    private final Set<ViewerLine> lines = new LinkedHashSet<>();
+    private final Map<Long, ClientSession> seats = new HashMap<>();
+    private final Set<ClientConnection> lines = new LinkedHashSet<>();
     /** Ends that no connection was there for; bounded, and emptied by the next connection or by time. */
     private final ArrayDeque<Release> releases = new ArrayDeque<>();
 
-    Door(PlatformFront front, int places) {
+    ClientListener(PlatformFront front, int places) {
         this.front = front;
-        this.guests = new Guests(new Guests.Terms(places, SIGN));
-        this.backlog = new Backlog(TAKEN_A_TURN, front.now());
+        this.guests = new IdleConnections(new IdleConnections.Terms(places, SIGN));
+        this.backlog = new AcceptBacklog(TAKEN_A_TURN, front.now());
     }
 
     PlatformFront front() {
@@ -64,25 +64,25 @@
         return lines.size();
     }
 
-    void said(String kind, Object about, String detail) {
-        front.said(kind, about, detail);
+    void log(String kind, Object about, String detail) {
+        front.log(kind, about, detail);
     }
 
     void arrived(Net.Connection socket) {
         backlog.taken();
-        ViewerLine line = new ViewerLine(this, socket, backlog.cameAfter());
-        Guest guest = guests.arrived(line::close, front.now());
+        ClientConnection line = new ClientConnection(this, socket, backlog.cameAfter());
+        IdleConnection guest = guests.arrived(line::close, front.now());
         if (guest == null) {
             socket.hears(data -> { }, () -> { });
             socket.close();
-            said("no place for a viewer", socket.peer(), "");
+            log("no place for a viewer", socket.peer(), "");
             return;
         }
         line.guest(guest);
         lines.add(line);
     }
 
-    void left(ViewerLine line, Guest guest) {
+    void left(ClientConnection line, IdleConnection guest) {
         lines.remove(line);
         guests.left(guest);
     }
@@ -101,7 +101,7 @@
 
     /* ---- what viewers say ---- */
 
-    void setUp(ViewerLine line, long id, SetUpForm form) {
+    void setUp(ClientConnection line, long id, SetUpForm form) {
         int pack = front.briefing().packages().indexOf(form.pack());
         int cells = front.briefing().headend().fleet().cells();
         int rungs = front.briefing().headend().ladderKb().length;
@@ -113,7 +113,7 @@
                     + form.cellsInRow() + " " + form.ceiling() + " " + form.leftMs() + " " + form.at());
             return;
         }
-        Seat before = seats.get(id);
+        ClientSession before = seats.get(id);
         if (before != null) {
             again(line, before, handedOver);
             return;
@@ -124,7 +124,7 @@
                 terms, ceiling, Span.ofMillis(Math.max(0, form.leftMs())).minus(line.lain()), null);
         if (handedOver) {
             line.viewers();
-            Seat seat = new Seat(this, id, form.pack(), null, null, front.now());
+            ClientSession seat = new ClientSession(this, id, form.pack(), null, null, front.now());
             seats.put(id, seat);
             seat.home(line);
             seat.held(front.desk().handOver(ask, Texts.box(form.at()), seat));
@@ -133,7 +133,7 @@
             }
             return;
         }
-        Seat seat = new Seat(this, id, form.pack(), form.description(), line, front.now().plus(ask.patience()));
+        ClientSession seat = new ClientSession(this, id, form.pack(), form.description(), line, front.now().plus(ask.patience()));
         seats.put(id, seat);
         line.waits(seat, form.description().length());
         Held held = front.desk().take(ask, seat);
@@ -145,12 +145,12 @@
     }
 
     /** An id that is in use: the viewing that has it is left alone, unless it came by the very same connection. */
-    private void again(ViewerLine line, Seat before, boolean handedOver) {
+    private void again(ClientConnection line, ClientSession before, boolean handedOver) {
         if (handedOver) {
             return; // told of something held already
         }
         if (before.asker() == line) {
-            said("two set-ups of one id", null, "");
+            log("two set-ups of one id", null, "");
             line.close();
         } else {
             line.unfit(before.id(), "the id of another viewing");
@@ -158,15 +158,15 @@
     }
 
     void endedByViewer(long id) {
-        Seat seat = seats.get(id);
+        ClientSession seat = seats.get(id);
         if (seat != null) {
             giveUp(seat);
         }
     }
 
     /** Its viewer no longer waits for it, or no longer wants it. */
-    void giveUp(Seat seat) {
-        ViewerLine line = seat.asker();
+    void giveUp(ClientSession seat) {
+        ClientConnection line = seat.asker();
         if (line != null) {
             line.unwait(seat);
         }
@@ -178,17 +178,17 @@
     }
 
     /** Nothing is owed for it any more. */
-    void over(Seat seat) {
+    void over(ClientSession seat) {
         seats.remove(seat.id(), seat);
     }
 
     /* ---- what viewers are told ---- */
 
     /** A viewing that played is over: its viewer is told on its own connection, or else on any of a viewer's. */
-    void release(long id, boolean cut, ViewerLine home) {
-        ViewerLine by = home != null && home.isOpen() ? home : null;
+    void release(long id, boolean cut, ClientConnection home) {
+        ClientConnection by = home != null && home.isOpen() ? home : null;
         if (by == null) {
-            for (ViewerLine l : lines) {
+            for (ClientConnection l : lines) {
                 if (l.isOpen() && l.isViewers()) {
                     by = l;
                     break;
@@ -206,7 +206,7 @@
     }
 
     /** A connection has shown itself to be viewers': what waited for one is told on it. */
-    void viewers(ViewerLine line) {
+    void viewers(ClientConnection line) {
         for (Release r = releases.poll(); r != null; r = releases.poll()) {
             line.write(ViewerMessages.over(r.id(), r.cut()));
         }
--- a/src/main/java/linengauge/platform/Seat.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -7,27 +7,27 @@
 import linengauge.session.Viewer;
 
 /** The viewer's end of one viewing on the platform: its id on the wire, and the connection on which its answer is owed. */
-final class Seat implements Viewer {
-    private final Door door;
+final class ClientSession implements Viewer {
+    private final ClientListener door;
     private final long id;
     private final String pack;
     /** What its boxes are told; null once it plays, as nobody is told it any more. */
     private String description;
     /** Null once the answer is given, or the viewer no longer waits. */
-    private ViewerLine asker;
+    private ClientConnection asker;
     private final int length;
     private Held held;
     /** What the box answered; written to the viewer as it came. */
     private byte[] answer;
     /** The connection it came by, for its end; it may have closed. */
-    private ViewerLine home;
+    private ClientConnection home;
     /** The connection that it was set up on, while it plays; null for one that was handed over. */
-    private Wire wire;
+    private ServerConnection wire;
 
     /** Until when its viewer waits. */
     private final Moment answerBy;
 
-    Seat(Door door, long id, String pack, String description, ViewerLine asker, Moment answerBy) {
+    ClientSession(ClientListener door, long id, String pack, String description, ClientConnection asker, Moment answerBy) {
         this.door = door;
         this.id = id;
         this.pack = pack;
@@ -66,7 +66,7 @@
         held = given;
     }
 
-    ViewerLine asker() {
+    ClientConnection asker() {
         return asker;
     }
 
@@ -101,7 +101,7 @@
     }
 
     private void settle(byte[] message) {
-        ViewerLine line = asker;
+        ClientConnection line = asker;
         asker = null;
         if (line != null) {
             line.answer(this, message);
@@ -116,15 +116,15 @@
         }
     }
 
-    Wire wire() {
+    ServerConnection wire() {
         return wire;
     }
 
-    void wire(Wire by) {
+    void wire(ServerConnection by) {
         wire = by;
     }
 
-    void home(ViewerLine line) {
+    void home(ClientConnection line) {
         home = line;
     }
 
--- a/src/main/java/linengauge/platform/Posting.java
+++ b/src/main/java/linengauge/platform/Configuration.java
@@ -23,13 +23,13 @@
  * Where and as what the platform posts this front: the configuration that it is started with (docs/protocol/platform.md,
  * "Configuration"). Descriptors: how many files and sockets the process may hold.
  */
-public record Posting(String listen, String journal, long seed, int descriptors, Briefing briefing, List<Piece> known) {
+public record Configuration(String listen, String journal, long seed, int descriptors, Briefing briefing, List<Piece> known) {
     /** One event of the box list. */
     public record Piece(long number, boolean whole, List<Row> rows) {
     }
 
     /** Reads and checks the whole file; throws with one line that says what is wrong with it. */
-    static Posting read(Path file) throws BadBriefing {
+    static Configuration read(Path file) throws BadBriefing {
         try {
             return read(Files.readAllBytes(file));
         } catch (IOException e) {
@@ -38,7 +38,7 @@
     }
 
     /** The same of what stands in such a file. */
-    public static Posting read(byte[] text) throws BadBriefing {
+    public static Configuration read(byte[] text) throws BadBriefing {
         try (JsonParser p = new JsonFactory().createParser(text)) {
             JsonToken first = p.nextToken();
             if (first != JsonToken.START_OBJECT || !(JsonTree.read(p, first) instanceof Map<?, ?> all) || p.nextToken() != null) {
@@ -52,7 +52,7 @@
             if (briefing.packages().isEmpty() || briefing.headend().ladderKb().length == 0) {
                 throw new BadBriefing("'settings' name no packages or no ladder");
             }
-            return new Posting(address(all, "listen"), address(all, "journal"), seed(all.get("seed")),
+            return new Configuration(address(all, "listen"), address(all, "journal"), seed(all.get("seed")),
                     (int) whole(limits, "sockets", 1024), briefing, known(known, briefing));
         } catch (JsonProcessingException e) {
             throw new BadBriefing("it is no JSON: " + e.getOriginalMessage());
--- a/src/main/java/linengauge/platform/JournalFeed.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -11,7 +11,7 @@
  * Follows the journal service. A stream that breaks, or says nothing for clearly longer than its sign of life is apart, is
  * asked for again at once and then with short, bounded pauses, from the last event held.
  */
-final class JournalFeed {
+final class DiscoveryWatch {
     private static final Span SILENCE = Span.ofMillis(2200);
     private static final Span FIRST_PAUSE = Span.ofMillis(50);
     private static final int MOST_UNREAD = 1024;
@@ -26,13 +26,13 @@
     private Moment heardAt;
     private Span pause = Span.NONE;
 
-    JournalFeed(PlatformFront front, String address) {
+    DiscoveryWatch(PlatformFront front, String address) {
         this.front = front;
         this.address = address;
     }
 
     /** An event that was known at the start. */
-    void known(Posting.Piece piece) {
+    void known(Configuration.Piece piece) {
         event(piece.number(), piece.whole(), piece.rows());
     }
 
@@ -77,7 +77,7 @@
                 event(number, whole, rows);
             }
         });
-        s.hears(data -> front.entered(() -> {
+        s.hears(data -> front.onEvent(() -> {
             if (mine == turn) {
                 heardAt = front.now();
                 pause = Span.NONE;
@@ -87,7 +87,7 @@
                     broke(mine, e.getMessage());
                 }
             }
-        }), () -> front.entered(() -> broke(mine, "closed")));
+        }), () -> front.onEvent(() -> broke(mine, "closed")));
         s.write(JournalFrames.from(last));
     }
 
@@ -95,7 +95,7 @@
         if (mine != turn) {
             return;
         }
-        front.said("journal service broke off", address, why);
+        front.log("journal service broke off", address, why);
         if (pause.equals(Span.NONE)) {
             pause = FIRST_PAUSE;
             connect();
@@ -113,7 +113,7 @@
     /** To be called some times a second. */
     void look(Moment now) {
         if (socket != null && SILENCE.under(now.since(heardAt))) {
-            front.said("journal service silent", address, "");
+            front.log("journal service silent", address, "");
             connect();
         }
     }
@@ -123,7 +123,7 @@
             return; // told before
         }
         if (!whole && number != last + 1) {
-            front.said("journal service skipped", address, last + " to " + number);
+            front.log("journal service skipped", address, last + " to " + number);
             connect();
             return;
         }
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -4,18 +4,18 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.briefing.Briefing;
-import linengauge.platform.keep.Lag;
-import linengauge.platform.keep.Places;
+import linengauge.platform.keep.EventLoopLag;
+import linengauge.platform.keep.DescriptorBudget;
 import linengauge.session.Carrier.Wake;
 import linengauge.session.Desk;
 
 /**
  * A front in the operators' platform (docs/protocol/platform.md): viewers, boxes, the journal service and the core, all of
- * them carried by one {@link Net}. Whatever comes from outside enters by {@link #entered}, which tells the core the time.
+ * them carried by one {@link Net}. Whatever comes from outside enters by {@link #onEvent}, which tells the core the time.
  */
 public final class PlatformFront {
-    private static final Span LOOK = Span.ofMillis(200);
-    private static final Span BEAT = Span.ofMillis(20);
+    private static final Span SWEEP = Span.ofMillis(200);
+    private static final Span TICK = Span.ofMillis(20);
     /** A turn of the loop so long is told. */
     private static final Span STOOD_STILL = Span.ofMillis(200);
     private static final Span STILL_COMING = Span.ofMillis(750);
@@ -43,29 +43,29 @@
             int boxConnections, int titles) {
     }
 
-    private final Posting posting;
+    private final Configuration posting;
     private final Net net;
     private final Told told;
-    private final Lag lag;
-    private final BoxLinks boxes;
-    private final Door door;
+    private final EventLoopLag lag;
+    private final ServerLinks boxes;
+    private final ClientListener door;
     private final Desk desk;
-    private final JournalFeed journal;
+    private final DiscoveryWatch journal;
     private Moment now;
     private boolean stopping;
 
     /** To be made and used where the net's calls run. */
-    public PlatformFront(Posting posting, Net net, Told told) {
+    public PlatformFront(Configuration posting, Net net, Told told) {
         this.posting = posting;
         this.net = net;
         this.told = told;
         this.now = net.now();
-        this.lag = new Lag(now);
-        Places places = Places.of(posting.descriptors());
-        this.boxes = new BoxLinks(this, places.boxes());
-        this.door = new Door(this, places.viewers());
+        this.lag = new EventLoopLag(now);
+        DescriptorBudget places = DescriptorBudget.of(posting.descriptors());
+        this.boxes = new ServerLinks(this, places.boxes());
+        this.door = new ClientListener(this, places.viewers());
         this.desk = new Desk(posting.briefing().headend(), BOUNDS, posting.seed(), Long.toString(now.micros(), 36), boxes);
-        this.journal = new JournalFeed(this, posting.journal());
+        this.journal = new DiscoveryWatch(this, posting.journal());
     }
 
     /** Begins to serve; the outcome is told once: null, or why it cannot. */
@@ -73,20 +73,20 @@
         desk.clock(now);
         posting.known().forEach(journal::known);
         journal.connect();
-        net.every(BEAT, () -> {
+        net.every(TICK, () -> {
             now = net.now();
             Span since = lag.beat(now);
             door.beat(now);
             if (STOOD_STILL.under(since)) {
-                said("stood still", since.micros() / 1000 + " ms", "");
+                log("stood still", since.micros() / 1000 + " ms", "");
             }
         });
-        net.every(LOOK, () -> entered(() -> {
+        net.every(SWEEP, () -> onEvent(() -> {
             door.look(now);
             boxes.look();
             journal.look(now);
         }));
-        net.listen(posting.listen(), Door.MOST_UNREAD, new Net.Listener() {
+        net.listen(posting.listen(), ClientListener.MOST_UNREAD, new Net.Listener() {
             @Override
             public void listens(String failed) {
                 if (failed == null) {
@@ -97,18 +97,18 @@
 
             @Override
             public void arrived(Net.Connection connection) {
-                entered(() -> door.arrived(connection));
+                onEvent(() -> door.arrived(connection));
             }
 
             @Override
             public void notTaken(String why) {
-                said("connection not taken", null, why);
+                log("connection not taken", null, why);
             }
         });
     }
 
     /** Anything that comes from outside: the core is told the time, then it runs. */
-    void entered(Runnable deed) {
+    void onEvent(Runnable deed) {
         tick();
         deed.run();
     }
@@ -127,24 +127,24 @@
         net.connect(address, mostUnread, new Net.Tried() {
             @Override
             public void up(Net.Connection connection) {
-                entered(() -> then.up(connection));
+                onEvent(() -> then.up(connection));
             }
 
             @Override
             public void failed(boolean refused, String why) {
-                entered(() -> then.failed(refused, why));
+                onEvent(() -> then.failed(refused, why));
             }
         });
     }
 
     /** Runs it as an event of its own, once the present one is over. */
     void later(Runnable deed) {
-        net.later(() -> entered(deed));
+        net.later(() -> onEvent(deed));
     }
 
     /** Runs it once, after the span and never within the present event. */
     Wake after(Span span, Runnable deed) {
-        return net.after(span, () -> entered(deed));
+        return net.after(span, () -> onEvent(deed));
     }
 
     /** How long what is read now may have lain unread. */
@@ -152,7 +152,7 @@
         return lag.unread(now);
     }
 
-    Lag lag() {
+    EventLoopLag lag() {
         return lag;
     }
 
@@ -164,11 +164,11 @@
         return desk;
     }
 
-    BoxLinks boxes() {
+    ServerLinks boxes() {
         return boxes;
     }
 
-    Door door() {
+    ClientListener door() {
         return door;
     }
 
@@ -176,7 +176,7 @@
         return posting.briefing();
     }
 
-    void said(String kind, Object about, String detail) {
+    void log(String kind, Object about, String detail) {
         told.warn(kind, about, detail);
     }
 
@@ -190,8 +190,8 @@
     }
 
     /** A new configuration: of it the address of the journal service counts. */
-    public void postedAnew(Posting anew) {
-        entered(() -> journal.moved(anew.journal()));
+    public void postedAnew(Configuration anew) {
+        onEvent(() -> journal.moved(anew.journal()));
     }
 
     /**
--- a/src/main/java/linengauge/platform/Wire.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -13,7 +13,7 @@
 import linengauge.session.Held;
 
 /** One connection to a media box, from being tried until it has closed. */
-final class Wire implements BoxLines.Heard {
+final class ServerConnection implements BoxLines.Heard {
     private static final int MOST_UNREAD = 256 * 1024;
 
     /** How it ended: closed by either side, or never there. */
@@ -32,7 +32,7 @@
         }
     }
 
-    private final BoxLink link;
+    private final ServerLink link;
     private final String address;
     private final int closingsWhenBegun;
     private final BoxLines reader = new BoxLines(this);
@@ -45,7 +45,7 @@
     private boolean rested;
     private final Line line;
 
-    Wire(BoxLink link, String address, int closingsWhenBegun) {
+    ServerConnection(ServerLink link, String address, int closingsWhenBegun) {
         this.link = link;
         this.address = address;
         this.closingsWhenBegun = closingsWhenBegun;
@@ -75,7 +75,7 @@
 
     /** When that set-up was written here; null where it was not. */
     Moment writtenAt(Held vw, int tuneIn) {
-        Out out = outs.get(((Seat) vw.viewer()).id());
+        Out out = outs.get(((ClientSession) vw.viewer()).id());
         return out != null && out.held == vw && out.tuneIn == tuneIn ? out.writtenAt : null;
     }
 
@@ -91,7 +91,7 @@
                 if (closed) {
                     connection.close();
                 } else {
-                    Wire.this.up(connection);
+                    ServerConnection.this.up(connection);
                 }
             }
 
@@ -105,7 +105,7 @@
     private void up(Net.Connection s) {
         socket = s;
         line.up(front().now());
-        s.hears(data -> front().entered(() -> read(data)), () -> front().entered(() -> gone(Gone.CLOSED)));
+        s.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(() -> gone(Gone.CLOSED)));
         link.up(this);
         for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
             front().tick();
@@ -126,7 +126,7 @@
             boolean ended = reader.feed(data) > 0;
             line.read(ended, reader.isMidLine(), front().now());
         } catch (BadMessage e) {
-            front().said("unreadable box", link.box(), e.getMessage());
+            front().log("unreadable box", link.box(), e.getMessage());
             close(e.getMessage());
         }
     }
@@ -147,9 +147,9 @@
 
     void setUp(Held vw, int tuneIn) {
         Out out = new Out(vw, tuneIn);
-        outs.put(((Seat) vw.viewer()).id(), out);
+        outs.put(((ClientSession) vw.viewer()).id(), out);
         if (isUp()) {
-            send(((Seat) vw.viewer()).id(), out);
+            send(((ClientSession) vw.viewer()).id(), out);
         }
     }
 
@@ -161,7 +161,7 @@
         }
         out.written = true;
         out.writtenAt = front().now();
-        Seat seat = (Seat) out.held.viewer();
+        ClientSession seat = (ClientSession) out.held.viewer();
         write(BoxLines.setUp(id, seat.pack(), out.held.ask().title(), Math.max(1, out.held.waitLeft().micros() / 1000),
                 out.held.rungNow(), seat.description()));
     }
@@ -179,14 +179,14 @@
         }
     }
 
-    /** Asks whether the box is there at all: any answer is a sign, none is judged by {@link BoxLink#look}. */
+    /** Asks whether the box is there at all: any answer is a sign, none is judged by {@link ServerLink#look}. */
     void ask(long id) {
         write(BoxLines.test(id));
     }
 
     /** Takes back a set-up that is out here; false where it is not. */
     boolean withdraw(Held vw, int tuneIn) {
-        long id = ((Seat) vw.viewer()).id();
+        long id = ((ClientSession) vw.viewer()).id();
         Out out = outs.get(id);
         if (out == null || out.held != vw || out.tuneIn != tuneIn) {
             return false;
@@ -209,7 +209,7 @@
         if (out == null || !out.written) {
             return;
         }
-        Seat seat = (Seat) out.held.viewer();
+        ClientSession seat = (ClientSession) out.held.viewer();
         seat.answered(description);
         front().tick();
         out.held.plays(out.tuneIn);
@@ -294,11 +294,11 @@
         }
         closed = true;
         boolean wasUp = socket != null;
-        for (Out out : BoxLinks.taken(outs)) {
+        for (Out out : ServerLinks.taken(outs)) {
             Ending broken = out.written && link.silence(out.writtenAt, this) == Ending.UNHEARD ? Ending.UNHEARD : Ending.BROKEN;
             out.held.failed(out.tuneIn, out.written ? broken : Ending.NOT_REACHED);
         }
-        for (Wake timer : BoxLinks.taken(tests)) {
+        for (Wake timer : ServerLinks.taken(tests)) {
             timer.cancel();
             front().desk().probed(link.box(), false);
         }
--- a/src/main/java/linengauge/platform/BoxLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -10,14 +10,14 @@
 import linengauge.Span;
 import linengauge.platform.codec.BoxLines;
 import linengauge.platform.keep.EarlyEnds;
-import linengauge.platform.keep.Reach;
-import linengauge.platform.keep.Silence;
+import linengauge.platform.keep.ReachabilityDetector;
+import linengauge.platform.keep.TimeoutCause;
 import linengauge.session.BoxTable;
 import linengauge.session.Held;
 import linengauge.session.Viewer;
 
 /** One media box: its connections, and the viewings that stand there. */
-final class BoxLink {
+final class ServerLink {
     private static final int MOST_WIRES = 4;
     private static final int MOST_SAYINGS = 512;
     private static final int MOST_EARLY_ENDS = 256;
@@ -26,27 +26,27 @@
     /** Connections beyond the first are closed when they have rested so long. */
     private static final Span SPARE_RESTS = Span.ofSeconds(4);
 
-    private final BoxLinks links;
+    private final ServerLinks links;
     private final BoxTable.Entry box;
-    private final Reach reach;
-    private final List<Wire> wires = new ArrayList<>();
+    private final ReachabilityDetector reach;
+    private final List<ServerConnection> wires = new ArrayList<>();
     /** Viewings that play at the box; each leaves with its end. */
-    private final Map<Long, Seat> standing = new LinkedHashMap<>();
+    private final Map<Long, ClientSession> standing = new LinkedHashMap<>();
     private final EarlyEnds earlyEnds = new EarlyEnds(MOST_EARLY_ENDS, EARLY_END_KEPT);
     /** What is to be said of them once a connection is there; bounded, the oldest goes. */
     private final ArrayDeque<byte[]> sayings = new ArrayDeque<>();
 
-    BoxLink(BoxLinks links, BoxTable.Entry box) {
+    ServerLink(ServerLinks links, BoxTable.Entry box) {
         this.links = links;
         this.box = box;
-        this.reach = new Reach(Reach.Terms.PLATFORM, links.front().now());
+        this.reach = new ReachabilityDetector(ReachabilityDetector.Terms.PLATFORM, links.front().now());
     }
 
     BoxTable.Entry box() {
         return box;
     }
 
-    BoxLinks links() {
+    ServerLinks links() {
         return links;
     }
 
@@ -57,7 +57,7 @@
     /* ---- what the core wants ---- */
 
     void setUp(Held vw, int tuneIn) {
-        Wire w = wire();
+        ServerConnection w = wire();
         if (w == null) {
             front().later(() -> vw.failed(tuneIn, Ending.NEVER_SENT));
         } else {
@@ -66,7 +66,7 @@
     }
 
     void probe() {
-        Wire w = wire();
+        ServerConnection w = wire();
         if (w == null) {
             front().later(() -> front().desk().probed(box, false));
         } else {
@@ -74,13 +74,13 @@
         }
     }
 
-    void rung(Seat seat, int rung) {
+    void rung(ClientSession seat, int rung) {
         say(BoxLines.rung(seat.id(), rung));
     }
 
     void withdraw(Held vw, int tuneIn) {
-        Seat seat = (Seat) vw.viewer();
-        for (Wire w : List.copyOf(wires)) {
+        ClientSession seat = (ClientSession) vw.viewer();
+        for (ServerConnection w : List.copyOf(wires)) {
             if (w.withdraw(vw, tuneIn)) {
                 return;
             }
@@ -91,7 +91,7 @@
         }
     }
 
-    void stands(Seat seat) {
+    void stands(ClientSession seat) {
         standing.put(seat.id(), seat);
         Ending how = earlyEnds.take(seat.id());
         if (how != null) {
@@ -104,8 +104,8 @@
     }
 
     private void say(byte[] line) {
-        Wire best = null;
-        for (Wire w : wires) {
+        ServerConnection best = null;
+        for (ServerConnection w : wires) {
             if (w.isUp() && !w.isRetired() && (best == null || best.line().heardAt().before(w.line().heardAt()))) {
                 best = w;
             }
@@ -127,32 +127,32 @@
     }
 
     /** The connection with the fewest set-ups and tests out that takes more, or null. */
-    private Wire leastLoaded() {
-        Wire least = null;
-        for (Wire w : wires) {
+    private ServerConnection leastLoaded() {
+        ServerConnection least = null;
+        for (ServerConnection w : wires) {
             least = w.isRetired() || least != null && w.load() >= least.load() ? least : w;
         }
         return least;
     }
 
     /** A connection for one more set-up or test: one with none open, else a new one, else the one with the fewest. */
-    private Wire wire() {
-        Wire least = leastLoaded();
+    private ServerConnection wire() {
+        ServerConnection least = leastLoaded();
         long usable = wires.stream().filter(w -> !w.isRetired()).count();
         if (least != null && (least.load() == 0 || usable >= MOST_WIRES)) {
             return least;
         }
-        Wire fresh = open();
+        ServerConnection fresh = open();
         return fresh == null ? least : fresh;
     }
 
-    private Wire open() {
+    private ServerConnection open() {
         String address = box.address();
-        if (address == null || Posting.port(address) < 0 || box.state() == BoxTable.State.GONE
+        if (address == null || Configuration.port(address) < 0 || box.state() == BoxTable.State.GONE
                 || !links.place() && !(links.makePlace() && links.place())) {
             return null;
         }
-        Wire w = new Wire(this, address, reach.closings());
+        ServerConnection w = new ServerConnection(this, address, reach.closings());
         wires.add(w);
         w.connect();
         return w;
@@ -160,7 +160,7 @@
 
     /* ---- what its connections tell ---- */
 
-    void up(Wire w) {
+    void up(ServerConnection w) {
         reach.up(w.closingsWhenBegun(), front().now());
         for (byte[] line = sayings.poll(); line != null; line = sayings.poll()) {
             w.write(line);
@@ -175,10 +175,10 @@
      * A connection has closed, or did not come up. One that this front closed since it rested leaves nothing unsaid: nothing
      * that plays was set up on it, and what has no connection of its own keeps all open ({@link #look}).
      */
-    void closed(Wire w, boolean wasUp, boolean refused, boolean rested) {
+    void closed(ServerConnection w, boolean wasUp, boolean refused, boolean rested) {
         wires.remove(w);
         links.placeFree();
-        for (Seat seat : standing.values()) {
+        for (ClientSession seat : standing.values()) {
             if (seat.wire() == w) {
                 seat.wire(null);
             }
@@ -190,7 +190,7 @@
             return;
         }
         reach.failed(front().now());
-        if (refused && wires.stream().noneMatch(Wire::isUp)) {
+        if (refused && wires.stream().noneMatch(ServerConnection::isUp)) {
             // Nothing listens there: its process has died, and what it played with it. Where another connection is up it lives,
             // and has no place for more; had it died, that one would close now, and the next one tried be refused.
             lost("refused");
@@ -199,8 +199,8 @@
 
     private void lost(String why) {
         if (!standing.isEmpty()) {
-            front().said("box lost", box, why + ", " + standing.size() + " viewings");
-            for (Seat seat : List.copyOf(standing.values())) {
+            front().log("box lost", box, why + ", " + standing.size() + " viewings");
+            for (ClientSession seat : List.copyOf(standing.values())) {
                 over(seat.id());
                 seat.held().boxLost();
             }
@@ -210,15 +210,15 @@
 
     /* ---- what the box says ---- */
 
-    void plays(Seat seat, Wire by) {
+    void plays(ClientSession seat, ServerConnection by) {
         standing.put(seat.id(), seat);
         seat.wire(by);
         by.line().stands(1);
     }
 
     /** It no longer plays here, for whatever reason; null where nothing of that id does. */
-    private Seat over(long id) {
-        Seat seat = standing.remove(id);
+    private ClientSession over(long id) {
+        ClientSession seat = standing.remove(id);
         if (seat != null && seat.wire() != null) {
             seat.wire().line().stands(-1);
             seat.wire(null);
@@ -227,7 +227,7 @@
     }
 
     void ended(long id, Ending how) {
-        Seat seat = over(id);
+        ClientSession seat = over(id);
         if (seat == null) {
             earlyEnds.heard(id, how, front().now());
         } else {
@@ -240,7 +240,7 @@
     }
 
     Ending unanswered(Held vw, int tuneIn) {
-        for (Wire w : wires) {
+        for (ServerConnection w : wires) {
             Moment writtenAt = w.writtenAt(vw, tuneIn);
             if (writtenAt != null) {
                 return silence(writtenAt, null);
@@ -250,20 +250,20 @@
     }
 
     /** What it means that nothing came of something written then; one connection, if any, has just broken. */
-    Ending silence(Moment writtenAt, Wire but) {
-        return Silence.meaning(writtenAt, front().lag(), front().now(), wires.stream().filter(w -> w != but && w.isUp()).map(Wire::line)
+    Ending silence(Moment writtenAt, ServerConnection but) {
+        return TimeoutCause.meaning(writtenAt, front().lag(), front().now(), wires.stream().filter(w -> w != but && w.isUp()).map(ServerConnection::line)
                 .toList());
     }
 
     /** The viewing of that id that plays here, or null. */
     Held playing(long id) {
-        Seat seat = standing.get(id);
+        ClientSession seat = standing.get(id);
         return seat == null ? null : seat.held();
     }
 
     /** Of its connections that take nothing new and the given one, the one with the fewest viewings. */
-    Wire leastRetired(Wire least) {
-        for (Wire w : wires) {
+    ServerConnection leastRetired(ServerConnection least) {
+        for (ServerConnection w : wires) {
             if (w.isRetired() && w.load() == 0 && (least == null || w.line().standing() < least.line().standing())) {
                 least = w;
             }
@@ -292,7 +292,7 @@
         boolean coming = false;
         // The end of a viewing without a connection of its own may come on any that is open.
         boolean spareRests = standing.values().stream().allMatch(seat -> seat.wire() != null);
-        for (Wire w : List.copyOf(wires)) {
+        for (ServerConnection w : List.copyOf(wires)) {
             w.look(now, usable == 0 ? front().briefing().restingClosed().times(0.8) : spareRests ? SPARE_RESTS : Span.NONE);
             usable += w.isRetired() ? 0 : 1;
             coming |= !w.isUp();
--- a/src/main/java/linengauge/platform/BoxLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -11,15 +11,15 @@
 import linengauge.session.Held;
 
 /** All media boxes' connections, by the box's id: a successor may have the address of one that has gone. */
-final class BoxLinks implements Carrier {
+final class ServerLinks implements Carrier {
     private final PlatformFront front;
     private final int places;
     private int wires;
     private long tests;
     /** Emptied by {@link #look}: a link leaves once its box has gone and nothing of it is left. */
-    private final Map<Long, BoxLink> links = new LinkedHashMap<>();
+    private final Map<Long, ServerLink> links = new LinkedHashMap<>();
 
-    BoxLinks(PlatformFront front, int places) {
+    ServerLinks(PlatformFront front, int places) {
         this.front = front;
         this.places = places;
     }
@@ -43,8 +43,8 @@
 
     /** Where no place is left: the connection that takes nothing new and has the fewest viewings gives its own. */
     boolean makePlace() {
-        Wire least = null;
-        for (BoxLink link : links.values()) {
+        ServerConnection least = null;
+        for (ServerLink link : links.values()) {
             least = link.leastRetired(least);
         }
         if (least != null) {
@@ -57,12 +57,12 @@
         return ++tests;
     }
 
-    private BoxLink link(BoxTable.Entry box) {
-        return links.computeIfAbsent(box.id(), n -> new BoxLink(this, box));
+    private ServerLink link(BoxTable.Entry box) {
+        return links.computeIfAbsent(box.id(), n -> new ServerLink(this, box));
     }
 
     /** A viewing that plays already at its box: what the box says of it must be able to come. */
-    void stands(Seat seat) {
+    void stands(ClientSession seat) {
         link(seat.held().box()).stands(seat);
     }
 
@@ -72,7 +72,7 @@
     }
 
     void look() {
-        for (BoxLink link : List.copyOf(links.values())) {
+        for (ServerLink link : List.copyOf(links.values())) {
             if (link.look(front.now())) {
                 links.remove(link.box().id());
             }
@@ -102,7 +102,7 @@
 
     @Override
     public void rung(Held vw) {
-        link(vw.box()).rung((Seat) vw.viewer(), vw.rungNow());
+        link(vw.box()).rung((ClientSession) vw.viewer(), vw.rungNow());
     }
 
     @Override
--- a/src/main/java/linengauge/platform/Service.java
+++ b/src/main/java/linengauge/platform/Service.java
@@ -13,13 +13,13 @@
     private static final Logger LOG = LoggerFactory.getLogger("linengauge.platform");
 
     private final Path file;
-    private final Posting posting;
+    private final Configuration posting;
     private final VertxNet net;
     private final Sparse sparse = new Sparse(LOG);
     private final CompletableFuture<String> over = new CompletableFuture<>();
     private PlatformFront front;
 
-    Service(Path file, Posting posting) {
+    Service(Path file, Configuration posting) {
         this.file = file;
         this.posting = posting;
         this.net = new VertxNet(posting.briefing().dial());
@@ -42,7 +42,7 @@
         }
         Service service;
         try {
-            service = new Service(Path.of(config), Posting.read(Path.of(config)));
+            service = new Service(Path.of(config), Configuration.read(Path.of(config)));
         } catch (BadBriefing e) {
             System.err.println("linengauge: " + config + ": " + e.getMessage());
             return 1;
@@ -87,7 +87,7 @@
     /** On a thread of the signal's: a file that cannot be used leaves what is in force. */
     void postedAnew() {
         try {
-            Posting anew = Posting.read(file);
+            Configuration anew = Configuration.read(file);
             net.onLoop(() -> front.postedAnew(anew));
         } catch (BadBriefing e) {
             net.onLoop(() -> warn("new configuration not used", file.getFileName(), e.getMessage()));
--- a/src/main/java/linengauge/platform/TryOut.java
+++ b/src/main/java/linengauge/platform/TryOut.java
@@ -40,7 +40,7 @@
         Path file = Files.createTempFile("linengauge-tryout", ".json");
         try {
             Files.writeString(file, configuration(port, journal, boxes));
-            Service service = new Service(file, Posting.read(file));
+            Service service = new Service(file, Configuration.read(file));
             service.begin().join();
             boolean good = play.call();
             service.postedAnew();
--- a/src/main/java/linengauge/platform/VertxNet.java
+++ b/src/main/java/linengauge/platform/VertxNet.java
@@ -51,7 +51,7 @@
 
     @Override
     public void connect(String address, int mostUnread, Tried then) {
-        client.connect(Posting.port(address), Posting.host(address)).onComplete(done -> {
+        client.connect(Configuration.port(address), Configuration.host(address)).onComplete(done -> {
             if (done.succeeded()) {
                 then.up(new Socket(done.result(), mostUnread));
             } else {
@@ -66,7 +66,7 @@
     public void listen(String address, int mostUnread, Listener listener) {
         server.connectHandler(socket -> listener.arrived(new Socket(socket, mostUnread)));
         server.exceptionHandler(e -> listener.notTaken(String.valueOf(e.getMessage())));
-        server.listen(Posting.port(address), Posting.host(address)).onComplete(done ->
+        server.listen(Configuration.port(address), Configuration.host(address)).onComplete(done ->
                 listener.listens(done.succeeded() ? null : String.valueOf(done.cause().getMessage())));
     }
 
--- a/src/main/java/linengauge/platform/keep/Backlog.java
+++ b/src/main/java/linengauge/platform/keep/AcceptBacklog.java
@@ -9,7 +9,7 @@
  * counting a viewer's patience from the taking, as it comes to a front that was held up, or in a wave from fronts that have
  * died. It could hurt a viewer that comes last without having waited: it is answered sooner than it need be.
  */
-public final class Backlog {
+public final class AcceptBacklog {
     private final int aTurn;
     private int taken;
     /** All that had come before this moment has been taken. */
@@ -17,7 +17,7 @@
     private Moment lastBeat;
 
     /** A loop that takes so many a turn. */
-    public Backlog(int aTurn, Moment now) {
+    public AcceptBacklog(int aTurn, Moment now) {
         this.aTurn = aTurn;
         this.emptyAt = now;
         this.lastBeat = now;
--- a/src/main/java/linengauge/platform/keep/Lag.java
+++ b/src/main/java/linengauge/platform/keep/EventLoopLag.java
@@ -8,12 +8,12 @@
  * against counting a viewer's patience from the moment of reading: a turn that took half a second leaves that much less.
  * It could hurt where a turn was long and the request came at its end: it is answered sooner than it need be.
  */
-public final class Lag {
+public final class EventLoopLag {
     private Moment last;
     private Moment before;
     private Span longest = Span.NONE;
 
-    public Lag(Moment now) {
+    public EventLoopLag(Moment now) {
         this.last = now;
         this.before = now;
     }
--- a/src/main/java/linengauge/platform/keep/Guest.java
+++ b/src/main/java/linengauge/platform/keep/IdleConnection.java
@@ -3,7 +3,7 @@
 import linengauge.Moment;
 
 /** One viewers' connection, as far as the door must judge it; what happens on it is a call here. */
-public final class Guest {
+public final class IdleConnection {
     private final Runnable close;
     private final Moment came;
     private int open;
@@ -14,7 +14,7 @@
     private Moment restsSince;
     private boolean wasOverdue;
 
-    Guest(Runnable close, Moment came) {
+    IdleConnection(Runnable close, Moment came) {
         this.close = close;
         this.came = came;
         this.restsSince = came;
@@ -55,14 +55,14 @@
     }
 
     /** Overdue now and when this was last asked. */
-    boolean overdueAgain(Guests.Terms terms, Moment now) {
+    boolean overdueAgain(IdleConnections.Terms terms, Moment now) {
         boolean before = wasOverdue;
         wasOverdue = overdue(terms, now);
         return before && wasOverdue;
     }
 
     /** It owes a sign of being a viewer, and has not given one in time. */
-    private boolean overdue(Guests.Terms terms, Moment now) {
+    private boolean overdue(IdleConnections.Terms terms, Moment now) {
         return rests() && !proven && !now.before(came.plus(terms.sign()))
                 || midSince != null && !now.before(midSince.plus(terms.sign()));
     }
--- a/src/main/java/linengauge/platform/keep/Guests.java
+++ b/src/main/java/linengauge/platform/keep/IdleConnections.java
@@ -12,16 +12,16 @@
  * they say, or come by hundreds: each ends within a bound, and places stay for those who ask. It could hurt a viewer who
  * opens a connection long before it asks: it is let go and asks on a new one.
  */
-public final class Guests {
+public final class IdleConnections {
     /** Connections at the most, and how long one may be without having asked anything that was answered. */
     public record Terms(int places, Span sign) {
     }
 
     private final Terms terms;
     /** Bounded by the places; each leaves when its connection closes. */
-    private final Set<Guest> guests = new LinkedHashSet<>();
+    private final Set<IdleConnection> guests = new LinkedHashSet<>();
 
-    public Guests(Terms terms) {
+    public IdleConnections(Terms terms) {
         this.terms = terms;
     }
 
@@ -33,10 +33,10 @@
      * A connection came; null where it must be closed at once. Where places are short the one goes that has rested longest,
      * those that have never been answered first; where every one has a set-up open the newest goes.
      */
-    public Guest arrived(Runnable close, Moment now) {
+    public IdleConnection arrived(Runnable close, Moment now) {
         if (guests.size() >= terms.places()) {
-            Guest least = null;
-            for (Guest g : guests) {
+            IdleConnection least = null;
+            for (IdleConnection g : guests) {
                 if (g.rests() && (least == null || least.isProven() && !g.isProven()
                         || least.isProven() == g.isProven() && g.restsSince().before(least.restsSince()))) {
                     least = g;
@@ -48,12 +48,12 @@
             guests.remove(least);
             least.close().run();
         }
-        Guest g = new Guest(close, now);
+        IdleConnection g = new IdleConnection(close, now);
         guests.add(g);
         return g;
     }
 
-    public void left(Guest g) {
+    public void left(IdleConnection g) {
         guests.remove(g);
     }
 
@@ -62,8 +62,8 @@
      * held up: a set-up that came meanwhile is read between the two, and is not lost with its connection.
      */
     public void look(Moment now) {
-        List<Guest> over = new ArrayList<>();
-        for (Guest g : guests) {
+        List<IdleConnection> over = new ArrayList<>();
+        for (IdleConnection g : guests) {
             if (g.overdueAgain(terms, now)) {
                 over.add(g);
             }
--- a/src/main/java/linengauge/platform/keep/Reach.java
+++ b/src/main/java/linengauge/platform/keep/ReachabilityDetector.java
@@ -5,13 +5,13 @@
 
 /**
  * Whether one media box can be reached, from what its connections do; its viewings are lost with it. Guards against a
- * machine that vanishes: its connections stay open and silent. Silence alone proves nothing (a box that stands still says
+ * machine that vanishes: its connections stay open and silent. TimeoutCause alone proves nothing (a box that stands still says
  * nothing, and plays on afterwards): only connections that no longer come up do, for a while. It could hurt where the way
  * to a box is cut longer than that and the box plays on: its viewers come again.
  */
-public final class Reach {
+public final class ReachabilityDetector {
     /**
-     * Silence after which the box is tested, and how long that may go unanswered until a connection is tried; tries that fail
+     * TimeoutCause after which the box is tested, and how long that may go unanswered until a connection is tried; tries that fail
      * for so long mean lost; and so do tries that fail for the least span where there has been no sign for the latest; pauses
      * between tries, doubled.
      */
@@ -36,7 +36,7 @@
     private int closings;
     private int heardUpTo;
 
-    public Reach(Terms terms, Moment now) {
+    public ReachabilityDetector(Terms terms, Moment now) {
         this.terms = terms;
         this.signAt = now;
         this.pause = terms.firstPause();
--- a/src/main/java/linengauge/platform/keep/Arrivals.java
+++ b/src/main/java/linengauge/platform/keep/ReceiveQueue.java
@@ -12,7 +12,7 @@
  * herd's day in virtual time (seed 11), viewers who asked behind forty viewings handed over were set up after they had gone.
  * It could hurt a viewer whose request comes right after a pause without having waited: it is answered sooner than need be.
  */
-public final class Arrivals {
+public final class ReceiveQueue {
     /** Bytes that may wait before no more is taken from the connection. */
     public static final int MOST = 16 * 1024;
     /** After so long in turn, a connection that has been taken brings nothing that had waited for that. */
@@ -31,7 +31,7 @@
     private Moment floorEnds;
 
     /** A connection taken now, which may have waited for that since then. */
-    public Arrivals(Moment cameAfter, Moment now) {
+    public ReceiveQueue(Moment cameAfter, Moment now) {
         this.floor = cameAfter;
         this.floorEnds = now.plus(TAKEN);
         this.last = cameAfter;
--- a/src/main/java/linengauge/platform/keep/Silence.java
+++ b/src/main/java/linengauge/platform/keep/TimeoutCause.java
@@ -10,15 +10,15 @@
  * something since shows that its process lives on; and a front that stood still has proved nothing. It could hurt where a
  * machine's connections outlive its processes: the platform resets them.
  */
-public final class Silence {
+public final class TimeoutCause {
     /** A front that stood still so long has not waited for an answer. */
     private static final Span OWN_DELAY = Span.ofMillis(150);
 
-    private Silence() {
+    private TimeoutCause() {
     }
 
     /** Of something written then; the lines are the box's connections that are up, but for one that has just broken. */
-    public static Ending meaning(Moment writtenAt, Lag lag, Moment now, Iterable<Line> lines) {
+    public static Ending meaning(Moment writtenAt, EventLoopLag lag, Moment now, Iterable<Line> lines) {
         if (lag.heldUp(OWN_DELAY, writtenAt, now)) {
             return Ending.HELD_UP;
         }
--- a/src/main/java/linengauge/rehearsal/FleetDay.java
+++ b/src/main/java/linengauge/rehearsal/FleetDay.java
@@ -11,7 +11,7 @@
 import linengauge.Span;
 import linengauge.briefing.BadBriefing;
 import linengauge.platform.PlatformFront;
-import linengauge.platform.Posting;
+import linengauge.platform.Configuration;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
 import linengauge.rules.Verdict;
@@ -229,7 +229,7 @@
             s.net = net;
             net.later(() -> {
                 try {
-                    s.front = new PlatformFront(Posting.read(configuration(number).getBytes(StandardCharsets.UTF_8)), net, new Log(number));
+                    s.front = new PlatformFront(Configuration.read(configuration(number).getBytes(StandardCharsets.UTF_8)), net, new Log(number));
                 } catch (BadBriefing e) {
                     throw new IllegalStateException(e);
                 }
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -10,15 +10,15 @@
 import linengauge.Moment;
 import linengauge.Outside.Ending;
 import linengauge.Span;
-import linengauge.platform.keep.Arrivals;
-import linengauge.platform.keep.Backlog;
+import linengauge.platform.keep.ReceiveQueue;
+import linengauge.platform.keep.AcceptBacklog;
 import linengauge.platform.keep.EarlyEnds;
-import linengauge.platform.keep.Guest;
-import linengauge.platform.keep.Guests;
-import linengauge.platform.keep.Lag;
+import linengauge.platform.keep.IdleConnection;
+import linengauge.platform.keep.IdleConnections;
+import linengauge.platform.keep.EventLoopLag;
 import linengauge.platform.keep.Line;
-import linengauge.platform.keep.Places;
-import linengauge.platform.keep.Reach;
+import linengauge.platform.keep.DescriptorBudget;
+import linengauge.platform.keep.ReachabilityDetector;
 import org.junit.jupiter.api.Test;
 
 class KeepTest {
@@ -27,19 +27,19 @@
     }
 
     private final List<String> closed = new ArrayList<>();
-    private final Guests guests = new Guests(new Guests.Terms(3, Span.ofMillis(2000)));
+    private final IdleConnections guests = new IdleConnections(new IdleConnections.Terms(3, Span.ofMillis(2000)));
 
-    private Guest guest(String name, long ms) {
+    private IdleConnection guest(String name, long ms) {
         return guests.arrived(() -> closed.add(name), at(ms));
     }
 
     @Test
     void whoSaysNothingOrNeverEndsAMessageGoesInTimeAndNobodyElse() {
         guest("silent", 0);
-        Guest half = guest("half", 0);
+        IdleConnection half = guest("half", 0);
         half.proven();
         half.read(false, true, at(500));
-        Guest viewer = guest("viewer", 0);
+        IdleConnection viewer = guest("viewer", 0);
         viewer.proven();
         guests.look(at(1999));
         guests.look(at(1999));
@@ -60,14 +60,14 @@
     @Test
     void whenPlacesAreShortTheUnprovenGoFirstAndThoseWithASetUpOpenNever() {
         guest("viewer", 0).proven();
-        Guest asks = guest("asks", 1);
+        IdleConnection asks = guest("asks", 1);
         asks.asked();
         guest("silent", 2);
         guest("fourth", 3);
         assertEquals(List.of("silent"), closed);
         guest("fifth", 4).asked();
         assertEquals(List.of("silent", "fourth"), closed);
-        Guest sixth = guest("sixth", 5);
+        IdleConnection sixth = guest("sixth", 5);
         assertEquals(List.of("silent", "fourth", "viewer"), closed);
         sixth.asked();
         assertNull(guest("seventh", 6), "all have a set-up open: the newest goes");
@@ -76,14 +76,14 @@
         assertEquals("asks", closed.get(3));
     }
 
-    private static Reach reach() {
-        return new Reach(new Reach.Terms(Span.ofMillis(2000), Span.ofMillis(500), Span.ofMillis(3500), Span.ofMillis(60_000), Span.ofMillis(1000), Span.ofMillis(50),
+    private static ReachabilityDetector reach() {
+        return new ReachabilityDetector(new ReachabilityDetector.Terms(Span.ofMillis(2000), Span.ofMillis(500), Span.ofMillis(3500), Span.ofMillis(60_000), Span.ofMillis(1000), Span.ofMillis(50),
                 Span.ofMillis(800)), at(0));
     }
 
     @Test
     void aBoxIsLostOnlyWhenConnectionsNoLongerComeUpForAWhile() {
-        Reach reach = reach();
+        ReachabilityDetector reach = reach();
         assertFalse(reach.wantsConnection(1, at(2500)));
         assertTrue(reach.wantsConnection(1, at(2501)), "silent for long: a new one shows whether it is there");
         assertFalse(reach.lost(at(60_000)), "silence alone proves nothing");
@@ -103,7 +103,7 @@
     /** On the terms in force: what plays at a box that has vanished is released within 8 s of its last sign. */
     @Test
     void silenceIsTestedOnceThenConnectionsAreTriedAndTheBoxIsLostInTime() {
-        Reach reach = new Reach(Reach.Terms.PLATFORM, at(0));
+        ReachabilityDetector reach = new ReachabilityDetector(ReachabilityDetector.Terms.PLATFORM, at(0));
         assertFalse(reach.wantsTest(at(5000)), "boxes are silent by nature");
         assertTrue(reach.wantsTest(at(5001)));
         assertFalse(reach.wantsTest(at(5400)));
@@ -124,7 +124,7 @@
     /** What a box says as a connection closes is lost, and said again on the next one that is opened. */
     @Test
     void aCloseIsFollowedByAConnectionBegunAfterIt() {
-        Reach reach = reach();
+        ReachabilityDetector reach = reach();
         assertFalse(reach.wantsConnection(2, at(100)));
         int before = reach.closings();
         reach.closed();
@@ -170,7 +170,7 @@
     @Test
     void descriptorsAreSharedOutWithinTheLimit() {
         for (int limit : new int[] {256, 384, 1024}) {
-            Places p = Places.of(limit);
+            DescriptorBudget p = DescriptorBudget.of(limit);
             assertTrue(p.viewers() + p.boxes() + 48 <= limit && p.viewers() >= limit / 3 && p.boxes() >= 40, p.toString());
         }
     }
@@ -178,7 +178,7 @@
     /** A turn of half a second leaves a request read in the next one that much less of its patience. */
     @Test
     void whatABusyLoopReadsMayHaveWaitedForTwoTurns() {
-        Lag lag = new Lag(at(0));
+        EventLoopLag lag = new EventLoopLag(at(0));
         lag.beat(at(20));
         lag.beat(at(40));
         assertEquals(Span.ofMillis(25), lag.unread(at(45)));
@@ -207,7 +207,7 @@
 
     @Test
     void aConnectionOfAWaveMayHaveWaitedSinceTheBacklogWasLastEmpty() {
-        Backlog backlog = new Backlog(3, at(0));
+        AcceptBacklog backlog = new AcceptBacklog(3, at(0));
         backlog.taken();
         backlog.beat(at(20));
         assertEquals(at(0), backlog.cameAfter());
@@ -227,7 +227,7 @@
 
     @Test
     void aStandStillOfTheFrontBetweenAskingAndNowIsSeen() {
-        Lag lag = new Lag(at(0));
+        EventLoopLag lag = new EventLoopLag(at(0));
         lag.beat(at(20));
         lag.beat(at(40));
         assertFalse(lag.heldUp(Span.ofMillis(150), at(0), at(60)));
@@ -241,12 +241,12 @@
 
     @Test
     void whatWaitedForAConnectionIsAsOldAsThatUntilAllOfItHasCome() {
-        Arrivals taken = new Arrivals(at(100), at(600));
+        ReceiveQueue taken = new ReceiveQueue(at(100), at(600));
         taken.come(new byte[10], at(690), at(700));
         taken.come(new byte[10], at(690), at(705));
         taken.come(new byte[10], at(710), at(720));
         assertEquals(List.of(at(100), at(100), at(710)), List.of(taken.next().came(), taken.next().came(), taken.next().came()));
-        taken.come(new byte[Arrivals.MOST], at(790), at(800));
+        taken.come(new byte[ReceiveQueue.MOST], at(790), at(800));
         assertTrue(taken.isFull(1) && !taken.isFull(0));
         taken.paused();
         taken.next();
@@ -258,7 +258,7 @@
         taken.come(new byte[1], at(951), at(960));
         assertEquals(List.of(at(790), at(790), at(951)), List.of(taken.next().came(), taken.next().came(), taken.next().came()));
         assertNull(taken.next());
-        Arrivals idle = new Arrivals(at(100), at(600));
+        ReceiveQueue idle = new ReceiveQueue(at(100), at(600));
         idle.come(new byte[1], at(2000), at(2010));
         assertEquals(at(2000), idle.next().came(), "nothing that waited to be taken comes so late");
     }
--- a/src/test/java/linengauge/platform/PaperNet.java
+++ b/src/test/java/linengauge/platform/PaperNet.java
@@ -128,7 +128,7 @@
     /** A front with two boxes at ports 3 and 4 that knows these by its configuration. */
     static PaperNet front() throws Exception {
         PaperNet net = new PaperNet();
-        var posting = Posting.read(TryOut.configuration(1, 2, 3, 4).getBytes(StandardCharsets.UTF_8));
+        var posting = Configuration.read(TryOut.configuration(1, 2, 3, 4).getBytes(StandardCharsets.UTF_8));
         new PlatformFront(posting, net, net).start(failed -> { });
         net.settle();
         return net;
--- a/src/test/java/linengauge/platform/ServiceTest.java
+++ b/src/test/java/linengauge/platform/ServiceTest.java
@@ -50,7 +50,7 @@
         port = PlatformTryOut.freePort();
         file = dir.resolve("config.json");
         Files.writeString(file, TryOut.configuration(port, journal.port(), ports()));
-        service = new Service(file, Posting.read(file));
+        service = new Service(file, Configuration.read(file));
         service.begin().join();
     }
 
@@ -265,7 +265,7 @@
                 good.replace("\"state\":\"up\"", "\"state\":\"away\""), good.replace("\"listen\":\"127.0.0.1", "\"listen\":\"")
                 .replace("\"listen\":\":", "\"listen\":\""), good.substring(0, good.length() / 2))) {
             Files.writeString(file, bad);
-            var e = org.junit.jupiter.api.Assertions.assertThrows(linengauge.briefing.BadBriefing.class, () -> Posting.read(file));
+            var e = org.junit.jupiter.api.Assertions.assertThrows(linengauge.briefing.BadBriefing.class, () -> Configuration.read(file));
             assertTrue(e.getMessage().lines().count() == 1, e.getMessage());
         }
     }
