--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -53,7 +53,8 @@
     private static final Span FRESH = Span.ofMillis(700);
     private static final Span LATE_WAIT = Span.ofMillis(600);
     private static final Span LEAST_WAIT = Span.ofMillis(250);
-    private static final Span ANSWER_MARGIN = Span.ofMillis(60);
+    public static final Span ANSWER_MARGIN = Span.ofMillis(60);
+    public static final double MARGIN_PART = 0.1; // of a patience, at the most
     private static final Span HOLD = Span.ofMillis(100);
     private static final Span COME_BACK = Span.ofMillis(600);
     private static final Span FIRST_AVOID = Span.ofSeconds(1);
@@ -63,7 +64,8 @@
     /** A point of the price of a connection weighs as much as so many of an uplink's load. */
     private static final double LOAD_FOR_PRICE = 2;
     private static final double COLD_PART = 0.8;
-    private static final Span COLD_SLACK = Span.ofMillis(500);
+    /** From a choice until its set-up leaves, at the most: a connection is dialled, the loop reads first. */
+    public static final Span UNTIL_SENT = Span.ofMillis(500);
 
     private final Headend house;
     private final Outside outside;
@@ -738,6 +740,7 @@
         private final int ceiling;
         private final Moment target;
         private final Moment patienceEnds;
+        private final Span margin;
         private MediaBox at;
         private int rung;
         private int tuneIns;
@@ -755,6 +758,7 @@
             this.title = title;
             this.ceiling = Math.max(terms.lowestRung(), Math.min(ceiling, terms.highestRung()));
             this.patienceEnds = patienceEnds;
+            this.margin = ANSWER_MARGIN.orLess(patienceEnds.since(now).times(MARGIN_PART));
             this.target = now.plus(terms.joinTarget());
             probesLeft = Math.min(PROBES_HELD,
                     probesLeft + PROBE_SPEND / Math.max(0.001, house.permits().probePrice()));
@@ -1015,7 +1019,7 @@
 
     private boolean mayTuneIn(Viewing vw, MediaBox b) {
         return !vw.answered && vw.at == null && vw.mayStillPlay() // one tune-in out, none twice
-                && ANSWER_MARGIN.under(patienceLeft(vw)) // the answer comes before the viewer's patience ends
+                && vw.margin.under(patienceLeft(vw)) // the answer comes before the viewer's patience ends
                 && b.serving && b.holds(vw.title) // drains: nothing at all once told, well within the grace
                 && (vw.terms.seats() <= 0 || vw.title.seated.getOrDefault(vw.terms, 0) < vw.terms.seats())
                 && (vw.tuneIns == 0 || furtherLeft())
@@ -1023,7 +1027,7 @@
     }
 
     private Span patienceLeft(Viewing vw) {
-        return vw.patienceEnds.since(now).minus(ANSWER_MARGIN);
+        return vw.patienceEnds.since(now).minus(vw.margin);
     }
 
     private void gatePassed(Viewing vw, MediaBox b) {
@@ -1036,17 +1040,15 @@
 
     private boolean furtherLeft() {
         Headend.Rules rules = house.rules();
-        if (rules.furtherSpan().equals(Span.NONE)) {
-            return true;
-        }
         pruneRation();
-        return further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
+        return rules.furtherSpan().equals(Span.NONE)
+                || further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
     }
 
+    /** The window is that of the sending, which may come so much later. */
     private void pruneRation() {
-        Moment from = now.minus(house.rules().furtherSpan());
-        prune(further, from);
-        prune(taken, from.plus(ANSWER_MARGIN));
+        prune(further, now.minus(house.rules().furtherSpan()).minus(UNTIL_SENT));
+        prune(taken, now.minus(house.rules().furtherSpan()).plus(UNTIL_SENT));
     }
 
     private static void prune(ArrayDeque<Moment> moments, Moment from) {
@@ -1057,7 +1059,7 @@
 
     /** The span over which sends to a cold box are counted. */
     private Span fallWindow() {
-        return house.rules().fallAfter().plus(COLD_SLACK);
+        return house.rules().fallAfter().plus(UNTIL_SENT);
     }
 
     /** A cold box gets this front's part of what all fronts together may send it in any window, reckoned at
@@ -1081,10 +1083,7 @@
             return b.sends.size() < part;
         }
         double turns = Math.floor(all) - 1;
-        if (turns < 1) {
-            return false;
-        }
         long turn = Math.floorDiv(now.micros(), Math.max(1, Math.round(window.micros() / turns)));
-        return b.sends.isEmpty() && Math.floorMod(turn, house.fronts()) == house.ownNumber();
+        return turns >= 1 && b.sends.isEmpty() && Math.floorMod(turn, house.fronts()) == house.ownNumber();
     }
 }
--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -1,8 +1,11 @@
 package linengauge.platform;
 
 import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import linengauge.Moment;
 import linengauge.Span;
@@ -10,42 +13,75 @@
 import linengauge.platform.codec.SetUpForm;
 import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
-import linengauge.platform.keep.ReceiveQueue;
+import linengauge.platform.codec.ViewerMessages.Message;
 import linengauge.platform.keep.IdleConnection;
+import linengauge.platform.keep.ReceiveQueue;
 
-/** One connection from viewers. */
+/**
+ * One connection from viewers. What comes is read in two steps. Messages are taken apart as they come: an end, a test or a
+ * release heard is acted on at once. Set-ups are queued, and begun in turns once the loop has read what everybody sent.
+ * Guards against a set-up that is begun though its viewer has left: the end lies behind what is still to be read. It could
+ * hurt a viewer by the rest of the loop's turn.
+ */
 final class ClientConnection implements ViewerMessages.Heard {
-    /** What one connection may read in one turn of the loop. */
+    /** What one connection may take apart, and begin, in one turn of the loop. */
     private static final Span TURN = Span.ofMillis(10);
     private static final Span NEXT_TURN = Span.ofMillis(1);
+    /** Messages taken apart between two looks at the time: each takes some microseconds. */
+    private static final int A_LOOK_AT_THE_TIME = 16;
+    /** Bytes of sessions handed over that wait to be begun; beyond, nothing more is taken from the connection. */
+    private static final int MOST_HANDED_OVER = 128 * 1024;
+    /** A release told so lately may not have been read by a viewer that closes the connection. */
+    private static final Span MAY_BE_UNREAD = Span.ofMillis(500);
+    private static final int MOST_TOLD = 512;
+
+    /** A set-up that waits to be begun, and when it may have come. */
+    private record Queued(Message message, Moment came) {
+    }
+
+    private record Told(boolean cut, Moment at) {
+    }
 
-    private final ClientListener door;
+    private final ClientListener listener;
     private final Net.Connection socket;
     private final ViewerMessages reader = new ViewerMessages(this);
     /** Viewings whose answer is owed here; each leaves with its answer. */
     private final Set<ClientSession> waiting = new LinkedHashSet<>();
-    private IdleConnection guest;
+    /** Set-ups by id that wait to be begun; emptied by the next turns, by their ends and by the close. */
+    private final Map<Long, Queued> setUps = new LinkedHashMap<>();
+    /** Sessions handed over that wait to be begun: they belong to no connection, and are begun though this one closes. */
+    private final Map<Long, Queued> handOvers = new LinkedHashMap<>();
+    /** Releases written here and not known to be heard; bounded, the oldest goes; emptied by time. */
+    private final Map<Long, Told> told = new LinkedHashMap<>();
+    private IdleConnection idle;
     private boolean viewers;
     private boolean closed;
-    /** Messages that have come wait for a turn of their own. */
+    /** Messages that have come wait for a turn in which they are taken apart. */
     private boolean goesOn;
+    /** What is queued has a turn coming. */
+    private boolean begins;
     private boolean paused;
-    /** When what is read may have come, and what follows the message that has begun. */
+    /** When what is taken apart, or begun, may have come, and what follows the message that has begun. */
     private Moment lain = Moment.DISTANT_PAST;
     private Moment nextLain;
-    private final ReceiveQueue arrivals;
-    /** Descriptions that wait here, in characters: what the front must keep of what it was sent. */
+    private final ReceiveQueue received;
+    private int handedOver;
+    /** Bytes of set-ups that wait here, begun or not: what the front must keep of what it was sent. */
     private int keeps;
 
-    ClientConnection(ClientListener door, Net.Connection socket, Moment cameAfter) {
-        this.door = door;
+    ClientConnection(ClientListener listener, Net.Connection socket, Moment cameAfter) {
+        this.listener = listener;
         this.socket = socket;
-        this.arrivals = new ReceiveQueue(cameAfter, door.front().now());
-        socket.hears(data -> door.front().onEvent(() -> read(data)), () -> door.front().onEvent(this::gone));
+        this.received = new ReceiveQueue(cameAfter, front().now());
+        socket.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(this::gone));
     }
 
-    void guest(IdleConnection given) {
-        guest = given;
+    private PlatformFront front() {
+        return listener.front();
+    }
+
+    void idle(IdleConnection given) {
+        idle = given;
     }
 
     boolean isOpen() {
@@ -57,62 +93,82 @@
         return viewers;
     }
 
+    /* ---- what comes is taken apart ---- */
+
     private void read(byte[] data) {
         if (closed) {
             return;
         }
-        Moment now = door.front().now();
-        arrivals.come(data, now.minus(door.front().unread()), now);
+        Moment now = front().now();
+        received.come(data, now.minus(front().unread()), now);
         if (!goesOn) {
-            readOn();
-        } else if (arrivals.isFull(reader.unread())) {
+            takeApart();
+        } else if (received.isFull(reader.unread())) {
             pause();
         }
     }
 
     /**
-     * Reads what has come, for one turn's share of time; the rest in turns of its own. Guards against a piece of hundreds of
-     * messages (viewings handed over, a rude client) that makes all others wait.
+     * Takes apart what has come, for one turn's share of time; the rest in turns of its own. Guards against a client that
+     * sends at full speed and makes all others wait.
      */
-    private void readOn() {
+    private void takeApart() {
         if (closed) {
             return;
         }
         try {
-            Moment until = door.front().now().plus(TURN);
+            Moment until = front().now().plus(TURN);
             boolean ended = false;
             boolean more = true;
-            while (more && !closed && door.front().now().before(until)) {
-                more = reader.next();
+            for (int i = 1; more && !closed && front().now().before(until) && handedOver <= MOST_HANDED_OVER; i++) {
+                more = takesMessage();
                 ended |= more;
-                if (more && nextLain != null) {
-                    lain = nextLain;
-                    nextLain = null;
-                }
                 more = more || takesNext();
-                door.front().tick();
+                if (i % A_LOOK_AT_THE_TIME == 0) {
+                    front().tick();
+                }
             }
-            guest.read(ended, !more && reader.isMidMessage(), door.front().now());
+            idle.read(ended, !more && reader.isMidMessage(), front().now());
             if (more && !closed) {
                 goesOn = true;
-                if (arrivals.isFull(reader.unread())) {
+                if (received.isFull(reader.unread())) {
                     pause();
                 }
                 // By a timer: what is merely put off runs before the loop reads from anybody else.
-                door.front().after(NEXT_TURN, () -> {
+                front().after(NEXT_TURN, () -> {
                     goesOn = false;
-                    readOn();
+                    takeApart();
                 });
             }
             resume();
         } catch (BadMessage e) {
-            door.log("unreadable viewer", socket.peer(), e.getMessage());
+            listener.log("unreadable viewer", socket.peer(), e.getMessage());
             close();
         }
+        beginLater();
+    }
+
+    private boolean takesMessage() throws BadMessage {
+        Message m = reader.frame();
+        if (m == null) {
+            return false;
+        }
+        if (m.isSetUp()) {
+            queue(m);
+        } else if (m.isHeard()) {
+            told.remove(m.id());
+        } else {
+            reader.read(m);
+        }
+        if (nextLain != null) {
+            lain = nextLain;
+            nextLain = null;
+        }
+        return true;
     }
 
     private boolean takesNext() {
-        ReceiveQueue.Piece piece = arrivals.next();
+        ReceiveQueue.Piece piece = received.next();
         if (piece == null) {
             return false;
         }
@@ -125,27 +181,121 @@
         return true;
     }
 
+    private void queue(Message m) {
+        boolean handOver = m.isHandOver();
+        if (setUps.containsKey(m.id()) && !handOver) {
+            listener.log("two set-ups of one id", null, "");
+            close();
+        } else if (handOver) {
+            if (handOvers.putIfAbsent(m.id(), new Queued(m.kept(), lain)) == null) {
+                handedOver += m.length();
+                listener.queued(m.id(), this);
+            }
+        } else if (keeps + m.length() > ClientListener.MOST_KEPT || !listener.mayKeep(m.length())) {
+            // Not by reading nothing more: whoever has sent too much would not be seen to leave.
+            write(ViewerMessages.blocked(m.id(), listener.turnedAway().micros() / 1000));
+        } else {
+            setUps.put(m.id(), new Queued(m.kept(), lain));
+            keep(m.length());
+            listener.queued(m.id(), this);
+        }
+    }
+
+    private void keep(int more) {
+        keeps += more;
+        listener.keeps(more);
+    }
+
     private void pause() {
         if (!paused) {
             paused = true;
-            arrivals.paused();
+            received.paused();
             socket.pause();
         }
     }
 
     private void resume() {
-        if (paused && !arrivals.isFull(reader.unread()) && keeps <= ClientListener.MOST_KEPT) {
+        if (paused && !received.isFull(reader.unread())) {
             paused = false;
-            arrivals.resumed(door.front().now());
+            received.resumed(front().now());
             socket.resume();
         }
     }
 
-    /** How long what is being read now may have lain unread. */
+    /* ---- what is queued is begun ---- */
+
+    private void beginLater() {
+        if (!begins && (!handOvers.isEmpty() || mayBegin())) {
+            begins = true;
+            front().later(this::begin);
+        }
+    }
+
+    /** A set-up is begun once all that has come with it is taken apart: its end may stand there. */
+    private boolean mayBegin() {
+        return !setUps.isEmpty() && !closed && !goesOn && !paused;
+    }
+
+    /** Begins what is queued, for one turn's share of time: first what plays already, as the rules count it. */
+    private void begin() {
+        begins = false;
+        Moment until = front().now().plus(TURN);
+        try {
+            while (front().now().before(until) && (!handOvers.isEmpty() || mayBegin())) {
+                Map<Long, Queued> from = handOvers.isEmpty() ? setUps : handOvers;
+                begin(from, from.keySet().iterator().next());
+            }
+        } catch (BadMessage e) {
+            listener.log("unreadable viewer", socket.peer(), e.getMessage());
+            close();
+        }
+        if (!begins && (!handOvers.isEmpty() || mayBegin())) {
+            begins = true;
+            front().after(NEXT_TURN, this::begin);
+        }
+    }
+
+    private void begin(Map<Long, Queued> from, long id) throws BadMessage {
+        Queued q = unqueue(from, id);
+        lain = q.came();
+        front().tick();
+        reader.read(q.message());
+    }
+
+    private Queued unqueue(Map<Long, Queued> from, long id) {
+        Queued q = from.remove(id);
+        if (from == setUps) {
+            keep(-q.message().length());
+        } else {
+            handedOver -= q.message().length();
+        }
+        listener.unqueued(id, this);
+        return q;
+    }
+
+    /** The end of a session has come while its set-up waits here: one handed over is begun now, another never. */
+    void endedUnbegun(long id) {
+        if (setUps.containsKey(id)) {
+            unqueue(setUps, id);
+        }
+        if (handOvers.containsKey(id)) {
+            Moment was = lain;
+            try {
+                begin(handOvers, id);
+            } catch (BadMessage e) {
+                listener.log("unreadable viewer", socket.peer(), e.getMessage());
+            }
+            lain = was;
+        }
+    }
+
+    /** How long what is being begun now may have lain unread. */
     Span lain() {
-        return door.front().now().since(lain);
+        return front().now().since(lain);
     }
 
+    /* ---- its end ---- */
+
     /** Closes it; what waits on it is answered by the close. */
     void close() {
         if (!closed) {
@@ -159,90 +309,140 @@
             return;
         }
         closed = true;
-        door.left(this, guest);
-        List<ClientSession> seats = new ArrayList<>(waiting);
-        if (!seats.isEmpty()) {
-            door.log("connection gone with set-ups open", Texts.id(seats.get(0).id()), seats.size() + " of " + socket.peer());
+        listener.left(this, idle);
+        for (long id : List.copyOf(setUps.keySet())) {
+            unqueue(setUps, id);
+        }
+        // What has come before the close is still heard: ends, and what is handed over, belong to no connection.
+        try {
+            boolean more = true;
+            while (more) {
+                Message m = reader.frame();
+                if (m != null && m.isSetUp() && m.isHandOver()) {
+                    queue(m);
+                } else if (m != null && !m.isSetUp()) {
+                    reader.read(m);
+                }
+                more = m != null || takesNext();
+            }
+        } catch (BadMessage e) {
+            // what follows cannot be read
+        }
+        beginLater();
+        List<ClientSession> sessions = new ArrayList<>(waiting);
+        if (!sessions.isEmpty()) {
+            listener.log("connection gone with set-ups open", Texts.id(sessions.get(0).id()), sessions.size() + " of " + socket.peer());
         }
         waiting.clear();
-        seats.forEach(door::giveUp);
+        sessions.forEach(s -> {
+            keep(-s.length());
+            listener.giveUp(s);
+        });
+        // Their viewer may not have read them: told again elsewhere, where that is still of use.
+        Moment unread = front().now().minus(MAY_BE_UNREAD);
+        told.forEach((id, t) -> {
+            if (!t.at().before(unread)) {
+                listener.release(id, t.cut(), null);
+            }
+        });
+        told.clear();
     }
 
-    void waits(ClientSession seat, int length) {
-        waiting.add(seat);
-        guest.asked();
-        keeps += length;
-        if (keeps > ClientListener.MOST_KEPT) {
-            pause(); // read on once some are answered: memory is not for the sender to fill
-        }
+    /* ---- what is owed here ---- */
+
+    void waits(ClientSession session) {
+        waiting.add(session);
+        idle.asked();
+        keep(session.length());
     }
 
     /** Its viewing plays from here on. */
-    void seated(ClientSession seat) {
-        seat.home(this);
+    void home(ClientSession session) {
+        session.home(this);
     }
 
-    void answer(ClientSession seat, byte[] message) {
-        unwait(seat);
-        if (seat.answerBy().before(door.front().now())) {
-            door.log("answered late", Texts.id(seat.id()), door.front().now().since(seat.answerBy()).micros() / 1000 + " ms");
+    void answer(ClientSession session, byte[] message) {
+        unwait(session);
+        if (session.answerBy().before(front().now())) {
+            listener.log("answered late", Texts.id(session.id()), front().now().since(session.answerBy()).micros() / 1000 + " ms");
         }
         write(message);
         viewers();
     }
 
-    void unwait(ClientSession seat) {
-        if (waiting.remove(seat)) {
-            guest.settled(door.front().now());
-            keeps -= seat.length();
-            resume();
+    void unwait(ClientSession session) {
+        if (waiting.remove(session)) {
+            idle.settled(front().now());
+            keep(-session.length());
         }
     }
 
-    /** Writes, or closes where whoever is there does not read. */
-    void write(byte[] message) {
+    /** Tells that what played is over; false where it cannot be told here. */
+    boolean release(long id, boolean cut) {
+        if (!write(ViewerMessages.over(id, cut))) {
+            return false;
+        }
+        Moment now = front().now();
+        Iterator<Told> oldest = told.values().iterator();
+        while (oldest.hasNext() && (oldest.next().at().plus(MAY_BE_UNREAD).before(now) || told.size() >= MOST_TOLD)) {
+            oldest.remove();
+        }
+        told.put(id, new Told(cut, now));
+        return true;
+    }
+
+    /** Writes, or closes where whoever is there does not read; false where nothing was written. */
+    boolean write(byte[] message) {
         if (closed) {
-            return;
+            return false;
         }
         if (socket.isFull()) {
-            door.log("viewer does not read", socket.peer(), "");
-            door.front().later(this::close);
-            return;
+            listener.log("viewer does not read", socket.peer(), "");
+            front().later(this::close);
+            return false;
         }
         socket.write(message);
+        return true;
+    }
+
+    /** Nothing is open on it and nothing that has come waits here. */
+    boolean rests() {
+        return waiting.isEmpty() && setUps.isEmpty() && handOvers.isEmpty() && !goesOn && !paused;
     }
 
+    /* ---- what its messages say ---- */
+
     @Override
     public void setUp(long id, SetUpForm form) {
-        if (!closed) {
-            door.front().tick();
-            door.setUp(this, id, form);
+        if (!closed || form.at() != null) {
+            listener.setUp(this, id, form);
         }
     }
 
     @Override
     public void ended(long id, int cause) {
-        if (!closed) {
-            door.endedByViewer(id);
-        }
+        listener.endedByViewer(id);
     }
 
     @Override
     public void test(long id) {
-        write(ViewerMessages.tested(id));
-        guest.proven();
+        if (write(ViewerMessages.tested(id))) {
+            idle.proven();
+        }
     }
 
     @Override
     public void unfit(long id, String why) {
-        door.log("unfit set-up", socket.peer(), why);
+        listener.log("unfit set-up", socket.peer(), why);
         write(ViewerMessages.unfit(id));
     }
 
     /** It is viewers': it has been answered, or a viewing that plays was handed over by it. */
     void viewers() {
-        guest.proven();
-        viewers = true;
-        door.viewers(this);
+        if (!closed) {
+            idle.proven();
+            viewers = true;
+            listener.viewers(this);
+        }
     }
 }
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -20,30 +20,36 @@
 final class ClientListener {
     /** Bytes that may wait for a viewer that does not read. */
     static final int MOST_UNREAD = 64 * 1024;
-    /** Descriptions of set-ups that wait on one connection; what passes it is read later. */
+    /** Bytes of set-ups that wait on one connection, and on all; what passes it is turned away at once. */
     static final int MOST_KEPT = 48 * 1024;
+    private static final int MOST_KEPT_IN_ALL = 4 * 1024 * 1024;
     private static final long LONGEST_PATIENCE_MS = 600_000;
     private static final Span SIGN = Span.ofMillis(2200);
     private static final Span RELEASE_KEPT = Span.ofSeconds(8);
     /** As many as the library's loop takes from the listener in one turn. */
     private static final int TAKEN_A_TURN = 16;
+    /** As many as can stand at once. */
     private static final int MOST_RELEASES = 8192;
 
     private record Release(long id, boolean cut, Moment until) {
     }
 
     private final PlatformFront front;
-    private final IdleConnections guests;
+    private final IdleConnections idle;
     private final AcceptBacklog backlog;
     /** Viewings by their ids on the wire; each leaves with its refusal or its end. */
     private final Map<Long, ClientSession> seats = new HashMap<>();
     private final Set<ClientConnection> lines = new LinkedHashSet<>();
+    /** Set-ups that have come and are not begun, by id; each leaves as it is begun, ended or dropped. */
+    private final Map<Long, ClientConnection> queued = new HashMap<>();
+    private int kept;
+    private boolean makesPlace;
     /** Ends that no connection was there for; bounded, and emptied by the next connection or by time. */
     private final ArrayDeque<Release> releases = new ArrayDeque<>();
 
     ClientListener(PlatformFront front, int places) {
         this.front = front;
-        this.guests = new IdleConnections(new IdleConnections.Terms(places, SIGN));
+        this.idle = new IdleConnections(new IdleConnections.Terms(places, SIGN));
         this.backlog = new AcceptBacklog(TAKEN_A_TURN, front.now());
     }
 
@@ -70,21 +76,58 @@
 
     void arrived(Net.Connection socket) {
         backlog.taken();
-        ClientConnection line = new ClientConnection(this, socket, backlog.cameAfter());
-        IdleConnection guest = guests.arrived(line::close, front.now());
-        if (guest == null) {
+        if (idle.isFull()) {
             socket.hears(data -> { }, () -> { });
             socket.close();
             log("no place for a viewer", socket.peer(), "");
             return;
         }
-        line.guest(guest);
+        ClientConnection line = new ClientConnection(this, socket, backlog.cameAfter());
+        line.idle(idle.arrived(line::close, line::rests, front.now()));
         lines.add(line);
+        makePlace();
     }
 
-    void left(ClientConnection line, IdleConnection guest) {
+    /**
+     * Where there are more than there are places some are closed, but only once the loop has read what everybody sent: a
+     * set-up that lies unread on a connection that seems to rest would be lost with it.
+     */
+    private void makePlace() {
+        if (!makesPlace && idle.isOver()) {
+            makesPlace = true;
+            front.later(() -> front.whenRead(() -> {
+                makesPlace = false;
+                if (idle.makePlace() > 0) {
+                    log("no place for a viewer", null, "");
+                }
+            }));
+        }
+    }
+
+    void left(ClientConnection line, IdleConnection one) {
         lines.remove(line);
-        guests.left(guest);
+        idle.left(one);
+    }
+
+    void queued(long id, ClientConnection by) {
+        queued.putIfAbsent(id, by);
+    }
+
+    void unqueued(long id, ClientConnection by) {
+        queued.remove(id, by);
+    }
+
+    void keeps(int more) {
+        kept += more;
+    }
+
+    boolean mayKeep(int more) {
+        return kept + more <= MOST_KEPT_IN_ALL;
+    }
+
+    /** One is turned away before it is taken; returns when to come back. */
+    Span turnedAway() {
+        return front.desk().turnedAway();
     }
 
     /** The loop's beat. */
@@ -93,7 +136,9 @@
     }
 
     void look(Moment now) {
-        guests.look(now);
+        if (!front.isBehind()) {
+            idle.look(now);
+        }
         while (!releases.isEmpty() && releases.peek().until().before(now)) {
             releases.poll();
         }
@@ -126,7 +171,7 @@
             line.viewers();
             ClientSession seat = new ClientSession(this, id, form.pack(), null, null, front.now());
             seats.put(id, seat);
-            seat.home(line);
+            line.home(seat);
             seat.held(front.desk().handOver(ask, Texts.box(form.at()), seat));
             if (seat.held() != null) {
                 front.boxes().stands(seat);
@@ -135,7 +180,7 @@
         }
         ClientSession seat = new ClientSession(this, id, form.pack(), form.description(), line, front.now().plus(ask.patience()));
         seats.put(id, seat);
-        line.waits(seat, form.description().length());
+        line.waits(seat);
         Held held = front.desk().take(ask, seat);
         seat.held(held);
     }
@@ -158,6 +203,10 @@
     }
 
     void endedByViewer(long id) {
+        ClientConnection unbegun = queued.get(id);
+        if (unbegun != null) {
+            unbegun.endedUnbegun(id);
+        }
         ClientSession seat = seats.get(id);
         if (seat != null) {
             giveUp(seat);
@@ -186,29 +235,24 @@
 
     /** A viewing that played is over: its viewer is told on its own connection, or else on any of a viewer's. */
     void release(long id, boolean cut, ClientConnection home) {
-        ClientConnection by = home != null && home.isOpen() ? home : null;
-        if (by == null) {
-            for (ClientConnection l : lines) {
-                if (l.isOpen() && l.isViewers()) {
-                    by = l;
-                    break;
-                }
-            }
+        if (home != null && home.isOpen() && home.release(id, cut)) {
+            return;
         }
-        if (by != null) {
-            by.write(ViewerMessages.over(id, cut));
-        } else {
-            if (releases.size() == MOST_RELEASES) {
-                releases.poll();
+        for (ClientConnection l : lines) {
+            if (l != home && l.isOpen() && l.isViewers() && l.release(id, cut)) {
+                return;
             }
-            releases.add(new Release(id, cut, front.now().plus(RELEASE_KEPT)));
         }
+        if (releases.size() == MOST_RELEASES) {
+            releases.poll();
+        }
+        releases.add(new Release(id, cut, front.now().plus(RELEASE_KEPT)));
     }
 
     /** A connection has shown itself to be viewers': what waited for one is told on it. */
     void viewers(ClientConnection line) {
-        for (Release r = releases.poll(); r != null; r = releases.poll()) {
-            line.write(ViewerMessages.over(r.id(), r.cut()));
+        while (!releases.isEmpty() && line.release(releases.peek().id(), releases.peek().cut())) {
+            releases.poll();
         }
     }
 }
--- a/src/main/java/linengauge/platform/ClientSession.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -82,7 +82,7 @@
 
     @Override
     public void plays(Held vw) {
-        asker.seated(this);
+        asker.home(this);
         settle(ViewerMessages.plays(id, answer));
         answer = null;
         description = null;
--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -1,20 +1,25 @@
 package linengauge.platform;
 
 import java.util.List;
+import java.util.SplittableRandom;
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.JournalFrames;
+import linengauge.session.Backoff;
 import linengauge.session.BoxTable.Row;
 
 /**
- * Follows the journal service. A stream that breaks, or says nothing for clearly longer than its sign of life is apart, is
- * asked for again at once and then with short, bounded pauses, from the last event held.
+ * Follows the journal service. A stream that breaks, skips an event, or brings no whole frame for clearly longer than its sign
+ * of life is apart, is asked for again from the last event held, after pauses that grow, are bounded, and drawn apart from those
+ * of other fronts: they all lose it at one moment.
  */
 final class DiscoveryWatch {
     private static final Span SILENCE = Span.ofMillis(2200);
     private static final Span FIRST_PAUSE = Span.ofMillis(50);
     private static final int MOST_UNREAD = 1024;
+    /** Tells this source of chance from the module's, which has the same seed. */
+    private static final long SALT = 0x6c697374L;
     private static final Span LONGEST_PAUSE = Span.ofMillis(800);
 
     private final PlatformFront front;
@@ -23,12 +28,15 @@
     private Net.Connection socket;
     /** Counts connections tried: what an earlier one still says is passed over. */
     private int turn;
+    private Moment connectedAt;
+    /** When the last whole frame came: what drips and never ends is no sign of life. */
     private Moment heardAt;
-    private Span pause = Span.NONE;
+    private final Backoff pauses;
 
-    DiscoveryWatch(PlatformFront front, String address) {
+    DiscoveryWatch(PlatformFront front, String address, long seed) {
         this.front = front;
         this.address = address;
+        this.pauses = new Backoff(FIRST_PAUSE, LONGEST_PAUSE, new SplittableRandom(seed ^ SALT));
     }
 
     /** An event that was known at the start. */
@@ -40,7 +48,7 @@
     void moved(String to) {
         if (!to.equals(address)) {
             address = to;
-            pause = Span.NONE;
+            pauses.reset();
             connect();
         }
     }
@@ -71,7 +79,8 @@
 
     private void follow(Net.Connection s, int mine) {
         socket = s;
-        heardAt = front.now();
+        connectedAt = front.now();
+        heardAt = connectedAt;
         JournalFrames frames = new JournalFrames((number, whole, rows) -> {
             if (mine == turn) {
                 event(number, whole, rows);
@@ -79,10 +88,13 @@
         });
         s.hears(data -> front.onEvent(() -> {
             if (mine == turn) {
-                heardAt = front.now();
-                pause = Span.NONE;
                 try {
-                    frames.feed(data);
+                    if (frames.feed(data) > 0) {
+                        heardAt = front.now();
+                        if (LONGEST_PAUSE.under(heardAt.since(connectedAt))) {
+                            pauses.reset();
+                        }
+                    }
                 } catch (BadMessage e) {
                     broke(mine, e.getMessage());
                 }
@@ -96,23 +108,21 @@
             return;
         }
         front.log("journal service broke off", address, why);
-        if (pause.equals(Span.NONE)) {
-            pause = FIRST_PAUSE;
-            connect();
-        } else {
-            turn++;
-            front.after(pause, () -> {
-                if (mine + 1 == turn) {
-                    connect();
-                }
-            });
-            pause = pause.times(2).orLess(LONGEST_PAUSE);
+        turn++;
+        if (socket != null) {
+            socket.close();
+            socket = null;
         }
+        front.after(pauses.next(), () -> {
+            if (mine + 1 == turn) {
+                connect();
+            }
+        });
     }
 
     /** To be called some times a second. */
     void look(Moment now) {
-        if (socket != null && SILENCE.under(now.since(heardAt))) {
+        if (socket != null && SILENCE.under(now.since(heardAt)) && !front.isBehind()) {
             front.log("journal service silent", address, "");
             connect();
         }
@@ -123,8 +133,7 @@
             return; // told before
         }
         if (!whole && number != last + 1) {
-            front.log("journal service skipped", address, last + " to " + number);
-            connect();
+            broke(turn, "skipped from " + last + " to " + number);
             return;
         }
         last = number;
--- a/src/main/java/linengauge/platform/Net.java
+++ b/src/main/java/linengauge/platform/Net.java
@@ -63,6 +63,12 @@
     /** Runs the step again and again, so far apart. */
     void every(Span span, Runnable step);
 
-    /** Runs the step as soon as what is under way is over. */
+    /** Runs the step as soon as what is under way is over, and what has come with it has been read. */
     void later(Runnable step);
+
+    /**
+     * Runs the step once all that has been written so far has left the process, or cannot any more; and after the span at
+     * the latest, whoever does not read.
+     */
+    void written(Span atMost, Runnable step);
 }
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -1,7 +1,9 @@
 package linengauge.platform;
 
+import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import linengauge.Moment;
+import linengauge.Policy;
 import linengauge.Span;
 import linengauge.briefing.Briefing;
 import linengauge.platform.keep.EventLoopLag;
@@ -21,10 +23,12 @@
     private static final Span STILL_COMING = Span.ofMillis(750);
     private static final Span LONGEST_STOP = Span.ofSeconds(3);
     private static final Span BEFORE_KILL = Span.ofMillis(500);
-    private static final Span AFTER_LAST_WORD = Span.ofMillis(60);
-    /** No idle bound; and no stand-still of the core's own noticing: each request says how long it may have lain. */
-    private static final Desk.Bounds BOUNDS = new Desk.Bounds(8000, Span.NONE, Span.ofMillis(600), Span.ofMillis(500),
-            Span.ofSeconds(3600), Span.ofMillis(60));
+    /** For its last words to leave: what is left until it could be killed, less what the platform allows every time limit. */
+    private static final Span LAST_WORDS = Span.ofMillis(150);
+    /** What the platform allows for two words that cross. */
+    private static final Span CROSSING = Span.ofMillis(50);
+    private static final Span COME_BACK = Span.ofMillis(600);
+    private static final int MOST_VIEWINGS = 8000;
 
     /** Where it tells what operators should know. */
     public interface Told {
@@ -51,9 +55,14 @@
     private final ClientListener door;
     private final Desk desk;
     private final DiscoveryWatch journal;
+    /** What waits until the loop has read what may have come meanwhile; the next beats empty it. */
+    private final ArrayDeque<Unread> unread = new ArrayDeque<>();
     private Moment now;
     private boolean stopping;
 
+    private record Unread(Moment since, Runnable deed) {
+    }
+
     /** To be made and used where the net's calls run. */
     public PlatformFront(Configuration posting, Net net, Told told) {
         this.posting = posting;
@@ -64,8 +73,11 @@
         DescriptorBudget places = DescriptorBudget.of(posting.descriptors());
         this.boxes = new ServerLinks(this, places.boxes());
         this.door = new ClientListener(this, places.viewers());
-        this.desk = new Desk(posting.briefing().headend(), BOUNDS, posting.seed(), Long.toString(now.micros(), 36), boxes);
-        this.journal = new DiscoveryWatch(this, posting.journal());
+        // No idle bound; and no stand-still of the core's own noticing: each request says how long it may have lain.
+        var bounds = new Desk.Bounds(MOST_VIEWINGS, Span.NONE, COME_BACK.orLess(posting.briefing().headend().permits().longestAdvice()),
+                Span.ofMillis(500), Span.ofSeconds(3600), Policy.ANSWER_MARGIN);
+        this.desk = new Desk(posting.briefing().headend(), bounds, posting.seed(), Long.toString(now.micros(), 36), boxes);
+        this.journal = new DiscoveryWatch(this, posting.journal(), posting.seed());
     }
 
     /** Begins to serve; the outcome is told once: null, or why it cannot. */
@@ -77,6 +89,7 @@
             now = net.now();
             Span since = lag.beat(now);
             door.beat(now);
+            runUnread();
             if (STOOD_STILL.under(since)) {
                 log("stood still", since.micros() / 1000 + " ms", "");
             }
@@ -152,6 +165,31 @@
         return lag.unread(now);
     }
 
+    /** What came longer ago than words may cross may still lie unread. */
+    boolean isBehind() {
+        return CROSSING.under(lag.unread(net.now()));
+    }
+
+    /**
+     * Runs it once the loop has read what may have come longer ago than words may cross: at once where it keeps up, else with
+     * a beat before which it has read again. Guards against acting, in or after a long turn, on what a word that lies unread
+     * has undone: a set-up whose viewer has left, a connection closed under a request. It could hurt by two beats where the
+     * turn was long and nothing had come; it never waits longer, however long the turns are.
+     */
+    void whenRead(Runnable deed) {
+        if (unread.isEmpty() && !isBehind()) {
+            deed.run();
+        } else {
+            unread.add(new Unread(net.now(), deed));
+        }
+    }
+
+    private void runUnread() {
+        while (!unread.isEmpty() && (!isBehind() || lag.hasReadSince(unread.peek().since()))) {
+            onEvent(unread.poll().deed());
+        }
+    }
+
     EventLoopLag lag() {
         return lag;
     }
@@ -205,16 +243,17 @@
         stopping = true;
         tick();
         told.info("told to stop: " + door.viewings() + " viewings, " + door.connections() + " connections");
+        // Killed no sooner than the longest patience (3 s at the most) and 0.7 s from now (docs/protocol/platform.md).
+        Span end = briefing().longestPatience().orLess(LONGEST_STOP).plus(BEFORE_KILL);
         // The listener stays: closing it would close every connection that came by it, with what is owed there.
-        after(STILL_COMING, desk::stopTaking);
-        Span patience = briefing().longestPatience();
-        after(patience.orLess(LONGEST_STOP).orMore(STILL_COMING).plus(BEFORE_KILL), () -> {
+        after(STILL_COMING.orLess(end), desk::stopTaking);
+        after(end, () -> {
             told.info("ending: " + door.viewings() + " viewings, " + door.connections() + " connections, " + boxes.figures()
                     + ", longest turn " + lag.longest().micros() / 1000 + " ms");
             desk.endAll();
             told.info("ended: " + door.viewings() + " viewings, " + door.connections() + " connections, " + door.untold()
                     + " ends untold");
-            net.after(AFTER_LAST_WORD, () -> told.over("", null));
+            net.written(LAST_WORDS, () -> told.over("", null));
         });
     }
 }
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -9,12 +9,16 @@
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.BoxLines;
 import linengauge.platform.keep.Line;
+import linengauge.platform.keep.SpentIds;
 import linengauge.session.Carrier.Wake;
 import linengauge.session.Held;
 
 /** One connection to a media box, from being tried until it has closed. */
 final class ServerConnection implements BoxLines.Heard {
     private static final int MOST_UNREAD = 256 * 1024;
+    private static final int MOST_SPENT = 2048;
+    /** Longer than anything of an attempt is on its way: as long as the platform gives to release what has ended. */
+    private static final Span SPENT_KEPT = Span.ofSeconds(8);
 
     /** How it ended: closed by either side, or never there. */
     private enum Gone { CLOSED, NOT_REACHED, REFUSED }
@@ -37,6 +41,7 @@
     private final int closingsWhenBegun;
     private final BoxLines reader = new BoxLines(this);
     private final Map<Long, Out> outs = new LinkedHashMap<>();
+    private final SpentIds spent = new SpentIds(MOST_SPENT, SPENT_KEPT);
     /** Tests whose result is waited for, with their timers. */
     private final Map<Long, Wake> tests = new LinkedHashMap<>();
     private Net.Connection socket;
@@ -107,10 +112,15 @@
         line.up(front().now());
         s.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(() -> gone(Gone.CLOSED)));
         link.up(this);
-        for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
-            front().tick();
-            send(o.getKey(), o.getValue());
-        }
+        // What came while it was dialled is read first: a viewer may have left meanwhile.
+        front().later(() -> {
+            for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
+                if (!o.getValue().written) {
+                    front().tick();
+                    send(o.getKey(), o.getValue());
+                }
+            }
+        });
         for (long id : List.copyOf(tests.keySet())) {
             write(BoxLines.test(id));
         }
@@ -145,6 +155,11 @@
 
     /* ---- what is sent ---- */
 
+    /** Whether an attempt of that id was here before: what still comes of it could be taken for an answer to another. */
+    boolean hasSpent(long id) {
+        return spent.has(id, front().now());
+    }
+
     void setUp(Held vw, int tuneIn) {
         Out out = new Out(vw, tuneIn);
         outs.put(((ClientSession) vw.viewer()).id(), out);
@@ -153,7 +168,16 @@
         }
     }
 
+    /** The one place that set-ups leave by: once the loop has read what may end them. */
     private void send(long id, Out out) {
+        front().whenRead(() -> {
+            if (outs.get(id) == out && isUp()) {
+                leave(id, out);
+            }
+        });
+    }
+
+    private void leave(long id, Out out) {
         if (!out.held.sendable(out.tuneIn)) {
             outs.remove(id, out);
             front().later(() -> out.held.failed(out.tuneIn, Ending.NEVER_SENT));
@@ -161,6 +185,7 @@
         }
         out.written = true;
         out.writtenAt = front().now();
+        spent.add(id, out.writtenAt);
         ClientSession seat = (ClientSession) out.held.viewer();
         write(BoxLines.setUp(id, seat.pack(), out.held.ask().title(), Math.max(1, out.held.waitLeft().micros() / 1000),
                 out.held.rungNow(), seat.description()));
@@ -224,7 +249,7 @@
         link.reported(load);
         Out out = outs.get(id);
         if (out == null || !out.written) {
-            link.ended(id, BoxLines.played(cause));
+            link.ended(id, BoxLines.played(cause), this);
             return;
         }
         outs.remove(id);
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -57,8 +57,9 @@
     /* ---- what the core wants ---- */
 
     void setUp(Held vw, int tuneIn) {
-        ServerConnection w = wire();
-        if (w == null) {
+        long id = ((ClientSession) vw.viewer()).id();
+        ServerConnection w = connection(id);
+        if (w == null || w.hasSpent(id)) {
             front().later(() -> vw.failed(tuneIn, Ending.NEVER_SENT));
         } else {
             w.setUp(vw, tuneIn);
@@ -66,7 +67,7 @@
     }
 
     void probe() {
-        ServerConnection w = wire();
+        ServerConnection w = connection(0);
         if (w == null) {
             front().later(() -> front().desk().probed(box, false));
         } else {
@@ -85,8 +86,8 @@
                 return;
             }
         }
-        over(seat.id());
-        if (!reach.lost(front().now())) {
+        // One that was never written is not said to be over.
+        if (over(seat.id()) != null && !reach.lost(front().now())) {
             say(BoxLines.end(seat.id()));
         }
     }
@@ -95,7 +96,7 @@
         standing.put(seat.id(), seat);
         Ending how = earlyEnds.take(seat.id());
         if (how != null) {
-            front().later(() -> ended(seat.id(), how));
+            front().later(() -> ended(seat.id(), how, null));
             return;
         }
         if (wires.isEmpty()) {
@@ -126,20 +127,23 @@
         }
     }
 
-    /** The connection with the fewest set-ups and tests out that takes more, or null. */
-    private ServerConnection leastLoaded() {
+    /** The connection with the fewest set-ups and tests out that takes more, best one that has not had that id; or null. */
+    private ServerConnection leastLoaded(long id) {
         ServerConnection least = null;
         for (ServerConnection w : wires) {
-            least = w.isRetired() || least != null && w.load() >= least.load() ? least : w;
+            if (!w.isRetired() && (least == null || least.hasSpent(id) && !w.hasSpent(id)
+                    || least.hasSpent(id) == w.hasSpent(id) && w.load() < least.load())) {
+                least = w;
+            }
         }
         return least;
     }
 
-    /** A connection for one more set-up or test: one with none open, else a new one, else the one with the fewest. */
-    private ServerConnection wire() {
-        ServerConnection least = leastLoaded();
+    /** A connection for one more attempt or test: one with none open, else a new one, else the one with the fewest. */
+    private ServerConnection connection(long id) {
+        ServerConnection least = leastLoaded(id);
         long usable = wires.stream().filter(w -> !w.isRetired()).count();
-        if (least != null && (least.load() == 0 || usable >= MOST_WIRES)) {
+        if (least != null && (least.load() == 0 && !least.hasSpent(id) || usable >= MOST_WIRES)) {
             return least;
         }
         ServerConnection fresh = open();
@@ -201,8 +205,8 @@
         if (!standing.isEmpty()) {
             front().log("box lost", box, why + ", " + standing.size() + " viewings");
             for (ClientSession seat : List.copyOf(standing.values())) {
+                seat.held().boxLost(); // taken back at the box, which ends it here
                 over(seat.id());
-                seat.held().boxLost();
             }
             front().desk().lostSight(box);
         }
@@ -226,7 +230,12 @@
         return seat;
     }
 
-    void ended(long id, Ending how) {
+    /** The box says on that connection (null: before its handing over) that an attempt or a viewing is over. */
+    void ended(long id, Ending how, ServerConnection by) {
+        ClientSession stands = standing.get(id);
+        if (by != null && by.hasSpent(id) && stands != null && stands.wire() != null && stands.wire() != by) {
+            return; // of an earlier attempt: a box says what concerns a session on the connection of its set-up while that is open
+        }
         ClientSession seat = over(id);
         if (seat == null) {
             earlyEnds.heard(id, how, front().now());
@@ -299,7 +308,7 @@
         }
         if (!standing.isEmpty() && !coming) {
             if (usable > 0 && reach.wantsTest(now)) {
-                leastLoaded().ask(links.testId());
+                leastLoaded(0).ask(links.testId());
             }
             if (reach.wantsConnection(usable, now)) {
                 open();
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -87,12 +87,9 @@
     @Override
     public void setUp(Held vw, int tuneIn) {
         BoxTable.Entry box = vw.box();
-        if (tuneIn == 0) {
-            link(box).setUp(vw, tuneIn);
-            return;
-        }
         // Guards against two out at once: what ends the one before may have been written while its connection was being read,
-        // and leaves only as that reading is over, where this one would leave at once on another connection.
+        // and leaves only as that reading is over, where this one would leave at once on another connection. And against one
+        // for a viewer whose end has come with what is being read now.
         front.later(() -> {
             if (vw.waitsFor(tuneIn)) {
                 link(box).setUp(vw, tuneIn);
--- a/src/main/java/linengauge/platform/Service.java
+++ b/src/main/java/linengauge/platform/Service.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import linengauge.briefing.BadBriefing;
 import linengauge.carry.Sparse;
 import org.slf4j.Logger;
@@ -17,6 +18,8 @@
     private final VertxNet net;
     private final Sparse sparse = new Sparse(LOG);
     private final CompletableFuture<String> over = new CompletableFuture<>();
+    private final Object reload = new Object();
+    private final AtomicBoolean reloadWaits = new AtomicBoolean();
     private PlatformFront front;
 
     Service(Path file, Configuration posting) {
@@ -84,16 +87,31 @@
         net.onLoop(() -> front.stop());
     }
 
-    /** On a thread of the signal's: a file that cannot be used leaves what is in force. */
+    /**
+     * On a thread of the signal's: a file that cannot be used leaves what is in force. Each signal has a thread of its own; one
+     * reads at a time and hands over what it read before the next one reads, so that what is applied last was read last. One that
+     * waits for that reads for all that came meanwhile.
+     */
     void postedAnew() {
-        try {
-            Configuration anew = Configuration.read(file);
-            net.onLoop(() -> front.postedAnew(anew));
-        } catch (BadBriefing e) {
-            net.onLoop(() -> warn("new configuration not used", file.getFileName(), e.getMessage()));
+        if (reloadWaits.getAndSet(true)) {
+            return;
+        }
+        synchronized (reload) {
+            reloadWaits.set(false);
+            try {
+                Configuration anew = Configuration.read(file);
+                net.onLoop(() -> front.postedAnew(anew));
+            } catch (BadBriefing e) {
+                net.onLoop(() -> warn("new configuration not used", file.getFileName(), e.getMessage()));
+            }
         }
     }
 
+    /** Runs it on the front's loop, which does nothing else meanwhile. */
+    void onLoop(Runnable deed) {
+        net.onLoop(deed);
+    }
+
     @Override
     public void warn(String kind, Object about, String detail) {
         sparse.warn(kind, about + (detail.isEmpty() ? "" : ": " + detail), detail);
--- a/src/main/java/linengauge/platform/VertxNet.java
+++ b/src/main/java/linengauge/platform/VertxNet.java
@@ -19,17 +19,23 @@
 
 /** Sockets and timers on one event loop. */
 final class VertxNet implements Net {
+    /** Where the settings give no time for dialling. */
+    private static final Span UNLIMITED_DIAL = Span.ofSeconds(1);
+
     private final Vertx vertx;
     private final Context loop;
     private final NetClient client;
     private final NetServer server;
+    /** Messages that have not left the process yet, and what waits for that; on the loop alone. */
+    private long unwritten;
+    private Runnable onceWritten;
 
     VertxNet(Span dial) {
         this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
                 .setFileSystemOptions(new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
         this.loop = vertx.getOrCreateContext();
         this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setReconnectAttempts(0)
-                .setConnectTimeout((int) Math.max(50, dial.micros() / 1000)));
+                .setConnectTimeout((int) ms(dial.equals(Span.NONE) ? UNLIMITED_DIAL : dial)));
         this.server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024).setTcpNoDelay(true)
                 .setReuseAddress(true));
     }
@@ -86,12 +92,37 @@
         vertx.runOnContext(v -> step.run());
     }
 
+    @Override
+    public void written(Span atMost, Runnable step) {
+        boolean[] done = {false};
+        Runnable once = () -> {
+            if (!done[0]) {
+                done[0] = true;
+                step.run();
+            }
+        };
+        onceWritten = once;
+        after(atMost, once);
+        later(this::leftOne);
+    }
+
+    private void leftOne() {
+        if (unwritten == 0 && onceWritten != null) {
+            Runnable step = onceWritten;
+            onceWritten = null;
+            step.run();
+        }
+    }
+
     private static long ms(Span span) {
         return Math.max(1, (span.micros() + 999) / 1000);
     }
 
-    private record Socket(NetSocket socket, int mostUnread) implements Connection {
-        private Socket {
+    private final class Socket implements Connection {
+        private final NetSocket socket;
+
+        private Socket(NetSocket socket, int mostUnread) {
+            this.socket = socket;
             socket.setWriteQueueMaxSize(mostUnread);
             socket.exceptionHandler(e -> { }); // the close that follows says all
         }
@@ -104,7 +135,11 @@
 
         @Override
         public void write(byte[] message) {
-            socket.write(Buffer.buffer(message));
+            unwritten++;
+            socket.write(Buffer.buffer(message)).onComplete(left -> {
+                unwritten--;
+                leftOne();
+            });
         }
 
         @Override
--- a/src/main/java/linengauge/platform/codec/JournalFrames.java
+++ b/src/main/java/linengauge/platform/codec/JournalFrames.java
@@ -34,8 +34,9 @@
         return ByteBuffer.allocate(8).putLong(last).array();
     }
 
-    /** Reads on. Throws at a frame that cannot be one. */
-    public void feed(byte[] data) throws BadMessage {
+    /** Reads on; returns how many frames ended. Throws at a frame that cannot be one. */
+    public int feed(byte[] data) throws BadMessage {
+        int ended = 0;
         byte[] all = data;
         if (part.length > 0) {
             all = Arrays.copyOf(part, part.length + data.length);
@@ -51,9 +52,11 @@
                 break;
             }
             frame(ByteBuffer.wrap(all, at + 4, length));
+            ended++;
             at += 4 + length;
         }
         part = Arrays.copyOfRange(all, at, all.length);
+        return ended;
     }
 
     private void frame(ByteBuffer f) throws BadMessage {
--- a/src/main/java/linengauge/platform/codec/ViewerMessages.java
+++ b/src/main/java/linengauge/platform/codec/ViewerMessages.java
@@ -19,6 +19,7 @@
     private static final int SET_UP = 1;
     private static final int ANSWER = 9;
     private static final int END = 12;
+    private static final int HEARD = 16;
     private static final int TEST = 52;
     private static final int TESTED = 53;
     private static final int PACKAGE = 33;
@@ -71,27 +72,98 @@
         at = 0;
     }
 
-    /** Reads one message; false where none has come whole. Throws where bytes cannot be messages: the connection is of no
-     * further use. */
-    public boolean next() throws BadMessage {
-        if (come.length - at < 2) {
+    /** One whole message as it came, not looked into beyond its type and id. */
+    public static final class Message {
+        private final int type;
+        private final long id;
+        private final byte[] bytes;
+        private final int from;
+        private final int length;
+
+        private Message(byte[] bytes, int from, int length) {
+            ByteBuffer head = ByteBuffer.wrap(bytes, from, length);
+            this.type = head.get() & 0xff;
+            this.id = head.getLong();
+            this.bytes = bytes;
+            this.from = from;
+            this.length = length;
+        }
+
+        public long id() {
+            return id;
+        }
+
+        public int length() {
+            return length;
+        }
+
+        public boolean isSetUp() {
+            return type == SET_UP;
+        }
+
+        /** The release of a session was heard. */
+        public boolean isHeard() {
+            return type == HEARD;
+        }
+
+        /** A set-up of what plays already: its figures name a server. */
+        public boolean isHandOver() {
+            ByteBuffer m = ByteBuffer.wrap(bytes, from + LEAST, length - LEAST);
+            while (type == SET_UP && m.remaining() >= 3) {
+                int code = m.get() & 0xff;
+                int size = m.getShort() & 0xffff;
+                if (size > m.remaining()) {
+                    return false;
+                }
+                if (code == FIGURES) {
+                    String figures = new String(bytes, m.position(), size, StandardCharsets.ISO_8859_1);
+                    return figures.startsWith("at:") || figures.contains(";at:");
+                }
+                m.position(m.position() + size);
+            }
             return false;
         }
+
+        /** The same, apart from what came with it. */
+        public Message kept() {
+            return new Message(Arrays.copyOfRange(bytes, from, from + length), 0, length);
+        }
+    }
+
+    /** The next message that has come whole, or null. Throws where bytes cannot be messages: the connection is of no further
+     * use. */
+    public Message frame() throws BadMessage {
+        if (come.length - at < 2) {
+            return null;
+        }
         int length = (come[at] & 0xff) << 8 | come[at + 1] & 0xff;
         if (length < LEAST || length + 2 > MOST) {
             throw new BadMessage("a message of " + length + " bytes");
         }
         if (come.length - at < 2 + length) {
-            return false;
+            return null;
         }
-        int from = at + 2;
-        at = from + length;
-        message(ByteBuffer.wrap(come, from, length));
+        Message m = new Message(come, at + 2, length);
+        at += 2 + length;
         if (at == come.length) {
             come = new byte[0];
             at = 0;
         }
-        return true;
+        return m;
+    }
+
+    /** Looks into a message and tells what it says. */
+    public void read(Message m) throws BadMessage {
+        message(ByteBuffer.wrap(m.bytes, m.from, m.length));
+    }
+
+    /** Reads one message; false where none has come whole. */
+    public boolean next() throws BadMessage {
+        Message m = frame();
+        if (m != null) {
+            read(m);
+        }
+        return m != null;
     }
 
     /** Takes it and reads on; returns how many messages ended. */
--- a/src/main/java/linengauge/platform/keep/EventLoopLag.java
+++ b/src/main/java/linengauge/platform/keep/EventLoopLag.java
@@ -31,6 +31,11 @@
         return !now.since(last).under(least) || !last.since(before).under(least) && !last.before(since);
     }
 
+    /** Whether what had come by that moment has been read: two beats have passed, and the loop read between them. */
+    public boolean hasReadSince(Moment asked) {
+        return !before.before(asked);
+    }
+
     /** The longest span between two beats so far: how long anything has had to wait for its turn. */
     public Span longest() {
         return longest;
--- a/src/main/java/linengauge/platform/keep/IdleConnection.java
+++ b/src/main/java/linengauge/platform/keep/IdleConnection.java
@@ -1,10 +1,13 @@
 package linengauge.platform.keep;
 
+import java.util.function.BooleanSupplier;
 import linengauge.Moment;
 
-/** One viewers' connection, as far as the door must judge it; what happens on it is a call here. */
+/** One viewers' connection, as far as the listener must judge it; what happens on it is a call here. */
 public final class IdleConnection {
     private final Runnable close;
+    /** Nothing that has come on it waits to be begun. */
+    private final BooleanSupplier nothingQueued;
     private final Moment came;
     private int open;
     /** It has been given an answer, or holds a viewing that was handed over: it is what it seems to be. */
@@ -14,8 +17,9 @@
     private Moment restsSince;
     private boolean wasOverdue;
 
-    IdleConnection(Runnable close, Moment came) {
+    IdleConnection(Runnable close, BooleanSupplier nothingQueued, Moment came) {
         this.close = close;
+        this.nothingQueued = nothingQueued;
         this.came = came;
         this.restsSince = came;
     }
@@ -51,7 +55,7 @@
     }
 
     boolean rests() {
-        return open == 0;
+        return open == 0 && nothingQueued.getAsBoolean();
     }
 
     /** Overdue now and when this was last asked. */
--- a/src/main/java/linengauge/platform/keep/IdleConnections.java
+++ b/src/main/java/linengauge/platform/keep/IdleConnections.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import linengauge.Moment;
 import linengauge.Span;
 
@@ -17,44 +18,65 @@
     public record Terms(int places, Span sign) {
     }
 
+    /** Beyond the places, for as long as it takes to read what everybody sent; the process's own descriptors bear it. */
+    private static final int MOST_OVER = 16;
+
     private final Terms terms;
-    /** Bounded by the places; each leaves when its connection closes. */
-    private final Set<IdleConnection> guests = new LinkedHashSet<>();
+    /** Bounded by the places and {@link #isFull}; each leaves when its connection closes. */
+    private final Set<IdleConnection> all = new LinkedHashSet<>();
 
     public IdleConnections(Terms terms) {
         this.terms = terms;
     }
 
     public int size() {
-        return guests.size();
+        return all.size();
+    }
+
+    /** A connection came; where there are more than places, {@link #makePlace} is to be asked for. */
+    public IdleConnection arrived(Runnable close, BooleanSupplier nothingQueued, Moment now) {
+        IdleConnection one = new IdleConnection(close, nothingQueued, now);
+        all.add(one);
+        return one;
+    }
+
+    /** More than may wait for a place: the next one that comes is closed at once. */
+    public boolean isFull() {
+        return all.size() >= terms.places() + MOST_OVER;
+    }
+
+    public boolean isOver() {
+        return all.size() > terms.places();
     }
 
     /**
-     * A connection came; null where it must be closed at once. Where places are short the one goes that has rested longest,
-     * those that have never been answered first; where every one has a set-up open the newest goes.
+     * Where there are more than places those go that have rested longest, those that have never been answered first, the
+     * newest of all at last; where every one has a set-up open the newest goes. Returns how many went with a set-up open.
      */
-    public IdleConnection arrived(Runnable close, Moment now) {
-        if (guests.size() >= terms.places()) {
+    public int makePlace() {
+        int open = 0;
+        while (isOver()) {
+            IdleConnection newest = null;
             IdleConnection least = null;
-            for (IdleConnection g : guests) {
-                if (g.rests() && (least == null || least.isProven() && !g.isProven()
-                        || least.isProven() == g.isProven() && g.restsSince().before(least.restsSince()))) {
-                    least = g;
+            int left = all.size();
+            for (IdleConnection one : all) {
+                newest = one;
+                boolean last = --left == 0; // it has had no turn of its own yet in which to ask
+                if (one.rests() && !last && (least == null || least.isProven() && !one.isProven()
+                        || least.isProven() == one.isProven() && one.restsSince().before(least.restsSince()))) {
+                    least = one;
                 }
             }
-            if (least == null) {
-                return null;
-            }
-            guests.remove(least);
-            least.close().run();
+            IdleConnection goes = least == null ? newest : least;
+            open += least == null ? 1 : 0;
+            all.remove(goes);
+            goes.close().run();
         }
-        IdleConnection g = new IdleConnection(close, now);
-        guests.add(g);
-        return g;
+        return open;
     }
 
-    public void left(IdleConnection g) {
-        guests.remove(g);
+    public void left(IdleConnection one) {
+        all.remove(one);
     }
 
     /**
@@ -63,12 +85,12 @@
      */
     public void look(Moment now) {
         List<IdleConnection> over = new ArrayList<>();
-        for (IdleConnection g : guests) {
-            if (g.overdueAgain(terms, now)) {
-                over.add(g);
+        for (IdleConnection one : all) {
+            if (one.overdueAgain(terms, now)) {
+                over.add(one);
             }
         }
-        guests.removeAll(over);
-        over.forEach(g -> g.close().run());
+        all.removeAll(over);
+        over.forEach(one -> one.close().run());
     }
 }
--- a/src/main/java/linengauge/rehearsal/FrontNet.java
+++ b/src/main/java/linengauge/rehearsal/FrontNet.java
@@ -146,4 +146,9 @@
     public void later(Runnable step) {
         host.event(step);
     }
+
+    @Override
+    public void written(Span atMost, Runnable step) {
+        later(step); // what is written here leaves at once
+    }
 }
--- a/src/main/java/linengauge/session/BoxTable.java
+++ b/src/main/java/linengauge/session/BoxTable.java
@@ -36,6 +36,8 @@
         private Row row;
         /** When the box itself says that it started; later than the list's word where that is late. */
         private Moment startedTold = Moment.DISTANT_PAST;
+        /** How often it was heard to have started anew, or lost from sight: what was chosen before is chosen again. */
+        private int lives;
 
         private Entry(long id, Consumer<Entry> prober) {
             this.id = id;
@@ -58,6 +60,15 @@
             return state;
         }
 
+        int lives() {
+            return lives;
+        }
+
+        /** It may have started anew. */
+        void lostSight() {
+            lives++;
+        }
+
         @Override
         public void probe() {
             prober.accept(this);
@@ -124,6 +135,7 @@
 
     private void put(Entry e, Row row) {
         e.address = row.address() == null ? e.address : row.address();
+        e.lives += e.row != null && e.row.startedAt().orLater(e.startedTold).before(row.startedAt()) ? 1 : 0;
         switch (row.state()) {
             case SERVING -> e.handle.serving(row.weight(), row.cell(), row.kind(), row.building(),
                     row.startedAt().orLater(e.startedTold));
@@ -147,6 +159,7 @@
         Moment known = e.row == null ? e.startedTold : e.row.startedAt().orLater(e.startedTold);
         if (known.plus(slack).before(at)) {
             e.startedTold = at;
+            e.lives++;
             if (e.state == State.SERVING) {
                 put(e, e.row);
             }
--- a/src/main/java/linengauge/session/Desk.java
+++ b/src/main/java/linengauge/session/Desk.java
@@ -128,13 +128,21 @@
 
     /* ---- viewers ---- */
 
+    /** A request is turned away before it is taken, for want of room; returns when to come back. */
+    public Span turnedAway() {
+        counts.turnedAwayFull++;
+        counts.blocked++;
+        return bounds.advice();
+    }
+
     /**
      * Takes a request for a viewing; the viewer gets its one answer within the patience asked for. Null where the
      * answer, blocked, has been given already.
      */
     public Held take(Held.Ask ask, Viewer viewer) {
         Span unseen = standStill.unseen(now);
-        Span patience = ask.patience().minus(unseen).minus(bounds.answerMargin());
+        Span margin = bounds.answerMargin().orLess(ask.patience().times(Policy.MARGIN_PART));
+        Span patience = ask.patience().minus(unseen).minus(margin);
         Held before = ask.key() == null ? null : byKey.get(ask.key());
         boolean full = held.size() >= bounds.viewings();
         if (stopping || broken || full || !Span.NONE.under(patience) || before != null && !before.isPlaying()) {
@@ -255,7 +263,10 @@
 
     /** A box with which this front was in touch cannot be reached: it may come back cold before the list says so. */
     public void lostSight(BoxTable.Entry box) {
-        call(() -> box.handle().probed(false));
+        call(() -> {
+            box.lostSight();
+            box.handle().probed(false);
+        });
     }
 
     public void probed(BoxTable.Entry box, boolean answered) {
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -20,6 +20,10 @@
     private Policy.Viewing handle;
     /** Until when the tune-in that is out is waited for. */
     private Moment waitEnds = Moment.DISTANT_PAST;
+    /** When the module chose the box of the tune-in that is out. */
+    private Moment chosenAt = Moment.DISTANT_PAST;
+    /** Which life of it, as heard then. */
+    private int lifeChosen;
     private BoxTable.Entry at;
     private int rung;
     private int tuneIns;
@@ -115,7 +119,9 @@
         out = true;
         sent = false;
         int n = tuneIns++;
-        waitEnds = desk.now().plus(timeout);
+        chosenAt = desk.now();
+        lifeChosen = at.lives();
+        waitEnds = chosenAt.plus(timeout);
         desk.carrier().setUp(this, n);
         timeOut = desk.wake(timeout, () -> {
             if (waitsFor(n)) {
@@ -180,11 +186,14 @@
 
     /**
      * The last gate, to be asked at once before a set-up is written: it is still waited for, the box has not been heard
-     * to drain or be gone while it waited for a connection, and the viewer is still there. After a yes it counts as sent.
+     * to drain or be gone while it waited for a connection, and the viewer is still there. And it was chosen lately: guards
+     * against a front that stood still between choice and sending, where what was chosen before would leave together with
+     * what is chosen after, and for a box that was warm then and has been heard to start since. After a yes it counts as sent.
      */
     public boolean sendable(int tuneIn) {
         boolean may = waitsFor(tuneIn) && !answered && at.state() == BoxTable.State.SERVING
-                && desk.now().before(patienceEnds);
+                && desk.now().before(patienceEnds) && desk.now().since(chosenAt).under(Policy.UNTIL_SENT)
+                && at.lives() == lifeChosen;
         sent |= may;
         return may;
     }
