--- a/src/main/java/linengauge/rehearsal/FleetDay.java
+++ b/src/main/java/linengauge/rehearsal/FleetDay.java
@@ -7,6 +7,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.LongUnaryOperator;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.briefing.BadBriefing;
@@ -50,6 +53,13 @@
         }
     }
 
+    /** What things are called: the cheap class and the dear one, zones, and servers by their number. Nothing may hang on it. */
+    public record Names(String cheap, String dear, String zonePrefix, LongUnaryOperator server) {
+        public static Names usual() {
+            return new Names("lesson", "review", "z", n -> 0x100000L + n * 977L);
+        }
+    }
+
     /**
      * What a day came to: the judge's verdict, counts by name until the last viewer came, the longest turn of any front, the record; and the fronts' tables
      * half way, as the last viewer came, and once all is over.
@@ -81,6 +91,7 @@
     }
 
     private final Size size;
+    private final Names names;
     private final SplittableRandom chance;
     private final Clockwork clock = new Clockwork(BEGIN);
     private final Ledger ledger;
@@ -96,14 +107,19 @@
     private int journals;
 
     public FleetDay(Size size, long seed) {
+        this(size, seed, Names.usual());
+    }
+
+    public FleetDay(Size size, long seed, Names names) {
         this.size = size;
+        this.names = names;
         this.chance = new SplittableRandom(seed);
         this.ledger = new Ledger(clock);
-        ledger.saw("terms", "packages", List.of(pack("lesson"), pack("review")), "drainGraceMs", 1000, "coldMs",
+        ledger.saw("terms", "packages", List.of(pack(names.cheap()), pack(names.dear())), "drainGraceMs", 1000, "coldMs",
                 COLD.micros() / 1000, "startCapacity", START_CAPACITY, "fallMultiple", 2.5, "fallAfterMs", 1500, "furtherFree", 0,
                 "furtherShare", 0, "furtherMs", 0, "slackMs", 500);
         this.roads = new Roads(clock, Span.ofMillis(250));
-        this.list = new ListModel(clock, ledger);
+        this.list = new ListModel(clock, ledger, names.zonePrefix());
         roads.open(journal(), list);
         this.viewers = new Viewers(this, size.fronts());
         int shelves = Math.max(1, size.boxes() / BOXES_A_RACK);
@@ -174,7 +190,7 @@
     }
 
     private BoxModel newBox(int cell, String address, Moment startedAt) {
-        BoxModel box = new BoxModel(this, 0x100000L + boxes.size() * 977L, address, cell, cell % ZONES, racks.get(cell % racks.size()),
+        BoxModel box = new BoxModel(this, names.server().applyAsLong(boxes.size()), address, cell, cell % ZONES, racks.get(cell % racks.size()),
                 linkKb * (0.8 + 0.4 * chance.nextDouble()), startedAt);
         boxes.add(box);
         roads.open(address, box);
@@ -205,14 +221,22 @@
                 + "\"places\":%d,\"placesByKind\":[%d],\"rateFactor\":[0.7,1.4],\"seeUs\":300000,\"shelves\":%d,\"uplinkKb\":%f,"
                 + "\"weightKb\":%f,\"worthByRung\":[0.16,0.4,0.61,0.81,1]},\"guarantees\":{\"coldUs\":%d,\"drainGraceUs\":1000000,"
                 + "\"fallMultiple\":2.5,\"startCapacity\":%f,\"tipAfterUs\":1500000},\"kinds\":[\"box\"],"
-                + "\"loadReport\":{\"fields\":[\"outstanding\",\"x0\",\"x1\"],\"how\":\"pull\"},\"localities\":[\"z0\",\"z1\",\"z2\"],"
+                + "\"loadReport\":{\"fields\":[\"outstanding\",\"x0\",\"x1\"],\"how\":\"pull\"},\"localities\":[%s],"
                 + "\"policyLimits\":{\"dialTimeoutUs\":250000,\"idleCloseUs\":30000000,\"maxAttempts\":3,\"maxRetryAfterUs\":2000000,"
                 + "\"peers\":false,\"probing\":true,\"retryAfter\":true},\"requestClasses\":["
-                + "{\"aimUs\":280000,\"deadlineUs\":%d,\"idempotency\":\"safe\",\"name\":\"lesson\",\"worth\":1},"
-                + "{\"aimUs\":350000,\"deadlineUs\":%d,\"idempotency\":\"safe\",\"name\":\"review\",\"worth\":3}],\"weights\":\"rough\"}}",
+                + "{\"aimUs\":280000,\"deadlineUs\":%d,\"idempotency\":\"safe\",\"name\":\"%s\",\"worth\":1},"
+                + "{\"aimUs\":350000,\"deadlineUs\":%d,\"idempotency\":\"safe\",\"name\":\"%s\",\"worth\":3}],\"weights\":\"rough\"}}",
                 number, address(number), chance.nextLong(), journal(), list.known(), size.fronts(), number, number % ZONES,
                 linkKb * size.boxes(), size.boxes(), STREAMS, racks.size(), 0.68 * linkKb * size.boxes() / racks.size(), KB_PER_WEIGHT,
-                COLD.micros(), START_CAPACITY, PATIENCE.micros(), PATIENCE.micros());
+                COLD.micros(), START_CAPACITY, zones(), PATIENCE.micros(), names.cheap(), PATIENCE.micros(), names.dear());
+    }
+
+    private String zones() {
+        return IntStream.range(0, ZONES).mapToObj(z -> "\"" + names.zonePrefix() + z + "\"").collect(Collectors.joining(","));
+    }
+
+    Names names() {
+        return names;
     }
 
     private void start(int number) {
--- a/src/main/java/linengauge/rehearsal/ListModel.java
+++ b/src/main/java/linengauge/rehearsal/ListModel.java
@@ -24,7 +24,10 @@
     private final List<Reader> readers = new ArrayList<>();
     private Span late = Span.ofMillis(300);
 
-    ListModel(Clockwork clock, Ledger ledger) {
+    private final String zonePrefix;
+
+    ListModel(Clockwork clock, Ledger ledger, String zonePrefix) {
+        this.zonePrefix = zonePrefix;
         this.clock = clock;
         this.ledger = ledger;
         this.host = Host.idle(clock);
@@ -105,8 +108,8 @@
             ByteBuffer b = ByteBuffer.wrap(r);
             if (b.get(10) < 2) {
                 rows.append(rows.length() == 0 ? "" : ",").append(String.format("{\"uid\":\"s-%08x\",\"endpoint\":\"%d.%d.%d.%d:%d\","
-                        + "\"az\":\"z%d\",\"model\":\"box\",\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%.3f,\"boot_ms\":%d}",
-                        b.getInt(0), r[4] & 0xff, r[5] & 0xff, r[6] & 0xff, r[7] & 0xff, b.getShort(8) & 0xffff, r[11], b.getShort(13),
+                        + "\"az\":\"%s%d\",\"model\":\"box\",\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%.3f,\"boot_ms\":%d}",
+                        b.getInt(0), r[4] & 0xff, r[5] & 0xff, r[6] & 0xff, r[7] & 0xff, b.getShort(8) & 0xffff, zonePrefix, r[11], b.getShort(13),
                         WORDS[r[10]], b.getInt(15) / 1000.0, b.getLong(19)));
             }
         });
--- a/src/main/java/linengauge/rehearsal/Shape.java
+++ b/src/main/java/linengauge/rehearsal/Shape.java
@@ -61,7 +61,11 @@
 
     /** A day of this shape, not yet played. */
     public FleetDay day(FleetDay.Size size, long seed) {
-        FleetDay day = new FleetDay(size, seed);
+        return day(size, seed, FleetDay.Names.usual());
+    }
+
+    public FleetDay day(FleetDay.Size size, long seed, FleetDay.Names names) {
+        FleetDay day = new FleetDay(size, seed, names);
         troubles.accept(day);
         return day;
     }
--- a/src/main/java/linengauge/rehearsal/Viewers.java
+++ b/src/main/java/linengauge/rehearsal/Viewers.java
@@ -142,7 +142,7 @@
             this.title = String.format("%016x", 0x7f00L + titleNumber);
             this.home = titleNumber * 7 % day.cells();
             this.copies = 3 + titleNumber % 4;
-            this.pack = dear ? "review" : "lesson";
+            this.pack = dear ? day.names().dear() : day.names().cheap();
             this.worth = dear ? 3 : 1;
             this.rateFactor = dear ? 1.4 : 0.7;
             this.wantedUntil = clock.now().plus(length);
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -174,9 +174,15 @@
     private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at.equals(b.at)
             ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
     private long number;
-    Moment now = new Moment(1_000_000_000L);
+    Moment now;
 
     Stage(Headend headend, long seed, int boxCount) {
+        this(headend, seed, boxCount, new Moment(1_000_000_000L));
+    }
+
+    /** One that starts at that moment. */
+    Stage(Headend headend, long seed, int boxCount, Moment begun) {
+        this.now = begun;
         this.headend = headend;
         this.policy = new Policy(headend, seed, this);
         policy.clock(now);
--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -7,7 +7,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import linengauge.Moment;
 import linengauge.Span;
@@ -377,6 +379,63 @@
         }
     }
 
+    /* ---- answers cut, doubled and spoilt ---- */
+
+    /** Cut at every byte, and the connection closed by the box, by a reset, or left open: one answer, and never a spoilt one. */
+    @Test
+    void anAnswerCutAtAnyByteIsPassedOnWholeOrNotAtAll() throws Exception {
+        byte[] line = ("{\"verb\":\"STARTED\",\"tag\":\"" + tag(7) + "\",\"opts\":{},\"blob\":\"made for it\"}\n")
+                .getBytes(StandardCharsets.UTF_8);
+        for (int cut = 0; cut <= line.length; cut++) {
+            for (boolean closes : new boolean[] {true, false}) {
+                PaperNet net = quick();
+                Line viewers = net.viewers();
+                viewers.comes(setUp(7));
+                net.settle();
+                Line first = net.box(box(net));
+                first.comes(Arrays.copyOf(line, cut));
+                if (closes) {
+                    first.breaks();
+                }
+                net.pass(Span.ofMillis(100));
+                for (Line l : net.lines) {
+                    if (l != first && !l.over && l.setUps.contains(7L)) {
+                        l.comes(line);
+                    }
+                }
+                net.pass(Span.ofSeconds(3));
+                assertEquals(1, viewers.types.size(), "cut at " + cut + ", closes " + closes + ": " + viewers.types);
+                boolean played = viewers.types.get(0) == 9;
+                assertTrue(!played || viewers.lastLength == 11 + 3 + "made for it".length(), "cut at " + cut);
+                assertTrue(cut < line.length || played, "it was whole");
+            }
+        }
+    }
+
+    /** A second copy of a refusal comes while another attempt is out, and one of an answer after the session's end. */
+    @Test
+    void aSecondCopyOfWhatEndedAnAttemptProvesNothingOfTheNext() throws Exception {
+        PaperNet net = quick();
+        Line viewers = net.viewers();
+        viewers.comes(setUp(7));
+        net.settle();
+        Line first = net.lines.stream().filter(l -> l.setUps.contains(7L)).findFirst().orElseThrow();
+        first.comes(finish(7, 34));
+        net.pass(Span.ofMillis(300));
+        Line second = net.lines.stream().filter(l -> l != first && l.setUps.contains(7L)).findFirst().orElseThrow();
+        net.setUps.clear();
+        first.comes(finish(7, 34));
+        net.pass(Span.ofMillis(50));
+        assertEquals(List.of(), net.setUps, "the next attempt is out still");
+        second.comes("{\"verb\":\"STARTED\",\"tag\":\"" + tag(7) + "\",\"opts\":{},\"blob\":\"b\"}");
+        net.settle();
+        assertEquals(List.of(9), viewers.types);
+        first.comes(finish(7, 34));
+        second.comes("{\"verb\":\"STARTED\",\"tag\":\"" + tag(7) + "\",\"opts\":{},\"blob\":\"b\"}");
+        net.pass(Span.ofMillis(50));
+        assertEquals(List.of(9), viewers.types, "it plays on");
+    }
+
     /* ---- the list watch ---- */
 
     private static byte[] frame(long number, byte[]... records) {
--- a/src/test/java/linengauge/rehearsal/FleetDayTest.java
+++ b/src/test/java/linengauge/rehearsal/FleetDayTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToIntFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import linengauge.Span;
 import linengauge.platform.PlatformFront.Figures;
 import linengauge.rules.Judge;
@@ -38,6 +40,36 @@
         assertEquals(play(Shape.HERD, 40, 3).record(), play(Shape.HERD, 40, 3).record());
     }
 
+    /** The same day, class names exchanged and all names others, in another order: every front decides the same. */
+    @ParameterizedTest
+    @EnumSource(names = {"ROLL", "SPLIT", "JOIN"})
+    void whatClassesZonesAndServersAreCalledDecidesNothing(Shape shape) throws Exception {
+        FleetDay.Size u = FleetDay.Size.usual();
+        FleetDay.Size size = new FleetDay.Size(20, 24, u.length(), 60, u.firstStep(), u.warmStep(), u.stepsToWarm());
+        FleetDay.Names usual = FleetDay.Names.usual();
+        FleetDay.Names other = new FleetDay.Names("review", "lesson", "hall-", n -> 0xfff00000L - n * 7919L);
+        List<String> record = shape.day(size, 6, usual).play().record();
+        List<String> named = shape.day(size, 6, other).play().record();
+        assertEquals(record.size(), named.size());
+        for (int i = 0; i < record.size(); i++) {
+            assertEquals(unnamed(record.get(i), usual), unnamed(named.get(i), other));
+        }
+        assertTrue(record.stream().filter(l -> l.contains("\"set-up\"")).count() > 500);
+    }
+
+    private static String unnamed(String line, FleetDay.Names names) {
+        String l = line.replace("\"" + names.cheap() + "\"", "\"cheap class\"").replace("\"" + names.dear() + "\"", "\"dear class\"");
+        Matcher m = Pattern.compile("\"box\":(\\d+)").matcher(l);
+        return m.replaceAll(found -> {
+            long id = Long.parseLong(found.group(1));
+            long number = 0;
+            while (names.server().applyAsLong(number) != id) {
+                number++;
+            }
+            return "\"box\":" + number;
+        });
+    }
+
     /** What each front does about silence adds up: a new connection to each silent box each 2.5 s were five a viewing. */
     @Test
     void onACalmDayConnectionsAndTestsStayUnderOneAndTwoAViewing() throws Exception {
