A loop counts as behind until it has read on for three beats after a long turn

Cause: EventLoopLag.unread took what came before the last beat but one for read, but a connection's bytes are read in one turn, its close in the next, and what that puts off runs in the third; after a long turn beats follow each other, one a turn, so two of them had passed too early. Now: in a long turn (over the 50 ms that words may cross), and for three beats after it. Tests for guards that had none: set-ups wait until all that came is taken apart, and where every connection is spent no attempt is made.

--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -60,7 +60,7 @@
     private Moment now;
     private boolean stopping;
 
-    private record Unread(Moment since, Runnable deed) {
+    private record Unread(long beat, Runnable deed) {
     }
 
     /** To be made and used where the net's calls run. */
@@ -69,7 +69,7 @@
         this.net = net;
         this.told = told;
         this.now = net.now();
-        this.lag = new EventLoopLag(now);
+        this.lag = new EventLoopLag(CROSSING, now);
         DescriptorBudget places = DescriptorBudget.of(posting.descriptors());
         this.boxes = new ServerLinks(this, places.boxes());
         this.door = new ClientListener(this, places.viewers());
@@ -167,25 +167,25 @@
 
     /** What came longer ago than words may cross may still lie unread. */
     boolean isBehind() {
-        return CROSSING.under(lag.unread(net.now()));
+        return lag.isBehind(net.now());
     }
 
     /**
-     * Runs it once the loop has read what may have come longer ago than words may cross: at once where it keeps up, else with
-     * a beat before which it has read again. Guards against acting, in or after a long turn, on what a word that lies unread
-     * has undone: a set-up whose viewer has left, a connection closed under a request. It could hurt by two beats where the
-     * turn was long and nothing had come; it never waits longer, however long the turns are.
+     * Runs it once the loop has read what may have come longer ago than words may cross: at once where it keeps up, else some
+     * beats later, which after a long turn follow each other, one a turn. Guards against acting, in or after a long turn, on
+     * what a word that lies unread has undone: a set-up whose viewer has left, a connection closed under a request. It could
+     * hurt by those beats where the turn was long and nothing had come; it never waits longer, however long the turns are.
      */
     void whenRead(Runnable deed) {
         if (unread.isEmpty() && !isBehind()) {
             deed.run();
         } else {
-            unread.add(new Unread(net.now(), deed));
+            unread.add(new Unread(lag.beats(), deed));
         }
     }
 
     private void runUnread() {
-        while (!unread.isEmpty() && (!isBehind() || lag.hasReadSince(unread.peek().since()))) {
+        while (!unread.isEmpty() && (!isBehind() || lag.hasReadSince(unread.peek().beat()))) {
             onEvent(unread.poll().deed());
         }
     }
--- a/src/main/java/linengauge/platform/keep/EventLoopLag.java
+++ b/src/main/java/linengauge/platform/keep/EventLoopLag.java
@@ -9,11 +9,22 @@
  * It could hurt where a turn was long and the request came at its end: it is answered sooner than it need be.
  */
 public final class EventLoopLag {
+    /**
+     * Turns in which a loop has read all that lay on a connection: its bytes in one, its close in the next, and what is put off
+     * by that runs in the third.
+     */
+    private static final int READS = 3;
+
+    private final Span longTurn;
     private Moment last;
     private Moment before;
     private Span longest = Span.NONE;
+    private long beats;
+    private long beatOfLongTurn = -READS;
 
-    public EventLoopLag(Moment now) {
+    /** Words that came longer ago than in a long turn may have been undone by others that lie unread. */
+    public EventLoopLag(Span longTurn, Moment now) {
+        this.longTurn = longTurn;
         this.last = now;
         this.before = now;
     }
@@ -23,6 +34,8 @@
         before = last;
         last = now;
         longest = longest.orMore(last.since(before));
+        beats++;
+        beatOfLongTurn = longTurn.under(last.since(before)) ? beats : beatOfLongTurn;
         return last.since(before);
     }
 
@@ -31,9 +44,19 @@
         return !now.since(last).under(least) || !last.since(before).under(least) && !last.before(since);
     }
 
-    /** Whether what had come by that moment has been read: two beats have passed, and the loop read between them. */
-    public boolean hasReadSince(Moment asked) {
-        return !before.before(asked);
+    /** Whether what came longer ago than in a long turn may still lie unread: in one, or too few beats after it. */
+    public boolean isBehind(Moment now) {
+        return beats - beatOfLongTurn < READS || longTurn.under(now.since(last));
+    }
+
+    /** The number of the latest beat, for {@link #hasReadSince}. */
+    public long beats() {
+        return beats;
+    }
+
+    /** Whether what had come as that beat was the latest has been read. */
+    public boolean hasReadSince(long beat) {
+        return beats - beat >= READS;
     }
 
     /** The longest span between two beats so far: how long anything has had to wait for its turn. */
--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -143,6 +143,16 @@
         assertTrue(net.setUps.contains(100L));
     }
 
+    /** So many that taking them apart takes more than a turn: none is begun before all that came is taken apart. */
+    @Test
+    void anEndThatIsTakenApartTurnsLaterIsHeardBeforeItsSetUpIsBegun() throws Exception {
+        PaperNet net = PaperNet.front();
+        net.step = Span.ofMillis(1);
+        net.viewers().comes(join(many(100, 350), end(100)));
+        noneSent(net, 100);
+        assertTrue(net.setUps.contains(101L));
+    }
+
     @Test
     void whoSendsTooMuchIsTurnedAwayAtOnceAndStillSeenToLeave() throws Exception {
         PaperNet net = PaperNet.front();
@@ -230,7 +240,7 @@
         String at = box(net);
         net.done.clear();
         Line other = net.viewers();
-        other.comes(join(many(100, 200), end(7)));
+        other.comes(join(many(100, 350), end(7))); // more than is taken apart in a turn
         other.breaks();
         net.pass(Span.ofMillis(100));
         assertEquals(1, count(net, "end " + at), "its box would play on for nobody: " + net.done);
@@ -379,6 +389,26 @@
         }
     }
 
+    /** Where every connection that may be had carries an earlier attempt of that id, none is made rather than one that is doubted. */
+    @Test
+    void whereEveryConnectionIsSpentNoAttemptIsMade() throws Exception {
+        PaperNet net = PaperNet.front(text -> text.replace("\"maxAttempts\":3", "\"maxAttempts\":9").replace("\"probing\":true",
+                "\"probing\":false"));
+        net.pass(Span.ofSeconds(3));
+        String at = net.setUpOut();
+        net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
+        for (int i = 0; i < 12; i++) {
+            net.lines.stream().filter(l -> l.to.equals(at) && !l.over && l.setUps.contains(7L)).reduce((a, b) -> b).orElseThrow()
+                    .comes(finish(7, 34));
+            net.pass(Span.ofMillis(5));
+        }
+        List<Line> used = net.lines.stream().filter(l -> l.to.equals(at)).toList();
+        assertEquals(4, used.size());
+        used.forEach(l -> assertEquals(List.of(7L), l.setUps, "one attempt a connection"));
+        net.pass(Span.ofSeconds(2));
+        assertEquals(List.of(7L), net.viewersLines.get(0).released, "refused once, as it never ran");
+    }
+
     /* ---- answers cut, doubled and spoilt ---- */
 
     /** Cut at every byte, and the connection closed by the box, by a reset, or left open: one answer, and never a spoilt one. */
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -186,7 +186,7 @@
     /** A turn of half a second leaves a request read in the next one that much less of its patience. */
     @Test
     void whatABusyLoopReadsMayHaveWaitedForTwoTurns() {
-        EventLoopLag lag = new EventLoopLag(at(0));
+        EventLoopLag lag = new EventLoopLag(Span.ofMillis(50), at(0));
         lag.beat(at(20));
         lag.beat(at(40));
         assertEquals(Span.ofMillis(25), lag.unread(at(45)));
@@ -197,6 +197,23 @@
         assertEquals(Span.ofMillis(25), lag.unread(at(545)));
     }
 
+    /** What lay on a connection is read in several turns: its bytes in one, its close in the next. */
+    @Test
+    void aLoopIsBehindInALongTurnAndForSomeBeatsAfterIt() {
+        EventLoopLag lag = new EventLoopLag(Span.ofMillis(50), at(0));
+        lag.beat(at(20));
+        assertFalse(lag.isBehind(at(70)));
+        assertTrue(lag.isBehind(at(71)));
+        long asked = lag.beats();
+        lag.beat(at(140));
+        for (int t = 141; t < 144; t++) {
+            assertTrue(lag.isBehind(at(t)));
+            assertEquals(t == 143, lag.hasReadSince(asked), "beat at " + (t - 1));
+            lag.beat(at(t)); // those that were missed follow each other
+        }
+        assertFalse(lag.isBehind(at(144)));
+    }
+
     @Test
     void anEndThatOvertakesTheHandingOverIsKeptForAWhileAndTakenOnce() {
         EarlyEnds ends = new EarlyEnds(2, Span.ofMillis(8000));
@@ -235,7 +252,7 @@
 
     @Test
     void aStandStillOfTheFrontBetweenAskingAndNowIsSeen() {
-        EventLoopLag lag = new EventLoopLag(at(0));
+        EventLoopLag lag = new EventLoopLag(Span.ofMillis(50), at(0));
         lag.beat(at(20));
         lag.beat(at(40));
         assertFalse(lag.heldUp(Span.ofMillis(150), at(0), at(60)));
