--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -130,9 +130,7 @@
     }
 
     void look(Moment now) {
-        if (!front.isBehind()) {
-            idle.look(now);
-        }
+        idle.look(now);
         while (!releases.isEmpty() && releases.peek().until().before(now)) {
             releases.poll();
         }
