--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -171,7 +171,7 @@
     /** The one place that set-ups leave by: once the loop has read what may end them. */
     private void send(long id, Out out) {
         front().whenRead(() -> {
-            if (outs.get(id) == out && isUp()) {
+            if (outs.get(id) == out && !out.written && isUp()) {
                 leave(id, out);
             }
         });
--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -230,6 +230,22 @@
         }
     }
 
+    /** Made between the dial's coming up and what that puts off, in a loop that is behind: it waited there twice. */
+    @Test
+    void aSetUpThatCrossesItsConnectionsComingUpLeavesOnce() throws Exception {
+        PaperNet net = PaperNet.front(text -> text.replace("\"probing\":true", "\"probing\":false"));
+        net.gone("127.0.0.1:4");
+        net.dialsHang = true;
+        net.viewers().comes(handOver(50, "127.0.0.1:3"));
+        net.settle();
+        net.standsStill(Span.ofMillis(400));
+        net.viewers().comes(setUp(7));
+        net.settleOne();
+        net.dialsComeUp();
+        net.pass(Span.ofMillis(200));
+        assertEquals(List.of(7L), net.setUps);
+    }
+
     /* ---- words that came before a close ---- */
 
     @Test
--- a/src/test/java/linengauge/platform/PaperNet.java
+++ b/src/test/java/linengauge/platform/PaperNet.java
@@ -225,6 +225,11 @@
         assertTrue(done.contains(end) && done.indexOf(end) < done.indexOf(setUps.get(0)), done.toString());
     }
 
+    /** What was put off first runs, and nothing else. */
+    void settleOne() {
+        later.poll().run();
+    }
+
     /** What was put off runs. */
     void settle() {
         while (!later.isEmpty()) {
