--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -352,6 +352,29 @@
         assertEquals(10 + 3 + 2, s.viewers.stream().mapToInt(v -> v.tuneIns).sum());
     }
 
+    /** A set-up may leave half a second after its choice: the window of what has left must hold, not that of the choices. */
+    @Test
+    void furtherTuneInsStayWithinTheirBudgetHoweverLateTheyLeave() {
+        Stage s = new Stage(Stage.place(2, false, false, Span.ofSeconds(5), PLAIN), 7, 4);
+        for (int i = 0; i < 4; i++) {
+            refused(s);
+        }
+        int before = s.viewers.stream().mapToInt(v -> v.tuneIns).sum();
+        assertEquals(4 + 3, before, "the three that are free");
+        s.pass(Span.ofMillis(5100));
+        assertEquals(1, refused(s), "those three may have left a tenth of a second ago");
+        s.pass(Span.ofMillis(500));
+        assertTrue(refused(s) > 1);
+    }
+
+    private static int refused(Stage s) {
+        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+        while (v.out != null) {
+            v.ends(Outside.Ending.TURNED_AWAY);
+        }
+        return v.tuneIns;
+    }
+
     @Test
     void aFrontThatHasJustStartedSendsNothingToAColdBox() {
         Stage s = new Stage(Stage.place(1, false, false, Span.NONE, PLAIN), 7, 1);
--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -227,6 +227,7 @@
                 viewers.comes(end(7));
             }
             noneSent(net, 7);
+            assertEquals(0, net.done.stream().filter(d -> d.startsWith("end")).count(), "what never left is not said to be over");
         }
     }
 
--- a/src/test/java/linengauge/platform/CrossingProcessesTest.java
+++ b/src/test/java/linengauge/platform/CrossingProcessesTest.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -158,6 +159,9 @@
         try (var out = Files.newOutputStream(file)) { // opens once the process reads
             signal("TERM");
             signal("HUP");
+            Path other = dir.resolve("other");
+            assertEquals(0, new ProcessBuilder("mkfifo", other.toString()).start().waitFor());
+            Files.move(other, file, StandardCopyOption.REPLACE_EXISTING); // a file that never comes: the reload waits for ever
             out.write(configuration().getBytes());
         }
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
--- a/src/test/java/linengauge/session/CoreStage.java
+++ b/src/test/java/linengauge/session/CoreStage.java
@@ -281,6 +281,11 @@
                 .replace('\'', '"') + "}");
     }
 
+    /** Set-ups that left for boxes with that number among their viewing's. */
+    long setUpsLeft(int tuneIn) {
+        return record.stream().filter(l -> l.contains("\"set-up\"") && l.contains("\"tuneIn\":" + tuneIn + ",")).count();
+    }
+
     void later(Span span, Runnable deed) {
         queue.add(new Due(now.plus(span), number++, deed));
     }
--- a/src/test/java/linengauge/session/DeskTest.java
+++ b/src/test/java/linengauge/session/DeskTest.java
@@ -90,6 +90,24 @@
         assertEquals(1, s.fronts.get(0).desk.counts().turnedAwayFull);
     }
 
+    /** What was chosen before a stand-still would leave together with what is chosen after it. */
+    @Test
+    void aSetUpChosenLongBeforeItCouldLeaveIsChosenAgain() {
+        for (boolean stands : new boolean[] {false, true}) {
+            CoreStage s = stage();
+            CoreStage.Front f = s.fronts.get(0);
+            f.holdBack = true; // as a dial does: it leaves 0.3 s after its choice
+            f.ask(0, "t", PATIENCE, null);
+            s.pass(Span.ofMillis(100));
+            if (stands) {
+                f.stopFor(Span.ofMillis(600));
+            }
+            s.pass(Span.ofMillis(1500));
+            assertEquals(stands ? 0 : 1, s.setUpsLeft(0));
+            assertEquals(stands ? 1 : 0, s.setUpsLeft(1), "chosen again, with what is known then");
+        }
+    }
+
     @Test
     void aDrainHeardWhileASetUpWaitsForItsConnectionKeepsItBack() {
         CoreStage s = stage();
