--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -231,6 +231,19 @@
         }
     }
 
+    /** Chosen, and put off until the turn's reading is over; its viewer leaves in between. */
+    @Test
+    void anEndBetweenChoiceAndSendingLeavesNothingToSayToTheBox() throws Exception {
+        PaperNet net = quick();
+        Line viewers = net.viewers();
+        net.done.clear();
+        viewers.comes(setUp(7));
+        net.settleOne();
+        viewers.comes(end(7));
+        net.pass(Span.ofMillis(300));
+        assertEquals(List.of(), net.done.stream().filter(d -> d.startsWith("set-up") || d.startsWith("end")).toList());
+    }
+
     /** Made between the dial's coming up and what that puts off, in a loop that is behind: it waited there twice. */
     @Test
     void aSetUpThatCrossesItsConnectionsComingUpLeavesOnce() throws Exception {
