--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -243,10 +243,11 @@
         stopping = true;
         tick();
         told.info("told to stop: " + door.viewings() + " viewings, " + door.connections() + " connections");
-        // Killed no sooner than the longest patience (3 s at the most) and 0.7 s from now (docs/protocol/platform.md).
-        Span end = briefing().longestPatience().orLess(LONGEST_STOP).plus(BEFORE_KILL);
+        // Killed no sooner than the longest patience (3 s at the most) and 0.7 s from now (docs/protocol/platform.md); where that is
+        // short it may come before this end: all is answered by then, and what plays is handed to the next life.
+        Span end = briefing().longestPatience().orLess(LONGEST_STOP).orMore(STILL_COMING).plus(BEFORE_KILL);
         // The listener stays: closing it would close every connection that came by it, with what is owed there.
-        after(STILL_COMING.orLess(end), desk::stopTaking);
+        after(STILL_COMING, desk::stopTaking);
         after(end, () -> {
             told.info("ending: " + door.viewings() + " viewings, " + door.connections() + " connections, " + boxes.figures()
                     + ", longest turn " + lag.longest().micros() / 1000 + " ms");
