--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -23,8 +23,13 @@
     private static final Span STILL_COMING = Span.ofMillis(750);
     private static final Span LONGEST_STOP = Span.ofSeconds(3);
     private static final Span BEFORE_KILL = Span.ofMillis(500);
-    /** For its last words to leave: what is left until it could be killed, less what the platform allows every time limit. */
-    private static final Span LAST_WORDS = Span.ofMillis(150);
+    /** For its last words to leave, at the most; with what follows less than is left until it could be killed. */
+    private static final Span LAST_WORDS = Span.ofMillis(90);
+    /**
+     * For peers to read them. Guards against the process's end over bytes that peers have sent meanwhile: the system resets such
+     * a connection, and what the peer has not read is lost with it.
+     */
+    private static final Span AFTER_LAST_WORD = Span.ofMillis(60);
     /** What the platform allows for two words that cross. */
     private static final Span CROSSING = Span.ofMillis(50);
     private static final Span COME_BACK = Span.ofMillis(600);
@@ -254,7 +259,7 @@
             desk.endAll();
             told.info("ended: " + door.viewings() + " viewings, " + door.connections() + " connections, " + door.untold()
                     + " ends untold");
-            net.written(LAST_WORDS, () -> told.over("", null));
+            net.written(LAST_WORDS, () -> net.after(AFTER_LAST_WORD, () -> told.over("", null)));
         });
     }
 }
