What waits for the loop's reading runs in shares of a turn: the fall of reload

Cause: the gate of sends ran all that waited in one beat. In a front just started, hundreds of set-ups by viewers who had lost their sessions made that beat a long turn, after which all that came next waited three beats again, and were given up unsent. Lines: PlatformFront.runUnread. It takes three turns now, not beats, by a timer of its own, 10 ms a turn at the most, and after 50 ms one reading must do.

--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -32,6 +32,9 @@
     private static final Span AFTER_LAST_WORD = Span.ofMillis(60);
     /** What the platform allows for two words that cross. */
     private static final Span CROSSING = Span.ofMillis(50);
+    /** What may run in one turn of what waits, and the next one. */
+    private static final Span TURN = Span.ofMillis(10);
+    private static final Span NEXT_TURN = Span.ofMillis(1);
     private static final Span COME_BACK = Span.ofMillis(600);
     private static final int MOST_VIEWINGS = 8000;
 
@@ -60,12 +63,15 @@
     private final ClientListener door;
     private final Desk desk;
     private final DiscoveryWatch journal;
-    /** What waits until the loop has read what may have come meanwhile; the next beats empty it. */
+    /** What waits until the loop has read what may have come meanwhile; the next turns empty it. */
     private final ArrayDeque<Unread> unread = new ArrayDeque<>();
     private Moment now;
     private boolean stopping;
+    /** Turns in which something waited there. */
+    private long turns;
+    private boolean turnComes;
 
-    private record Unread(long beat, Runnable deed) {
+    private record Unread(long turn, Moment since, Runnable deed) {
     }
 
     /** To be made and used where the net's calls run. */
@@ -94,7 +100,6 @@
             now = net.now();
             Span since = lag.beat(now);
             door.beat(now);
-            runUnread();
             if (STOOD_STILL.under(since)) {
                 log("stood still", since.micros() / 1000 + " ms", "");
             }
@@ -177,22 +182,37 @@
 
     /**
      * Runs it once the loop has read what may have come longer ago than words may cross: at once where it keeps up, else some
-     * beats later, which after a long turn follow each other, one a turn. Guards against acting, in or after a long turn, on
-     * what a word that lies unread has undone: a set-up whose viewer has left, a connection closed under a request. It could
-     * hurt by those beats where the turn was long and nothing had come; it never waits longer, however long the turns are.
+     * turns later. Guards against acting, in or after a long turn, on what a word that lies unread has undone: a set-up whose
+     * viewer has left, a connection closed under a request. What waits runs in shares of a turn, so that it makes no long turn
+     * itself. It could hurt by those turns where nothing had come; where they are long, one reading after 50 ms must do.
      */
     void whenRead(Runnable deed) {
         if (unread.isEmpty() && !isBehind()) {
             deed.run();
         } else {
-            unread.add(new Unread(lag.beats(), deed));
+            unread.add(new Unread(turns, net.now(), deed));
+            turnForUnread();
+        }
+    }
+
+    private void turnForUnread() {
+        if (!turnComes) {
+            turnComes = true;
+            net.after(NEXT_TURN, this::runUnread); // by a timer: what is merely put off runs before the loop reads
         }
     }
 
     private void runUnread() {
-        while (!unread.isEmpty() && (!isBehind() || lag.hasReadSince(unread.peek().beat()))) {
+        turnComes = false;
+        turns++;
+        Moment begun = net.now();
+        while (!unread.isEmpty() && net.now().before(begun.plus(TURN)) && (unread.peek().turn() + EventLoopLag.READS <= turns
+                || !begun.before(unread.peek().since().plus(CROSSING)))) {
             onEvent(unread.poll().deed());
         }
+        if (!unread.isEmpty()) {
+            turnForUnread();
+        }
     }
 
     EventLoopLag lag() {
--- a/src/main/java/linengauge/platform/keep/EventLoopLag.java
+++ b/src/main/java/linengauge/platform/keep/EventLoopLag.java
@@ -13,7 +13,7 @@
      * Turns in which a loop has read all that lay on a connection: its bytes in one, its close in the next, and what is put off
      * by that runs in the third.
      */
-    private static final int READS = 3;
+    public static final int READS = 3;
 
     private final Span longTurn;
     private Moment last;
@@ -49,16 +49,6 @@
         return beats - beatOfLongTurn < READS || longTurn.under(now.since(last));
     }
 
-    /** The number of the latest beat, for {@link #hasReadSince}. */
-    public long beats() {
-        return beats;
-    }
-
-    /** Whether what had come as that beat was the latest has been read. */
-    public boolean hasReadSince(long beat) {
-        return beats - beat >= READS;
-    }
-
     /** The longest span between two beats so far: how long anything has had to wait for its turn. */
     public Span longest() {
         return longest;
--- a/src/test/java/linengauge/platform/PaperNet.java
+++ b/src/test/java/linengauge/platform/PaperNet.java
@@ -242,6 +242,15 @@
         now = now.plus(span);
     }
 
+    /** The next timer that is due runs, with what it puts off. */
+    void passOne() {
+        settle();
+        Timer t = timers.poll();
+        now = now.orLater(t.at);
+        t.deed.run();
+        settle();
+    }
+
     /** Time goes by, and what is due runs. */
     void pass(Span span) {
         settle();
