--- a/src/bench/java/linengauge/flow/WatchBench.java
+++ b/src/bench/java/linengauge/flow/WatchBench.java
@@ -17,7 +17,10 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 
-/** The cost of accounting: for one chunk relayed, for one transfer, and for one look at so many peers that stir. */
+/**
+ * The cost of accounting: for one chunk relayed, for one transfer, and for one look at so many
+ * peers that stir.
+ */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
@@ -25,71 +28,84 @@
 @Measurement(iterations = 5, time = 1)
 @Fork(1)
 public class WatchBench {
-    @Param({"10", "1000"})
-    public int stirring;
+  @Param({"10", "1000"})
+  public int stirring;
 
-    private OwnTime time;
-    private Watch watch;
-    private Account viewer;
-    private Account box;
-    private Moment now = new Moment(0);
+  private OwnTime time;
+  private Watch watch;
+  private Account viewer;
+  private Account box;
+  private Moment now = new Moment(0);
 
-    /** Takes all at once. */
-    private static final class Taker implements Account.Peer {
-        @Override
-        public long waiting() {
-            return 0;
-        }
+  /** Takes all at once. */
+  private static final class Taker implements Account.Peer {
+    @Override
+    public long waiting() {
+      return 0;
+    }
 
-        @Override
-        public void letGo(Account account) {
-        }
+    @Override
+    public void letGo(Account account) {}
 
-        @Override
-        public void moved() {
-        }
+    @Override
+    public void moved() {}
 
-        @Override
-        public void goOn() {
-        }
-    }
+    @Override
+    public void goOn() {}
+  }
 
-    @Setup
-    public void open() {
-        FlowTerms terms = new FlowTerms(true, Span.ofMillis(100), Span.ofMillis(200), Span.ofSeconds(8), Span.ofSeconds(4),
-                Span.ofSeconds(3), 0.75, 0.1, 1L << 27, 65_536, 4096, 8192, 5000, Span.ofSeconds(5), 10, 4);
-        time = new OwnTime(terms.beat(), terms.late());
-        watch = new Watch(terms, time);
-        List<Account> all = new ArrayList<>();
-        for (int i = 0; i < stirring; i++) {
-            all.add(watch.open(Account.Side.VIEWER, new Taker()));
-            all.get(i).begins(22_500);
-        }
-        viewer = all.get(0);
-        box = watch.open(Account.Side.BOX, new Taker());
-        box.begins(10_000);
-        box.wanted(true);
+  @Setup
+  public void open() {
+    FlowTerms terms =
+        new FlowTerms(
+            true,
+            Span.ofMillis(100),
+            Span.ofMillis(200),
+            Span.ofSeconds(8),
+            Span.ofSeconds(4),
+            Span.ofSeconds(3),
+            0.75,
+            0.1,
+            1L << 27,
+            65_536,
+            4096,
+            8192,
+            5000,
+            Span.ofSeconds(5),
+            10,
+            4);
+    time = new OwnTime(terms.beat(), terms.late());
+    watch = new Watch(terms, time);
+    List<Account> all = new ArrayList<>();
+    for (int i = 0; i < stirring; i++) {
+      all.add(watch.open(Account.Side.VIEWER, new Taker()));
+      all.get(i).begins(22_500);
     }
+    viewer = all.get(0);
+    box = watch.open(Account.Side.BOX, new Taker());
+    box.begins(10_000);
+    box.wanted(true);
+  }
 
-    @Benchmark
-    public boolean chunk() {
-        box.came(8192);
-        return viewer.queued(8192);
-    }
+  @Benchmark
+  public boolean chunk() {
+    box.came(8192);
+    return viewer.queued(8192);
+  }
 
-    @Benchmark
-    public void transfer() {
-        Account b = watch.open(Account.Side.BOX, new Taker());
-        b.begins(10_000);
-        b.wanted(true);
-        viewer.begins(22_500);
-        viewer.ends();
-        b.close();
-    }
+  @Benchmark
+  public void transfer() {
+    Account b = watch.open(Account.Side.BOX, new Taker());
+    b.begins(10_000);
+    b.wanted(true);
+    viewer.begins(22_500);
+    viewer.ends();
+    b.close();
+  }
 
-    @Benchmark
-    public void look() {
-        now = now.plus(Span.ofMillis(100));
-        watch.look(time.beat(now));
-    }
+  @Benchmark
+  public void look() {
+    now = now.plus(Span.ofMillis(100));
+    watch.look(time.beat(now));
+  }
 }
--- a/src/bench/java/linengauge/session/DeskBench.java
+++ b/src/bench/java/linengauge/session/DeskBench.java
@@ -21,7 +21,9 @@
 import org.openjdk.jmh.annotations.State;
 import org.openjdk.jmh.annotations.Warmup;
 
-/** The core's cost of one viewing from request to end, beside how many boxes and viewings it holds. */
+/**
+ * The core's cost of one viewing from request to end, beside how many boxes and viewings it holds.
+ */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -29,118 +31,142 @@
 @Measurement(iterations = 5, time = 1)
 @Fork(2)
 public class DeskBench {
-    @Param({"30", "300"})
-    public int boxes;
-    @Param({"100", "1000"})
-    public int held;
-
-    private static final PackageTerms TERMS = new PackageTerms(1, Span.ofMillis(800), 1, 0, 4, 0, false);
-
-    /** Carries nothing: set-ups are answered by the benchmark, wakes are never due. */
-    private static final class Mute implements Carrier {
-        private final ArrayDeque<Held> out = new ArrayDeque<>();
-
-        @Override
-        public Wake wakeAfter(Span span, Runnable step) {
-            return () -> { };
-        }
-
-        @Override
-        public void setUp(Held vw, int tuneIn) {
-            out.add(vw);
-        }
-
-        @Override
-        public void rung(Held vw) {
-        }
-
-        @Override
-        public void withdraw(Held vw, BoxTable.Entry box, int tuneIn) {
-        }
-
-        @Override
-        public void probe(BoxTable.Entry box) {
-        }
-
-        @Override
-        public void send(int front, byte[] datagram) {
-        }
-
-        @Override
-        public void failed(RuntimeException cause) {
-            throw cause;
-        }
+  @Param({"30", "300"})
+  public int boxes;
+
+  @Param({"100", "1000"})
+  public int held;
+
+  private static final PackageTerms TERMS =
+      new PackageTerms(1, Span.ofMillis(800), 1, 0, 4, 0, false);
+
+  /** Carries nothing: set-ups are answered by the benchmark, wakes are never due. */
+  private static final class Mute implements Carrier {
+    private final ArrayDeque<Held> out = new ArrayDeque<>();
+
+    @Override
+    public Wake wakeAfter(Span span, Runnable step) {
+      return () -> {};
     }
 
-    private static final class Nobody implements Viewer {
-        @Override
-        public void plays(Held vw) {
-        }
-
-        @Override
-        public void blocked(Span comeBackAfter) {
-            throw new IllegalStateException("blocked");
-        }
-
-        @Override
-        public void aborted(Cause cause) {
-            throw new IllegalStateException("aborted");
-        }
-
-        @Override
-        public void ended(End how) {
-        }
-
-        @Override
-        public Moment lastAsked() {
-            return Moment.DISTANT_PAST;
-        }
+    @Override
+    public void setUp(Held vw, int tuneIn) {
+      out.add(vw);
     }
 
-    private final Mute carrier = new Mute();
-    private final Viewer nobody = new Nobody();
-    private final ArrayDeque<Held> playing = new ArrayDeque<>();
-    private final SplittableRandom chance = new SplittableRandom(1);
-    private Desk desk;
-    private long now = 1_000_000_000L;
-
-    @Setup
-    public void open() {
-        Headend house = new Headend(1, 0, 0, List.of(TERMS), new double[] {30, 60, 100, 170, 300},
-                new double[] {0.25, 0.45, 0.65, 0.82, 1},
-                new Headend.Fleet(boxes, Math.max(1, boxes / 8), new int[] {1000}, 1e6 * boxes, 1e6, 8e6, Span.ofMillis(800)),
-                new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 0, 0, Span.NONE),
-                new Headend.Permits(4, false, false, false, 0.01, 0.01, 0, Span.ofSeconds(2)));
-        desk = new Desk(house, new Desk.Bounds(100_000, Span.ofSeconds(60), Span.NONE, Span.ofMillis(25), Span.ofMillis(200),
-                Span.ofMillis(40)), 1, "bench", carrier);
-        desk.clock(new Moment(now));
-        List<BoxTable.Row> rows = new ArrayList<>();
-        for (int i = 0; i < boxes; i++) {
-            rows.add(new BoxTable.Row(i + 1, "h:1", 1, i, 0, BoxTable.State.SERVING, 0, Moment.DISTANT_PAST));
-        }
-        desk.listed(1, rows);
-        for (int i = 0; i < held; i++) {
-            join();
-        }
+    @Override
+    public void rung(Held vw) {}
+
+    @Override
+    public void withdraw(Held vw, BoxTable.Entry box, int tuneIn) {}
+
+    @Override
+    public void probe(BoxTable.Entry box) {}
+
+    @Override
+    public void send(int front, byte[] datagram) {}
+
+    @Override
+    public void failed(RuntimeException cause) {
+      throw cause;
     }
+  }
 
-    private void join() {
-        now += 1000;
-        desk.clock(new Moment(now));
-        int title = chance.nextInt(200);
-        Held vw = desk.take(new Held.Ask("t" + title, title * 5 % boxes, 4, 0, TERMS, 4, Span.ofSeconds(3), null), nobody);
-        while (!carrier.out.isEmpty()) {
-            Held one = carrier.out.poll();
-            one.sendable(0);
-            one.plays(0);
-        }
-        playing.add(vw);
+  private static final class Nobody implements Viewer {
+    @Override
+    public void plays(Held vw) {}
+
+    @Override
+    public void blocked(Span comeBackAfter) {
+      throw new IllegalStateException("blocked");
+    }
+
+    @Override
+    public void aborted(Cause cause) {
+      throw new IllegalStateException("aborted");
     }
 
-    /** Taken, placed, played; the viewing that has played longest ends. */
-    @Benchmark
-    public void fromRequestToEnd() {
-        join();
-        playing.poll().viewerLeft();
+    @Override
+    public void ended(End how) {}
+
+    @Override
+    public Moment lastAsked() {
+      return Moment.DISTANT_PAST;
+    }
+  }
+
+  private final Mute carrier = new Mute();
+  private final Viewer nobody = new Nobody();
+  private final ArrayDeque<Held> playing = new ArrayDeque<>();
+  private final SplittableRandom chance = new SplittableRandom(1);
+  private Desk desk;
+  private long now = 1_000_000_000L;
+
+  @Setup
+  public void open() {
+    Headend house =
+        new Headend(
+            1,
+            0,
+            0,
+            List.of(TERMS),
+            new double[] {30, 60, 100, 170, 300},
+            new double[] {0.25, 0.45, 0.65, 0.82, 1},
+            new Headend.Fleet(
+                boxes,
+                Math.max(1, boxes / 8),
+                new int[] {1000},
+                1e6 * boxes,
+                1e6,
+                8e6,
+                Span.ofMillis(800)),
+            new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 0, 0, Span.NONE),
+            new Headend.Permits(4, false, false, false, 0.01, 0.01, 0, Span.ofSeconds(2)));
+    desk =
+        new Desk(
+            house,
+            new Desk.Bounds(
+                100_000,
+                Span.ofSeconds(60),
+                Span.NONE,
+                Span.ofMillis(25),
+                Span.ofMillis(200),
+                Span.ofMillis(40)),
+            1,
+            "bench",
+            carrier);
+    desk.clock(new Moment(now));
+    List<BoxTable.Row> rows = new ArrayList<>();
+    for (int i = 0; i < boxes; i++) {
+      rows.add(
+          new BoxTable.Row(i + 1, "h:1", 1, i, 0, BoxTable.State.SERVING, 0, Moment.DISTANT_PAST));
+    }
+    desk.listed(1, rows);
+    for (int i = 0; i < held; i++) {
+      join();
+    }
+  }
+
+  private void join() {
+    now += 1000;
+    desk.clock(new Moment(now));
+    int title = chance.nextInt(200);
+    Held vw =
+        desk.take(
+            new Held.Ask("t" + title, title * 5 % boxes, 4, 0, TERMS, 4, Span.ofSeconds(3), null),
+            nobody);
+    while (!carrier.out.isEmpty()) {
+      Held one = carrier.out.poll();
+      one.sendable(0);
+      one.plays(0);
     }
+    playing.add(vw);
+  }
+
+  /** Taken, placed, played; the viewing that has played longest ends. */
+  @Benchmark
+  public void fromRequestToEnd() {
+    join();
+    playing.poll().viewerLeft();
+  }
 }
--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -1,57 +1,80 @@
 package linengauge;
 
 /**
- * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside to each
- * instance, a Player with each viewing and a Line with each media box; the module answers with handles, and
- * all that happens later is a call on those: see Policy.
+ * What the module acts through. Whoever runs it (an adapter, later a real front) gives one Outside
+ * to each instance, a Player with each viewing and a Line with each media box; the module answers
+ * with handles, and all that happens later is a call on those: see Policy.
  */
 public interface Outside {
-    /** Runs the given step once, not earlier than after the span and never within the present call. */
-    void wakeAfter(Span span, Runnable step);
+  /**
+   * Runs the given step once, not earlier than after the span and never within the present call.
+   */
+  void wakeAfter(Span span, Runnable step);
 
-    /** Tells another front, which keeps it, what this one plays at a box, and the share that the uplink
-     * delivers there. */
-    void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare);
+  /**
+   * Tells another front, which keeps it, what this one plays at a box, and the share that the
+   * uplink delivers there.
+   */
+  void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare);
 
-    /** Answers such a front with what all others play at the box, what all play on its rack, and the size of
-     * the rack's uplink. */
-    void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
-            double rackSizeKb);
+  /**
+   * Answers such a front with what all others play at the box, what all play on its rack, and the
+   * size of the rack's uplink.
+   */
+  void answer(
+      int front,
+      Policy.MediaBox box,
+      int othersViewings,
+      double othersKb,
+      double rackKb,
+      double rackSizeKb);
 
-    /**
-     * The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they are
-     * made.
-     */
-    interface Player {
-        void tuneIn(Policy.MediaBox box, Span timeout);
+  /**
+   * The viewer's end of one viewing. Tune-ins are numbered 0, 1, 2 ... in the order in which they
+   * are made.
+   */
+  interface Player {
+    void tuneIn(Policy.MediaBox box, Span timeout);
 
-        void rung(int rung);
+    void rung(int rung);
 
-        /** Final answer: blocked; a further try is harmless, best after the given span (none: no advice). */
-        void block(Span comeBackAfter);
+    /**
+     * Final answer: blocked; a further try is harmless, best after the given span (none: no
+     * advice).
+     */
+    void block(Span comeBackAfter);
 
-        /** Final answer: aborted; says nothing of what may have run. */
-        void abort();
-    }
+    /** Final answer: aborted; says nothing of what may have run. */
+    void abort();
+  }
 
-    /** The front's line to one media box. */
-    interface Line {
-        void probe();
-    }
+  /** The front's line to one media box. */
+  interface Line {
+    void probe();
+  }
 
-    /**
-     * How a tune-in that is no longer out has ended. UNHEARD: no answer came, and the box was heard meanwhile on a connection
-     * that it has kept, so it lives and has not started anew; HELD_UP: no answer was read in time, as the front stood still.
-     */
-    enum Ending {
-        FINISHED(false), ERROR(false), TURNED_AWAY(true), NO_ANSWER(false), NOT_REACHED(true), BROKEN(false),
-        UNHEARD(false), HELD_UP(false), WITHDRAWN(false), NEVER_SENT(true);
+  /**
+   * How a tune-in that is no longer out has ended. UNHEARD: no answer came, and the box was heard
+   * meanwhile on a connection that it has kept, so it lives and has not started anew; HELD_UP: no
+   * answer was read in time, as the front stood still.
+   */
+  enum Ending {
+    FINISHED(false),
+    ERROR(false),
+    TURNED_AWAY(true),
+    NO_ANSWER(false),
+    NOT_REACHED(true),
+    BROKEN(false),
+    UNHEARD(false),
+    HELD_UP(false),
+    WITHDRAWN(false),
+    NEVER_SENT(true);
 
-        /** It is certain that the set-up never ran. */
-        public final boolean neverRan;
+    /** It is certain that the set-up never ran. */
+    public final boolean neverRan;
 
-        Ending(boolean neverRan) {
-            this.neverRan = neverRan;
-        }
+    Ending(boolean neverRan) {
+      this.neverRan = neverRan;
     }
+  }
 }
--- a/src/main/java/linengauge/PackageTerms.java
+++ b/src/main/java/linengauge/PackageTerms.java
@@ -1,6 +1,11 @@
 package linengauge;
 
 /** What is agreed for one package; seats 0: no limit. */
-public record PackageTerms(double value, Span joinTarget, double rateFactor, int lowestRung, int highestRung,
-        int seats, boolean paidAtSetUp) {
-}
+public record PackageTerms(
+    double value,
+    Span joinTarget,
+    double rateFactor,
+    int lowestRung,
+    int highestRung,
+    int seats,
+    boolean paidAtSetUp) {}
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -9,1081 +9,1212 @@
 import java.util.SplittableRandom;
 
 /**
- * All decisions of one front. Whoever runs it tells the time with clock() before each round of calls, names
- * boxes with box(), titles with title(), and gives viewings with take() (new) or handOver() (playing
- * already). Boxes and viewings are handles: what is heard of them later is a call on the handle. The module
- * acts through Outside.java; what it is told at its start is in Headend.java. The ordinary path is EVeREst's
- * (docs/design.md); what departs says so.
+ * All decisions of one front. Whoever runs it tells the time with clock() before each round of
+ * calls, names boxes with box(), titles with title(), and gives viewings with take() (new) or
+ * handOver() (playing already). Boxes and viewings are handles: what is heard of them later is a
+ * call on the handle. The module acts through Outside.java; what it is told at its start is in
+ * Headend.java. The ordinary path is EVeREst's (docs/design.md); what departs says so.
  */
 public final class Policy {
-    /* The paired averages of the design. */
-    private static final Span SHORT = Span.ofSeconds(1);
-    private static final Span LONG = Span.ofSeconds(5);
-    private static final Span BEAT = Span.ofMillis(500);
-    private static final double UPPER_MARK = 1.0;
-    private static final double SHORT_RESET = 0.8;
-    private static final double SHED_TO = 0.93;
-    private static final double LONG_RESET = 0.95;
-    private static final Span STEP_PACE = Span.ofSeconds(2);
-    private static final double LEAST_SHARE = 0.5;
-    /** Links are filled so far, as true rates lie off the ladder: by probe, by others' word, by guess. */
-    private static final double FILL = 0.87;
-    private static final double FILL_TOLD = 0.95;
-    private static final double FILL_GUESSED = 0.82;
-
-    /* What is known of boxes and racks. */
-    private static final Span REPORT_AGE = Span.ofMillis(400);
-    private static final Span CHANGE_LIFE = Span.ofSeconds(6);
-    private static final Span RELAX = Span.ofSeconds(10);
-    private static final Span TELL_ALL = Span.ofSeconds(6);
-    /** A front that has just started has not heard what all play: it answers nobody yet. */
-    private static final Span SETTLED = Span.ofMillis(1200);
-    /** Short notes are smoothed: they still show what has been shed this much longer. */
-    private static final Span SMOOTHED = Span.ofMillis(1600);
-    private static final Span SHORT_NEWS = Span.ofMillis(1300);
-    private static final Span NEWS_HOLDS = Span.ofSeconds(3);
-    private static final Span NEWS_LIFE = Span.ofSeconds(6);
-    private static final double PROBE_SPEND = 0.015;
-    private static final double PROBES_HELD = 20;
-    private static final double GUESSED_MOST = 0.9;
-    private static final double USUAL = 0.6;
-    private static final double USUAL_WEIGHT = 0.3;
-    /** How long a newcomer waits for news of its first choices. */
-    private static final Span LOOK = Span.ofMillis(80);
-    private static final Span FRESH = Span.ofMillis(700);
-    private static final Span LATE_WAIT = Span.ofMillis(600);
-    private static final Span LEAST_WAIT = Span.ofMillis(250);
-    public static final Span ANSWER_MARGIN = Span.ofMillis(60);
-    public static final double MARGIN_PART = 0.1; // of a patience, at the most
-    private static final Span HOLD = Span.ofMillis(100);
-    private static final Span COME_BACK = Span.ofMillis(600);
-    private static final Span FIRST_AVOID = Span.ofSeconds(1);
-    private static final int MOST_DOUBLINGS = 3;
-    /** Left free of an uplink, of its size, where a newcomer takes more than its fair part on old news. */
-    private static final double KEPT_FREE = 0.2;
-    /** A point of the price of a connection weighs as much as so many of an uplink's load. */
-    private static final double LOAD_FOR_PRICE = 2;
-    private static final double COLD_PART = 0.8;
-    /** From a choice until its set-up leaves, at the most: a connection is dialled, the loop reads first. */
-    public static final Span UNTIL_SENT = Span.ofMillis(500);
-
-    private final Headend house;
-    private final Outside outside;
-    private final SplittableRandom chance;
-    private final double middleKb;
-    private final double othersPart;
-    /** Fronts may not talk and a probe is too dear for each newcomer: boxes are known by old news. */
-    private final boolean oldNews;
-    /** Boxes by cell, as listed; and those with viewings of this front, till the last ends. */
-    private final List<List<MediaBox>> cells = new ArrayList<>();
-    private final List<MediaBox> occupied = new ArrayList<>();
-    private final Rack[] racks;
-    /** Moments of takes and of further tune-ins within the ration's window; time empties both. */
-    private final ArrayDeque<Moment> taken = new ArrayDeque<>();
-    private final ArrayDeque<Moment> further = new ArrayDeque<>();
-    private Moment now = Moment.DISTANT_PAST;
-    private Moment started;
-    private double allShares; // of all serving boxes
-    private double probesLeft = 1;
-    /** The load of a link that nothing is known of: the mean of what boxes report. */
-    private double usual = USUAL;
-
-    public Policy(Headend house, long seed, Outside outside) {
-        this.house = house;
-        this.outside = outside;
-        this.chance = new SplittableRandom(seed);
-        double[] kb = house.ladderKb();
-        this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
-        this.othersPart = 1 - 1.0 / house.fronts();
-        this.oldNews = !house.permits().messages() && PROBE_SPEND < house.permits().probePrice();
-        for (int i = 0; i < Math.max(1, house.fleet().cells()); i++) {
-            cells.add(new ArrayList<>());
-        }
-        this.racks = new Rack[house.fleet().racks()];
-        for (int i = 0; i < racks.length; i++) {
-            racks[i] = new Rack();
-        }
-    }
-
-    /** The time of the calls that follow. */
-    public void clock(Moment moment) {
-        now = moment;
-        if (started == null) {
-            started = moment;
-            outside.wakeAfter(BEAT, this::beat);
-        }
-    }
-
-    public MediaBox box(Outside.Line line) {
-        return new MediaBox(line);
+  /* The paired averages of the design. */
+  private static final Span SHORT = Span.ofSeconds(1);
+  private static final Span LONG = Span.ofSeconds(5);
+  private static final Span BEAT = Span.ofMillis(500);
+  private static final double UPPER_MARK = 1.0;
+  private static final double SHORT_RESET = 0.8;
+  private static final double SHED_TO = 0.93;
+  private static final double LONG_RESET = 0.95;
+  private static final Span STEP_PACE = Span.ofSeconds(2);
+  private static final double LEAST_SHARE = 0.5;
+
+  /**
+   * Links are filled so far, as true rates lie off the ladder: by probe, by others' word, by guess.
+   */
+  private static final double FILL = 0.87;
+
+  private static final double FILL_TOLD = 0.95;
+  private static final double FILL_GUESSED = 0.82;
+
+  /* What is known of boxes and racks. */
+  private static final Span REPORT_AGE = Span.ofMillis(400);
+  private static final Span CHANGE_LIFE = Span.ofSeconds(6);
+  private static final Span RELAX = Span.ofSeconds(10);
+  private static final Span TELL_ALL = Span.ofSeconds(6);
+
+  /** A front that has just started has not heard what all play: it answers nobody yet. */
+  private static final Span SETTLED = Span.ofMillis(1200);
+
+  /** Short notes are smoothed: they still show what has been shed this much longer. */
+  private static final Span SMOOTHED = Span.ofMillis(1600);
+
+  private static final Span SHORT_NEWS = Span.ofMillis(1300);
+  private static final Span NEWS_HOLDS = Span.ofSeconds(3);
+  private static final Span NEWS_LIFE = Span.ofSeconds(6);
+  private static final double PROBE_SPEND = 0.015;
+  private static final double PROBES_HELD = 20;
+  private static final double GUESSED_MOST = 0.9;
+  private static final double USUAL = 0.6;
+  private static final double USUAL_WEIGHT = 0.3;
+
+  /** How long a newcomer waits for news of its first choices. */
+  private static final Span LOOK = Span.ofMillis(80);
+
+  private static final Span FRESH = Span.ofMillis(700);
+  private static final Span LATE_WAIT = Span.ofMillis(600);
+  private static final Span LEAST_WAIT = Span.ofMillis(250);
+  public static final Span ANSWER_MARGIN = Span.ofMillis(60);
+  public static final double MARGIN_PART = 0.1; // of a patience, at the most
+  private static final Span HOLD = Span.ofMillis(100);
+  private static final Span COME_BACK = Span.ofMillis(600);
+  private static final Span FIRST_AVOID = Span.ofSeconds(1);
+  private static final int MOST_DOUBLINGS = 3;
+
+  /**
+   * Left free of an uplink, of its size, where a newcomer takes more than its fair part on old
+   * news.
+   */
+  private static final double KEPT_FREE = 0.2;
+
+  /** A point of the price of a connection weighs as much as so many of an uplink's load. */
+  private static final double LOAD_FOR_PRICE = 2;
+
+  private static final double COLD_PART = 0.8;
+
+  /**
+   * From a choice until its set-up leaves, at the most: a connection is dialled, the loop reads
+   * first.
+   */
+  public static final Span UNTIL_SENT = Span.ofMillis(500);
+
+  private final Headend house;
+  private final Outside outside;
+  private final SplittableRandom chance;
+  private final double middleKb;
+  private final double othersPart;
+
+  /** Fronts may not talk and a probe is too dear for each newcomer: boxes are known by old news. */
+  private final boolean oldNews;
+
+  /** Boxes by cell, as listed; and those with viewings of this front, till the last ends. */
+  private final List<List<MediaBox>> cells = new ArrayList<>();
+
+  private final List<MediaBox> occupied = new ArrayList<>();
+  private final Rack[] racks;
+
+  /** Moments of takes and of further tune-ins within the ration's window; time empties both. */
+  private final ArrayDeque<Moment> taken = new ArrayDeque<>();
+
+  private final ArrayDeque<Moment> further = new ArrayDeque<>();
+  private Moment now = Moment.DISTANT_PAST;
+  private Moment started;
+  private double allShares; // of all serving boxes
+  private double probesLeft = 1;
+
+  /** The load of a link that nothing is known of: the mean of what boxes report. */
+  private double usual = USUAL;
+
+  public Policy(Headend house, long seed, Outside outside) {
+    this.house = house;
+    this.outside = outside;
+    this.chance = new SplittableRandom(seed);
+    double[] kb = house.ladderKb();
+    this.middleKb = Math.sqrt(kb[0] * kb[kb.length - 1]);
+    this.othersPart = 1 - 1.0 / house.fronts();
+    this.oldNews = !house.permits().messages() && PROBE_SPEND < house.permits().probePrice();
+    for (int i = 0; i < Math.max(1, house.fleet().cells()); i++) {
+      cells.add(new ArrayList<>());
     }
-
-    public Title title(int firstCell, int cellsInRow) {
-        return new Title(firstCell, cellsInRow, new HashMap<>());
+    this.racks = new Rack[house.fleet().racks()];
+    for (int i = 0; i < racks.length; i++) {
+      racks[i] = new Rack();
     }
-
-    public Viewing take(Outside.Player player, PackageTerms terms, Title title, int ceiling, Span patience) {
-        pruneRation();
-        taken.add(now);
-        Viewing vw = new Viewing(player, terms, title, ceiling, now.plus(patience));
-        vw.look();
-        return vw;
+  }
+
+  /** The time of the calls that follow. */
+  public void clock(Moment moment) {
+    now = moment;
+    if (started == null) {
+      started = moment;
+      outside.wakeAfter(BEAT, this::beat);
     }
-
-    /** A viewing that plays already; the rung in force is heard with the next news. */
-    public Viewing handOver(Outside.Player player, PackageTerms terms, Title title, int ceiling,
-            MediaBox at) {
-        Viewing vw = new Viewing(player, terms, title, ceiling, now);
-        vw.answered = true;
-        vw.playing = true;
-        vw.settle(at, terms.lowestRung());
-        return vw;
+  }
+
+  public MediaBox box(Outside.Line line) {
+    return new MediaBox(line);
+  }
+
+  public Title title(int firstCell, int cellsInRow) {
+    return new Title(firstCell, cellsInRow, new HashMap<>());
+  }
+
+  public Viewing take(
+      Outside.Player player, PackageTerms terms, Title title, int ceiling, Span patience) {
+    pruneRation();
+    taken.add(now);
+    Viewing vw = new Viewing(player, terms, title, ceiling, now.plus(patience));
+    vw.look();
+    return vw;
+  }
+
+  /** A viewing that plays already; the rung in force is heard with the next news. */
+  public Viewing handOver(
+      Outside.Player player, PackageTerms terms, Title title, int ceiling, MediaBox at) {
+    Viewing vw = new Viewing(player, terms, title, ceiling, now);
+    vw.answered = true;
+    vw.playing = true;
+    vw.settle(at, terms.lowestRung());
+    return vw;
+  }
+
+  private void beat() {
+    outside.wakeAfter(BEAT, this::beat);
+    for (Rack r : racks) {
+      r.relax();
     }
-
-    private void beat() {
-        outside.wakeAfter(BEAT, this::beat);
-        for (Rack r : racks) {
-            r.relax();
-        }
-        for (MediaBox b : List.copyOf(occupied)) {
-            Span pace = b.link.elsewhereAt.before(b.toldAt) ? SETTLED : TELL_ALL;
-            if (Math.abs(b.link.own - b.toldKb) > middleKb / 10 || b.toldAt.plus(pace).before(now)) {
-                b.tell(1);
-            }
-            b.sample();
-        }
+    for (MediaBox b : List.copyOf(occupied)) {
+      Span pace = b.link.elsewhereAt.before(b.toldAt) ? SETTLED : TELL_ALL;
+      if (Math.abs(b.link.own - b.toldKb) > middleKb / 10 || b.toldAt.plus(pace).before(now)) {
+        b.tell(1);
+      }
+      b.sample();
     }
+  }
 
-    /* ---- what is known of each box, link and rack ---- */
-
-    private record Change(Moment at, double kb) { }
-
-    private record Word(Moment at, int count, double kb) { }
-
-    /** What is asked of a link or uplink: last reported use plus own changes since that report was true. */
-    private abstract class Usage {
-        double own;
-        double told = Double.NaN;
-        Moment toldTrueAt = Moment.DISTANT_PAST;
-        /** What the other fronts say that they play here, as the rack's keeper last told. */
-        double elsewhere;
-        Moment elsewhereAt = Moment.DISTANT_PAST;
-        /** All changes since the last report was true. */
-        private double since;
-        /** Those that a late report may not hold yet; time empties it. */
-        private final ArrayDeque<Change> recent = new ArrayDeque<>();
-
-        abstract double size();
-
-        /** What others may ask of it, where nothing is heard. */
-        abstract double unheard();
+  /* ---- what is known of each box, link and rack ---- */
 
-        void change(double kb, boolean news) {
-            own = Math.max(0, own + kb);
-            if (news) {
-                heardOf(kb);
-            }
-        }
-
-        void heardOf(double kb) {
-            recent.add(new Change(now, kb));
-            since += kb;
-            recent.removeIf(c -> c.at().before(now.minus(CHANGE_LIFE)));
-        }
+  private record Change(Moment at, double kb) {}
 
-        void hear(double load, Moment trueAt) {
-            if (Double.isNaN(load) || trueAt.before(toldTrueAt)) {
-                return;
-            }
-            told = load * size();
-            toldTrueAt = trueAt;
-            recent.removeIf(c -> c.at().before(trueAt));
-            since = 0;
-            for (Change c : recent) {
-                since += c.kb();
-            }
-        }
-
-        void othersPlay(double kb) {
-            if (now.since(elsewhereAt).under(TELL_ALL.times(3))) {
-                heardOf(kb - elsewhere);
-            }
-            elsewhere = kb;
-            elsewhereAt = now;
-        }
+  private record Word(Moment at, int count, double kb) {}
 
-        /** The keeper's word counts in full for two tellings, then fades. */
-        double wordHolds() {
-            return Math.max(0, Math.min(1, 3 - now.since(elsewhereAt).seconds() / TELL_ALL.seconds()));
-        }
+  /**
+   * What is asked of a link or uplink: last reported use plus own changes since that report was
+   * true.
+   */
+  private abstract class Usage {
+    double own;
+    double told = Double.NaN;
+    Moment toldTrueAt = Moment.DISTANT_PAST;
 
-        double fill() {
-            return house.permits().probes() ? FILL : FILL_GUESSED + (FILL_TOLD - FILL_GUESSED) * wordHolds();
-        }
+    /** What the other fronts say that they play here, as the rack's keeper last told. */
+    double elsewhere;
 
-        /** What is heard. Old news gives way to own rates alone where a probe can ask again, elsewhere to
-         * the keeper's word and then to a guess, which alone sheds nothing. */
-        double demand() {
-            return blend(house.permits().probes() ? 0
-                    : Math.min(unheard(), Math.max(0, GUESSED_MOST * size() - own)));
-        }
+    Moment elsewhereAt = Moment.DISTANT_PAST;
 
-        /** The same with a guess of what is not heard. */
-        double likely() {
-            return blend(unheard());
-        }
+    /** All changes since the last report was true. */
+    private double since;
 
-        private double blend(double guess) {
-            double word = wordHolds();
-            double otherwise = own + word * elsewhere + (1 - word) * guess;
-            Span stale = now.since(toldTrueAt).minus(NEWS_HOLDS).orMore(Span.NONE);
-            double trust = Math.exp(-stale.seconds() / NEWS_LIFE.seconds());
-            return Double.isNaN(told) ? otherwise
-                    : Math.max(own, trust * (told + since) + (1 - trust) * otherwise);
-        }
+    /** Those that a late report may not hold yet; time empties it. */
+    private final ArrayDeque<Change> recent = new ArrayDeque<>();
 
-        double load() {
-            return demand() / size();
-        }
+    abstract double size();
 
-        double room() {
-            return fill() * size() - likely();
-        }
+    /** What others may ask of it, where nothing is heard. */
+    abstract double unheard();
 
-        double spare() {
-            return fill() * size() - demand();
-        }
+    void change(double kb, boolean news) {
+      own = Math.max(0, own + kb);
+      if (news) {
+        heardOf(kb);
+      }
     }
 
-    /** What the list's sizes, or else the streams of the kinds, say of links in kB. */
-    private double kbPerShare() {
-        Headend.Fleet fleet = house.fleet();
-        return fleet.linkKbPerWeight() > 0 ? fleet.linkKbPerWeight()
-                : fleet.linksKb() / Math.max(1, allShares);
+    void heardOf(double kb) {
+      recent.add(new Change(now, kb));
+      since += kb;
+      recent.removeIf(c -> c.at().before(now.minus(CHANGE_LIFE)));
     }
 
-    /** The uplink that a rack's boxes share. */
-    private final class Rack extends Usage {
-        private double sizeKb = house.fleet().uplinkKb();
-        private Moment sizedAt = Moment.DISTANT_PAST;
-        /** Demand when a short note was true: what was shed since must not make the uplink look small. */
-        private double lately;
-        private int serving;
-        private double shares;
-        private double wordsKb;
-
-        @Override
-        double size() {
-            return sizeKb;
-        }
+    void hear(double load, Moment trueAt) {
+      if (Double.isNaN(load) || trueAt.before(toldTrueAt)) {
+        return;
+      }
+      told = load * size();
+      toldTrueAt = trueAt;
+      recent.removeIf(c -> c.at().before(trueAt));
+      since = 0;
+      for (Change c : recent) {
+        since += c.kb();
+      }
+    }
 
-        @Override
-        double unheard() {
-            return usual * linksKb() * othersPart;
-        }
+    void othersPlay(double kb) {
+      if (now.since(elsewhereAt).under(TELL_ALL.times(3))) {
+        heardOf(kb - elsewhere);
+      }
+      elsewhere = kb;
+      elsewhereAt = now;
+    }
 
-        private double linksKb() {
-            return shares * kbPerShare();
-        }
+    /** The keeper's word counts in full for two tellings, then fades. */
+    double wordHolds() {
+      return Math.max(0, Math.min(1, 3 - now.since(elsewhereAt).seconds() / TELL_ALL.seconds()));
+    }
 
-        /** What others may ask of one of its links, where nothing else is known of that. */
-        double othersOn(double linkSize) {
-            return Math.max(0, likely() - own) * linkSize / Math.max(linkSize, linksKb());
-        }
+    double fill() {
+      return house.permits().probes()
+          ? FILL
+          : FILL_GUESSED + (FILL_TOLD - FILL_GUESSED) * wordHolds();
+    }
 
-        /** N of the uplink: the front's own viewings, and others' taken to be of the middle rate. */
-        double sharers() {
-            double n = Math.max(0, likely() - own) / middleKb;
-            for (MediaBox b : occupied) {
-                n += b.rack == this ? b.viewings.size() : 0;
-            }
-            return n;
-        }
+    /**
+     * What is heard. Old news gives way to own rates alone where a probe can ask again, elsewhere
+     * to the keeper's word and then to a guess, which alone sheds nothing.
+     */
+    double demand() {
+      return blend(
+          house.permits().probes()
+              ? 0
+              : Math.min(unheard(), Math.max(0, GUESSED_MOST * size() - own)));
+    }
 
-        /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
-        boolean cleared() {
-            for (MediaBox b : occupied) {
-                if (b.rack == this && !b.shortNow() && b.settingUp() < b.viewings.size()) {
-                    return true;
-                }
-            }
-            return false;
-        }
+    /** The same with a guess of what is not heard. */
+    double likely() {
+      return blend(unheard());
+    }
 
-        /** Where no report tells of the uplink a short note sizes it; the size drifts back, as uplinks do. */
-        void shortOf(double share) {
-            sizeKb = share * Math.max(lately, demand());
-            sizedAt = now;
-        }
+    private double blend(double guess) {
+      double word = wordHolds();
+      double otherwise = own + word * elsewhere + (1 - word) * guess;
+      Span stale = now.since(toldTrueAt).minus(NEWS_HOLDS).orMore(Span.NONE);
+      double trust = Math.exp(-stale.seconds() / NEWS_LIFE.seconds());
+      return Double.isNaN(told)
+          ? otherwise
+          : Math.max(own, trust * (told + since) + (1 - trust) * otherwise);
+    }
 
-        void relax() {
-            double full = house.fleet().uplinkKb();
-            double pace = RELAX.seconds() * (wordsKb > 0 ? 1 : 6); // words may be lost: not all at once
-            double weight = Math.min(1, now.since(sizedAt).seconds() / pace);
-            sizeKb += weight * (full - sizeKb);
-            sizedAt = now;
-            double lag = house.fleet().shareLateness().plus(SHORT).seconds();
-            lately += Math.min(1, BEAT.seconds() / lag) * (demand() - lately);
-        }
+    double load() {
+      return demand() / size();
     }
 
-    public final class MediaBox {
-        private final Outside.Line line;
-        private final Link link = new Link();
-        /** Viewings with a tune-in out or playing here; each leaves when that ends. */
-        private final List<Viewing> viewings = new ArrayList<>();
-        private Rack rack = racks[0];
-        private boolean serving;
-        private boolean listed;
-        private int cell;
-        private int building;
-        private double places = 1;
-        private double weight = 1;
-        private Moment startedAt = Moment.DISTANT_PAST;
-        private double streams = Double.NaN;
-        private Moment askedAt = Moment.DISTANT_PAST;
-        private double shortAverage;
-        private double longAverage;
-        private Moment sampledAt;
-        private Moment shortAt = Moment.DISTANT_PAST;
-        private Moment steppedUpAt = Moment.DISTANT_PAST;
-        private int failures;
-        private Moment avoidUntil = Moment.DISTANT_PAST;
-        private Moment lostAt = Moment.DISTANT_PAST;
-        /** What other fronts say that they play here, at the rack's keeper alone, the oldest first; a word
-         * leaves with its last viewing or, once its front is silent for two tellings, with the next word. */
-        private final LinkedHashMap<Integer, Word> words = new LinkedHashMap<>();
-        private double wordsKb;
-        private int wordsCount;
-        private int othersCount;
-        private Moment reportedAt = Moment.DISTANT_PAST;
-        private double toldKb;
-        private Moment toldAt = Moment.DISTANT_PAST;
-        /** Newcomers that wait for news; its coming empties it. */
-        private final ArrayDeque<Viewing> askers = new ArrayDeque<>();
-        /** Sends within the window in which a cold box may fall; time empties it. */
-        private final ArrayDeque<Moment> sends = new ArrayDeque<>();
-
-        private MediaBox(Outside.Line line) {
-            this.line = line;
-        }
+    double room() {
+      return fill() * size() - likely();
+    }
 
-        public Outside.Line line() {
-            return line;
-        }
+    double spare() {
+      return fill() * size() - demand();
+    }
+  }
+
+  /** What the list's sizes, or else the streams of the kinds, say of links in kB. */
+  private double kbPerShare() {
+    Headend.Fleet fleet = house.fleet();
+    return fleet.linkKbPerWeight() > 0
+        ? fleet.linkKbPerWeight()
+        : fleet.linksKb() / Math.max(1, allShares);
+  }
+
+  /** The uplink that a rack's boxes share. */
+  private final class Rack extends Usage {
+    private double sizeKb = house.fleet().uplinkKb();
+    private Moment sizedAt = Moment.DISTANT_PAST;
+
+    /**
+     * Demand when a short note was true: what was shed since must not make the uplink look small.
+     */
+    private double lately;
+
+    private int serving;
+    private double shares;
+    private double wordsKb;
+
+    @Override
+    double size() {
+      return sizeKb;
+    }
 
-        public void serving(double weight, int cell, int kind, int building, Moment startedAt) {
-            if (this.startedAt.before(startedAt)) {
-                failures = 0;
-                avoidUntil = Moment.DISTANT_PAST;
-                link.told = Double.NaN;
-                streams = Double.NaN;
-            }
-            counted(false);
-            list(false);
-            this.weight = weight;
-            this.cell = cell;
-            int[] byKind = house.fleet().streamsByKind();
-            this.places = kind < byKind.length ? byKind[kind] : 1;
-            this.building = building;
-            this.startedAt = startedAt;
-            rack.change(-link.own, false);
-            rack = racks[Math.floorMod(cell, racks.length)];
-            rack.change(link.own, false);
-            list(true);
-            counted(true);
-        }
+    @Override
+    double unheard() {
+      return usual * linksKb() * othersPart;
+    }
 
-        public void draining() {
-            counted(false);
-            list(true);
-        }
+    private double linksKb() {
+      return shares * kbPerShare();
+    }
 
-        public void gone() {
-            counted(false);
-            list(false);
-        }
+    /** What others may ask of one of its links, where nothing else is known of that. */
+    double othersOn(double linkSize) {
+      return Math.max(0, likely() - own) * linkSize / Math.max(linkSize, linksKb());
+    }
 
-        /** Nothing is held here any more and the list no longer names it. Guards against a box that comes
-         * back to the list with its pace forgotten: what was sent within the window counts if it is cold. */
-        public boolean forgotten() {
-            prune(sends, now.minus(fallWindow()));
-            return !listed && viewings.isEmpty() && sends.isEmpty();
-        }
+    /** N of the uplink: the front's own viewings, and others' taken to be of the middle rate. */
+    double sharers() {
+      double n = Math.max(0, likely() - own) / middleKb;
+      for (MediaBox b : occupied) {
+        n += b.rack == this ? b.viewings.size() : 0;
+      }
+      return n;
+    }
 
-        private void list(boolean in) {
-            List<MediaBox> shelf = cells.get(Math.floorMod(cell, cells.size()));
-            shelf.remove(this);
-            listed = in && shelf.add(this);
+    /** A short uplink is short for all its boxes: one that plays and is not short clears it. */
+    boolean cleared() {
+      for (MediaBox b : occupied) {
+        if (b.rack == this && !b.shortNow() && b.settingUp() < b.viewings.size()) {
+          return true;
         }
+      }
+      return false;
+    }
 
-        /** Into or out of the running totals of its rack and of all. */
-        private void counted(boolean in) {
-            if (in != serving) {
-                double share = in ? share() : -share();
-                rack.shares += share;
-                allShares += share;
-                rack.serving += in ? 1 : -1;
-                serving = in;
-            }
-        }
+    /**
+     * Where no report tells of the uplink a short note sizes it; the size drifts back, as uplinks
+     * do.
+     */
+    void shortOf(double share) {
+      sizeKb = share * Math.max(lately, demand());
+      sizedAt = now;
+    }
 
-        /** Its part of all links by the list's sizes or, where it gives none, by the streams of its kind. */
-        private double share() {
-            return house.fleet().linkKbPerWeight() > 0 ? weight : places;
-        }
+    void relax() {
+      double full = house.fleet().uplinkKb();
+      double pace = RELAX.seconds() * (wordsKb > 0 ? 1 : 6); // words may be lost: not all at once
+      double weight = Math.min(1, now.since(sizedAt).seconds() / pace);
+      sizeKb += weight * (full - sizeKb);
+      sizedAt = now;
+      double lag = house.fleet().shareLateness().plus(SHORT).seconds();
+      lately += Math.min(1, BEAT.seconds() / lag) * (demand() - lately);
+    }
+  }
+
+  public final class MediaBox {
+    private final Outside.Line line;
+    private final Link link = new Link();
+
+    /** Viewings with a tune-in out or playing here; each leaves when that ends. */
+    private final List<Viewing> viewings = new ArrayList<>();
+
+    private Rack rack = racks[0];
+    private boolean serving;
+    private boolean listed;
+    private int cell;
+    private int building;
+    private double places = 1;
+    private double weight = 1;
+    private Moment startedAt = Moment.DISTANT_PAST;
+    private double streams = Double.NaN;
+    private Moment askedAt = Moment.DISTANT_PAST;
+    private double shortAverage;
+    private double longAverage;
+    private Moment sampledAt;
+    private Moment shortAt = Moment.DISTANT_PAST;
+    private Moment steppedUpAt = Moment.DISTANT_PAST;
+    private int failures;
+    private Moment avoidUntil = Moment.DISTANT_PAST;
+    private Moment lostAt = Moment.DISTANT_PAST;
+
+    /**
+     * What other fronts say that they play here, at the rack's keeper alone, the oldest first; a
+     * word leaves with its last viewing or, once its front is silent for two tellings, with the
+     * next word.
+     */
+    private final LinkedHashMap<Integer, Word> words = new LinkedHashMap<>();
+
+    private double wordsKb;
+    private int wordsCount;
+    private int othersCount;
+    private Moment reportedAt = Moment.DISTANT_PAST;
+    private double toldKb;
+    private Moment toldAt = Moment.DISTANT_PAST;
+
+    /** Newcomers that wait for news; its coming empties it. */
+    private final ArrayDeque<Viewing> askers = new ArrayDeque<>();
+
+    /** Sends within the window in which a cold box may fall; time empties it. */
+    private final ArrayDeque<Moment> sends = new ArrayDeque<>();
+
+    private MediaBox(Outside.Line line) {
+      this.line = line;
+    }
 
-        private void loads(double linkAsked, double uplinkAsked, Moment trueAt) {
-            if (!Double.isNaN(linkAsked)) {
-                usual += USUAL_WEIGHT * (linkAsked - usual);
-                reportedAt = now;
-            }
-            link.hear(linkAsked, trueAt);
-            rack.hear(uplinkAsked, trueAt);
-            sample();
-        }
+    public Outside.Line line() {
+      return line;
+    }
 
-        public void reported(double linkAsked, double uplinkAsked, double streams) {
-            this.streams = streams;
-            loads(linkAsked, uplinkAsked, now.minus(REPORT_AGE));
-        }
+    public void serving(double weight, int cell, int kind, int building, Moment startedAt) {
+      if (this.startedAt.before(startedAt)) {
+        failures = 0;
+        avoidUntil = Moment.DISTANT_PAST;
+        link.told = Double.NaN;
+        streams = Double.NaN;
+      }
+      counted(false);
+      list(false);
+      this.weight = weight;
+      this.cell = cell;
+      int[] byKind = house.fleet().streamsByKind();
+      this.places = kind < byKind.length ? byKind[kind] : 1;
+      this.building = building;
+      this.startedAt = startedAt;
+      rack.change(-link.own, false);
+      rack = racks[Math.floorMod(cell, racks.length)];
+      rack.change(link.own, false);
+      list(true);
+      counted(true);
+    }
 
-        public void probed(boolean answered) {
-            probed(answered ? Outside.Ending.FINISHED : Outside.Ending.NO_ANSWER);
-        }
+    public void draining() {
+      counted(false);
+      list(true);
+    }
 
-        /** What came of a probe: FINISHED where it was answered. */
-        public void probed(Outside.Ending how) {
-            if (how != Outside.Ending.FINISHED && how != Outside.Ending.HELD_UP) {
-                failed(how != Outside.Ending.UNHEARD);
-            }
-            answerAskers();
-        }
+    public void gone() {
+      counted(false);
+      list(false);
+    }
 
-        private void answerAskers() {
-            for (Viewing vw = askers.poll(); vw != null; vw = askers.poll()) {
-                vw.heard();
-            }
-        }
+    /**
+     * Nothing is held here any more and the list no longer names it. Guards against a box that
+     * comes back to the list with its pace forgotten: what was sent within the window counts if it
+     * is cold.
+     */
+    public boolean forgotten() {
+      prune(sends, now.minus(fallWindow()));
+      return !listed && viewings.isEmpty() && sends.isEmpty();
+    }
 
-        /** Asks for news, by probe or by word. Says whether it has just been asked. */
-        private boolean ask() {
-            if (now.since(askedAt).under(FRESH) || !probe() && !tell(1)) {
-                return false;
-            }
-            askedAt = now;
-            return true;
-        }
+    private void list(boolean in) {
+      List<MediaBox> shelf = cells.get(Math.floorMod(cell, cells.size()));
+      shelf.remove(this);
+      listed = in && shelf.add(this);
+    }
 
-        private boolean probe() {
-            if (!house.permits().probes() || probesLeft < 1) {
-                return false;
-            }
-            probesLeft--;
-            line.probe();
-            return true;
-        }
+    /** Into or out of the running totals of its rack and of all. */
+    private void counted(boolean in) {
+      if (in != serving) {
+        double share = in ? share() : -share();
+        rack.shares += share;
+        allShares += share;
+        rack.serving += in ? 1 : -1;
+        serving = in;
+      }
+    }
 
-        private boolean holds(Title title) {
-            int off = Math.floorMod(cell - title.firstCell, cells.size());
-            return title.cellsInRow <= 0 || off < title.cellsInRow;
-        }
+    /**
+     * Its part of all links by the list's sizes or, where it gives none, by the streams of its
+     * kind.
+     */
+    private double share() {
+      return house.fleet().linkKbPerWeight() > 0 ? weight : places;
+    }
 
-        /** Guards against boxes that fail set-ups in whatever way: silence, errors, being full, slow or out
-         * of reach. A failure doubles the time for which others are preferred, a success halves it. It could
-         * harm where one moment hits many boxes: with no other left an avoided box is still used. */
-        private void failed(boolean silent) {
-            avoidUntil = now.plus(FIRST_AVOID.times(1 << Math.min(failures, MOST_DOUBLINGS)));
-            failures = Math.min(failures + 1, MOST_DOUBLINGS + 1);
-            if (silent) {
-                lostAt = now;
-            }
-        }
+    private void loads(double linkAsked, double uplinkAsked, Moment trueAt) {
+      if (!Double.isNaN(linkAsked)) {
+        usual += USUAL_WEIGHT * (linkAsked - usual);
+        reportedAt = now;
+      }
+      link.hear(linkAsked, trueAt);
+      rack.hear(uplinkAsked, trueAt);
+      sample();
+    }
 
-        private void succeeded() {
-            failures = Math.max(0, failures / 2);
-            avoidUntil = Moment.DISTANT_PAST;
-        }
+    public void reported(double linkAsked, double uplinkAsked, double streams) {
+      this.streams = streams;
+      loads(linkAsked, uplinkAsked, now.minus(REPORT_AGE));
+    }
 
-        private boolean avoided() {
-            return now.before(avoidUntil) || failures > 0 && settingUp() > 0;
-        }
+    public void probed(boolean answered) {
+      probed(answered ? Outside.Ending.FINISHED : Outside.Ending.NO_ANSWER);
+    }
 
-        private int settingUp() {
-            int n = 0;
-            for (Viewing vw : viewings) {
-                n += vw.playing ? 0 : 1;
-            }
-            return n;
-        }
+    /** What came of a probe: FINISHED where it was answered. */
+    public void probed(Outside.Ending how) {
+      if (how != Outside.Ending.FINISHED && how != Outside.Ending.HELD_UP) {
+        failed(how != Outside.Ending.UNHEARD);
+      }
+      answerAskers();
+    }
 
-        private boolean shortNow() {
-            return now.since(shortAt).under(SHORT_NEWS);
-        }
+    private void answerAskers() {
+      for (Viewing vw = askers.poll(); vw != null; vw = askers.poll()) {
+        vw.heard();
+      }
+    }
 
-        /** A share of the rates is heard as a load of one over it, of whichever is fuller, link or uplink. */
-        private void heardShare(double share) {
-            if (share >= 0.98) {
-                return;
-            }
-            shortAt = now;
-            Moment trueAt = now.minus(house.fleet().shareLateness()).minus(SMOOTHED);
-            double asked = 1 / Math.max(LEAST_SHARE, share);
-            if (rack.cleared() || link.load() >= rack.load()) {
-                link.hear(asked, trueAt);
-            } else if (house.permits().reportsUplink() || rack.wordHolds() < 0.5) {
-                rack.hear(asked, trueAt);
-            } else {
-                rack.shortOf(1 / asked);
-                if (SETTLED.under(now.since(toldAt))) {
-                    tell(1 / asked);
-                }
-            }
-            sample();
-        }
+    /** Asks for news, by probe or by word. Says whether it has just been asked. */
+    private boolean ask() {
+      if (now.since(askedAt).under(FRESH) || !probe() && !tell(1)) {
+        return false;
+      }
+      askedAt = now;
+      return true;
+    }
 
-        /** The share of its size that a box which has just started is sure to give. */
-        private double warmth() {
-            double age = now.since(startedAt).seconds();
-            double whole = house.rules().coldFor().seconds();
-            double start = house.rules().startCapacity();
-            return age >= whole || whole <= 0 ? 1 : start + (1 - start) * Math.max(0, age) / whole;
-        }
+    private boolean probe() {
+      if (!house.permits().probes() || probesLeft < 1) {
+        return false;
+      }
+      probesLeft--;
+      line.probe();
+      return true;
+    }
 
-        private final class Link extends Usage {
-            @Override
-            double size() {
-                return Math.max(1, share() * kbPerShare()) * warmth();
-            }
+    private boolean holds(Title title) {
+      int off = Math.floorMod(cell - title.firstCell, cells.size());
+      return title.cellsInRow <= 0 || off < title.cellsInRow;
+    }
 
-            @Override
-            double unheard() {
-                return rack.othersOn(size());
-            }
-        }
+    /**
+     * Guards against boxes that fail set-ups in whatever way: silence, errors, being full, slow or
+     * out of reach. A failure doubles the time for which others are preferred, a success halves it.
+     * It could harm where one moment hits many boxes: with no other left an avoided box is still
+     * used.
+     */
+    private void failed(boolean silent) {
+      avoidUntil = now.plus(FIRST_AVOID.times(1 << Math.min(failures, MOST_DOUBLINGS)));
+      failures = Math.min(failures + 1, MOST_DOUBLINGS + 1);
+      if (silent) {
+        lostAt = now;
+      }
+    }
 
-        /** Guards against the last word of a front that is gone: it counts no longer than two tellings. */
-        private void forgetSilentFronts() {
-            while (!words.isEmpty()) {
-                var oldest = words.entrySet().iterator().next();
-                if (!oldest.getValue().at().plus(TELL_ALL.times(2.2)).before(now)) {
-                    return;
-                }
-                word(oldest.getKey(), 0, 0);
-            }
-        }
+    private void succeeded() {
+      failures = Math.max(0, failures / 2);
+      avoidUntil = Moment.DISTANT_PAST;
+    }
 
-        private void word(int front, int count, double kb) {
-            Word old = words.remove(front);
-            if (count > 0) {
-                words.put(front, new Word(now, count, kb));
-            }
-            double more = (count > 0 ? kb : 0) - (old == null ? 0 : old.kb());
-            wordsKb = Math.max(0, wordsKb + more);
-            wordsCount += count - (old == null ? 0 : old.count());
-            rack.wordsKb = Math.max(0, rack.wordsKb + more);
-            othersCount = wordsCount;
-            if (SETTLED.under(now.since(started))) {
-                link.othersPlay(wordsKb);
-                rack.othersPlay(rack.wordsKb);
-            }
-        }
+    private boolean avoided() {
+      return now.before(avoidUntil) || failures > 0 && settingUp() > 0;
+    }
 
-        /** To the keeper from another front, which is answered with what the rest play here and all on the
-         * uplink, and the uplink's size. */
-        public void frontPlays(int front, int count, double kb, double share) {
-            forgetSilentFronts();
-            word(front, count, kb);
-            if (share < 1) {
-                rack.shortOf(share);
-            }
-            if (SETTLED.under(now.since(started))) {
-                outside.answer(front, this, wordsCount - count + viewings.size(), wordsKb - kb + link.own,
-                        rack.wordsKb + rack.own, rack.sizeKb);
-            }
-        }
+    private int settingUp() {
+      int n = 0;
+      for (Viewing vw : viewings) {
+        n += vw.playing ? 0 : 1;
+      }
+      return n;
+    }
 
-        /** From the keeper. */
-        public void othersPlay(int count, double kb, double rackKb, double rackSizeKb) {
-            othersCount = count;
-            link.othersPlay(kb);
-            rack.othersPlay(Math.max(0, rackKb - rack.own));
-            rack.sizeKb = rackSizeKb;
-            sample();
-            answerAskers();
-        }
+    private boolean shortNow() {
+      return now.since(shortAt).under(SHORT_NEWS);
+    }
 
-        /** Where fronts may talk, one keeps for each rack what all play there. Telling it is asking it;
-         * returns whether an answer is to come. */
-        private boolean tell(double uplinkShare) {
-            if (!house.permits().messages() || house.fronts() < 2) {
-                return false;
-            }
-            toldKb = link.own;
-            toldAt = now;
-            int keeper = Math.floorMod(cell, racks.length) % house.fronts();
-            if (keeper == house.ownNumber()) {
-                return false;
-            }
-            outside.tell(keeper, this, viewings.size(), link.own, uplinkShare);
-            return true;
-        }
+    /**
+     * A share of the rates is heard as a load of one over it, of whichever is fuller, link or
+     * uplink.
+     */
+    private void heardShare(double share) {
+      if (share >= 0.98) {
+        return;
+      }
+      shortAt = now;
+      Moment trueAt = now.minus(house.fleet().shareLateness()).minus(SMOOTHED);
+      double asked = 1 / Math.max(LEAST_SHARE, share);
+      if (rack.cleared() || link.load() >= rack.load()) {
+        link.hear(asked, trueAt);
+      } else if (house.permits().reportsUplink() || rack.wordHolds() < 0.5) {
+        rack.hear(asked, trueAt);
+      } else {
+        rack.shortOf(1 / asked);
+        if (SETTLED.under(now.since(toldAt))) {
+          tell(1 / asked);
+        }
+      }
+      sample();
+    }
 
-        /* ---- the paired averages and the cap ---- */
-
-        /** One sample of demand over size: both averages move, then a step down, one up, or none. */
-        private void sample() {
-            // With nothing heard and no probe to ask, own rates alone would look like room.
-            Moment heardAt = reportedAt.orLater(link.elsewhereAt).orLater(link.toldTrueAt);
-            boolean fresh = now.since(heardAt).under(house.permits().probes() ? FRESH : TELL_ALL.times(2));
-            if (viewings.isEmpty() || !fresh && !house.permits().probes() && house.fronts() > 1) {
-                sampledAt = now;
-                return;
-            }
-            double x = Math.max(link.load(), rack.load());
-            double passed = now.since(sampledAt).seconds();
-            shortAverage += Math.min(1, passed / SHORT.seconds()) * (x - shortAverage);
-            longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
-            sampledAt = now;
-            if (shortAverage >= UPPER_MARK) {
-                stepDown(1 - SHED_TO / Math.max(x, SHED_TO));
-            } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
-                Viewing low = next(1);
-                double mark = low == null ? 0 : link.fill() - low.added(1) / link.size();
-                // A step up wants fresh news: it is asked for first.
-                if (longAverage < mark && x < mark && !ask() && fresh) {
-                    stepUp(low, link.fill() / Math.max(x, 0.1) - 1);
-                }
-            }
-        }
+    /** The share of its size that a box which has just started is sure to give. */
+    private double warmth() {
+      double age = now.since(startedAt).seconds();
+      double whole = house.rules().coldFor().seconds();
+      double start = house.rules().startCapacity();
+      return age >= whole || whole <= 0 ? 1 : start + (1 - start) * Math.max(0, age) / whole;
+    }
 
-        /** Every front on a link hears the same news. Each steps for its own part of the shortage, or of the
-         * room, the last step by chance, so that all together meet it: one front alone as well as hundreds
-         * with a viewing each. It harms where others do not hear: then the next sample steps again. */
-        private void stepDown(double over) {
-            Viewing top = next(-1);
-            shortAverage = top == null ? shortAverage : SHORT_RESET;
-            double part = over * link.own;
-            othersAlike(-over);
-            List<Viewing> lowered = new ArrayList<>();
-            while (top != null && chance.nextDouble() < part / -top.added(-1)) {
-                part += top.added(-1);
-                top.shift(-1);
-                lowered.remove(top);
-                lowered.add(top);
-                top = next(-1);
-            }
-            lowered.forEach(vw -> vw.player.rung(vw.rung)); // each change costs: one for several steps
-        }
+    private final class Link extends Usage {
+      @Override
+      double size() {
+        return Math.max(1, share() * kbPerShare()) * warmth();
+      }
 
-        private void stepUp(Viewing low, double under) {
-            longAverage = LONG_RESET;
-            steppedUpAt = now;
-            double part = under * link.own;
-            for (; low != null && chance.nextDouble() < part / low.added(1); low = next(1)) {
-                part -= low.added(1);
-                low.shift(1);
-                low.player.rung(low.rung);
-            }
-        }
+      @Override
+      double unheard() {
+        return rack.othersOn(size());
+      }
+    }
 
-        /** The viewing that steps next: the top rung down, the lowest up within the cap; among equals the
-         * least value lost or most won for a kB. */
-        private Viewing next(int by) {
-            Viewing best = null;
-            for (Viewing vw : viewings) {
-                if (vw.playing && vw.mayStep(by) && (best == null || by * (best.rung - vw.rung) > 0
-                        || best.rung == vw.rung && by * (vw.gain(by) - best.gain(by)) > 0)) {
-                    best = vw;
-                }
-            }
-            return best;
-        }
+    /**
+     * Guards against the last word of a front that is gone: it counts no longer than two tellings.
+     */
+    private void forgetSilentFronts() {
+      while (!words.isEmpty()) {
+        var oldest = words.entrySet().iterator().next();
+        if (!oldest.getValue().at().plus(TELL_ALL.times(2.2)).before(now)) {
+          return;
+        }
+        word(oldest.getKey(), 0, 0);
+      }
+    }
 
-        /** The other fronts' parts of what this one now does about a load of its link or of its uplink. */
-        private void othersAlike(double by) {
-            if (house.permits().messages()) {
-                return; // told soon
-            }
-            double onLink = by * Math.max(0, link.demand() - link.own);
-            double onRack = by * Math.max(0, rack.demand() - rack.own) * link.own / Math.max(1, rack.own);
-            boolean uplink = rack.load() > link.load();
-            link.heardOf(onLink);
-            rack.heardOf(uplink ? onRack : onLink);
-        }
+    private void word(int front, int count, double kb) {
+      Word old = words.remove(front);
+      if (count > 0) {
+        words.put(front, new Word(now, count, kb));
+      }
+      double more = (count > 0 ? kb : 0) - (old == null ? 0 : old.kb());
+      wordsKb = Math.max(0, wordsKb + more);
+      wordsCount += count - (old == null ? 0 : old.count());
+      rack.wordsKb = Math.max(0, rack.wordsKb + more);
+      othersCount = wordsCount;
+      if (SETTLED.under(now.since(started))) {
+        link.othersPlay(wordsKb);
+        rack.othersPlay(rack.wordsKb);
+      }
+    }
 
-        /** N: the link's viewings, by own account and what others or reports say beyond it; where they say
-         * nothing, others' are taken to be of the middle rate. */
-        private double sharers() {
-            return viewings.size() + Math.max(0, !Double.isNaN(streams) ? streams - viewings.size()
-                    : house.permits().messages() ? othersCount : (link.likely() - link.own) / middleKb);
-        }
+    /**
+     * To the keeper from another front, which is answered with what the rest play here and all on
+     * the uplink, and the uplink's size.
+     */
+    public void frontPlays(int front, int count, double kb, double share) {
+      forgetSilentFronts();
+      word(front, count, kb);
+      if (share < 1) {
+        rack.shortOf(share);
+      }
+      if (SETTLED.under(now.since(started))) {
+        outside.answer(
+            front,
+            this,
+            wordsCount - count + viewings.size(),
+            wordsKb - kb + link.own,
+            rack.wordsKb + rack.own,
+            rack.sizeKb);
+      }
+    }
 
-        private boolean capped(double rate, double linkRoom, double rackRoom) {
-            return rate <= link.size() / (sharers() + 1)
-                    || rate + middleKb <= linkRoom && rate + rack.serving * middleKb <= rackRoom;
-        }
+    /** From the keeper. */
+    public void othersPlay(int count, double kb, double rackKb, double rackSizeKb) {
+      othersCount = count;
+      link.othersPlay(kb);
+      rack.othersPlay(Math.max(0, rackKb - rack.own));
+      rack.sizeKb = rackSizeKb;
+      sample();
+      answerAskers();
+    }
 
-        private double room() {
-            return Math.min(link.room(), rack.room());
-        }
+    /**
+     * Where fronts may talk, one keeps for each rack what all play there. Telling it is asking it;
+     * returns whether an answer is to come.
+     */
+    private boolean tell(double uplinkShare) {
+      if (!house.permits().messages() || house.fronts() < 2) {
+        return false;
+      }
+      toldKb = link.own;
+      toldAt = now;
+      int keeper = Math.floorMod(cell, racks.length) % house.fronts();
+      if (keeper == house.ownNumber()) {
+        return false;
+      }
+      outside.tell(keeper, this, viewings.size(), link.own, uplinkShare);
+      return true;
     }
 
-    /** What is watched: where it is held, and the viewings of it here that hold a seat, one row a package; a
-     * row leaves with its last viewing. */
-    public record Title(int firstCell, int cellsInRow, Map<PackageTerms, Integer> seated) { }
-
-    public final class Viewing {
-        private final Outside.Player player;
-        private final PackageTerms terms;
-        private final Title title;
-        private final int ceiling;
-        private final Moment target;
-        private final Moment patienceEnds;
-        private final Span margin;
-        private MediaBox at;
-        private int rung;
-        private int tuneIns;
-        /** Answers that it waits for. */
-        private int unheard;
-        private boolean looked;
-        private boolean playing;
-        private boolean answered;
-        private boolean mayHaveRun;
-
-        private Viewing(Outside.Player player, PackageTerms terms, Title title, int ceiling,
-                Moment patienceEnds) {
-            this.player = player;
-            this.terms = terms;
-            this.title = title;
-            this.ceiling = Math.max(terms.lowestRung(), Math.min(ceiling, terms.highestRung()));
-            this.patienceEnds = patienceEnds;
-            this.margin = ANSWER_MARGIN.orLess(patienceEnds.since(now).times(MARGIN_PART));
-            this.target = now.plus(terms.joinTarget());
-            probesLeft = Math.min(PROBES_HELD,
-                    probesLeft + PROBE_SPEND / Math.max(0.001, house.permits().probePrice()));
-        }
+    /* ---- the paired averages and the cap ---- */
+
+    /** One sample of demand over size: both averages move, then a step down, one up, or none. */
+    private void sample() {
+      // With nothing heard and no probe to ask, own rates alone would look like room.
+      Moment heardAt = reportedAt.orLater(link.elsewhereAt).orLater(link.toldTrueAt);
+      boolean fresh =
+          now.since(heardAt).under(house.permits().probes() ? FRESH : TELL_ALL.times(2));
+      if (viewings.isEmpty() || !fresh && !house.permits().probes() && house.fronts() > 1) {
+        sampledAt = now;
+        return;
+      }
+      double x = Math.max(link.load(), rack.load());
+      double passed = now.since(sampledAt).seconds();
+      shortAverage += Math.min(1, passed / SHORT.seconds()) * (x - shortAverage);
+      longAverage += Math.min(1, passed / LONG.seconds()) * (x - longAverage);
+      sampledAt = now;
+      if (shortAverage >= UPPER_MARK) {
+        stepDown(1 - SHED_TO / Math.max(x, SHED_TO));
+      } else if (!now.before(steppedUpAt.plus(STEP_PACE))) {
+        Viewing low = next(1);
+        double mark = low == null ? 0 : link.fill() - low.added(1) / link.size();
+        // A step up wants fresh news: it is asked for first.
+        if (longAverage < mark && x < mark && !ask() && fresh) {
+          stepUp(low, link.fill() / Math.max(x, 0.1) - 1);
+        }
+      }
+    }
 
-        private double rate(int r) {
-            return terms.rateFactor() * house.ladderKb()[r];
-        }
+    /**
+     * Every front on a link hears the same news. Each steps for its own part of the shortage, or of
+     * the room, the last step by chance, so that all together meet it: one front alone as well as
+     * hundreds with a viewing each. It harms where others do not hear: then the next sample steps
+     * again.
+     */
+    private void stepDown(double over) {
+      Viewing top = next(-1);
+      shortAverage = top == null ? shortAverage : SHORT_RESET;
+      double part = over * link.own;
+      othersAlike(-over);
+      List<Viewing> lowered = new ArrayList<>();
+      while (top != null && chance.nextDouble() < part / -top.added(-1)) {
+        part += top.added(-1);
+        top.shift(-1);
+        lowered.remove(top);
+        lowered.add(top);
+        top = next(-1);
+      }
+      lowered.forEach(vw -> vw.player.rung(vw.rung)); // each change costs: one for several steps
+    }
 
-        private boolean mayStep(int by) {
-            double present = rate(rung);
-            return by < 0 ? rung > terms.lowestRung() : rung < ceiling
-                    && at.capped(rate(rung + 1), at.link.spare() + present, at.rack.spare() + present);
-        }
+    private void stepUp(Viewing low, double under) {
+      longAverage = LONG_RESET;
+      steppedUpAt = now;
+      double part = under * link.own;
+      for (; low != null && chance.nextDouble() < part / low.added(1); low = next(1)) {
+        part -= low.added(1);
+        low.shift(1);
+        low.player.rung(low.rung);
+      }
+    }
 
-        /** What a step adds to the rate: less than nothing for one down. */
-        private double added(int by) {
-            return rate(rung + by) - rate(rung);
-        }
+    /**
+     * The viewing that steps next: the top rung down, the lowest up within the cap; among equals
+     * the least value lost or most won for a kB.
+     */
+    private Viewing next(int by) {
+      Viewing best = null;
+      for (Viewing vw : viewings) {
+        if (vw.playing
+            && vw.mayStep(by)
+            && (best == null
+                || by * (best.rung - vw.rung) > 0
+                || best.rung == vw.rung && by * (vw.gain(by) - best.gain(by)) > 0)) {
+          best = vw;
+        }
+      }
+      return best;
+    }
 
-        /** Value won or lost for each kB of the step. */
-        private double gain(int by) {
-            return terms.value() * (house.rungValue()[rung + by] - house.rungValue()[rung]) / added(by);
-        }
+    /**
+     * The other fronts' parts of what this one now does about a load of its link or of its uplink.
+     */
+    private void othersAlike(double by) {
+      if (house.permits().messages()) {
+        return; // told soon
+      }
+      double onLink = by * Math.max(0, link.demand() - link.own);
+      double onRack = by * Math.max(0, rack.demand() - rack.own) * link.own / Math.max(1, rack.own);
+      boolean uplink = rack.load() > link.load();
+      link.heardOf(onLink);
+      rack.heardOf(uplink ? onRack : onLink);
+    }
 
-        private void shift(int by) {
-            change(added(by), true);
-            rung += by;
-        }
+    /**
+     * N: the link's viewings, by own account and what others or reports say beyond it; where they
+     * say nothing, others' are taken to be of the middle rate.
+     */
+    private double sharers() {
+      return viewings.size()
+          + Math.max(
+              0,
+              !Double.isNaN(streams)
+                  ? streams - viewings.size()
+                  : house.permits().messages()
+                      ? othersCount
+                      : (link.likely() - link.own) / middleKb);
+    }
 
-        /** A change of own rates; no news where it has been in force already. */
-        private void change(double kb, boolean news) {
-            at.link.change(kb, news);
-            at.rack.change(kb, news);
-        }
+    private boolean capped(double rate, double linkRoom, double rackRoom) {
+      return rate <= link.size() / (sharers() + 1)
+          || rate + middleKb <= linkRoom && rate + rack.serving * middleKb <= rackRoom;
+    }
 
-        /* ---- placement ---- */
-
-        /** Where probes or words are allowed, the two holders that look best are asked first. */
-        private void look() {
-            MediaBox first = roomiest(null);
-            ask(first);
-            ask(first == null ? null : roomiest(first));
-            if (unheard > 0) {
-                outside.wakeAfter(LOOK, this::place);
-            } else {
-                place();
-            }
-        }
+    private double room() {
+      return Math.min(link.room(), rack.room());
+    }
+  }
+
+  /**
+   * What is watched: where it is held, and the viewings of it here that hold a seat, one row a
+   * package; a row leaves with its last viewing.
+   */
+  public record Title(int firstCell, int cellsInRow, Map<PackageTerms, Integer> seated) {}
+
+  public final class Viewing {
+    private final Outside.Player player;
+    private final PackageTerms terms;
+    private final Title title;
+    private final int ceiling;
+    private final Moment target;
+    private final Moment patienceEnds;
+    private final Span margin;
+    private MediaBox at;
+    private int rung;
+    private int tuneIns;
+
+    /** Answers that it waits for. */
+    private int unheard;
+
+    private boolean looked;
+    private boolean playing;
+    private boolean answered;
+    private boolean mayHaveRun;
+
+    private Viewing(
+        Outside.Player player, PackageTerms terms, Title title, int ceiling, Moment patienceEnds) {
+      this.player = player;
+      this.terms = terms;
+      this.title = title;
+      this.ceiling = Math.max(terms.lowestRung(), Math.min(ceiling, terms.highestRung()));
+      this.patienceEnds = patienceEnds;
+      this.margin = ANSWER_MARGIN.orLess(patienceEnds.since(now).times(MARGIN_PART));
+      this.target = now.plus(terms.joinTarget());
+      probesLeft =
+          Math.min(
+              PROBES_HELD,
+              probesLeft + PROBE_SPEND / Math.max(0.001, house.permits().probePrice()));
+    }
 
-        private void ask(MediaBox b) {
-            if (b != null && b.ask()) {
-                b.askers.add(this);
-                looked = true;
-                unheard++;
-            }
-        }
+    private double rate(int r) {
+      return terms.rateFactor() * house.ladderKb()[r];
+    }
 
-        private void heard() {
-            if (--unheard == 0) {
-                place();
-            }
-        }
+    private boolean mayStep(int by) {
+      double present = rate(rung);
+      return by < 0
+          ? rung > terms.lowestRung()
+          : rung < ceiling
+              && at.capped(rate(rung + 1), at.link.spare() + present, at.rack.spare() + present);
+    }
 
-        private MediaBox roomiest(MediaBox but) {
-            MediaBox best = null;
-            double most = Double.NEGATIVE_INFINITY;
-            int row = title.cellsInRow <= 0 ? cells.size() : Math.min(cells.size(), title.cellsInRow);
-            for (int i = 0; i < row; i++) {
-                for (MediaBox b : cells.get(Math.floorMod(title.firstCell + i, cells.size()))) {
-                    double score = b != but && mayTuneIn(this, b) ? score(b) : Double.NEGATIVE_INFINITY;
-                    if (score > most) {
-                        most = score;
-                        best = b;
-                    }
-                }
-            }
-            return best;
-        }
+    /** What a step adds to the rate: less than nothing for one down. */
+    private double added(int by) {
+      return rate(rung + by) - rate(rung);
+    }
 
-        private double score(MediaBox b) {
-            double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
-            // Others of this front's play there: it is connected, and what is heard is heard for all of them.
-            double connected = house.permits().connectPrice() * LOAD_FOR_PRICE * b.rack.size();
-            score += b.viewings.isEmpty() ? 0 : connected;
-            score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
-            score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
-            score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
-            Moment heardAt = b.link.toldTrueAt.orLater(b.link.elsewhereAt);
-            return score - (looked && FRESH.under(now.since(heardAt)) ? 1e7 : 0);
-        }
+    /** Value won or lost for each kB of the step. */
+    private double gain(int by) {
+      return terms.value() * (house.rungValue()[rung + by] - house.rungValue()[rung]) / added(by);
+    }
 
-        /** Sends to the roomiest holder; waits a little where the gate is shut, blocks if it stays. */
-        private void place() {
-            if (answered || at != null) {
-                return;
-            }
-            MediaBox best = roomiest(null);
-            if (best != null && !crowdedOut(best)) {
-                tuneIn(best);
-            } else if (best == null && mayStillPlay() && HOLD.under(patienceLeft(this))
-                    && now.plus(HOLD).before(target)) {
-                outside.wakeAfter(HOLD, this::place);
-            } else {
-                giveUp();
-            }
-        }
+    private void shift(int by) {
+      change(added(by), true);
+      rung += by;
+    }
 
-        /** Even on its lowest rung it would make its best box short, which costs all that play there more
-         * than it is worth. Should hold against any crowd; it harms where those could still step down. */
-        private boolean crowdedOut(MediaBox b) {
-            double least = rate(terms.lowestRung());
-            return b.link.likely() + least > b.link.size() || b.rack.likely() + least > b.rack.size();
-        }
+    /** A change of own rates; no news where it has been in force already. */
+    private void change(double kb, boolean news) {
+      at.link.change(kb, news);
+      at.rack.change(kb, news);
+    }
 
-        private boolean mayStillPlay() {
-            return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
-        }
+    /* ---- placement ---- */
+
+    /** Where probes or words are allowed, the two holders that look best are asked first. */
+    private void look() {
+      MediaBox first = roomiest(null);
+      ask(first);
+      ask(first == null ? null : roomiest(first));
+      if (unheard > 0) {
+        outside.wakeAfter(LOOK, this::place);
+      } else {
+        place();
+      }
+    }
 
-        /** The highest rung that fits cap and room, or the lowest: so too on old news where it or any two
-         * boxes played on are short: what steps down looks like room to all. It harms if others are not. */
-        private int fit(MediaBox b) {
-            boolean crowded = oldNews && (b.shortNow()
-                    || 1 < occupied.stream().filter(MediaBox::shortNow).count());
-            for (int r = ceiling; r > terms.lowestRung() && !crowded; r--) {
-                double kept = oldNews ? KEPT_FREE * b.rack.size() : 0;
-                if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room() - kept)
-                        || oldNews && fairlyFits(b, r)) {
-                    return r;
-                }
-            }
-            return terms.lowestRung();
-        }
+    private void ask(MediaBox b) {
+      if (b != null && b.ask()) {
+        b.askers.add(this);
+        looked = true;
+        unheard++;
+      }
+    }
 
-        /** On old news all fronts see the same room and take it at once, or none and start at the lowest.
-         * There a newcomer takes the rung nearest to its fair part of the uplink, up to the brim: the more
-         * already play, the less. It harms where one front alone fills an uplink: it could have had all. */
-        private boolean fairlyFits(MediaBox b, int r) {
-            double brim = Math.min(b.link.size() - b.link.likely(), b.rack.size() - b.rack.likely());
-            double part = b.rack.size() / (b.rack.sharers() + 1);
-            return rate(r) <= brim && rate(r) * rate(r - 1) <= part * part
-                    && b.capped(rate(r), b.link.room(), Double.POSITIVE_INFINITY);
-        }
+    private void heard() {
+      if (--unheard == 0) {
+        place();
+      }
+    }
 
-        private void tuneIn(MediaBox b) {
-            int fits = fit(b);
-            Span toTarget = target.since(now);
-            Span wait = LEAST_WAIT.under(toTarget) ? toTarget.times(0.5).orMore(LEAST_WAIT) : LATE_WAIT;
-            gatePassed(this, b);
-            settle(b, fits);
-            player.rung(rung);
-            player.tuneIn(b, wait.orLess(patienceLeft(this)));
-            b.tell(1);
-        }
+    private MediaBox roomiest(MediaBox but) {
+      MediaBox best = null;
+      double most = Double.NEGATIVE_INFINITY;
+      int row = title.cellsInRow <= 0 ? cells.size() : Math.min(cells.size(), title.cellsInRow);
+      for (int i = 0; i < row; i++) {
+        for (MediaBox b : cells.get(Math.floorMod(title.firstCell + i, cells.size()))) {
+          double score = b != but && mayTuneIn(this, b) ? score(b) : Double.NEGATIVE_INFINITY;
+          if (score > most) {
+            most = score;
+            best = b;
+          }
+        }
+      }
+      return best;
+    }
 
-        private void settle(MediaBox b, int r) {
-            at = b;
-            rung = r;
-            change(rate(r), !playing);
-            if (b.viewings.isEmpty()) {
-                occupied.add(b);
-                b.shortAverage = SHORT_RESET;
-                b.longAverage = LONG_RESET;
-                b.sampledAt = now;
-            }
-            b.viewings.add(this);
-            if (terms.seats() > 0) {
-                title.seated.merge(terms, 1, Integer::sum);
-            }
-        }
+    private double score(MediaBox b) {
+      double score = b.room() + 0.2 * b.link.room() + middleKb * chance.nextDouble();
+      // Others of this front's play there: it is connected, and what is heard is heard for all of
+      // them.
+      double connected = house.permits().connectPrice() * LOAD_FOR_PRICE * b.rack.size();
+      score += b.viewings.isEmpty() ? 0 : connected;
+      score -= b.building == house.building() ? 0 : house.permits().crossingPrice() * 10 * middleKb;
+      score -= b.streams + b.settingUp() >= b.places ? 1e8 : 0;
+      score -= b.avoided() ? 1e9 * (1 + b.failures) : 0;
+      Moment heardAt = b.link.toldTrueAt.orLater(b.link.elsewhereAt);
+      return score - (looked && FRESH.under(now.since(heardAt)) ? 1e7 : 0);
+    }
 
-        private void leave() {
-            change(-rate(rung), true);
-            at.viewings.remove(this);
-            if (at.viewings.isEmpty()) {
-                occupied.remove(at);
-                at.tell(1);
-            }
-            if (terms.seats() > 0) {
-                title.seated.computeIfPresent(terms, (t, n) -> n > 1 ? n - 1 : null);
-            }
-            at = null;
-        }
+    /** Sends to the roomiest holder; waits a little where the gate is shut, blocks if it stays. */
+    private void place() {
+      if (answered || at != null) {
+        return;
+      }
+      MediaBox best = roomiest(null);
+      if (best != null && !crowdedOut(best)) {
+        tuneIn(best);
+      } else if (best == null
+          && mayStillPlay()
+          && HOLD.under(patienceLeft(this))
+          && now.plus(HOLD).before(target)) {
+        outside.wakeAfter(HOLD, this::place);
+      } else {
+        giveUp();
+      }
+    }
 
-        /** The final answer, at once: blocked where that is safe to say, else aborted. */
-        private void giveUp() {
-            answered = true;
-            if (mayHaveRun && terms.paidAtSetUp()) {
-                player.abort();
-            } else {
-                player.block(COME_BACK.orLess(house.permits().longestAdvice()));
-            }
-        }
+    /**
+     * Even on its lowest rung it would make its best box short, which costs all that play there
+     * more than it is worth. Should hold against any crowd; it harms where those could still step
+     * down.
+     */
+    private boolean crowdedOut(MediaBox b) {
+      double least = rate(terms.lowestRung());
+      return b.link.likely() + least > b.link.size() || b.rack.likely() + least > b.rack.size();
+    }
 
-        /* ---- end-of-viewing bookkeeping ---- */
+    private boolean mayStillPlay() {
+      return tuneIns < house.permits().tuneIns() && (!mayHaveRun || !terms.paidAtSetUp());
+    }
 
-        public void playing() {
-            if (at == null) {
-                return;
-            }
-            playing = true;
-            answered = true;
-            at.succeeded();
-            at.sample();
-        }
+    /**
+     * The highest rung that fits cap and room, or the lowest: so too on old news where it or any
+     * two boxes played on are short: what steps down looks like room to all. It harms if others are
+     * not.
+     */
+    private int fit(MediaBox b) {
+      boolean crowded =
+          oldNews && (b.shortNow() || 1 < occupied.stream().filter(MediaBox::shortNow).count());
+      for (int r = ceiling; r > terms.lowestRung() && !crowded; r--) {
+        double kept = oldNews ? KEPT_FREE * b.rack.size() : 0;
+        if (rate(r) <= b.room() && b.capped(rate(r), b.link.room(), b.rack.room() - kept)
+            || oldNews && fairlyFits(b, r)) {
+          return r;
+        }
+      }
+      return terms.lowestRung();
+    }
 
-        /** The tune-in is no longer out; over says that the viewing has ended with it or before. */
-        public void tuneInEnded(Outside.Ending how, boolean over) {
-            if (at == null) {
-                return;
-            }
-            MediaBox b = at;
-            boolean wasPlaying = playing;
-            playing = false;
-            leave();
-            mayHaveRun |= !how.neverRan;
-            switch (how) {
-                case ERROR, TURNED_AWAY, UNHEARD -> b.failed(false);
-                case NO_ANSWER, NOT_REACHED, BROKEN -> b.failed(true);
-                default -> {
-                }
-            }
-            b.sample();
-            answered |= over || wasPlaying;
-            if (!answered) {
-                place();
-            }
-        }
+    /**
+     * On old news all fronts see the same room and take it at once, or none and start at the
+     * lowest. There a newcomer takes the rung nearest to its fair part of the uplink, up to the
+     * brim: the more already play, the less. It harms where one front alone fills an uplink: it
+     * could have had all.
+     */
+    private boolean fairlyFits(MediaBox b, int r) {
+      double brim = Math.min(b.link.size() - b.link.likely(), b.rack.size() - b.rack.likely());
+      double part = b.rack.size() / (b.rack.sharers() + 1);
+      return rate(r) <= brim
+          && rate(r) * rate(r - 1) <= part * part
+          && b.capped(rate(r), b.link.room(), Double.POSITIVE_INFINITY);
+    }
 
-        /** The viewer has gone; a tune-in that is out still ends by itself. */
-        public void viewerLeft() {
-            answered = true;
-        }
+    private void tuneIn(MediaBox b) {
+      int fits = fit(b);
+      Span toTarget = target.since(now);
+      Span wait = LEAST_WAIT.under(toTarget) ? toTarget.times(0.5).orMore(LEAST_WAIT) : LATE_WAIT;
+      gatePassed(this, b);
+      settle(b, fits);
+      player.rung(rung);
+      player.tuneIn(b, wait.orLess(patienceLeft(this)));
+      b.tell(1);
+    }
 
-        public void shareDelivered(double share) {
-            if (at != null) {
-                at.heardShare(share);
-            }
-        }
+    private void settle(MediaBox b, int r) {
+      at = b;
+      rung = r;
+      change(rate(r), !playing);
+      if (b.viewings.isEmpty()) {
+        occupied.add(b);
+        b.shortAverage = SHORT_RESET;
+        b.longAverage = LONG_RESET;
+        b.sampledAt = now;
+      }
+      b.viewings.add(this);
+      if (terms.seats() > 0) {
+        title.seated.merge(terms, 1, Integer::sum);
+      }
+    }
 
-        public void rungInForce(int inForce) {
-            if (at != null && inForce != rung && inForce >= 0 && inForce < house.ladderKb().length) {
-                change(added(inForce - rung), false);
-                rung = inForce;
-            }
-        }
+    private void leave() {
+      change(-rate(rung), true);
+      at.viewings.remove(this);
+      if (at.viewings.isEmpty()) {
+        occupied.remove(at);
+        at.tell(1);
+      }
+      if (terms.seats() > 0) {
+        title.seated.computeIfPresent(terms, (t, n) -> n > 1 ? n - 1 : null);
+      }
+      at = null;
+    }
 
-        /** What the box tells on this viewing of link and uplink; NaN for what it does not. */
-        public void loadsTold(double linkAsked, double uplinkAsked) {
-            if (at != null) {
-                Span late = playing ? house.fleet().shareLateness() : Span.NONE;
-                at.loads(linkAsked, uplinkAsked, now.minus(late));
-            }
-        }
+    /** The final answer, at once: blocked where that is safe to say, else aborted. */
+    private void giveUp() {
+      answered = true;
+      if (mayHaveRun && terms.paidAtSetUp()) {
+        player.abort();
+      } else {
+        player.block(COME_BACK.orLess(house.permits().longestAdvice()));
+      }
     }
 
-    /* ---- the gate: every send passes here, and every rule is kept here ---- */
+    /* ---- end-of-viewing bookkeeping ---- */
 
-    private boolean mayTuneIn(Viewing vw, MediaBox b) {
-        return !vw.answered && vw.at == null && vw.mayStillPlay() // one tune-in out, none twice
-                && vw.margin.under(patienceLeft(vw)) // the answer comes before the viewer's patience ends
-                && b.serving && b.holds(vw.title) // drains: nothing at all once told, well within the grace
-                && (vw.terms.seats() <= 0 || vw.title.seated.getOrDefault(vw.terms, 0) < vw.terms.seats())
-                && (vw.tuneIns == 0 || furtherLeft())
-                && coldPaceKept(b);
+    public void playing() {
+      if (at == null) {
+        return;
+      }
+      playing = true;
+      answered = true;
+      at.succeeded();
+      at.sample();
     }
 
-    private Span patienceLeft(Viewing vw) {
-        return vw.patienceEnds.since(now).minus(vw.margin);
+    /** The tune-in is no longer out; over says that the viewing has ended with it or before. */
+    public void tuneInEnded(Outside.Ending how, boolean over) {
+      if (at == null) {
+        return;
+      }
+      MediaBox b = at;
+      boolean wasPlaying = playing;
+      playing = false;
+      leave();
+      mayHaveRun |= !how.neverRan;
+      switch (how) {
+        case ERROR, TURNED_AWAY, UNHEARD -> b.failed(false);
+        case NO_ANSWER, NOT_REACHED, BROKEN -> b.failed(true);
+        default -> {}
+      }
+      b.sample();
+      answered |= over || wasPlaying;
+      if (!answered) {
+        place();
+      }
     }
 
-    private void gatePassed(Viewing vw, MediaBox b) {
-        if (vw.tuneIns++ > 0) {
-            further.add(now);
-        }
-        prune(b.sends, now.minus(fallWindow()));
-        b.sends.add(now);
+    /** The viewer has gone; a tune-in that is out still ends by itself. */
+    public void viewerLeft() {
+      answered = true;
     }
 
-    private boolean furtherLeft() {
-        Headend.Rules rules = house.rules();
-        pruneRation();
-        return rules.furtherSpan().equals(Span.NONE)
-                || further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
+    public void shareDelivered(double share) {
+      if (at != null) {
+        at.heardShare(share);
+      }
     }
 
-    /** The window is that of the sending, which may come so much later. */
-    private void pruneRation() {
-        prune(further, now.minus(house.rules().furtherSpan()).minus(UNTIL_SENT));
-        prune(taken, now.minus(house.rules().furtherSpan()).plus(UNTIL_SENT));
+    public void rungInForce(int inForce) {
+      if (at != null && inForce != rung && inForce >= 0 && inForce < house.ladderKb().length) {
+        change(added(inForce - rung), false);
+        rung = inForce;
+      }
     }
 
-    private static void prune(ArrayDeque<Moment> moments, Moment from) {
-        while (!moments.isEmpty() && moments.peek().before(from)) {
-            moments.poll();
-        }
+    /** What the box tells on this viewing of link and uplink; NaN for what it does not. */
+    public void loadsTold(double linkAsked, double uplinkAsked) {
+      if (at != null) {
+        Span late = playing ? house.fleet().shareLateness() : Span.NONE;
+        at.loads(linkAsked, uplinkAsked, now.minus(late));
+      }
     }
-
-    /** The span over which sends to a cold box are counted. */
-    private Span fallWindow() {
-        return house.rules().fallAfter().plus(UNTIL_SENT);
+  }
+
+  /* ---- the gate: every send passes here, and every rule is kept here ---- */
+
+  private boolean mayTuneIn(Viewing vw, MediaBox b) {
+    return !vw.answered
+        && vw.at == null
+        && vw.mayStillPlay() // one tune-in out, none twice
+        && vw.margin.under(patienceLeft(vw)) // the answer comes before the viewer's patience ends
+        && b.serving
+        && b.holds(vw.title) // drains: nothing at all once told, well within the grace
+        && (vw.terms.seats() <= 0 || vw.title.seated.getOrDefault(vw.terms, 0) < vw.terms.seats())
+        && (vw.tuneIns == 0 || furtherLeft())
+        && coldPaceKept(b);
+  }
+
+  private Span patienceLeft(Viewing vw) {
+    return vw.patienceEnds.since(now).minus(vw.margin);
+  }
+
+  private void gatePassed(Viewing vw, MediaBox b) {
+    if (vw.tuneIns++ > 0) {
+      further.add(now);
     }
-
-    /** A cold box gets this front's part of what all fronts together may send it in any window, reckoned at
-     * the capacity that it surely has at its start. Where a part is less than one set-up the fronts take
-     * turns by their numbers, so that they keep it with no word between them. A front that has itself just
-     * started may have sent before: it waits. */
-    private boolean coldPaceKept(MediaBox b) {
-        Headend.Rules rules = house.rules();
-        if (!now.before(b.startedAt.orLater(b.lostAt).plus(rules.coldFor()))) {
-            return true; // neither just started nor lost from sight so lately that it may have
-        }
-        Span window = fallWindow();
-        prune(b.sends, now.minus(window));
-        double all = COLD_PART * rules.fallMultiple() * b.places * rules.startCapacity()
-                * rules.fallAfter().seconds() / rules.coldFor().seconds();
-        if (now.since(started).under(window)) {
-            return false;
-        }
-        double part = Math.floor(all / house.fronts());
-        if (part >= 1) {
-            return b.sends.size() < part;
-        }
-        double turns = Math.floor(all) - 1;
-        long turn = Math.floorDiv(now.micros(), Math.max(1, Math.round(window.micros() / turns)));
-        return turns >= 1 && b.sends.isEmpty() && Math.floorMod(turn, house.fronts()) == house.ownNumber();
+    prune(b.sends, now.minus(fallWindow()));
+    b.sends.add(now);
+  }
+
+  private boolean furtherLeft() {
+    Headend.Rules rules = house.rules();
+    pruneRation();
+    return rules.furtherSpan().equals(Span.NONE)
+        || further.size() + 1 <= rules.furtherFree() + rules.furtherShare() * taken.size();
+  }
+
+  /** The window is that of the sending, which may come so much later. */
+  private void pruneRation() {
+    prune(further, now.minus(house.rules().furtherSpan()).minus(UNTIL_SENT));
+    prune(taken, now.minus(house.rules().furtherSpan()).plus(UNTIL_SENT));
+  }
+
+  private static void prune(ArrayDeque<Moment> moments, Moment from) {
+    while (!moments.isEmpty() && moments.peek().before(from)) {
+      moments.poll();
+    }
+  }
+
+  /** The span over which sends to a cold box are counted. */
+  private Span fallWindow() {
+    return house.rules().fallAfter().plus(UNTIL_SENT);
+  }
+
+  /**
+   * A cold box gets this front's part of what all fronts together may send it in any window,
+   * reckoned at the capacity that it surely has at its start. Where a part is less than one set-up
+   * the fronts take turns by their numbers, so that they keep it with no word between them. A front
+   * that has itself just started may have sent before: it waits.
+   */
+  private boolean coldPaceKept(MediaBox b) {
+    Headend.Rules rules = house.rules();
+    if (!now.before(b.startedAt.orLater(b.lostAt).plus(rules.coldFor()))) {
+      return true; // neither just started nor lost from sight so lately that it may have
+    }
+    Span window = fallWindow();
+    prune(b.sends, now.minus(window));
+    double all =
+        COLD_PART
+            * rules.fallMultiple()
+            * b.places
+            * rules.startCapacity()
+            * rules.fallAfter().seconds()
+            / rules.coldFor().seconds();
+    if (now.since(started).under(window)) {
+      return false;
+    }
+    double part = Math.floor(all / house.fronts());
+    if (part >= 1) {
+      return b.sends.size() < part;
     }
+    double turns = Math.floor(all) - 1;
+    long turn = Math.floorDiv(now.micros(), Math.max(1, Math.round(window.micros() / turns)));
+    return turns >= 1
+        && b.sends.isEmpty()
+        && Math.floorMod(turn, house.fronts()) == house.ownNumber();
+  }
 }
--- a/src/main/java/linengauge/briefing/BadBriefing.java
+++ b/src/main/java/linengauge/briefing/BadBriefing.java
@@ -2,9 +2,9 @@
 
 /** What a front was told at its start cannot be used; the message names the key. */
 public final class BadBriefing extends Exception {
-    private static final long serialVersionUID = 1L;
+  private static final long serialVersionUID = 1L;
 
-    public BadBriefing(String what) {
-        super(what);
-    }
+  public BadBriefing(String what) {
+    super(what);
+  }
 }
--- a/src/main/java/linengauge/cli/Main.java
+++ b/src/main/java/linengauge/cli/Main.java
@@ -5,37 +5,43 @@
 import linengauge.standin.PlatformTryOut;
 import linengauge.wire.WireHost;
 
-/** The program's door. The bench's adapter starts without any of the libraries that the rest of the program needs. */
+/**
+ * The program's door. The bench's adapter starts without any of the libraries that the rest of the
+ * program needs.
+ */
 public final class Main {
-    private Main() {
-    }
+  private Main() {}
 
-    public static void main(String[] args) {
-        String only = args.length == 1 ? args[0] : "";
-        System.exit(switch (only) {
-            case "wirehost" -> WireHost.onStandardStreams();
-            case "serve" -> serve();
-            case "serve-tryout" -> tryOut();
-            default -> Commands.run(args);
+  public static void main(String[] args) {
+    String only = args.length == 1 ? args[0] : "";
+    System.exit(
+        switch (only) {
+          case "wirehost" -> WireHost.onStandardStreams();
+          case "serve" -> serve();
+          case "serve-tryout" -> tryOut();
+          default -> Commands.run(args);
         });
-    }
+  }
 
-    /** Started often and with little memory: without the command line's library. */
-    private static int serve() {
-        System.setProperty("logback.configurationFile", "linengauge/log-text.xml");
-        System.setProperty("vertx.disableDnsResolver", "true");
-        return Service.run(System.getenv());
-    }
+  /** Started often and with little memory: without the command line's library. */
+  private static int serve() {
+    System.setProperty("logback.configurationFile", "linengauge/log-text.xml");
+    System.setProperty("vertx.disableDnsResolver", "true");
+    return Service.run(System.getenv());
+  }
 
-    /** Plays through a front of the platform on loopback; the build makes its archive of classes from this. */
-    private static int tryOut() {
-        System.setProperty("logback.configurationFile", "linengauge/log-text.xml");
-        System.setProperty("vertx.disableDnsResolver", "true");
-        try (var other = new PlatformTryOut()) {
-            return TryOut.run(other.port(), other.journal(), other.boxes(), other::play);
-        } catch (Exception e) {
-            System.err.println("linengauge: the try-out failed: " + e.getMessage());
-            return 1;
-        }
+  /**
+   * Plays through a front of the platform on loopback; the build makes its archive of classes from
+   * this.
+   */
+  private static int tryOut() {
+    System.setProperty("logback.configurationFile", "linengauge/log-text.xml");
+    System.setProperty("vertx.disableDnsResolver", "true");
+    try (var other = new PlatformTryOut()) {
+      return TryOut.run(other.port(), other.journal(), other.boxes(), other::play);
+    } catch (Exception e) {
+      System.err.println("linengauge: the try-out failed: " + e.getMessage());
+      return 1;
     }
+  }
 }
--- a/src/main/java/linengauge/council/Pack.java
+++ b/src/main/java/linengauge/council/Pack.java
@@ -6,43 +6,43 @@
 
 /** Numbers, texts and bytes laid out one after another; {@link Unpack} reads them. */
 public final class Pack {
-    private byte[] held = new byte[128];
-    private int length;
-
-    private ByteBuffer more(int by) {
-        if (length + by > held.length) {
-            held = Arrays.copyOf(held, Math.max(held.length * 2, length + by));
-        }
-        ByteBuffer at = ByteBuffer.wrap(held, length, by);
-        length += by;
-        return at;
-    }
-
-    public Pack num(long n) {
-        more(Long.BYTES).putLong(n);
-        return this;
-    }
-
-    public Pack real(double d) {
-        return num(Double.doubleToLongBits(d));
-    }
-
-    public Pack flag(boolean f) {
-        more(1).put((byte) (f ? 1 : 0));
-        return this;
-    }
-
-    public Pack bytes(byte[] b) {
-        more(Integer.BYTES).putInt(b.length);
-        more(b.length).put(b);
-        return this;
-    }
-
-    public Pack text(String t) {
-        return bytes(t.getBytes(StandardCharsets.UTF_8));
-    }
+  private byte[] held = new byte[128];
+  private int length;
 
-    public byte[] done() {
-        return Arrays.copyOf(held, length);
+  private ByteBuffer more(int by) {
+    if (length + by > held.length) {
+      held = Arrays.copyOf(held, Math.max(held.length * 2, length + by));
     }
+    ByteBuffer at = ByteBuffer.wrap(held, length, by);
+    length += by;
+    return at;
+  }
+
+  public Pack num(long n) {
+    more(Long.BYTES).putLong(n);
+    return this;
+  }
+
+  public Pack real(double d) {
+    return num(Double.doubleToLongBits(d));
+  }
+
+  public Pack flag(boolean f) {
+    more(1).put((byte) (f ? 1 : 0));
+    return this;
+  }
+
+  public Pack bytes(byte[] b) {
+    more(Integer.BYTES).putInt(b.length);
+    more(b.length).put(b);
+    return this;
+  }
+
+  public Pack text(String t) {
+    return bytes(t.getBytes(StandardCharsets.UTF_8));
+  }
+
+  public byte[] done() {
+    return Arrays.copyOf(held, length);
+  }
 }
--- a/src/main/java/linengauge/council/explore/Mishap.java
+++ b/src/main/java/linengauge/council/explore/Mishap.java
@@ -13,35 +13,56 @@
  * @param b by whom, for what goes one way between two
  */
 public record Mishap(Kind kind, int a, int b, Moment from, Moment to) {
-    /** What can go wrong: with one, on the way from one to another, on all ways. */
-    public enum Kind { CRASH, FREEZE, DISK_FULL, SLOW_DISK, EMPTIED, MUTE, DEAF, CUT, LOSS, LATE, CHANGE }
+  /** What can go wrong: with one, on the way from one to another, on all ways. */
+  public enum Kind {
+    CRASH,
+    FREEZE,
+    DISK_FULL,
+    SLOW_DISK,
+    EMPTIED,
+    MUTE,
+    DEAF,
+    CUT,
+    LOSS,
+    LATE,
+    CHANGE
+  }
 
-    /** @return so many, drawn from the seed, all of them over before the end */
-    public static List<Mishap> drawn(long seed, int voters, int followers, int many, Span end) {
-        SplittableRandom chance = new SplittableRandom(seed);
-        List<Mishap> all = new ArrayList<>();
-        int emptied = 0;
-        for (int i = 0; i < many; i++) {
-            Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
-            int a = chance.nextInt(kind == Kind.FREEZE || kind == Kind.CUT ? voters + followers : voters);
-            int b = chance.nextInt(voters);
-            Moment from = new Moment(chance.nextLong(end.micros() * 3 / 4));
-            long longest = kind == Kind.EMPTIED || kind == Kind.CHANGE ? 3_000_000 : end.micros() / 4;
-            Moment to = from.plus(new Span(50_000 + chance.nextLong(longest)));
-            if ((kind == Kind.EMPTIED || kind == Kind.CHANGE) && emptied++ > 0) {
-                kind = Kind.CRASH; // a voice lost while one is being replaced is beyond what three bear
-            }
-            all.add(new Mishap(kind, a, b, from, to));
-        }
-        return all;
+  /**
+   * @return so many, drawn from the seed, all of them over before the end
+   */
+  public static List<Mishap> drawn(long seed, int voters, int followers, int many, Span end) {
+    SplittableRandom chance = new SplittableRandom(seed);
+    List<Mishap> all = new ArrayList<>();
+    int emptied = 0;
+    for (int i = 0; i < many; i++) {
+      Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
+      int a = chance.nextInt(kind == Kind.FREEZE || kind == Kind.CUT ? voters + followers : voters);
+      int b = chance.nextInt(voters);
+      Moment from = new Moment(chance.nextLong(end.micros() * 3 / 4));
+      long longest = kind == Kind.EMPTIED || kind == Kind.CHANGE ? 3_000_000 : end.micros() / 4;
+      Moment to = from.plus(new Span(50_000 + chance.nextLong(longest)));
+      if ((kind == Kind.EMPTIED || kind == Kind.CHANGE) && emptied++ > 0) {
+        kind = Kind.CRASH; // a voice lost while one is being replaced is beyond what three bear
+      }
+      all.add(new Mishap(kind, a, b, from, to));
     }
+    return all;
+  }
 
-    boolean isOn(Moment now) {
-        return !now.before(from) && now.before(to);
-    }
+  boolean isOn(Moment now) {
+    return !now.before(from) && now.before(to);
+  }
 
-    @Override
-    public String toString() {
-        return String.format(java.util.Locale.ROOT, "%s %d %d %.2f-%.2f s", kind, a, b, from.micros() / 1e6, to.micros() / 1e6);
-    }
+  @Override
+  public String toString() {
+    return String.format(
+        java.util.Locale.ROOT,
+        "%s %d %d %.2f-%.2f s",
+        kind,
+        a,
+        b,
+        from.micros() / 1e6,
+        to.micros() / 1e6);
+  }
 }
--- a/src/main/java/linengauge/council/explore/Plan.java
+++ b/src/main/java/linengauge/council/explore/Plan.java
@@ -15,13 +15,34 @@
  * @param prelude what has happened before, in the words of a schedule
  * @param states after which the exploration is given up as too large
  */
-public record Plan(int voters, int depth, int wakes, int faults, int wishes, int reads, int changes, boolean emptied,
-        List<String> prelude, int states, Maker maker) {
-    /** 0 leads term 1, and all have heard so. */
-    public static final List<String> LED = List.of("wakes 0", "VOTE_FOR_ME 0 to 1", "VOTE_FOR_ME 0 to 2", "VOTED 1 to 0", "APPEND 0 to 1", "TAKEN 1 to 0",
-            "APPEND 0 to 2", "TAKEN 2 to 0", "APPEND 0 to 1", "APPEND 0 to 2");
+public record Plan(
+    int voters,
+    int depth,
+    int wakes,
+    int faults,
+    int wishes,
+    int reads,
+    int changes,
+    boolean emptied,
+    List<String> prelude,
+    int states,
+    Maker maker) {
+  /** 0 leads term 1, and all have heard so. */
+  public static final List<String> LED =
+      List.of(
+          "wakes 0",
+          "VOTE_FOR_ME 0 to 1",
+          "VOTE_FOR_ME 0 to 2",
+          "VOTED 1 to 0",
+          "APPEND 0 to 1",
+          "TAKEN 1 to 0",
+          "APPEND 0 to 2",
+          "TAKEN 2 to 0",
+          "APPEND 0 to 1",
+          "APPEND 0 to 2");
 
-    public Plan at(Maker other) {
-        return new Plan(voters, depth, wakes, faults, wishes, reads, changes, emptied, prelude, states, other);
-    }
+  public Plan at(Maker other) {
+    return new Plan(
+        voters, depth, wakes, faults, wishes, reads, changes, emptied, prelude, states, other);
+  }
 }
--- a/src/main/java/linengauge/council/explore/World.java
+++ b/src/main/java/linengauge/council/explore/World.java
@@ -18,290 +18,350 @@
 import linengauge.council.Word;
 
 /**
- * Some voters and what is on its way between them, copied before each choice. Each voter has a clock of its own, which moves
- * only as its timers are let come due: no order of things is left out because clocks would forbid it. Rules are judged from
- * what voters hold and say, by this class alone.
+ * Some voters and what is on its way between them, copied before each choice. Each voter has a
+ * clock of its own, which moves only as its timers are let come due: no order of things is left out
+ * because clocks would forbid it. Rules are judged from what voters hold and say, by this class
+ * alone.
  */
 final class World {
-    /** On its way; whatever is never let arrive is lost. */
-    private record Message(int to, Word word, byte[] bytes) {
-        String key() {
-            return to + Arrays.toString(bytes);
-        }
+  /** On its way; whatever is never let arrive is lost. */
+  private record Message(int to, Word word, byte[] bytes) {
+    String key() {
+      return to + Arrays.toString(bytes);
     }
+  }
 
-    private static final CouncilTerms TERMS = new CouncilTerms(Span.ofMillis(100), Span.ofMillis(300), Span.ofMillis(100), 64, 64, 1);
-    private static final long WISH = 7;
+  private static final CouncilTerms TERMS =
+      new CouncilTerms(Span.ofMillis(100), Span.ofMillis(300), Span.ofMillis(100), 64, 64, 1);
+  private static final long WISH = 7;
 
-    private final class Node implements Voter.Port {
-        private final int number;
-        private Voter voter;
-        private Saved disk;
-        private Moment clock = new Moment(0);
+  private final class Node implements Voter.Port {
+    private final int number;
+    private Voter voter;
+    private Saved disk;
+    private Moment clock = new Moment(0);
 
-        private Node(int number) {
-            this.number = number;
-        }
+    private Node(int number) {
+      this.number = number;
+    }
 
-        @Override
-        public void save(Saved saved) {
-            disk = saved;
-        }
+    @Override
+    public void save(Saved saved) {
+      disk = saved;
+    }
 
-        @Override
-        public void send(int to, Word word) {
-            if (to < nodes.size()) {
-                // Said at some age or other: that bears on nothing here.
-                Word w = new Word(word.kind(), word.from(), word.store(), word.term(), word.index(), word.indexTerm(), word.commit(),
-                        word.round(), 0, word.yes(), word.entries(), word.whole());
-                Message m = new Message(to, w, w.bytes());
-                onTheWay.putIfAbsent(m.key(), m);
-            }
-        }
+    @Override
+    public void send(int to, Word word) {
+      if (to < nodes.size()) {
+        // Said at some age or other: that bears on nothing here.
+        Word w =
+            new Word(
+                word.kind(),
+                word.from(),
+                word.store(),
+                word.term(),
+                word.index(),
+                word.indexTerm(),
+                word.commit(),
+                word.round(),
+                0,
+                word.yes(),
+                word.entries(),
+                word.whole());
+        Message m = new Message(to, w, w.bytes());
+        onTheWay.putIfAbsent(m.key(), m);
+      }
+    }
 
-        @Override
-        public void answer(long asker, Word word) {
-            if (word.kind() == Word.Kind.READABLE && word.yes() && word.index() < readsFrom.get((int) word.round())) {
-                broken = "stale: " + number + " answers that all is known up to " + word.index() + ", and "
-                        + readsFrom.get((int) word.round()) + " had been decided when it was asked";
-            }
-        }
+    @Override
+    public void answer(long asker, Word word) {
+      if (word.kind() == Word.Kind.READABLE
+          && word.yes()
+          && word.index() < readsFrom.get((int) word.round())) {
+        broken =
+            "stale: "
+                + number
+                + " answers that all is known up to "
+                + word.index()
+                + ", and "
+                + readsFrom.get((int) word.round())
+                + " had been decided when it was asked";
+      }
     }
+  }
 
-    private final Plan plan;
-    private final List<Node> nodes = new ArrayList<>();
-    private final SortedMap<String, Message> onTheWay = new TreeMap<>();
-    /** Who led which term; what was decided, in order, and the term in which it first was. */
-    private final TreeMap<Long, Integer> led = new TreeMap<>();
-    private final List<Entry> decided = new ArrayList<>();
-    private final List<Long> decidedIn = new ArrayList<>();
-    /** How far all was decided when each question was asked. */
-    private final List<Long> readsFrom = new ArrayList<>();
-    private int wakes;
-    private int faults;
-    private int wishes;
-    private int changes;
-    private String broken;
+  private final Plan plan;
+  private final List<Node> nodes = new ArrayList<>();
+  private final SortedMap<String, Message> onTheWay = new TreeMap<>();
 
-    World(Plan plan) {
-        this.plan = plan;
-        SortedMap<Integer, Voters.Chair> chairs = new TreeMap<>();
-        for (int i = 0; i < plan.voters(); i++) {
-            chairs.put(i, chair(i));
-        }
-        Voters founding = new Voters(chairs);
-        for (int i = 0; i < plan.voters() + (plan.changes() > 0 ? 1 : 0); i++) {
-            Node n = new Node(i);
-            nodes.add(n);
-            n.disk = i < plan.voters() ? Saved.founding(chair(i).store(), founding, new Heap()) : Saved.joining(chair(i).store(), new Heap());
-            begin(n);
-        }
-    }
+  /** Who led which term; what was decided, in order, and the term in which it first was. */
+  private final TreeMap<Long, Integer> led = new TreeMap<>();
 
-    private static Voters.Chair chair(int number) {
-        return new Voters.Chair(100 + number, "10.0.0." + number + ":7", true);
-    }
+  private final List<Entry> decided = new ArrayList<>();
+  private final List<Long> decidedIn = new ArrayList<>();
 
-    private void begin(Node n) {
-        n.voter = plan.maker().make(TERMS, n.number, n.disk, new Heap(), n.number, n);
-        n.voter.start(n.clock);
-    }
+  /** How far all was decided when each question was asked. */
+  private final List<Long> readsFrom = new ArrayList<>();
 
-    /** Plays what has happened before, which counts for no bound; the rule that it breaks, or null. */
-    String prelude() {
-        String wrong = play(plan.prelude(), true);
-        if (wrong != null) {
-            return wrong;
-        }
-        wakes = 0;
-        faults = 0;
-        wishes = 0;
-        return null;
-    }
+  private int wakes;
+  private int faults;
+  private int wishes;
+  private int changes;
+  private String broken;
 
-    /**
-     * Plays a schedule in the words that it is told in; the rule that it breaks, or null.
-     *
-     * @param all each step has to be there to be chosen; else what is not is left out, as where a guard has refused what led to it
-     */
-    String play(List<String> schedule, boolean all) {
-        for (String said : schedule) {
-            String choice = choices(false).stream().filter(c -> Explorer.told(c).equals(said)).findFirst().orElse(null);
-            if (choice == null && all) {
-                throw new IllegalArgumentException("cannot happen now: " + said + "; what can: " + choices(false).stream().map(Explorer::told).toList());
-            }
-            String wrong = choice == null ? null : go(choice);
-            if (wrong != null) {
-                return wrong;
-            }
-        }
-        return null;
+  World(Plan plan) {
+    this.plan = plan;
+    SortedMap<Integer, Voters.Chair> chairs = new TreeMap<>();
+    for (int i = 0; i < plan.voters(); i++) {
+      chairs.put(i, chair(i));
+    }
+    Voters founding = new Voters(chairs);
+    for (int i = 0; i < plan.voters() + (plan.changes() > 0 ? 1 : 0); i++) {
+      Node n = new Node(i);
+      nodes.add(n);
+      n.disk =
+          i < plan.voters()
+              ? Saved.founding(chair(i).store(), founding, new Heap())
+              : Saved.joining(chair(i).store(), new Heap());
+      begin(n);
     }
+  }
 
-    World(World o) {
-        this.plan = o.plan;
-        for (Node n : o.nodes) {
-            Node copy = new Node(n.number);
-            copy.disk = n.disk;
-            copy.clock = n.clock;
-            copy.voter = plan.maker().copy(n.voter, new Heap(), copy);
-            nodes.add(copy);
-        }
-        onTheWay.putAll(o.onTheWay);
-        led.putAll(o.led);
-        decided.addAll(o.decided);
-        decidedIn.addAll(o.decidedIn);
-        readsFrom.addAll(o.readsFrom);
-        wakes = o.wakes;
-        faults = o.faults;
-        wishes = o.wishes;
-        changes = o.changes;
+  private static Voters.Chair chair(int number) {
+    return new Voters.Chair(100 + number, "10.0.0." + number + ":7", true);
+  }
+
+  private void begin(Node n) {
+    n.voter = plan.maker().make(TERMS, n.number, n.disk, new Heap(), n.number, n);
+    n.voter.start(n.clock);
+  }
+
+  /**
+   * Plays what has happened before, which counts for no bound; the rule that it breaks, or null.
+   */
+  String prelude() {
+    String wrong = play(plan.prelude(), true);
+    if (wrong != null) {
+      return wrong;
     }
+    wakes = 0;
+    faults = 0;
+    wishes = 0;
+    return null;
+  }
 
-    /** All that can happen next, in words that {@link #go} takes. */
-    List<String> choices() {
-        return choices(true);
+  /**
+   * Plays a schedule in the words that it is told in; the rule that it breaks, or null.
+   *
+   * @param all each step has to be there to be chosen; else what is not is left out, as where a
+   *     guard has refused what led to it
+   */
+  String play(List<String> schedule, boolean all) {
+    for (String said : schedule) {
+      String choice =
+          choices(false).stream()
+              .filter(c -> Explorer.told(c).equals(said))
+              .findFirst()
+              .orElse(null);
+      if (choice == null && all) {
+        throw new IllegalArgumentException(
+            "cannot happen now: "
+                + said
+                + "; what can: "
+                + choices(false).stream().map(Explorer::told).toList());
+      }
+      String wrong = choice == null ? null : go(choice);
+      if (wrong != null) {
+        return wrong;
+      }
     }
+    return null;
+  }
 
-    private List<String> choices(boolean bounded) {
-        List<String> all = new ArrayList<>();
-        onTheWay.keySet().forEach(k -> all.add("arrives " + k));
-        for (Node n : nodes) {
-            if (!bounded || wakes < plan.wakes()) {
-                all.add("wakes " + n.number);
-            }
-            if (!bounded || faults < plan.faults()) {
-                all.add("crashes " + n.number);
-                if (n.voter.role() == Voter.Role.LEADER) {
-                    all.add("stands still " + n.number);
-                }
-                if (!bounded || plan.emptied()) {
-                    all.add("emptied " + n.number);
-                }
-            }
-            if (n.voter.role() == Voter.Role.LEADER) {
-                if (!bounded || wishes < plan.wishes()) {
-                    all.add("wish " + n.number);
-                }
-                if (!bounded || readsFrom.size() < plan.reads()) {
-                    all.add("read " + n.number);
-                }
-                if (!bounded || changes < plan.changes()) {
-                    all.add("without " + n.number);
-                    all.add("with " + n.number);
-                }
-            }
-        }
-        return all;
+  World(World o) {
+    this.plan = o.plan;
+    for (Node n : o.nodes) {
+      Node copy = new Node(n.number);
+      copy.disk = n.disk;
+      copy.clock = n.clock;
+      copy.voter = plan.maker().copy(n.voter, new Heap(), copy);
+      nodes.add(copy);
     }
+    onTheWay.putAll(o.onTheWay);
+    led.putAll(o.led);
+    decided.addAll(o.decided);
+    decidedIn.addAll(o.decidedIn);
+    readsFrom.addAll(o.readsFrom);
+    wakes = o.wakes;
+    faults = o.faults;
+    wishes = o.wishes;
+    changes = o.changes;
+  }
+
+  /** All that can happen next, in words that {@link #go} takes. */
+  List<String> choices() {
+    return choices(true);
+  }
 
-    /** Lets that happen; what it broke, or null. */
-    String go(String choice) {
-        int space = choice.lastIndexOf(' ');
-        if (choice.startsWith("arrives ")) {
-            Message m = onTheWay.remove(choice.substring("arrives ".length()));
-            Node n = nodes.get(m.to);
-            return acts(n, () -> n.voter.heard(n.clock, m.word));
+  private List<String> choices(boolean bounded) {
+    List<String> all = new ArrayList<>();
+    onTheWay.keySet().forEach(k -> all.add("arrives " + k));
+    for (Node n : nodes) {
+      if (!bounded || wakes < plan.wakes()) {
+        all.add("wakes " + n.number);
+      }
+      if (!bounded || faults < plan.faults()) {
+        all.add("crashes " + n.number);
+        if (n.voter.role() == Voter.Role.LEADER) {
+          all.add("stands still " + n.number);
         }
-        Node n = nodes.get(Integer.parseInt(choice.substring(space + 1)));
-        switch (choice.substring(0, space)) {
-            case "wakes" -> {
-                wakes++;
-                n.clock = n.clock.orLater(n.voter.next());
-                return acts(n, () -> n.voter.step(n.clock));
-            }
-            case "stands still" -> {
-                faults++;
-                n.clock = n.clock.plus(TERMS.election().times(4));
-                return acts(n, () -> n.voter.step(n.clock));
-            }
-            case "crashes" -> {
-                faults++;
-                begin(n);
-                return null;
-            }
-            case "emptied" -> {
-                faults++;
-                n.disk = Saved.joining(500 + faults, new Heap());
-                begin(n);
-                return null;
-            }
-            case "wish" -> {
-                wishes++;
-                return acts(n, () -> n.voter.propose(n.clock, WISH, wishes, new Pack().num(wishes).done()));
-            }
-            case "read" -> {
-                readsFrom.add((long) decided.size());
-                int number = readsFrom.size() - 1;
-                Word w = new Word(Word.Kind.READ, 9, 0, 0, 0, 0, 0, number, 0, false, List.of(), new byte[0]);
-                return acts(n, () -> n.voter.ask(n.clock, 9, w));
-            }
-            case "without" -> {
-                changes++;
-                int goes = n.voter.voters().voting().stream().filter(v -> v != n.number).findFirst().orElse(n.number);
-                return acts(n, () -> n.voter.change(n.clock, n.voter.voters().without(goes)));
-            }
-            case "with" -> {
-                changes++;
-                int comes = nodes.size() - 1;
-                return acts(n, () -> n.voter.change(n.clock, n.voter.voters().with(comes, chair(comes))));
-            }
-            default -> throw new IllegalArgumentException("no such thing: " + choice);
+        if (!bounded || plan.emptied()) {
+          all.add("emptied " + n.number);
         }
-    }
-
-    private String acts(Node n, Runnable deed) {
-        try {
-            deed.run();
-        } catch (IllegalStateException e) {
-            return n.number + ": " + e.getMessage();
+      }
+      if (n.voter.role() == Voter.Role.LEADER) {
+        if (!bounded || wishes < plan.wishes()) {
+          all.add("wish " + n.number);
         }
-        return broken != null ? broken : judge(n);
-    }
-
-    /** One leader a term; one entry an index for ever; whoever leads later holds all that was decided before. */
-    private String judge(Node n) {
-        Voter v = n.voter;
-        if (v.role() == Voter.Role.LEADER) {
-            Integer other = led.putIfAbsent(v.term(), n.number);
-            if (other != null && other != n.number) {
-                return "two led term " + v.term() + ": " + other + " and " + n.number;
-            }
-            if (other == null) {
-                for (int i = 0; i < decided.size(); i++) {
-                    Entry e = v.entry(i + 1L);
-                    if (decidedIn.get(i) < v.term() && !Objects.equals(decided.get(i), e)) {
-                        return n.number + " leads term " + v.term() + " without entry " + (i + 1) + ", which was decided in term "
-                                + decidedIn.get(i);
-                    }
-                }
-            }
+        if (!bounded || readsFrom.size() < plan.reads()) {
+          all.add("read " + n.number);
         }
-        for (long i = 1; i <= v.commit(); i++) {
-            Entry e = v.entry(i);
-            if (i > decided.size()) {
-                decided.add(e);
-                decidedIn.add(v.term());
-            } else if (!Objects.equals(decided.get((int) i - 1), e)) {
-                return "entry " + i + " decided twice: term " + decided.get((int) i - 1).term() + " and, at " + n.number + ", term " + e.term();
-            }
+        if (!bounded || changes < plan.changes()) {
+          all.add("without " + n.number);
+          all.add("with " + n.number);
         }
+      }
+    }
+    return all;
+  }
+
+  /** Lets that happen; what it broke, or null. */
+  String go(String choice) {
+    int space = choice.lastIndexOf(' ');
+    if (choice.startsWith("arrives ")) {
+      Message m = onTheWay.remove(choice.substring("arrives ".length()));
+      Node n = nodes.get(m.to);
+      return acts(n, () -> n.voter.heard(n.clock, m.word));
+    }
+    Node n = nodes.get(Integer.parseInt(choice.substring(space + 1)));
+    switch (choice.substring(0, space)) {
+      case "wakes" -> {
+        wakes++;
+        n.clock = n.clock.orLater(n.voter.next());
+        return acts(n, () -> n.voter.step(n.clock));
+      }
+      case "stands still" -> {
+        faults++;
+        n.clock = n.clock.plus(TERMS.election().times(4));
+        return acts(n, () -> n.voter.step(n.clock));
+      }
+      case "crashes" -> {
+        faults++;
+        begin(n);
         return null;
+      }
+      case "emptied" -> {
+        faults++;
+        n.disk = Saved.joining(500 + faults, new Heap());
+        begin(n);
+        return null;
+      }
+      case "wish" -> {
+        wishes++;
+        return acts(n, () -> n.voter.propose(n.clock, WISH, wishes, new Pack().num(wishes).done()));
+      }
+      case "read" -> {
+        readsFrom.add((long) decided.size());
+        int number = readsFrom.size() - 1;
+        Word w =
+            new Word(Word.Kind.READ, 9, 0, 0, 0, 0, 0, number, 0, false, List.of(), new byte[0]);
+        return acts(n, () -> n.voter.ask(n.clock, 9, w));
+      }
+      case "without" -> {
+        changes++;
+        int goes =
+            n.voter.voters().voting().stream()
+                .filter(v -> v != n.number)
+                .findFirst()
+                .orElse(n.number);
+        return acts(n, () -> n.voter.change(n.clock, n.voter.voters().without(goes)));
+      }
+      case "with" -> {
+        changes++;
+        int comes = nodes.size() - 1;
+        return acts(n, () -> n.voter.change(n.clock, n.voter.voters().with(comes, chair(comes))));
+      }
+      default -> throw new IllegalArgumentException("no such thing: " + choice);
     }
+  }
 
-    /** Tells two worlds apart as far as anything to come depends on it. */
-    List<Object> mark() {
-        List<Object> all = new ArrayList<>();
-        for (Node n : nodes) {
-            all.add(n.voter.mark());
-            all.add(List.of(n.disk.store(), n.disk.term(), n.disk.voted(), n.disk.entries()));
+  private String acts(Node n, Runnable deed) {
+    try {
+      deed.run();
+    } catch (IllegalStateException e) {
+      return n.number + ": " + e.getMessage();
+    }
+    return broken != null ? broken : judge(n);
+  }
+
+  /**
+   * One leader a term; one entry an index for ever; whoever leads later holds all that was decided
+   * before.
+   */
+  private String judge(Node n) {
+    Voter v = n.voter;
+    if (v.role() == Voter.Role.LEADER) {
+      Integer other = led.putIfAbsent(v.term(), n.number);
+      if (other != null && other != n.number) {
+        return "two led term " + v.term() + ": " + other + " and " + n.number;
+      }
+      if (other == null) {
+        for (int i = 0; i < decided.size(); i++) {
+          Entry e = v.entry(i + 1L);
+          if (decidedIn.get(i) < v.term() && !Objects.equals(decided.get(i), e)) {
+            return n.number
+                + " leads term "
+                + v.term()
+                + " without entry "
+                + (i + 1)
+                + ", which was decided in term "
+                + decidedIn.get(i);
+          }
         }
-        all.add(new TreeSet<>(onTheWay.keySet()));
-        all.add(new TreeMap<>(led));
-        all.add(new ArrayList<>(decided));
-        all.add(List.copyOf(decidedIn));
-        all.add(List.copyOf(readsFrom));
-        all.add(List.of(wakes, faults, wishes, changes));
-        return all;
+      }
+    }
+    for (long i = 1; i <= v.commit(); i++) {
+      Entry e = v.entry(i);
+      if (i > decided.size()) {
+        decided.add(e);
+        decidedIn.add(v.term());
+      } else if (!Objects.equals(decided.get((int) i - 1), e)) {
+        return "entry "
+            + i
+            + " decided twice: term "
+            + decided.get((int) i - 1).term()
+            + " and, at "
+            + n.number
+            + ", term "
+            + e.term();
+      }
+    }
+    return null;
+  }
+
+  /** Tells two worlds apart as far as anything to come depends on it. */
+  List<Object> mark() {
+    List<Object> all = new ArrayList<>();
+    for (Node n : nodes) {
+      all.add(n.voter.mark());
+      all.add(List.of(n.disk.store(), n.disk.term(), n.disk.voted(), n.disk.entries()));
     }
+    all.add(new TreeSet<>(onTheWay.keySet()));
+    all.add(new TreeMap<>(led));
+    all.add(new ArrayList<>(decided));
+    all.add(List.copyOf(decidedIn));
+    all.add(List.copyOf(readsFrom));
+    all.add(List.of(wakes, faults, wishes, changes));
+    return all;
+  }
 }
--- a/src/main/java/linengauge/drill/CouncilProcess.java
+++ b/src/main/java/linengauge/drill/CouncilProcess.java
@@ -29,143 +29,192 @@
 import linengauge.council.tcp.CouncilStore;
 
 /**
- * One front's part in a council alone, as a process. Its input says what is wanted, a line each: `want TEXT`, `sure NAME`,
- * `without NUMBER`, `with NUMBER STORE ADDRESS`; it ends as its input does. Its record tells each decision as it is applied, each
- * change of how it stands, and what came of each wish, with the wall's clock in milliseconds.
+ * One front's part in a council alone, as a process. Its input says what is wanted, a line each:
+ * `want TEXT`, `sure NAME`, `without NUMBER`, `with NUMBER STORE ADDRESS`; it ends as its input
+ * does. Its record tells each decision as it is applied, each change of how it stands, and what
+ * came of each wish, with the wall's clock in milliseconds.
  */
 public final class CouncilProcess {
-    /** What it is started with; ways: where this process reaches voters, in place of their addresses. */
-    public record Start(int number, String listen, Map<Integer, String> voters, Map<Integer, String> ways, Path store, boolean founds,
-            Path keyFile, Path record, Span beat) {
-    }
+  /**
+   * What it is started with; ways: where this process reaches voters, in place of their addresses.
+   */
+  public record Start(
+      int number,
+      String listen,
+      Map<Integer, String> voters,
+      Map<Integer, String> ways,
+      Path store,
+      boolean founds,
+      Path keyFile,
+      Path record,
+      Span beat) {}
 
-    private final BufferedWriter out;
+  private final BufferedWriter out;
 
-    private CouncilProcess(BufferedWriter out) {
-        this.out = out;
-    }
+  private CouncilProcess(BufferedWriter out) {
+    this.out = out;
+  }
 
-    /** All texts that were decided, in order. */
-    private final class Texts implements Machine {
-        private final List<String> all = new ArrayList<>();
-        private final boolean told;
+  /** All texts that were decided, in order. */
+  private final class Texts implements Machine {
+    private final List<String> all = new ArrayList<>();
+    private final boolean told;
 
-        private Texts(boolean told) {
-            this.told = told;
-        }
+    private Texts(boolean told) {
+      this.told = told;
+    }
 
-        @Override
-        public void apply(long index, long author, byte[] decision) {
-            String text = new String(decision, StandardCharsets.UTF_8);
-            all.add(text);
-            if (told) {
-                line("applied", "\"index\":" + index + ",\"text\":\"" + text + "\"");
-            }
-        }
+    @Override
+    public void apply(long index, long author, byte[] decision) {
+      String text = new String(decision, StandardCharsets.UTF_8);
+      all.add(text);
+      if (told) {
+        line("applied", "\"index\":" + index + ",\"text\":\"" + text + "\"");
+      }
+    }
 
-        @Override
-        public byte[] whole() {
-            Pack to = new Pack().num(all.size());
-            all.forEach(to::text);
-            return to.done();
-        }
+    @Override
+    public byte[] whole() {
+      Pack to = new Pack().num(all.size());
+      all.forEach(to::text);
+      return to.done();
+    }
 
-        @Override
-        public void restore(byte[] whole) {
-            all.clear();
-            if (whole.length > 0) {
-                Unpack from = new Unpack(whole);
-                for (int n = from.num(0, 100_000); n > 0; n--) {
-                    all.add(from.text(1024));
-                }
-            }
-            if (told) {
-                line("restored", "\"texts\":[" + String.join(",", all.stream().map(t -> '"' + t + '"').toList()) + "]");
-            }
+    @Override
+    public void restore(byte[] whole) {
+      all.clear();
+      if (whole.length > 0) {
+        Unpack from = new Unpack(whole);
+        for (int n = from.num(0, 100_000); n > 0; n--) {
+          all.add(from.text(1024));
         }
+      }
+      if (told) {
+        line(
+            "restored",
+            "\"texts\":[" + String.join(",", all.stream().map(t -> '"' + t + '"').toList()) + "]");
+      }
     }
+  }
 
-    /** Runs until the input ends; 1 with one line where the store is not to be used. */
-    public static int run(Start s) throws IOException {
-        byte[] key = Files.readAllBytes(s.keyFile());
-        try (BufferedWriter out = Files.newBufferedWriter(s.record())) {
-            return new CouncilProcess(out).run(s, key);
-        }
+  /** Runs until the input ends; 1 with one line where the store is not to be used. */
+  public static int run(Start s) throws IOException {
+    byte[] key = Files.readAllBytes(s.keyFile());
+    try (BufferedWriter out = Files.newBufferedWriter(s.record())) {
+      return new CouncilProcess(out).run(s, key);
     }
+  }
 
-    private int run(Start s, byte[] key) throws IOException {
-        CouncilStore store = null;
-        try {
-            store = s.store() == null ? null : open(s, key);
-        } catch (IOException | Unsaved e) {
-            System.err.println("council: " + e.getMessage());
-            return 1;
-        }
-        TreeMap<Integer, String> ways = new TreeMap<>(s.voters());
-        ways.putAll(s.ways());
-        CouncilTerms terms = CouncilTerms.USUAL.inBeats(s.beat());
-        double by = s.beat().seconds() / CouncilTerms.USUAL.beat().seconds();
-        Follower.Terms follows = new Follower.Terms(Follower.Terms.USUAL.ask().times(by), Follower.Terms.USUAL.silent().times(by),
-                Follower.Terms.USUAL.wishes());
-        if (store != null) {
-            line("store", "\"number\":" + store.first().store());
-        }
-        try (CouncilNode node = new CouncilNode(new CouncilNode.Settings(s.number(), s.listen(), ways, key, terms, follows), store,
-                new Texts(false), new Texts(true), (how, v) -> line("stands", "\"role\":\"" + v.role() + "\",\"term\":" + v.term()
-                        + ",\"leader\":" + v.leader() + ",\"voters\":" + v.voters().voting()))) {
-            node.start();
-            BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
-            for (String said = in.readLine(); said != null; said = in.readLine()) {
-                told(node, said.split(" "));
-            }
-        }
-        return 0;
+  private int run(Start s, byte[] key) throws IOException {
+    CouncilStore store = null;
+    try {
+      store = s.store() == null ? null : open(s, key);
+    } catch (IOException | Unsaved e) {
+      System.err.println("council: " + e.getMessage());
+      return 1;
+    }
+    TreeMap<Integer, String> ways = new TreeMap<>(s.voters());
+    ways.putAll(s.ways());
+    CouncilTerms terms = CouncilTerms.USUAL.inBeats(s.beat());
+    double by = s.beat().seconds() / CouncilTerms.USUAL.beat().seconds();
+    Follower.Terms follows =
+        new Follower.Terms(
+            Follower.Terms.USUAL.ask().times(by),
+            Follower.Terms.USUAL.silent().times(by),
+            Follower.Terms.USUAL.wishes());
+    if (store != null) {
+      line("store", "\"number\":" + store.first().store());
+    }
+    try (CouncilNode node =
+        new CouncilNode(
+            new CouncilNode.Settings(s.number(), s.listen(), ways, key, terms, follows),
+            store,
+            new Texts(false),
+            new Texts(true),
+            (how, v) ->
+                line(
+                    "stands",
+                    "\"role\":\""
+                        + v.role()
+                        + "\",\"term\":"
+                        + v.term()
+                        + ",\"leader\":"
+                        + v.leader()
+                        + ",\"voters\":"
+                        + v.voters().voting()))) {
+      node.start();
+      BufferedReader in =
+          new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+      for (String said = in.readLine(); said != null; said = in.readLine()) {
+        told(node, said.split(" "));
+      }
     }
+    return 0;
+  }
 
-    private void told(CouncilNode node, String[] w) {
-        switch (w[0]) {
-            case "want" -> node.wants(w[1].getBytes(StandardCharsets.UTF_8), done -> line(done ? "decided" : "undecided", "\"text\":\"" + w[1] + "\""));
-            case "sure" -> node.whenSure(() -> line("sure", "\"name\":\"" + w[1] + "\",\"index\":" + node.view().index()));
-            case "without" -> node.wantsVoters(node.view().voters().without(Integer.parseInt(w[1])), done -> line("placed", "\"done\":" + done));
-            case "with" -> node.wantsVoters(node.view().voters().with(Integer.parseInt(w[1]), new Voters.Chair(Long.parseLong(w[2]), w[3],
-                    false)), done -> line("placed", "\"done\":" + done));
-            default -> line("unknown", "\"said\":\"" + w[0] + "\"");
-        }
+  private void told(CouncilNode node, String[] w) {
+    switch (w[0]) {
+      case "want" ->
+          node.wants(
+              w[1].getBytes(StandardCharsets.UTF_8),
+              done -> line(done ? "decided" : "undecided", "\"text\":\"" + w[1] + "\""));
+      case "sure" ->
+          node.whenSure(
+              () -> line("sure", "\"name\":\"" + w[1] + "\",\"index\":" + node.view().index()));
+      case "without" ->
+          node.wantsVoters(
+              node.view().voters().without(Integer.parseInt(w[1])),
+              done -> line("placed", "\"done\":" + done));
+      case "with" ->
+          node.wantsVoters(
+              node.view()
+                  .voters()
+                  .with(
+                      Integer.parseInt(w[1]), new Voters.Chair(Long.parseLong(w[2]), w[3], false)),
+              done -> line("placed", "\"done\":" + done));
+      default -> line("unknown", "\"said\":\"" + w[0] + "\"");
     }
+  }
 
-    private CouncilStore open(Start s, byte[] key) throws IOException, Unsaved {
-        CouncilStore store = new CouncilStore(s.store());
-        if (store.first() != null) {
-            return store;
-        }
-        TreeMap<Integer, Voters.Chair> chairs = new TreeMap<>();
-        s.voters().forEach((n, a) -> chairs.put(n, new Voters.Chair(founding(key, n), a, true)));
-        store.save(s.founds() ? Saved.founding(founding(key, s.number()), new Voters(chairs), new Texts(false))
-                : Saved.joining(new SecureRandom().nextLong() >>> 1, new Texts(false)));
-        store.close();
-        return new CouncilStore(s.store());
+  private CouncilStore open(Start s, byte[] key) throws IOException, Unsaved {
+    CouncilStore store = new CouncilStore(s.store());
+    if (store.first() != null) {
+      return store;
     }
+    TreeMap<Integer, Voters.Chair> chairs = new TreeMap<>();
+    s.voters().forEach((n, a) -> chairs.put(n, new Voters.Chair(founding(key, n), a, true)));
+    store.save(
+        s.founds()
+            ? Saved.founding(founding(key, s.number()), new Voters(chairs), new Texts(false))
+            : Saved.joining(new SecureRandom().nextLong() >>> 1, new Texts(false)));
+    store.close();
+    return new CouncilStore(s.store());
+  }
 
-    /** The founding voters' stores have numbers that all of them know; whoever comes later has one at random. */
-    private static long founding(byte[] key, int number) {
-        try {
-            MessageDigest sum = MessageDigest.getInstance("SHA-256");
-            sum.update(key);
-            sum.update(("founding " + number).getBytes(StandardCharsets.UTF_8));
-            return ByteBuffer.wrap(sum.digest()).getLong() >>> 1;
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
+  /**
+   * The founding voters' stores have numbers that all of them know; whoever comes later has one at
+   * random.
+   */
+  private static long founding(byte[] key, int number) {
+    try {
+      MessageDigest sum = MessageDigest.getInstance("SHA-256");
+      sum.update(key);
+      sum.update(("founding " + number).getBytes(StandardCharsets.UTF_8));
+      return ByteBuffer.wrap(sum.digest()).getLong() >>> 1;
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
     }
+  }
 
-    private void line(String what, String rest) {
-        synchronized (out) {
-            try {
-                out.write("{\"at\":" + System.currentTimeMillis() + ",\"what\":\"" + what + "\"," + rest + "}\n");
-                out.flush();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
+  private void line(String what, String rest) {
+    synchronized (out) {
+      try {
+        out.write(
+            "{\"at\":" + System.currentTimeMillis() + ",\"what\":\"" + what + "\"," + rest + "}\n");
+        out.flush();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
     }
+  }
 }
--- a/src/main/java/linengauge/drill/MemberProcess.java
+++ b/src/main/java/linengauge/drill/MemberProcess.java
@@ -14,45 +14,73 @@
 import linengauge.members.udp.MembersNode;
 
 /**
- * One front's members alone, as a process: its record is one line for each change as it comes and one for its view, ten a
- * second, each with the wall's clock in milliseconds. It ends as its input does, and then says that it leaves.
+ * One front's members alone, as a process: its record is one line for each change as it comes and
+ * one for its view, ten a second, each with the wall's clock in milliseconds. It ends as its input
+ * does, and then says that it leaves.
  */
 public final class MemberProcess {
-    private static final long EACH_MS = 100;
+  private static final long EACH_MS = 100;
 
-    private MemberProcess() {
-    }
+  private MemberProcess() {}
 
-    /** Runs until the input ends; the period is that of the usual terms, all their spans in proportion. */
-    public static void run(Member own, List<String> seeds, Path keyFile, Path record, Span period)
-            throws IOException, InterruptedException {
-        MembersTerms terms = MembersTerms.USUAL.inPeriods(period);
-        try (BufferedWriter out = Files.newBufferedWriter(record);
-                MembersNode node = new MembersNode(terms, own, seeds, Files.readAllBytes(keyFile), n -> line(out, "changed", one(n)))) {
-            node.start();
-            while (System.in.available() == 0) {
-                Thread.sleep(EACH_MS);
-                MembersNode.Drops d = node.drops();
-                line(out, "holds", "\"others\":[" + node.held().stream().map(MemberProcess::one).collect(Collectors.joining(","))
-                        + "],\"strangers\":" + d.strangers() + ",\"replayed\":" + d.replayed() + ",\"unreadable\":" + d.unreadable());
-            }
-        }
+  /**
+   * Runs until the input ends; the period is that of the usual terms, all their spans in
+   * proportion.
+   */
+  public static void run(Member own, List<String> seeds, Path keyFile, Path record, Span period)
+      throws IOException, InterruptedException {
+    MembersTerms terms = MembersTerms.USUAL.inPeriods(period);
+    try (BufferedWriter out = Files.newBufferedWriter(record);
+        MembersNode node =
+            new MembersNode(
+                terms,
+                own,
+                seeds,
+                Files.readAllBytes(keyFile),
+                n -> line(out, "changed", one(n)))) {
+      node.start();
+      while (System.in.available() == 0) {
+        Thread.sleep(EACH_MS);
+        MembersNode.Drops d = node.drops();
+        line(
+            out,
+            "holds",
+            "\"others\":["
+                + node.held().stream().map(MemberProcess::one).collect(Collectors.joining(","))
+                + "],\"strangers\":"
+                + d.strangers()
+                + ",\"replayed\":"
+                + d.replayed()
+                + ",\"unreadable\":"
+                + d.unreadable());
+      }
     }
+  }
 
-    private static String one(News n) {
-        return "{\"number\":" + n.member().number() + ",\"standing\":\"" + n.standing() + "\",\"incarnation\":" + n.incarnation()
-                + ",\"by\":" + n.by() + ",\"zone\":" + n.member().zone() + "}";
-    }
+  private static String one(News n) {
+    return "{\"number\":"
+        + n.member().number()
+        + ",\"standing\":\""
+        + n.standing()
+        + "\",\"incarnation\":"
+        + n.incarnation()
+        + ",\"by\":"
+        + n.by()
+        + ",\"zone\":"
+        + n.member().zone()
+        + "}";
+  }
 
-    private static void line(BufferedWriter out, String what, String rest) {
-        String body = what.equals("changed") ? "\"other\":" + rest : rest;
-        synchronized (out) {
-            try {
-                out.write("{\"at\":" + System.currentTimeMillis() + ",\"what\":\"" + what + "\"," + body + "}\n");
-                out.flush();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }
+  private static void line(BufferedWriter out, String what, String rest) {
+    String body = what.equals("changed") ? "\"other\":" + rest : rest;
+    synchronized (out) {
+      try {
+        out.write(
+            "{\"at\":" + System.currentTimeMillis() + ",\"what\":\"" + what + "\"," + body + "}\n");
+        out.flush();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
     }
+  }
 }
--- a/src/main/java/linengauge/drill/Ports.java
+++ b/src/main/java/linengauge/drill/Ports.java
@@ -9,67 +9,72 @@
 import java.util.SplittableRandom;
 
 /**
- * Free ports on loopback, under the range from which the system gives ports to connections: a front that is killed and
- * started again finds its own still free. Each drill has a loopback address of its own where the system gives one
- * (127.0.0.0/8, RFC 1122 section 3.2.1.3), so that drills beside each other cannot choose the same port.
+ * Free ports on loopback, under the range from which the system gives ports to connections: a front
+ * that is killed and started again finds its own still free. Each drill has a loopback address of
+ * its own where the system gives one (127.0.0.0/8, RFC 1122 section 3.2.1.3), so that drills beside
+ * each other cannot choose the same port.
  */
 public final class Ports {
-    private static final String COMMON = "127.0.0.1";
-    /** The address of everything that this process starts. */
-    public static final String HOST = own(ProcessHandle.current().pid());
-    private static final int FIRST = 12_000;
-    private static final int COUNT = 18_000;
+  private static final String COMMON = "127.0.0.1";
 
-    /**
-     * The loopback address of one of several nodes of this process, all different from each other's and from {@link #HOST}:
-     * the drills' own have a third number under 128.
-     *
-     * @throws IOException where the system gives only one loopback address
-     */
-    public static String node(int number) throws IOException {
-        String[] n = HOST.split("[.]");
-        if (HOST.equals(COMMON)) {
-            throw new IOException("nodes want loopback addresses of their own, and only " + COMMON + " can be bound");
-        }
-        return "127." + n[1] + "." + (128 + (Integer.parseInt(n[2]) + 16 * number) % 128) + "." + n[3];
-    }
+  /** The address of everything that this process starts. */
+  public static final String HOST = own(ProcessHandle.current().pid());
 
-    private Ports() {
-    }
+  private static final int FIRST = 12_000;
+  private static final int COUNT = 18_000;
 
-    private static String own(long pid) {
-        String address = "127." + (16 + (pid >> 14) % 128) + "." + (pid >> 7) % 128 + "." + (1 + pid % 128);
-        try (ServerSocket s = new ServerSocket()) {
-            s.bind(new InetSocketAddress(InetAddress.getByName(address), 0));
-            return address;
-        } catch (IOException onlyOneLoopbackAddress) {
-            return COMMON;
-        }
+  /**
+   * The loopback address of one of several nodes of this process, all different from each other's
+   * and from {@link #HOST}: the drills' own have a third number under 128.
+   *
+   * @throws IOException where the system gives only one loopback address
+   */
+  public static String node(int number) throws IOException {
+    String[] n = HOST.split("[.]");
+    if (HOST.equals(COMMON)) {
+      throw new IOException(
+          "nodes want loopback addresses of their own, and only " + COMMON + " can be bound");
     }
+    return "127." + n[1] + "." + (128 + (Integer.parseInt(n[2]) + 16 * number) % 128) + "." + n[3];
+  }
+
+  private Ports() {}
 
-    /** So many different ports, none in use now. */
-    public static List<Integer> free(int count) throws IOException {
-        return free(count, List.of());
+  private static String own(long pid) {
+    String address =
+        "127." + (16 + (pid >> 14) % 128) + "." + (pid >> 7) % 128 + "." + (1 + pid % 128);
+    try (ServerSocket s = new ServerSocket()) {
+      s.bind(new InetSocketAddress(InetAddress.getByName(address), 0));
+      return address;
+    } catch (IOException onlyOneLoopbackAddress) {
+      return COMMON;
     }
+  }
+
+  /** So many different ports, none in use now. */
+  public static List<Integer> free(int count) throws IOException {
+    return free(count, List.of());
+  }
 
-    /** The same, and none of those that have been given out already and are not in use yet. */
-    static List<Integer> free(int count, List<Integer> others) throws IOException {
-        SplittableRandom chance = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32);
-        List<Integer> ports = new ArrayList<>();
-        for (int tries = 0; ports.size() < count; tries++) {
-            if (tries > 20 * count + 200) {
-                throw new IOException("no free ports on " + HOST);
-            }
-            int port = FIRST + chance.nextInt(COUNT);
-            try (ServerSocket s = new ServerSocket()) {
-                s.bind(new InetSocketAddress(InetAddress.getByName(HOST), port));
-                if (!ports.contains(port) && !others.contains(port)) {
-                    ports.add(port);
-                }
-            } catch (IOException inUse) {
-                continue;
-            }
+  /** The same, and none of those that have been given out already and are not in use yet. */
+  static List<Integer> free(int count, List<Integer> others) throws IOException {
+    SplittableRandom chance =
+        new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32);
+    List<Integer> ports = new ArrayList<>();
+    for (int tries = 0; ports.size() < count; tries++) {
+      if (tries > 20 * count + 200) {
+        throw new IOException("no free ports on " + HOST);
+      }
+      int port = FIRST + chance.nextInt(COUNT);
+      try (ServerSocket s = new ServerSocket()) {
+        s.bind(new InetSocketAddress(InetAddress.getByName(HOST), port));
+        if (!ports.contains(port) && !others.contains(port)) {
+          ports.add(port);
         }
-        return ports;
+      } catch (IOException inUse) {
+        continue;
+      }
     }
+    return ports;
+  }
 }
--- a/src/main/java/linengauge/drill/Troubles.java
+++ b/src/main/java/linengauge/drill/Troubles.java
@@ -6,242 +6,289 @@
 import java.util.SplittableRandom;
 import linengauge.standin.BoxFleet;
 
-/** Acts out the troubles of a day on the stand-ins and front processes, each drawn from the day's seed. */
+/**
+ * Acts out the troubles of a day on the stand-ins and front processes, each drawn from the day's
+ * seed.
+ */
 final class Troubles {
-    private final Grounds grounds;
-    private final SplittableRandom chance;
-    /** Threads that signal or restart front processes; each ends with its trouble. */
-    private final List<Thread> hands = new ArrayList<>();
-    private final List<String> failures = new ArrayList<>();
-    /** Boxes that a trouble has down or about to restart, so that two do not fight over one. */
-    private final java.util.Set<BoxFleet.Box> taken = new java.util.HashSet<>();
-    private double bursting = 1;
-
-    Troubles(Grounds grounds, long seed) {
-        this.grounds = grounds;
-        this.chance = new SplittableRandom(seed);
-    }
+  private final Grounds grounds;
+  private final SplittableRandom chance;
 
-    /** How many times the usual number of viewers come now. */
-    double arrivals() {
-        return bursting;
-    }
+  /** Threads that signal or restart front processes; each ends with its trouble. */
+  private final List<Thread> hands = new ArrayList<>();
 
-    /** Sets all troubles of the day on their way; on the boxes' loop. */
-    void begin() {
-        for (DayScript.Trouble t : grounds.day.troubles()) {
-            grounds.vertx.setTimer(Math.max(1, Math.round(1000 * t.atS())), x -> act(t));
-        }
-    }
+  private final List<String> failures = new ArrayList<>();
 
-    List<String> finish() throws InterruptedException {
-        for (Thread h : hands) {
-            h.join(30_000);
-        }
-        return failures;
+  /** Boxes that a trouble has down or about to restart, so that two do not fight over one. */
+  private final java.util.Set<BoxFleet.Box> taken = new java.util.HashSet<>();
+
+  private double bursting = 1;
+
+  Troubles(Grounds grounds, long seed) {
+    this.grounds = grounds;
+    this.chance = new SplittableRandom(seed);
+  }
+
+  /** How many times the usual number of viewers come now. */
+  double arrivals() {
+    return bursting;
+  }
+
+  /** Sets all troubles of the day on their way; on the boxes' loop. */
+  void begin() {
+    for (DayScript.Trouble t : grounds.day.troubles()) {
+      grounds.vertx.setTimer(Math.max(1, Math.round(1000 * t.atS())), x -> act(t));
     }
+  }
 
-    private void later(double seconds, Runnable step) {
-        grounds.vertx.setTimer(Math.max(1, Math.round(1000 * seconds)), x -> step.run());
+  List<String> finish() throws InterruptedException {
+    for (Thread h : hands) {
+      h.join(30_000);
     }
+    return failures;
+  }
 
-    private List<BoxFleet.Box> some(double part) {
-        List<BoxFleet.Box> all = new ArrayList<>(grounds.fleet.boxes());
-        all.removeIf(b -> taken.contains(b) || !b.isUp());
-        List<BoxFleet.Box> drawn = new ArrayList<>();
-        long n = Math.max(1, Math.round(part * grounds.fleet.boxes().size()));
-        while (drawn.size() < n && !all.isEmpty()) {
-            drawn.add(all.remove(chance.nextInt(all.size())));
-        }
-        return drawn;
+  private void later(double seconds, Runnable step) {
+    grounds.vertx.setTimer(Math.max(1, Math.round(1000 * seconds)), x -> step.run());
+  }
+
+  private List<BoxFleet.Box> some(double part) {
+    List<BoxFleet.Box> all = new ArrayList<>(grounds.fleet.boxes());
+    all.removeIf(b -> taken.contains(b) || !b.isUp());
+    List<BoxFleet.Box> drawn = new ArrayList<>();
+    long n = Math.max(1, Math.round(part * grounds.fleet.boxes().size()));
+    while (drawn.size() < n && !all.isEmpty()) {
+      drawn.add(all.remove(chance.nextInt(all.size())));
     }
+    return drawn;
+  }
 
-    private void act(DayScript.Trouble t) {
-        grounds.tap.saw("trouble", "kind", t.kind(), "forS", t.forS(), "part", t.part(), "size", t.size());
-        switch (t.kind()) {
-            case "fast_errors" -> on(t, b -> b.failing(t.size()), b -> b.failing(0));
-            case "answer_lost" -> on(t, b -> b.answersLost(t.size(), "reset".equals(t.how())), b -> b.answersLost(0, false));
-            case "hang" -> on(t, b -> b.hung(true), b -> b.hung(false));
-            case "bad_playlist" -> on(t, b -> b.badPlaylists(true), b -> b.badPlaylists(false));
-            case "slow" -> on(t, b -> {
+  private void act(DayScript.Trouble t) {
+    grounds.tap.saw(
+        "trouble", "kind", t.kind(), "forS", t.forS(), "part", t.part(), "size", t.size());
+    switch (t.kind()) {
+      case "fast_errors" -> on(t, b -> b.failing(t.size()), b -> b.failing(0));
+      case "answer_lost" ->
+          on(
+              t,
+              b -> b.answersLost(t.size(), "reset".equals(t.how())),
+              b -> b.answersLost(0, false));
+      case "hang" -> on(t, b -> b.hung(true), b -> b.hung(false));
+      case "bad_playlist" -> on(t, b -> b.badPlaylists(true), b -> b.badPlaylists(false));
+      case "slow" ->
+          on(
+              t,
+              b -> {
                 b.linkGives(1 / t.size());
                 b.slower(t.size());
-            }, b -> {
+              },
+              b -> {
                 b.linkGives(1);
                 b.slower(1);
-            });
-            case "neighbour" -> on(t, b -> flicker(b, t, System.nanoTime() + Math.round(t.forS() * 1e9), true), b -> { });
-            case "shared_slow" -> {
-                grounds.fleet.boxes().forEach(b -> b.linkGives(1 / t.size()));
-                later(t.forS(), () -> grounds.fleet.boxes().forEach(b -> b.linkGives(1)));
-            }
-            case "origin_slow" -> {
-                int racks = Math.max(1, (int) Math.round(t.part() * grounds.fleet.racks()));
-                int first = chance.nextInt(grounds.fleet.racks());
-                for (int i = 0; i < racks; i++) {
-                    int rack = (first + i) % grounds.fleet.racks();
-                    grounds.fleet.uplinkGives(rack, 1 / t.size());
-                    later(t.forS(), () -> grounds.fleet.uplinkGives(rack, 1));
-                }
-            }
-            case "report_late" -> {
-                grounds.fleet.notesLater((int) (1000 * t.size()));
-                later(t.forS(), () -> grounds.fleet.notesLater(0));
-            }
-            case "burst" -> {
-                bursting = t.size();
-                later(t.forS(), () -> bursting = 1);
-            }
-            case "hot_key" -> {
-                String title = grounds.titles().get(chance.nextInt(grounds.titles().size()));
-                grounds.crowd.crowdFor(title, t.size());
-                later(t.forS(), () -> grounds.crowd.crowdFor(null, 0));
-            }
-            case "peer_down" -> {
-                grounds.post.lose(t.size());
-                later(t.forS(), () -> grounds.post.lose(0));
-            }
-            case "vanish" -> on(t, b -> {
+              });
+      case "neighbour" ->
+          on(t, b -> flicker(b, t, System.nanoTime() + Math.round(t.forS() * 1e9), true), b -> {});
+      case "shared_slow" -> {
+        grounds.fleet.boxes().forEach(b -> b.linkGives(1 / t.size()));
+        later(t.forS(), () -> grounds.fleet.boxes().forEach(b -> b.linkGives(1)));
+      }
+      case "origin_slow" -> {
+        int racks = Math.max(1, (int) Math.round(t.part() * grounds.fleet.racks()));
+        int first = chance.nextInt(grounds.fleet.racks());
+        for (int i = 0; i < racks; i++) {
+          int rack = (first + i) % grounds.fleet.racks();
+          grounds.fleet.uplinkGives(rack, 1 / t.size());
+          later(t.forS(), () -> grounds.fleet.uplinkGives(rack, 1));
+        }
+      }
+      case "report_late" -> {
+        grounds.fleet.notesLater((int) (1000 * t.size()));
+        later(t.forS(), () -> grounds.fleet.notesLater(0));
+      }
+      case "burst" -> {
+        bursting = t.size();
+        later(t.forS(), () -> bursting = 1);
+      }
+      case "hot_key" -> {
+        String title = grounds.titles().get(chance.nextInt(grounds.titles().size()));
+        grounds.crowd.crowdFor(title, t.size());
+        later(t.forS(), () -> grounds.crowd.crowdFor(null, 0));
+      }
+      case "peer_down" -> {
+        grounds.post.lose(t.size());
+        later(t.forS(), () -> grounds.post.lose(0));
+      }
+      case "vanish" ->
+          on(
+              t,
+              b -> {
                 taken.add(b);
                 b.vanish();
                 list(b, "gone", 2.5);
-            }, this::comeBack);
-            case "ageing" -> on(t, b -> b.slower(1 + t.size() / 2), b -> {
+              },
+              this::comeBack);
+      case "ageing" ->
+          on(
+              t,
+              b -> b.slower(1 + t.size() / 2),
+              b -> {
                 b.slower(t.size());
-                later(1, () -> {
-                    b.slower(1);
-                    taken.add(b);
-                    b.close();
-                    list(b, "gone", 1);
-                    later(2.5, () -> comeBack(b));
-                });
-            });
-            case "deploy" -> deploy(t);
-            case "list_break" -> grounds.list.breakFor((int) (1000 * t.forS()));
-            case "list_gap" -> {
-                grounds.list.skipOne();
-                BoxFleet.Box b = grounds.fleet.boxes().get(chance.nextInt(grounds.fleet.boxes().size()));
-                if (b.isUp() && !taken.contains(b)) {
-                    list(b, "serving", 0);
-                    list(b, "serving", 0.2);
-                }
-            }
-            case "balancer_stall" -> stall(t);
-            case "balancer_kill" -> fronts(t, f -> {
+                later(
+                    1,
+                    () -> {
+                      b.slower(1);
+                      taken.add(b);
+                      b.close();
+                      list(b, "gone", 1);
+                      later(2.5, () -> comeBack(b));
+                    });
+              });
+      case "deploy" -> deploy(t);
+      case "list_break" -> grounds.list.breakFor((int) (1000 * t.forS()));
+      case "list_gap" -> {
+        grounds.list.skipOne();
+        BoxFleet.Box b = grounds.fleet.boxes().get(chance.nextInt(grounds.fleet.boxes().size()));
+        if (b.isUp() && !taken.contains(b)) {
+          list(b, "serving", 0);
+          list(b, "serving", 0.2);
+        }
+      }
+      case "balancer_stall" -> stall(t);
+      case "balancer_kill" ->
+          fronts(
+              t,
+              f -> {
                 f.kill();
                 Thread.sleep(Math.round(1000 * t.forS()));
                 grounds.startAgain(f);
                 grounds.awaitReady(f, 20_000);
-            });
-            default -> failures.add("unknown trouble " + t.kind());
-        }
+              });
+      default -> failures.add("unknown trouble " + t.kind());
     }
+  }
 
-    private void on(DayScript.Trouble t, java.util.function.Consumer<BoxFleet.Box> begin,
-            java.util.function.Consumer<BoxFleet.Box> end) {
-        for (BoxFleet.Box b : some(t.part())) {
-            begin.accept(b);
-            later(t.forS(), () -> end.accept(b));
-        }
+  private void on(
+      DayScript.Trouble t,
+      java.util.function.Consumer<BoxFleet.Box> begin,
+      java.util.function.Consumer<BoxFleet.Box> end) {
+    for (BoxFleet.Box b : some(t.part())) {
+      begin.accept(b);
+      later(t.forS(), () -> end.accept(b));
     }
+  }
 
-    private void flicker(BoxFleet.Box b, DayScript.Trouble t, long until, boolean taking) {
-        boolean over = System.nanoTime() >= until;
-        b.neighbourTakes(taking && !over ? t.size() : 0);
-        if (!over) {
-            later(Math.max(0.2, t.extra()), () -> flicker(b, t, until, !taking));
-        }
+  private void flicker(BoxFleet.Box b, DayScript.Trouble t, long until, boolean taking) {
+    boolean over = System.nanoTime() >= until;
+    b.neighbourTakes(taking && !over ? t.size() : 0);
+    if (!over) {
+      later(Math.max(0.2, t.extra()), () -> flicker(b, t, until, !taking));
     }
+  }
 
-    private void list(BoxFleet.Box b, String state, double after) {
-        later(after, () -> grounds.list.set(b.place(), "small", state, b.startedAtMillis()));
-    }
+  private void list(BoxFleet.Box b, String state, double after) {
+    later(after, () -> grounds.list.set(b.place(), "small", state, b.startedAtMillis()));
+  }
 
-    private void comeBack(BoxFleet.Box b) {
-        b.restart();
-        later(0.2, () -> {
-            list(b, "serving", 0);
-            taken.remove(b);
+  private void comeBack(BoxFleet.Box b) {
+    b.restart();
+    later(
+        0.2,
+        () -> {
+          list(b, "serving", 0);
+          taken.remove(b);
         });
-    }
+  }
 
-    /** Boxes in turns of `size`: drained, closed after `extra` seconds, started cold and listed again. */
-    private void deploy(DayScript.Trouble t) {
-        List<BoxFleet.Box> turn = some(t.part());
-        taken.addAll(turn);
-        int at = 0;
-        int size = Math.max(1, (int) Math.round(t.size()));
-        double pace = t.forS() / Math.max(1, (turn.size() + size - 1) / size);
-        for (int i = 0; i < turn.size(); i += size) {
-            for (BoxFleet.Box b : turn.subList(i, Math.min(turn.size(), i + size))) {
-                later(at * pace, () -> {
-                    list(b, "draining", 0);
-                    later(t.extra() + grounds.day.list().lateMs() * 1.5e-3, () -> {
-                        b.close();
-                        later(0.5, () -> comeBack(b));
-                    });
-                });
-            }
-            at++;
-        }
+  /**
+   * Boxes in turns of `size`: drained, closed after `extra` seconds, started cold and listed again.
+   */
+  private void deploy(DayScript.Trouble t) {
+    List<BoxFleet.Box> turn = some(t.part());
+    taken.addAll(turn);
+    int at = 0;
+    int size = Math.max(1, (int) Math.round(t.size()));
+    double pace = t.forS() / Math.max(1, (turn.size() + size - 1) / size);
+    for (int i = 0; i < turn.size(); i += size) {
+      for (BoxFleet.Box b : turn.subList(i, Math.min(turn.size(), i + size))) {
+        later(
+            at * pace,
+            () -> {
+              list(b, "draining", 0);
+              later(
+                  t.extra() + grounds.day.list().lateMs() * 1.5e-3,
+                  () -> {
+                    b.close();
+                    later(0.5, () -> comeBack(b));
+                  });
+            });
+      }
+      at++;
     }
+  }
 
-    /**
-     * Once for the trouble's length; or, where `extra` is over 0, for `size` seconds every `extra` seconds: each front at
-     * times of its own where `how` is apart, else all at once.
-     */
-    private void stall(DayScript.Trouble t) {
-        if (t.extra() <= 0) {
-            fronts(t, f -> f.stopFor(Math.round(1000 * t.forS())));
-            return;
-        }
-        boolean apart = "apart".equals(t.how());
-        long seed = chance.nextLong();
-        fronts(t, f -> {
-            long until = System.nanoTime() + Math.round(1e9 * t.forS());
-            if (apart) {
-                double turn = new SplittableRandom(seed + f.number()).nextDouble();
-                Thread.sleep(Math.round(1000 * turn * (t.size() + t.extra())));
-            }
-            while (System.nanoTime() < until) {
-                f.stopFor(Math.round(1000 * t.size()));
-                Thread.sleep(Math.round(1000 * Math.max(0.5, t.extra())));
-            }
-        });
+  /**
+   * Once for the trouble's length; or, where `extra` is over 0, for `size` seconds every `extra`
+   * seconds: each front at times of its own where `how` is apart, else all at once.
+   */
+  private void stall(DayScript.Trouble t) {
+    if (t.extra() <= 0) {
+      fronts(t, f -> f.stopFor(Math.round(1000 * t.forS())));
+      return;
     }
+    boolean apart = "apart".equals(t.how());
+    long seed = chance.nextLong();
+    fronts(
+        t,
+        f -> {
+          long until = System.nanoTime() + Math.round(1e9 * t.forS());
+          if (apart) {
+            double turn = new SplittableRandom(seed + f.number()).nextDouble();
+            Thread.sleep(Math.round(1000 * turn * (t.size() + t.extra())));
+          }
+          while (System.nanoTime() < until) {
+            f.stopFor(Math.round(1000 * t.size()));
+            Thread.sleep(Math.round(1000 * Math.max(0.5, t.extra())));
+          }
+        });
+  }
 
-    private interface Hand {
-        void on(FrontProcess front) throws IOException, InterruptedException;
-    }
+  private interface Hand {
+    void on(FrontProcess front) throws IOException, InterruptedException;
+  }
 
-    private void fronts(DayScript.Trouble t, Hand hand) {
-        int first = chance.nextInt(grounds.fronts.size());
-        List<FrontProcess> hit = new ArrayList<>();
-        if ("building".equals(t.how())) { // all of one, and no other
-            for (int i = first % grounds.day.fleet().buildings().size(); i < grounds.fronts.size(); i += grounds.day.fleet().buildings().size()) {
-                hit.add(grounds.fronts.get(i));
-            }
-        } else {
-            int n = Math.max(1, (int) Math.round(t.part() * grounds.fronts.size()));
-            for (int i = 0; i < n; i++) {
-                hit.add(grounds.fronts.get((first + i) % grounds.fronts.size()));
-            }
-        }
-        for (FrontProcess f : hit) {
-            Thread h = new Thread(() -> {
+  private void fronts(DayScript.Trouble t, Hand hand) {
+    int first = chance.nextInt(grounds.fronts.size());
+    List<FrontProcess> hit = new ArrayList<>();
+    if ("building".equals(t.how())) { // all of one, and no other
+      for (int i = first % grounds.day.fleet().buildings().size();
+          i < grounds.fronts.size();
+          i += grounds.day.fleet().buildings().size()) {
+        hit.add(grounds.fronts.get(i));
+      }
+    } else {
+      int n = Math.max(1, (int) Math.round(t.part() * grounds.fronts.size()));
+      for (int i = 0; i < n; i++) {
+        hit.add(grounds.fronts.get((first + i) % grounds.fronts.size()));
+      }
+    }
+    for (FrontProcess f : hit) {
+      Thread h =
+          new Thread(
+              () -> {
                 try {
-                    synchronized (f) {
-                        hand.on(f);
-                    }
+                  synchronized (f) {
+                    hand.on(f);
+                  }
                 } catch (IOException | InterruptedException e) {
-                    synchronized (failures) {
-                        failures.add(t.kind() + ": " + e.getMessage());
-                    }
+                  synchronized (failures) {
+                    failures.add(t.kind() + ": " + e.getMessage());
+                  }
                 }
-            }, "trouble " + t.kind());
-            h.setDaemon(true);
-            hands.add(h);
-            h.start();
-        }
+              },
+              "trouble " + t.kind());
+      h.setDaemon(true);
+      hands.add(h);
+      h.start();
     }
+  }
 }
--- a/src/main/java/linengauge/drill/VrrpCost.java
+++ b/src/main/java/linengauge/drill/VrrpCost.java
@@ -13,60 +13,85 @@
 import linengauge.vrrp.udp.UdpNode;
 import linengauge.vrrp.udp.UdpTerms;
 
-/** What virtual routers cost: two nodes in this process with so many of them, and the time that their threads take. */
+/**
+ * What virtual routers cost: two nodes in this process with so many of them, and the time that
+ * their threads take.
+ */
 final class VrrpCost {
-    private static final int SECONDS = 5;
+  private static final int SECONDS = 5;
 
-    private VrrpCost() {
-    }
-
-    /** Processor time of one node's thread, in microseconds for each second and virtual router. */
-    static String measure(int routers, int advertMs, byte[] key) throws IOException, InterruptedException {
-        List<Integer> ports = Ports.free(2);
-        List<InetSocketAddress> at = List.of(new InetSocketAddress(Ports.node(2), ports.get(0)),
-                new InetSocketAddress(Ports.node(3), ports.get(1)));
-        List<UdpNode> nodes = new ArrayList<>();
-        try {
-            for (int i = 0; i < 2; i++) {
-                List<RouterTerms> terms = new ArrayList<>();
-                for (int v = 1; v <= routers; v++) {
-                    terms.add(new RouterTerms(v, 200 - 100 * i, Span.ofMillis(advertMs), true, true,
-                            List.of(NodeAddress.of(192, 0, 2, v)), new NodeAddress(at.get(i).getAddress().getAddress()),
-                            RouterTerms.Additions.NONE));
-                }
-                nodes.add(new UdpNode(new UdpTerms(at.get(i), List.of(at.get(1 - i)), null, null, null, key, false, 256, 1 << 20, terms),
-                        new UdpNode.Owner() {
-                            @Override
-                            public void took(int vrid) {
-                                // nobody serves here
-                            }
+  private VrrpCost() {}
 
-                            @Override
-                            public void gaveUp(int vrid) {
-                                // nobody serves here
-                            }
-                        }, () -> false));
-            }
-            nodes.forEach(UdpNode::start);
-            Thread.sleep(3000 + 5L * advertMs);
-            long from = cpu();
-            Thread.sleep(1000L * SECONDS);
-            long micros = (cpu() - from) / 1000;
-            return String.format(Locale.ROOT, "%.0f", micros / 2.0 / SECONDS / routers);
-        } finally {
-            nodes.forEach(UdpNode::close);
+  /** Processor time of one node's thread, in microseconds for each second and virtual router. */
+  static String measure(int routers, int advertMs, byte[] key)
+      throws IOException, InterruptedException {
+    List<Integer> ports = Ports.free(2);
+    List<InetSocketAddress> at =
+        List.of(
+            new InetSocketAddress(Ports.node(2), ports.get(0)),
+            new InetSocketAddress(Ports.node(3), ports.get(1)));
+    List<UdpNode> nodes = new ArrayList<>();
+    try {
+      for (int i = 0; i < 2; i++) {
+        List<RouterTerms> terms = new ArrayList<>();
+        for (int v = 1; v <= routers; v++) {
+          terms.add(
+              new RouterTerms(
+                  v,
+                  200 - 100 * i,
+                  Span.ofMillis(advertMs),
+                  true,
+                  true,
+                  List.of(NodeAddress.of(192, 0, 2, v)),
+                  new NodeAddress(at.get(i).getAddress().getAddress()),
+                  RouterTerms.Additions.NONE));
         }
+        nodes.add(
+            new UdpNode(
+                new UdpTerms(
+                    at.get(i),
+                    List.of(at.get(1 - i)),
+                    null,
+                    null,
+                    null,
+                    key,
+                    false,
+                    256,
+                    1 << 20,
+                    terms),
+                new UdpNode.Owner() {
+                  @Override
+                  public void took(int vrid) {
+                    // nobody serves here
+                  }
+
+                  @Override
+                  public void gaveUp(int vrid) {
+                    // nobody serves here
+                  }
+                },
+                () -> false));
+      }
+      nodes.forEach(UdpNode::start);
+      Thread.sleep(3000 + 5L * advertMs);
+      long from = cpu();
+      Thread.sleep(1000L * SECONDS);
+      long micros = (cpu() - from) / 1000;
+      return String.format(Locale.ROOT, "%.0f", micros / 2.0 / SECONDS / routers);
+    } finally {
+      nodes.forEach(UdpNode::close);
     }
+  }
 
-    private static long cpu() {
-        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
-        long sum = 0;
-        for (long id : threads.getAllThreadIds()) {
-            var info = threads.getThreadInfo(id);
-            if (info != null && info.getThreadName().equals(UdpNode.THREAD)) {
-                sum += Math.max(0, threads.getThreadCpuTime(id));
-            }
-        }
-        return sum;
+  private static long cpu() {
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    long sum = 0;
+    for (long id : threads.getAllThreadIds()) {
+      var info = threads.getThreadInfo(id);
+      if (info != null && info.getThreadName().equals(UdpNode.THREAD)) {
+        sum += Math.max(0, threads.getThreadCpuTime(id));
+      }
     }
+    return sum;
+  }
 }
--- a/src/main/java/linengauge/flow/FlowTerms.java
+++ b/src/main/java/linengauge/flow/FlowTerms.java
@@ -3,20 +3,37 @@
 import linengauge.Span;
 
 /**
- * What slow peers are held to, on one loop (a loop's part of the front's figures, where they are sums). All spans are of
- * the loop's own time, in which a stand-still of the loop does not count ({@link OwnTime}).
+ * What slow peers are held to, on one loop (a loop's part of the front's figures, where they are
+ * sums). All spans are of the loop's own time, in which a stand-still of the loop does not count
+ * ({@link OwnTime}).
  *
  * @param guards false: nobody is held back or let go; only to show what the guards are for
- * @param beat how often the accounts are looked at; a look that comes `late` after that tells of a stand-still
- * @param window over which what moved is weighed, and `evidence`, how much of it a peer must have been owed bytes in
- *     before it can be found slow; `grace` after its start nobody is
- * @param viewerShare of the lowest rung's rate that a viewer must take; boxShare, of the rung in force, that a box must
- *     bring
- * @param waitingBytes that may wait for all peers of the loop; peerBytes for one; floorBytes that each of at most `peers`
- *     may always have waiting; chunkBytes, the most that is read at once for a peer
- * @param letGoWindow in which at most letGoLeast peers are let go, and letGoPerMover more for each peer that moves
+ * @param beat how often the accounts are looked at; a look that comes `late` after that tells of a
+ *     stand-still
+ * @param window over which what moved is weighed, and `evidence`, how much of it a peer must have
+ *     been owed bytes in before it can be found slow; `grace` after its start nobody is
+ * @param viewerShare of the lowest rung's rate that a viewer must take; boxShare, of the rung in
+ *     force, that a box must bring
+ * @param waitingBytes that may wait for all peers of the loop; peerBytes for one; floorBytes that
+ *     each of at most `peers` may always have waiting; chunkBytes, the most that is read at once
+ *     for a peer
+ * @param letGoWindow in which at most letGoLeast peers are let go, and letGoPerMover more for each
+ *     peer that moves
  */
-public record FlowTerms(boolean guards, Span beat, Span late, Span window, Span evidence, Span grace, double viewerShare,
-        double boxShare, long waitingBytes, long peerBytes, long floorBytes, long chunkBytes, int peers,
-        Span letGoWindow, int letGoLeast, double letGoPerMover) {
-}
+public record FlowTerms(
+    boolean guards,
+    Span beat,
+    Span late,
+    Span window,
+    Span evidence,
+    Span grace,
+    double viewerShare,
+    double boxShare,
+    long waitingBytes,
+    long peerBytes,
+    long floorBytes,
+    long chunkBytes,
+    int peers,
+    Span letGoWindow,
+    int letGoLeast,
+    double letGoPerMover) {}
--- a/src/main/java/linengauge/flow/Knock.java
+++ b/src/main/java/linengauge/flow/Knock.java
@@ -15,95 +15,100 @@
  * </pre>
  */
 public final class Knock {
-    /** What the connection waits for. */
-    public enum State { FIRST_BYTE, HEADERS, UNDER_WAY, BETWEEN }
+  /** What the connection waits for. */
+  public enum State {
+    FIRST_BYTE,
+    HEADERS,
+    UNDER_WAY,
+    BETWEEN
+  }
 
-    /** The connection on its socket. */
-    public interface Caller {
-        /** It has taken too long with what the state names. */
-        void tooLong(State state);
-    }
+  /** The connection on its socket. */
+  public interface Caller {
+    /** It has taken too long with what the state names. */
+    void tooLong(State state);
+  }
 
-    private final Knocks knocks;
-    private final Caller caller;
-    final long number;
-    private State state = State.FIRST_BYTE;
-    private Moment stateSince;
-    private Moment dueAt;
-    private int underWay;
-    private boolean nextHasBegun;
-    private boolean closed;
+  private final Knocks knocks;
+  private final Caller caller;
+  final long number;
+  private State state = State.FIRST_BYTE;
+  private Moment stateSince;
+  private Moment dueAt;
+  private int underWay;
+  private boolean nextHasBegun;
+  private boolean closed;
 
-    Knock(Knocks knocks, Caller caller, long number, Moment own) {
-        this.knocks = knocks;
-        this.caller = caller;
-        this.number = number;
-        go(State.FIRST_BYTE, own);
-    }
+  Knock(Knocks knocks, Caller caller, long number, Moment own) {
+    this.knocks = knocks;
+    this.caller = caller;
+    this.number = number;
+    go(State.FIRST_BYTE, own);
+  }
 
-    public State state() {
-        return state;
-    }
+  public State state() {
+    return state;
+  }
 
-    /** An answer is owed to it. */
-    public boolean isOwed() {
-        return underWay > 0;
-    }
+  /** An answer is owed to it. */
+  public boolean isOwed() {
+    return underWay > 0;
+  }
 
-    Caller caller() {
-        return caller;
-    }
+  Caller caller() {
+    return caller;
+  }
 
-    /** When it is to be closed, by the loop's own time; null while a request is under way. */
-    Moment dueAt() {
-        return dueAt;
-    }
+  /** When it is to be closed, by the loop's own time; null while a request is under way. */
+  Moment dueAt() {
+    return dueAt;
+  }
 
-    Moment stateSince() {
-        return stateSince;
-    }
+  Moment stateSince() {
+    return stateSince;
+  }
 
-    private void go(State to, Moment own) {
-        knocks.unlist(this);
-        state = to;
-        stateSince = own;
-        Span bound = knocks.bound(to);
-        dueAt = bound == null || closed ? null : own.plus(bound);
-        knocks.list(this);
-    }
+  private void go(State to, Moment own) {
+    knocks.unlist(this);
+    state = to;
+    stateSince = own;
+    Span bound = knocks.bound(to);
+    dueAt = bound == null || closed ? null : own.plus(bound);
+    knocks.list(this);
+  }
 
-    /** A byte has come. */
-    public void heard() {
-        if (state == State.UNDER_WAY) {
-            nextHasBegun = true;
-        } else if (state != State.HEADERS) {
-            go(State.HEADERS, knocks.own());
-        }
+  /** A byte has come. */
+  public void heard() {
+    if (state == State.UNDER_WAY) {
+      nextHasBegun = true;
+    } else if (state != State.HEADERS) {
+      go(State.HEADERS, knocks.own());
     }
+  }
 
-    /** A request's headers are whole; false where too many wait on this connection already. */
-    public boolean asked() {
-        if (underWay > knocks.pipelined()) {
-            return false;
-        }
-        underWay++;
-        nextHasBegun = false;
-        if (state != State.UNDER_WAY) {
-            go(State.UNDER_WAY, knocks.own());
-        }
-        return true;
+  /** A request's headers are whole; false where too many wait on this connection already. */
+  public boolean asked() {
+    if (underWay > knocks.pipelined()) {
+      return false;
     }
-
-    /** A request's answer is written, or broken off. */
-    public void answered() {
-        if (underWay > 0 && --underWay == 0 && !closed) {
-            go(nextHasBegun ? State.HEADERS : State.BETWEEN, knocks.own());
-            nextHasBegun = false;
-        }
+    underWay++;
+    nextHasBegun = false;
+    if (state != State.UNDER_WAY) {
+      go(State.UNDER_WAY, knocks.own());
     }
+    return true;
+  }
 
-    public void close() {
-        closed = true;
-        knocks.unlist(this);
+  /** A request's answer is written, or broken off. */
+  public void answered() {
+    if (underWay > 0 && --underWay == 0 && !closed) {
+      go(nextHasBegun ? State.HEADERS : State.BETWEEN, knocks.own());
+      nextHasBegun = false;
     }
+  }
+
+  public void close() {
+    closed = true;
+    knocks.unlist(this);
+  }
 }
