--- a/src/main/java/linengauge/flow/Watch.java
+++ b/src/main/java/linengauge/flow/Watch.java
@@ -8,139 +8,148 @@
 import linengauge.Span;
 
 /**
- * The accounts of one loop and the verdicts on them. At each look every peer that has bytes on the way is weighed; those
- * that are slow by evidence are let go, the slowest first, as far as the budget goes. Looks touch only peers with a
- * transfer under way or bytes waiting, never all that are connected.
+ * The accounts of one loop and the verdicts on them. At each look every peer that has bytes on the
+ * way is weighed; those that are slow by evidence are let go, the slowest first, as far as the
+ * budget goes. Looks touch only peers with a transfer under way or bytes waiting, never all that
+ * are connected.
  */
 public final class Watch {
-    /** Counts since the start, and what the last look saw. */
-    public static final class Counts {
-        public long viewersLetGo;
-        public long boxesLetGo;
-        /** Found slow and not let go, as the budget was used up; counted again at each look. */
-        public long spared;
-        public long standStills;
-        public int movers;
-        public int slow;
+  /** Counts since the start, and what the last look saw. */
+  public static final class Counts {
+    public long viewersLetGo;
+    public long boxesLetGo;
+
+    /** Found slow and not let go, as the budget was used up; counted again at each look. */
+    public long spared;
+
+    public long standStills;
+    public int movers;
+    public int slow;
+  }
+
+  private static final Comparator<Account> SLOWEST_FIRST =
+      Comparator.comparingDouble(Account::part).thenComparingLong(Account::number);
+
+  private final FlowTerms terms;
+  private final OwnTime time;
+  private final Pool pool;
+  private final Allowance allowance;
+  private final Counts counts = new Counts();
+
+  /**
+   * Peers with bytes on the way, in the order of their numbers; each leaves when it is idle at a
+   * look, or closed.
+   */
+  private final TreeMap<Long, Account> stirring = new TreeMap<>();
+
+  /** Those of them that are viewers; each has its floor kept. */
+  private int viewers;
+
+  private Moment lookedAt = new Moment(0);
+  private long number;
+
+  public Watch(FlowTerms terms, OwnTime time) {
+    this.terms = terms;
+    this.time = time;
+    this.pool = new Pool(terms);
+    this.allowance = new Allowance(terms);
+  }
+
+  public Pool pool() {
+    return pool;
+  }
+
+  public Counts counts() {
+    return counts;
+  }
+
+  public int stirring() {
+    return stirring.size();
+  }
+
+  /** No further transfer has its floor kept: the next one is turned away. */
+  public boolean isFull() {
+    return terms.guards() && viewers >= terms.peers();
+  }
+
+  Moment own() {
+    return time.own();
+  }
+
+  /** Opens the account of a peer; it costs nothing until a transfer begins. */
+  public Account open(Account.Side side, Account.Peer peer) {
+    return new Account(this, peer, side, number++, time.own(), terms.window());
+  }
+
+  void stirs(Account a) {
+    if (a.isOpen() && stirring.put(a.number(), a) == null && a.side() == Account.Side.VIEWER) {
+      viewers++;
     }
+  }
 
-    private static final Comparator<Account> SLOWEST_FIRST =
-            Comparator.comparingDouble(Account::part).thenComparingLong(Account::number);
-
-    private final FlowTerms terms;
-    private final OwnTime time;
-    private final Pool pool;
-    private final Allowance allowance;
-    private final Counts counts = new Counts();
-    /** Peers with bytes on the way, in the order of their numbers; each leaves when it is idle at a look, or closed. */
-    private final TreeMap<Long, Account> stirring = new TreeMap<>();
-    /** Those of them that are viewers; each has its floor kept. */
-    private int viewers;
-    private Moment lookedAt = new Moment(0);
-    private long number;
-
-    public Watch(FlowTerms terms, OwnTime time) {
-        this.terms = terms;
-        this.time = time;
-        this.pool = new Pool(terms);
-        this.allowance = new Allowance(terms);
+  void leaves(Account a) {
+    if (stirring.remove(a.number()) != null) {
+      left(a);
     }
-
-    public Pool pool() {
-        return pool;
-    }
-
-    public Counts counts() {
-        return counts;
-    }
-
-    public int stirring() {
-        return stirring.size();
-    }
-
-    /** No further transfer has its floor kept: the next one is turned away. */
-    public boolean isFull() {
-        return terms.guards() && viewers >= terms.peers();
-    }
-
-    Moment own() {
-        return time.own();
+  }
+
+  private void left(Account a) {
+    viewers -= a.side() == Account.Side.VIEWER ? 1 : 0;
+  }
+
+  /**
+   * After each beat of the loop's own time; `ran` is what that said. After a stand-still nobody is
+   * let go at once: what peers did meanwhile is still to be seen.
+   */
+  public void look(boolean ran) {
+    Span span = time.own().since(lookedAt);
+    lookedAt = time.own();
+    List<Account> slow = new ArrayList<>();
+    for (var i = stirring.values().iterator(); i.hasNext(); ) {
+      Account a = i.next();
+      if (a.look(span)) {
+        allowance.moved(a.number(), time.own());
+      }
+      if (a.isSlow(time.own(), terms)) {
+        slow.add(a);
+      }
+      if (a.isIdle()) {
+        i.remove();
+        left(a);
+        a.rests(time.own());
+      }
     }
-
-    /** Opens the account of a peer; it costs nothing until a transfer begins. */
-    public Account open(Account.Side side, Account.Peer peer) {
-        return new Account(this, peer, side, number++, time.own(), terms.window());
+    counts.standStills += ran ? 0 : 1;
+    allowance.passed(span, time.own());
+    counts.movers = allowance.movers();
+    counts.slow = slow.size();
+    if (terms.guards() && ran) {
+      letGo(slow);
     }
-
-    void stirs(Account a) {
-        if (a.isOpen() && stirring.put(a.number(), a) == null && a.side() == Account.Side.VIEWER) {
-            viewers++;
-        }
+    for (Account a : List.copyOf(stirring.values())) {
+      a.mayGoOn();
     }
-
-    void leaves(Account a) {
-        if (stirring.remove(a.number()) != null) {
-            left(a);
-        }
-    }
-
-    private void left(Account a) {
-        viewers -= a.side() == Account.Side.VIEWER ? 1 : 0;
-    }
-
-    /**
-     * After each beat of the loop's own time; `ran` is what that said. After a stand-still nobody is let go at once: what
-     * peers did meanwhile is still to be seen.
-     */
-    public void look(boolean ran) {
-        Span span = time.own().since(lookedAt);
-        lookedAt = time.own();
-        List<Account> slow = new ArrayList<>();
-        for (var i = stirring.values().iterator(); i.hasNext();) {
-            Account a = i.next();
-            if (a.look(span)) {
-                allowance.moved(a.number(), time.own());
-            }
-            if (a.isSlow(time.own(), terms)) {
-                slow.add(a);
-            }
-            if (a.isIdle()) {
-                i.remove();
-                left(a);
-                a.rests(time.own());
-            }
-        }
-        counts.standStills += ran ? 0 : 1;
-        allowance.passed(span, time.own());
-        counts.movers = allowance.movers();
-        counts.slow = slow.size();
-        if (terms.guards() && ran) {
-            letGo(slow);
-        }
-        for (Account a : List.copyOf(stirring.values())) {
-            a.mayGoOn();
-        }
-    }
-
-    private void letGo(List<Account> slow) {
-        slow.sort(SLOWEST_FIRST);
-        int left = allowance.left();
-        for (Account a : slow) {
-            if (!a.isOpen()) {
-                continue; // it went with one let go before it
-            }
-            if (left-- <= 0) {
-                counts.spared++;
-                continue;
-            }
-            allowance.took();
-            if (a.side() == Account.Side.VIEWER) {
-                counts.viewersLetGo++;
-            } else {
-                counts.boxesLetGo++;
-            }
-            a.peer().letGo(a);
-            a.close();
-        }
+  }
+
+  private void letGo(List<Account> slow) {
+    slow.sort(SLOWEST_FIRST);
+    int left = allowance.left();
+    for (Account a : slow) {
+      if (!a.isOpen()) {
+        continue; // it went with one let go before it
+      }
+      if (left-- <= 0) {
+        counts.spared++;
+        continue;
+      }
+      allowance.took();
+      if (a.side() == Account.Side.VIEWER) {
+        counts.viewersLetGo++;
+      } else {
+        counts.boxesLetGo++;
+      }
+      a.peer().letGo(a);
+      a.close();
     }
+  }
 }
--- a/src/main/java/linengauge/front/Routes.java
+++ b/src/main/java/linengauge/front/Routes.java
@@ -7,42 +7,43 @@
 
 /** Viewings that play, by id: written by the desk, read by the loops. Each leaves as it ends. */
 final class Routes {
-    /** How many viewings that have ended are remembered, so that a late request is told why. */
-    private static final int REMEMBERED = 1000;
+  /** How many viewings that have ended are remembered, so that a late request is told why. */
+  private static final int REMEMBERED = 1000;
 
-    private final Map<String, ViewerEnd> playing = new ConcurrentHashMap<>();
-    private final Map<String, Viewer.End> ended = new LinkedHashMap<>() {
+  private final Map<String, ViewerEnd> playing = new ConcurrentHashMap<>();
+  private final Map<String, Viewer.End> ended =
+      new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Viewer.End> eldest) {
-            return size() > REMEMBERED;
+          return size() > REMEMBERED;
         }
-    };
+      };
 
-    void put(String id, ViewerEnd viewer) {
-        playing.put(id, viewer);
-    }
+  void put(String id, ViewerEnd viewer) {
+    playing.put(id, viewer);
+  }
 
-    void remove(String id, Viewer.End how) {
-        playing.remove(id);
-        synchronized (ended) {
-            ended.put(id, how);
-        }
+  void remove(String id, Viewer.End how) {
+    playing.remove(id);
+    synchronized (ended) {
+      ended.put(id, how);
     }
+  }
 
-    ViewerEnd get(String id) {
-        return playing.get(id);
-    }
+  ViewerEnd get(String id) {
+    return playing.get(id);
+  }
 
-    /** How a viewing ended, or null where that is not remembered. */
-    Viewer.End howEnded(String id) {
-        synchronized (ended) {
-            return ended.get(id);
-        }
+  /** How a viewing ended, or null where that is not remembered. */
+  Viewer.End howEnded(String id) {
+    synchronized (ended) {
+      return ended.get(id);
     }
+  }
 
-    int size() {
-        return playing.size();
-    }
+  int size() {
+    return playing.size();
+  }
 }
--- a/src/main/java/linengauge/hls/Playlists.java
+++ b/src/main/java/linengauge/hls/Playlists.java
@@ -15,162 +15,174 @@
 import java.util.function.UnaryOperator;
 
 /**
- * A box's playlists rewritten for one viewing (RFC 8216). The library reads them, and so refuses what is broken; the
- * rewriting goes line by line, since a parsed playlist has lost the tags that the library does not know, and those must
- * survive (section 6.3.1: clients ignore them, a front has no say).
+ * A box's playlists rewritten for one viewing (RFC 8216). The library reads them, and so refuses
+ * what is broken; the rewriting goes line by line, since a parsed playlist has lost the tags that
+ * the library does not know, and those must survive (section 6.3.1: clients ignore them, a front
+ * has no say).
  */
 public final class Playlists {
-    private static final MasterPlaylistParser MULTIVARIANT = new MasterPlaylistParser(ParsingMode.LENIENT);
-    private static final MediaPlaylistParser MEDIA = new MediaPlaylistParser(ParsingMode.LENIENT);
-    /** Tags of a media playlist that name further files (sections 4.3.2.4, 4.3.2.5). */
-    private static final Set<String> WITH_URI = Set.of("#EXT-X-KEY", "#EXT-X-MAP", "#EXT-X-SESSION-KEY",
-            "#EXT-X-PART", "#EXT-X-PRELOAD-HINT", "#EXT-X-RENDITION-REPORT");
+  private static final MasterPlaylistParser MULTIVARIANT =
+      new MasterPlaylistParser(ParsingMode.LENIENT);
+  private static final MediaPlaylistParser MEDIA = new MediaPlaylistParser(ParsingMode.LENIENT);
 
-    private Playlists() {
-    }
+  /** Tags of a media playlist that name further files (sections 4.3.2.4, 4.3.2.5). */
+  private static final Set<String> WITH_URI =
+      Set.of(
+          "#EXT-X-KEY",
+          "#EXT-X-MAP",
+          "#EXT-X-SESSION-KEY",
+          "#EXT-X-PART",
+          "#EXT-X-PRELOAD-HINT",
+          "#EXT-X-RENDITION-REPORT");
 
-    /**
-     * The multivariant playlist of this viewing alone: the one variant of the rung (by rising BANDWIDTH, section
-     * 4.3.4.2; the highest there is where the box has fewer), at the address given, and the renditions of its groups.
-     *
-     * @param uri gives the address under this viewing of one that stands in the playlist
-     */
-    public static String multivariant(byte[] playlist, int rung, String variantUri, UnaryOperator<String> uri)
-            throws BadPlaylist {
-        String text = text(playlist);
-        try {
-            MULTIVARIANT.readPlaylist(text);
-        } catch (PlaylistParserException | RuntimeException e) {
-            throw new BadPlaylist(0, "not a multivariant playlist: " + e.getMessage());
-        }
-        List<String> lines = text.lines().toList();
-        Variant chosen = variant(lines, rung);
-        Set<String> groups = new HashSet<>();
-        for (String kind : List.of("AUDIO", "VIDEO", "SUBTITLES", "CLOSED-CAPTIONS")) {
-            groups.add(kind + "/" + Attributes.quoted(chosen.attributes, kind));
-        }
-        StringBuilder out = new StringBuilder();
-        for (int i = 0; i < lines.size(); i++) {
-            String line = lines.get(i);
-            String tag = tag(line);
-            if (tag.equals("#EXT-X-STREAM-INF")) {
-                int at = uriAfter(lines, i);
-                if (i == chosen.line) {
-                    out.append(line).append('\n').append(variantUri).append('\n');
-                }
-                i = at;
-            } else if (tag.equals("#EXT-X-MEDIA")) {
-                Map<String, String> a = Attributes.read(i + 1, line.substring(tag.length() + 1));
-                if (groups.contains(a.get("TYPE") + "/" + Attributes.quoted(a, "GROUP-ID"))) {
-                    out.append(withUri(i + 1, line, tag, uri)).append('\n');
-                }
-            } else if (tag.equals("#EXT-X-SESSION-KEY") || tag.equals("#EXT-X-SESSION-DATA")) {
-                out.append(withUri(i + 1, line, tag, uri)).append('\n');
-            } else if (!tag.equals("#EXT-X-I-FRAME-STREAM-INF")) {
-                out.append(line).append('\n'); // trick play would name rungs past the front's say
-            }
-        }
-        return out.toString();
-    }
+  private Playlists() {}
 
-    /** A media playlist with every address under this viewing; all else stands as the box wrote it. */
-    public static String media(byte[] playlist, UnaryOperator<String> uri) throws BadPlaylist {
-        String text = text(playlist);
-        try {
-            MEDIA.readPlaylist(text);
-        } catch (PlaylistParserException | RuntimeException e) {
-            throw new BadPlaylist(0, "not a media playlist: " + e.getMessage());
-        }
-        StringBuilder out = new StringBuilder();
-        boolean target = false;
-        int number = 0;
-        for (String line : text.lines().toList()) {
-            number++;
-            String tag = tag(line);
-            target |= tag.equals("#EXT-X-TARGETDURATION");
-            if (WITH_URI.contains(tag)) {
-                out.append(withUri(number, line, tag, uri));
-            } else if (line.isBlank() || line.startsWith("#")) {
-                out.append(line);
-            } else {
-                out.append(uri.apply(line.strip()));
-            }
-            out.append('\n');
+  /**
+   * The multivariant playlist of this viewing alone: the one variant of the rung (by rising
+   * BANDWIDTH, section 4.3.4.2; the highest there is where the box has fewer), at the address
+   * given, and the renditions of its groups.
+   *
+   * @param uri gives the address under this viewing of one that stands in the playlist
+   */
+  public static String multivariant(
+      byte[] playlist, int rung, String variantUri, UnaryOperator<String> uri) throws BadPlaylist {
+    String text = text(playlist);
+    try {
+      MULTIVARIANT.readPlaylist(text);
+    } catch (PlaylistParserException | RuntimeException e) {
+      throw new BadPlaylist(0, "not a multivariant playlist: " + e.getMessage());
+    }
+    List<String> lines = text.lines().toList();
+    Variant chosen = variant(lines, rung);
+    Set<String> groups = new HashSet<>();
+    for (String kind : List.of("AUDIO", "VIDEO", "SUBTITLES", "CLOSED-CAPTIONS")) {
+      groups.add(kind + "/" + Attributes.quoted(chosen.attributes, kind));
+    }
+    StringBuilder out = new StringBuilder();
+    for (int i = 0; i < lines.size(); i++) {
+      String line = lines.get(i);
+      String tag = tag(line);
+      if (tag.equals("#EXT-X-STREAM-INF")) {
+        int at = uriAfter(lines, i);
+        if (i == chosen.line) {
+          out.append(line).append('\n').append(variantUri).append('\n');
         }
-        if (!target) {
-            throw new BadPlaylist(0, "not a media playlist: no EXT-X-TARGETDURATION");
+        i = at;
+      } else if (tag.equals("#EXT-X-MEDIA")) {
+        Map<String, String> a = Attributes.read(i + 1, line.substring(tag.length() + 1));
+        if (groups.contains(a.get("TYPE") + "/" + Attributes.quoted(a, "GROUP-ID"))) {
+          out.append(withUri(i + 1, line, tag, uri)).append('\n');
         }
-        return out.toString();
+      } else if (tag.equals("#EXT-X-SESSION-KEY") || tag.equals("#EXT-X-SESSION-DATA")) {
+        out.append(withUri(i + 1, line, tag, uri)).append('\n');
+      } else if (!tag.equals("#EXT-X-I-FRAME-STREAM-INF")) {
+        out.append(line).append('\n'); // trick play would name rungs past the front's say
+      }
     }
+    return out.toString();
+  }
 
-    private record Variant(int line, long bandwidth, Map<String, String> attributes) {
+  /**
+   * A media playlist with every address under this viewing; all else stands as the box wrote it.
+   */
+  public static String media(byte[] playlist, UnaryOperator<String> uri) throws BadPlaylist {
+    String text = text(playlist);
+    try {
+      MEDIA.readPlaylist(text);
+    } catch (PlaylistParserException | RuntimeException e) {
+      throw new BadPlaylist(0, "not a media playlist: " + e.getMessage());
     }
+    StringBuilder out = new StringBuilder();
+    boolean target = false;
+    int number = 0;
+    for (String line : text.lines().toList()) {
+      number++;
+      String tag = tag(line);
+      target |= tag.equals("#EXT-X-TARGETDURATION");
+      if (WITH_URI.contains(tag)) {
+        out.append(withUri(number, line, tag, uri));
+      } else if (line.isBlank() || line.startsWith("#")) {
+        out.append(line);
+      } else {
+        out.append(uri.apply(line.strip()));
+      }
+      out.append('\n');
+    }
+    if (!target) {
+      throw new BadPlaylist(0, "not a media playlist: no EXT-X-TARGETDURATION");
+    }
+    return out.toString();
+  }
 
-    private static Variant variant(List<String> lines, int rung) throws BadPlaylist {
-        List<Variant> variants = new ArrayList<>();
-        for (int i = 0; i < lines.size(); i++) {
-            String line = lines.get(i);
-            if (tag(line).equals("#EXT-X-STREAM-INF")) {
-                Map<String, String> a = Attributes.read(i + 1, line.substring("#EXT-X-STREAM-INF:".length()));
-                try {
-                    variants.add(new Variant(i, Long.parseLong(a.getOrDefault("BANDWIDTH", "")), a));
-                } catch (NumberFormatException e) {
-                    throw new BadPlaylist(i + 1, "a variant has no BANDWIDTH");
-                }
-                uriAfter(lines, i);
-            }
-        }
-        if (variants.isEmpty()) {
-            throw new BadPlaylist(0, "no variant is named");
+  private record Variant(int line, long bandwidth, Map<String, String> attributes) {}
+
+  private static Variant variant(List<String> lines, int rung) throws BadPlaylist {
+    List<Variant> variants = new ArrayList<>();
+    for (int i = 0; i < lines.size(); i++) {
+      String line = lines.get(i);
+      if (tag(line).equals("#EXT-X-STREAM-INF")) {
+        Map<String, String> a =
+            Attributes.read(i + 1, line.substring("#EXT-X-STREAM-INF:".length()));
+        try {
+          variants.add(new Variant(i, Long.parseLong(a.getOrDefault("BANDWIDTH", "")), a));
+        } catch (NumberFormatException e) {
+          throw new BadPlaylist(i + 1, "a variant has no BANDWIDTH");
         }
-        variants.sort((a, b) -> Long.compare(a.bandwidth, b.bandwidth));
-        return variants.get(Math.max(0, Math.min(rung, variants.size() - 1)));
+        uriAfter(lines, i);
+      }
+    }
+    if (variants.isEmpty()) {
+      throw new BadPlaylist(0, "no variant is named");
     }
+    variants.sort((a, b) -> Long.compare(a.bandwidth, b.bandwidth));
+    return variants.get(Math.max(0, Math.min(rung, variants.size() - 1)));
+  }
 
-    private static int uriAfter(List<String> lines, int tagLine) throws BadPlaylist {
-        for (int i = tagLine + 1; i < lines.size(); i++) {
-            if (!lines.get(i).isBlank() && !lines.get(i).startsWith("#")) {
-                return i;
-            }
-            if (lines.get(i).startsWith("#EXT-X-STREAM-INF")) {
-                break;
-            }
-        }
-        throw new BadPlaylist(tagLine + 1, "a variant has no address");
+  private static int uriAfter(List<String> lines, int tagLine) throws BadPlaylist {
+    for (int i = tagLine + 1; i < lines.size(); i++) {
+      if (!lines.get(i).isBlank() && !lines.get(i).startsWith("#")) {
+        return i;
+      }
+      if (lines.get(i).startsWith("#EXT-X-STREAM-INF")) {
+        break;
+      }
     }
+    throw new BadPlaylist(tagLine + 1, "a variant has no address");
+  }
 
-    private static String withUri(int number, String line, String tag, UnaryOperator<String> uri) throws BadPlaylist {
-        if (line.length() <= tag.length()) {
-            return line;
-        }
-        Map<String, String> a = Attributes.read(number, line.substring(tag.length() + 1));
-        String named = Attributes.quoted(a, "URI");
-        if (named == null) {
-            return line;
-        }
-        a.put("URI", "\"" + uri.apply(named) + "\"");
-        return tag + ":" + Attributes.write(a);
+  private static String withUri(int number, String line, String tag, UnaryOperator<String> uri)
+      throws BadPlaylist {
+    if (line.length() <= tag.length()) {
+      return line;
     }
+    Map<String, String> a = Attributes.read(number, line.substring(tag.length() + 1));
+    String named = Attributes.quoted(a, "URI");
+    if (named == null) {
+      return line;
+    }
+    a.put("URI", "\"" + uri.apply(named) + "\"");
+    return tag + ":" + Attributes.write(a);
+  }
 
-    private static String tag(String line) {
-        if (!line.startsWith("#EXT")) {
-            return "";
-        }
-        int colon = line.indexOf(':');
-        return (colon < 0 ? line : line.substring(0, colon)).strip();
+  private static String tag(String line) {
+    if (!line.startsWith("#EXT")) {
+      return "";
     }
+    int colon = line.indexOf(':');
+    return (colon < 0 ? line : line.substring(0, colon)).strip();
+  }
 
-    /** Playlists are UTF-8 without a byte order mark, and start with EXTM3U (section 4.1). */
-    private static String text(byte[] playlist) throws BadPlaylist {
-        String text;
-        try {
-            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(playlist)).toString();
-        } catch (CharacterCodingException e) {
-            throw new BadPlaylist(0, "not UTF-8");
-        }
-        if (!text.startsWith("#EXTM3U") || text.length() > 7 && " \r\n\t".indexOf(text.charAt(7)) < 0) {
-            throw new BadPlaylist(1, "does not start with #EXTM3U");
-        }
-        return text;
+  /** Playlists are UTF-8 without a byte order mark, and start with EXTM3U (section 4.1). */
+  private static String text(byte[] playlist) throws BadPlaylist {
+    String text;
+    try {
+      text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(playlist)).toString();
+    } catch (CharacterCodingException e) {
+      throw new BadPlaylist(0, "not UTF-8");
+    }
+    if (!text.startsWith("#EXTM3U") || text.length() > 7 && " \r\n\t".indexOf(text.charAt(7)) < 0) {
+      throw new BadPlaylist(1, "does not start with #EXTM3U");
     }
+    return text;
+  }
 }
--- a/src/main/java/linengauge/members/News.java
+++ b/src/main/java/linengauge/members/News.java
@@ -4,12 +4,14 @@
  * What one front tells another of a member.
  *
  * @param incarnation the member's own count of its lives and denials; only it raises it
- * @param by who says so: itself of ALIVE and LEFT; of SUSPECT and DEAD, the front that could not reach it
+ * @param by who says so: itself of ALIVE and LEFT; of SUSPECT and DEAD, the front that could not
+ *     reach it
  */
 public record News(Member member, long incarnation, Standing standing, int by) {
-    /** Whether this overrules what is held. */
-    boolean overrules(News held) {
-        return held == null || incarnation > held.incarnation
-                || incarnation == held.incarnation && standing.compareTo(held.standing) > 0;
-    }
+  /** Whether this overrules what is held. */
+  boolean overrules(News held) {
+    return held == null
+        || incarnation > held.incarnation
+        || incarnation == held.incarnation && standing.compareTo(held.standing) > 0;
+  }
 }
--- a/src/main/java/linengauge/members/Words.java
+++ b/src/main/java/linengauge/members/Words.java
@@ -7,100 +7,125 @@
 import java.util.List;
 
 /**
- * One datagram between fronts (docs/protocol/members.md). PING asks for ACK; ASK asks the receiver to ping another front
- * and to pass its ACK on, or to say NAK (Lifeguard, IV.A); PULL asks for members from a number on, PAGE brings them.
+ * One datagram between fronts (docs/protocol/members.md). PING asks for ACK; ASK asks the receiver
+ * to ping another front and to pass its ACK on, or to say NAK (Lifeguard, IV.A); PULL asks for
+ * members from a number on, PAGE brings them.
  *
- * @param about of ASK, whom to ping; of PULL and PAGE, the number from which on; of PAGE -1 where the whole has been told
+ * @param about of ASK, whom to ping; of PULL and PAGE, the number from which on; of PAGE -1 where
+ *     the whole has been told
  */
 public record Words(Kind kind, int from, int sequence, int about, List<News> news) {
-    /** Bytes of a datagram at the most, without the carrier's trailer. */
-    public static final int MOST = 1200;
-    /** Bytes of an address at the most. */
-    public static final int MOST_TEXT = 64;
-    private static final byte VERSION = 1;
-    private static final int HEAD = 16;
-    private static final int MOST_NUMBER = 0xffff;
+  /** Bytes of a datagram at the most, without the carrier's trailer. */
+  public static final int MOST = 1200;
 
-    /** What it is for. */
-    public enum Kind { PING, ACK, ASK, NAK, PULL, PAGE }
+  /** Bytes of an address at the most. */
+  public static final int MOST_TEXT = 64;
 
-    /** Bytes that one piece of news takes. */
-    static int size(News n) {
-        return 2 + 2 + 2 + 1 + 8 + 2 + 1 + n.member().address().getBytes(StandardCharsets.UTF_8).length;
-    }
+  private static final byte VERSION = 1;
+  private static final int HEAD = 16;
+  private static final int MOST_NUMBER = 0xffff;
 
-    /** Room for news in one datagram. */
-    static int room() {
-        return MOST - HEAD;
-    }
+  /** What it is for. */
+  public enum Kind {
+    PING,
+    ACK,
+    ASK,
+    NAK,
+    PULL,
+    PAGE
+  }
 
-    public byte[] bytes() {
-        ByteBuffer b = ByteBuffer.allocate(HEAD + news.stream().mapToInt(Words::size).sum());
-        b.put(VERSION).put((byte) kind.ordinal()).putInt(from).putInt(sequence).putInt(about).putShort((short) news.size());
-        for (News n : news) {
-            byte[] address = n.member().address().getBytes(StandardCharsets.UTF_8);
-            b.putShort((short) n.member().number()).putShort((short) n.member().zone()).putShort((short) n.member().region())
-                    .put((byte) n.standing().ordinal()).putLong(n.incarnation()).putShort((short) n.by())
-                    .put((byte) address.length).put(address);
-        }
-        return b.array();
+  /** Bytes that one piece of news takes. */
+  static int size(News n) {
+    return 2 + 2 + 2 + 1 + 8 + 2 + 1 + n.member().address().getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  /** Room for news in one datagram. */
+  static int room() {
+    return MOST - HEAD;
+  }
+
+  public byte[] bytes() {
+    ByteBuffer b = ByteBuffer.allocate(HEAD + news.stream().mapToInt(Words::size).sum());
+    b.put(VERSION)
+        .put((byte) kind.ordinal())
+        .putInt(from)
+        .putInt(sequence)
+        .putInt(about)
+        .putShort((short) news.size());
+    for (News n : news) {
+      byte[] address = n.member().address().getBytes(StandardCharsets.UTF_8);
+      b.putShort((short) n.member().number())
+          .putShort((short) n.member().zone())
+          .putShort((short) n.member().region())
+          .put((byte) n.standing().ordinal())
+          .putLong(n.incarnation())
+          .putShort((short) n.by())
+          .put((byte) address.length)
+          .put(address);
     }
+    return b.array();
+  }
 
-    /**
-     * Reads one datagram.
-     *
-     * @throws IllegalArgumentException where it is none of this version's, with why in a few words
-     */
-    public static Words read(byte[] bytes, int length) {
-        try {
-            if (length > MOST) {
-                throw new IllegalArgumentException("longer than " + MOST + " bytes");
-            }
-            ByteBuffer b = ByteBuffer.wrap(bytes, 0, length);
-            if (b.get() != VERSION) {
-                throw new IllegalArgumentException("another version");
-            }
-            Kind kind = of(Kind.values(), b.get());
-            int from = number(b.getInt());
-            int sequence = b.getInt();
-            int about = b.getInt();
-            int count = b.getShort() & 0xffff;
-            List<News> news = new ArrayList<>();
-            for (int i = 0; i < count; i++) {
-                int number = b.getShort() & 0xffff;
-                int zone = b.getShort() & 0xffff;
-                int region = b.getShort() & 0xffff;
-                Standing standing = of(Standing.values(), b.get());
-                long incarnation = b.getLong();
-                int by = b.getShort() & 0xffff;
-                byte[] address = new byte[b.get() & 0xff];
-                b.get(address);
-                if (address.length > MOST_TEXT || incarnation < 0) {
-                    throw new IllegalArgumentException("a member that cannot be");
-                }
-                news.add(new News(new Member(number, new String(address, StandardCharsets.UTF_8), zone, region), incarnation,
-                        standing, by));
-            }
-            if (b.hasRemaining()) {
-                throw new IllegalArgumentException("more than it says");
-            }
-            return new Words(kind, from, sequence, about, List.copyOf(news));
-        } catch (BufferUnderflowException e) {
-            throw new IllegalArgumentException("cut short", e);
+  /**
+   * Reads one datagram.
+   *
+   * @throws IllegalArgumentException where it is none of this version's, with why in a few words
+   */
+  public static Words read(byte[] bytes, int length) {
+    try {
+      if (length > MOST) {
+        throw new IllegalArgumentException("longer than " + MOST + " bytes");
+      }
+      ByteBuffer b = ByteBuffer.wrap(bytes, 0, length);
+      if (b.get() != VERSION) {
+        throw new IllegalArgumentException("another version");
+      }
+      Kind kind = of(Kind.values(), b.get());
+      int from = number(b.getInt());
+      int sequence = b.getInt();
+      int about = b.getInt();
+      int count = b.getShort() & 0xffff;
+      List<News> news = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        int number = b.getShort() & 0xffff;
+        int zone = b.getShort() & 0xffff;
+        int region = b.getShort() & 0xffff;
+        Standing standing = of(Standing.values(), b.get());
+        long incarnation = b.getLong();
+        int by = b.getShort() & 0xffff;
+        byte[] address = new byte[b.get() & 0xff];
+        b.get(address);
+        if (address.length > MOST_TEXT || incarnation < 0) {
+          throw new IllegalArgumentException("a member that cannot be");
         }
+        news.add(
+            new News(
+                new Member(number, new String(address, StandardCharsets.UTF_8), zone, region),
+                incarnation,
+                standing,
+                by));
+      }
+      if (b.hasRemaining()) {
+        throw new IllegalArgumentException("more than it says");
+      }
+      return new Words(kind, from, sequence, about, List.copyOf(news));
+    } catch (BufferUnderflowException e) {
+      throw new IllegalArgumentException("cut short", e);
     }
+  }
 
-    private static int number(int n) {
-        if (n < 0 || n > MOST_NUMBER) {
-            throw new IllegalArgumentException("a number out of bounds");
-        }
-        return n;
+  private static int number(int n) {
+    if (n < 0 || n > MOST_NUMBER) {
+      throw new IllegalArgumentException("a number out of bounds");
     }
+    return n;
+  }
 
-    private static <T> T of(T[] all, byte at) {
-        if (at < 0 || at >= all.length) {
-            throw new IllegalArgumentException("a kind that is not known");
-        }
-        return all[at];
+  private static <T> T of(T[] all, byte at) {
+    if (at < 0 || at >= all.length) {
+      throw new IllegalArgumentException("a kind that is not known");
     }
+    return all[at];
+  }
 }
--- a/src/main/java/linengauge/members/explore/Fleet.java
+++ b/src/main/java/linengauge/members/explore/Fleet.java
@@ -10,265 +10,335 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.members.Member;
-import linengauge.members.Membership;
 import linengauge.members.MembersTerms;
+import linengauge.members.Membership;
 import linengauge.members.News;
 import linengauge.members.Standing;
 import linengauge.members.Words;
 
 /**
- * Fronts that tell each other of themselves, in virtual time, over ways that lose, hold up and double what is sent. It
- * judges by what it does to them itself and by what each holds, never by a front's reasons.
+ * Fronts that tell each other of themselves, in virtual time, over ways that lose, hold up and
+ * double what is sent. It judges by what it does to them itself and by what each holds, never by a
+ * front's reasons.
  */
 public final class Fleet {
-    /**
-     * What was broken, and when; the figures of the run.
-     *
-     * @param suspected how often a front began by itself to suspect one that nothing ailed
-     * @param foundAfter of each front that held a dead one for dead, how long after it had died
-     */
-    public record Outcome(List<String> broken, long datagrams, int mostBytesASecond, int suspected, List<Span> foundAfter) {
-    }
+  /**
+   * What was broken, and when; the figures of the run.
+   *
+   * @param suspected how often a front began by itself to suspect one that nothing ailed
+   * @param foundAfter of each front that held a dead one for dead, how long after it had died
+   */
+  public record Outcome(
+      List<String> broken,
+      long datagrams,
+      int mostBytesASecond,
+      int suspected,
+      List<Span> foundAfter) {}
 
-    /** Makes a front's core; one that lacks a guard, to see what it guards. */
-    public interface Maker {
-        Membership make(MembersTerms terms, Member own, long incarnation, List<String> seeds, Membership.Port port,
-                SplittableRandom chance);
-    }
+  /** Makes a front's core; one that lacks a guard, to see what it guards. */
+  public interface Maker {
+    Membership make(
+        MembersTerms terms,
+        Member own,
+        long incarnation,
+        List<String> seeds,
+        Membership.Port port,
+        SplittableRandom chance);
+  }
 
-    private record Due(Moment at, long number, Runnable deed) {
-    }
+  private record Due(Moment at, long number, Runnable deed) {}
 
-    private final class Front implements Membership.Port {
-        private final int number;
-        private final Member member;
-        private Membership core;
-        private int life;
-        private Moment wakesAt;
-        private boolean up;
-        private boolean stepping;
-        private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
-        private int bytes;
-        private long second;
+  private final class Front implements Membership.Port {
+    private final int number;
+    private final Member member;
+    private Membership core;
+    private int life;
+    private Moment wakesAt;
+    private boolean up;
+    private boolean stepping;
+    private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
+    private int bytes;
+    private long second;
 
-        private Front(int number) {
-            this.number = number;
-            this.member = new Member(number, "10.0.0." + number + ":7000", number % schedule.zones(), 0);
-        }
+    private Front(int number) {
+      this.number = number;
+      this.member = new Member(number, "10.0.0." + number + ":7000", number % schedule.zones(), 0);
+    }
 
-        private void start() {
-            life++;
-            up = true;
-            wakesAt = null;
-            unread.clear();
-            core = maker.make(terms, member, now.micros() / 1000 + 1, List.of("10.0.0.0:7000", "10.0.0.1:7000"), this, chance.split());
-            core.start(now);
-            wake();
-        }
+    private void start() {
+      life++;
+      up = true;
+      wakesAt = null;
+      unread.clear();
+      core =
+          maker.make(
+              terms,
+              member,
+              now.micros() / 1000 + 1,
+              List.of("10.0.0.0:7000", "10.0.0.1:7000"),
+              this,
+              chance.split());
+      core.start(now);
+      wake();
+    }
 
-        private void wake() {
-            Moment next = core.next().orLater(now);
-            if (wakesAt != null && !next.before(wakesAt)) {
-                return;
+    private void wake() {
+      Moment next = core.next().orLater(now);
+      if (wakesAt != null && !next.before(wakesAt)) {
+        return;
+      }
+      wakesAt = next;
+      int mine = life;
+      at(
+          next,
+          () -> {
+            if (up && mine == life && next.equals(wakesAt)) {
+              run(
+                  () -> {
+                    wakesAt = null;
+                    core.step(now);
+                    wake();
+                  });
             }
-            wakesAt = next;
-            int mine = life;
-            at(next, () -> {
-                if (up && mine == life && next.equals(wakesAt)) {
-                    run(() -> {
-                        wakesAt = null;
-                        core.step(now);
-                        wake();
-                    });
-                }
-            });
-        }
+          });
+    }
 
-        /** One that is stopped reads and steps when it goes on. */
-        private void run(Runnable deed) {
-            if (schedule.is(Trouble.Kind.FREEZE, number, 0, now)) {
-                unread.add(deed);
-                if (!stepping) {
-                    stepping = true;
-                    Moment goesOn = schedule.troubles().stream().filter(t -> t.kind() == Trouble.Kind.FREEZE && t.a() == number
-                            && now.before(t.to())).map(Trouble::to).max(Moment::compareTo).orElse(now);
-                    at(goesOn, () -> {
-                        stepping = false;
-                        List<Runnable> all = List.copyOf(unread);
-                        unread.clear();
-                        if (up) {
-                            all.forEach(this::run);
-                        }
-                    });
+    /** One that is stopped reads and steps when it goes on. */
+    private void run(Runnable deed) {
+      if (schedule.is(Trouble.Kind.FREEZE, number, 0, now)) {
+        unread.add(deed);
+        if (!stepping) {
+          stepping = true;
+          Moment goesOn =
+              schedule.troubles().stream()
+                  .filter(
+                      t -> t.kind() == Trouble.Kind.FREEZE && t.a() == number && now.before(t.to()))
+                  .map(Trouble::to)
+                  .max(Moment::compareTo)
+                  .orElse(now);
+          at(
+              goesOn,
+              () -> {
+                stepping = false;
+                List<Runnable> all = List.copyOf(unread);
+                unread.clear();
+                if (up) {
+                  all.forEach(this::run);
                 }
-            } else {
-                deed.run();
-            }
+              });
         }
+      } else {
+        deed.run();
+      }
+    }
 
-        @Override
-        public void send(String address, Words words) {
-            Words w = words;
-            if (schedule.is(Trouble.Kind.SICK, number, 0, now)) {
-                List<News> nonsense = new ArrayList<>();
-                core.held().forEach(n -> nonsense.add(new News(n.member(), n.incarnation(), Standing.DEAD, number)));
-                w = new Words(words.kind(), number, words.sequence(), words.about(), nonsense.subList(0, Math.min(20, nonsense.size())));
-            }
-            byte[] sent = w.bytes();
-            if (sent.length > Words.MOST) {
-                broken.add(at() + number + " sends " + sent.length + " bytes");
-            }
-            datagrams++;
-            if (second != now.micros() / 1_000_000) {
-                second = now.micros() / 1_000_000;
-                bytes = 0;
-            }
-            bytes += sent.length;
-            mostBytes = Math.max(mostBytes, bytes);
-            int to = Integer.parseInt(address.substring("10.0.0.".length(), address.indexOf(':')));
-            boolean lossy = schedule.is(Trouble.Kind.LOSS, number, 0, now) || schedule.is(Trouble.Kind.LOSS, to, 0, now);
-            if (to >= fronts.size() || schedule.isCut(number, to, now) || lossy && chance.nextInt(10) < 3) {
-                return;
-            }
-            int copies = chance.nextInt(50) == 0 ? 2 : 1;
-            for (int i = 0; i < copies; i++) {
-                at(now.plus(new Span(200 + chance.nextInt(lossy ? 150_000 : 5_000))), () -> {
-                    Front f = fronts.get(to);
-                    if (f.up) {
-                        int mine = f.life;
-                        Words read = Words.read(sent, sent.length);
-                        f.run(() -> {
-                            if (f.life == mine) {
-                                f.core.heard(now, member.address(), read);
-                                f.wake();
-                            }
-                        });
-                    }
-                });
-            }
-        }
+    @Override
+    public void send(String address, Words words) {
+      Words w = words;
+      if (schedule.is(Trouble.Kind.SICK, number, 0, now)) {
+        List<News> nonsense = new ArrayList<>();
+        core.held()
+            .forEach(
+                n -> nonsense.add(new News(n.member(), n.incarnation(), Standing.DEAD, number)));
+        w =
+            new Words(
+                words.kind(),
+                number,
+                words.sequence(),
+                words.about(),
+                nonsense.subList(0, Math.min(20, nonsense.size())));
+      }
+      byte[] sent = w.bytes();
+      if (sent.length > Words.MOST) {
+        broken.add(at() + number + " sends " + sent.length + " bytes");
+      }
+      datagrams++;
+      if (second != now.micros() / 1_000_000) {
+        second = now.micros() / 1_000_000;
+        bytes = 0;
+      }
+      bytes += sent.length;
+      mostBytes = Math.max(mostBytes, bytes);
+      int to = Integer.parseInt(address.substring("10.0.0.".length(), address.indexOf(':')));
+      boolean lossy =
+          schedule.is(Trouble.Kind.LOSS, number, 0, now)
+              || schedule.is(Trouble.Kind.LOSS, to, 0, now);
+      if (to >= fronts.size()
+          || schedule.isCut(number, to, now)
+          || lossy && chance.nextInt(10) < 3) {
+        return;
+      }
+      int copies = chance.nextInt(50) == 0 ? 2 : 1;
+      for (int i = 0; i < copies; i++) {
+        at(
+            now.plus(new Span(200 + chance.nextInt(lossy ? 150_000 : 5_000))),
+            () -> {
+              Front f = fronts.get(to);
+              if (f.up) {
+                int mine = f.life;
+                Words read = Words.read(sent, sent.length);
+                f.run(
+                    () -> {
+                      if (f.life == mine) {
+                        f.core.heard(now, member.address(), read);
+                        f.wake();
+                      }
+                    });
+              }
+            });
+      }
+    }
 
-        @Override
-        public void changed(News held) {
-            long[] before = seen.computeIfAbsent(number + "/" + life + "/" + held.member().number(), k -> new long[] {Long.MIN_VALUE});
-            if (held.incarnation() < before[0]) {
-                broken.add(at() + number + " holds an older life of " + held.member().number() + " after a newer");
-            }
-            before[0] = held.incarnation();
-            if (held.standing() == Standing.SUSPECT && held.by() == number && !troubled(held.member().number())) {
-                suspected++;
-            }
-            if (held.standing() == Standing.DEAD) {
-                Moment died = killedAt.get(held.member().number());
-                if (died != null) {
-                    foundAfter.add(now.since(died));
-                } else if (!troubled(held.member().number())) {
-                    broken.add(at() + number + " gives up " + held.member().number() + ", which nothing ailed");
-                }
-            }
+    @Override
+    public void changed(News held) {
+      long[] before =
+          seen.computeIfAbsent(
+              number + "/" + life + "/" + held.member().number(), k -> new long[] {Long.MIN_VALUE});
+      if (held.incarnation() < before[0]) {
+        broken.add(
+            at() + number + " holds an older life of " + held.member().number() + " after a newer");
+      }
+      before[0] = held.incarnation();
+      if (held.standing() == Standing.SUSPECT
+          && held.by() == number
+          && !troubled(held.member().number())) {
+        suspected++;
+      }
+      if (held.standing() == Standing.DEAD) {
+        Moment died = killedAt.get(held.member().number());
+        if (died != null) {
+          foundAfter.add(now.since(died));
+        } else if (!troubled(held.member().number())) {
+          broken.add(
+              at() + number + " gives up " + held.member().number() + ", which nothing ailed");
         }
+      }
+    }
 
-        @Override
-        public void clash(String address) {
-            broken.add(at() + number + " hears its own number from " + address);
-        }
+    @Override
+    public void clash(String address) {
+      broken.add(at() + number + " hears its own number from " + address);
     }
+  }
 
-    private final Maker maker;
-    private final MembersTerms terms;
-    private final Schedule schedule;
-    private final SplittableRandom chance;
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number)
-            : a.at.compareTo(b.at));
-    private final List<Front> fronts = new ArrayList<>();
-    private final List<String> broken = new ArrayList<>();
-    private final List<Span> foundAfter = new ArrayList<>();
-    private final Map<String, long[]> seen = new HashMap<>();
-    private final Map<Integer, Moment> killedAt = new HashMap<>();
-    private Moment now = new Moment(0);
-    private long number;
-    private long datagrams;
-    private int mostBytes;
-    private int suspected;
+  private final Maker maker;
+  private final MembersTerms terms;
+  private final Schedule schedule;
+  private final SplittableRandom chance;
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(
+          (a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
+  private final List<Front> fronts = new ArrayList<>();
+  private final List<String> broken = new ArrayList<>();
+  private final List<Span> foundAfter = new ArrayList<>();
+  private final Map<String, long[]> seen = new HashMap<>();
+  private final Map<Integer, Moment> killedAt = new HashMap<>();
+  private Moment now = new Moment(0);
+  private long number;
+  private long datagrams;
+  private int mostBytes;
+  private int suspected;
 
-    public Fleet(MembersTerms terms, Schedule schedule) {
-        this(terms, schedule, Membership::new);
-    }
+  public Fleet(MembersTerms terms, Schedule schedule) {
+    this(terms, schedule, Membership::new);
+  }
 
-    public Fleet(MembersTerms terms, Schedule schedule, Maker maker) {
-        this.maker = maker;
-        this.terms = terms;
-        this.schedule = schedule;
-        this.chance = new SplittableRandom(schedule.seed() ^ 0x5bd1e995L);
-    }
+  public Fleet(MembersTerms terms, Schedule schedule, Maker maker) {
+    this.maker = maker;
+    this.terms = terms;
+    this.schedule = schedule;
+    this.chance = new SplittableRandom(schedule.seed() ^ 0x5bd1e995L);
+  }
 
-    private String at() {
-        return String.format("%.3f s: ", now.micros() / 1e6);
-    }
+  private String at() {
+    return String.format("%.3f s: ", now.micros() / 1e6);
+  }
 
-    private void at(Moment when, Runnable deed) {
-        due.add(new Due(when, number++, deed));
-    }
+  private void at(Moment when, Runnable deed) {
+    due.add(new Due(when, number++, deed));
+  }
 
-    /** Whether anything ails the member or all its ways, within the time that a suspicion may take. */
-    private boolean troubled(int a) {
-        Moment from = now.minus(longestSuspicion());
-        long cuts = schedule.troubles().stream().filter(t -> t.kind() == Trouble.Kind.CUT && from.before(t.to()) && !now.before(t.from()))
-                .count();
-        return cuts > 1 || schedule.troubles().stream().anyMatch(t -> from.before(t.to()) && !now.before(t.from()) && switch (t.kind()) {
-            case CUT -> false; // the others reach it
-            case MUTE, DEAF -> true;
-            case LOSS, KILL, FREEZE -> t.a() == a;
-            case SICK -> t.a() == a; // it denies nothing; what it says of others is no reason to give these up
-        });
-    }
+  /**
+   * Whether anything ails the member or all its ways, within the time that a suspicion may take.
+   */
+  private boolean troubled(int a) {
+    Moment from = now.minus(longestSuspicion());
+    long cuts =
+        schedule.troubles().stream()
+            .filter(
+                t -> t.kind() == Trouble.Kind.CUT && from.before(t.to()) && !now.before(t.from()))
+            .count();
+    return cuts > 1
+        || schedule.troubles().stream()
+            .anyMatch(
+                t ->
+                    from.before(t.to())
+                        && !now.before(t.from())
+                        && switch (t.kind()) {
+                          case CUT -> false; // the others reach it
+                          case MUTE, DEAF -> true;
+                          case LOSS, KILL, FREEZE -> t.a() == a;
+                          case SICK ->
+                              t.a()
+                                  == a; // it denies nothing; what it says of others is no reason to
+                            // give these up
+                        });
+  }
 
-    private Span longestSuspicion() {
-        return terms.period().times(terms.suspicion() * Math.max(1, Math.log10(schedule.fronts())) * terms.longest() + 6);
-    }
+  private Span longestSuspicion() {
+    return terms
+        .period()
+        .times(
+            terms.suspicion() * Math.max(1, Math.log10(schedule.fronts())) * terms.longest() + 6);
+  }
 
-    public Outcome play() {
-        for (int i = 0; i < schedule.fronts(); i++) {
-            Front f = new Front(i);
-            fronts.add(f);
-            at(new Moment(chance.nextInt(1_000_000)), f::start);
-        }
-        for (Trouble t : schedule.troubles()) {
-            if (t.kind() == Trouble.Kind.KILL) {
-                at(t.from(), () -> {
-                    fronts.get(t.a()).up = false;
-                    killedAt.put(t.a(), now);
-                });
-                at(t.to(), () -> {
-                    if (!schedule.is(Trouble.Kind.KILL, t.a(), 0, now) && !fronts.get(t.a()).up) {
-                        killedAt.remove(t.a());
-                        fronts.get(t.a()).start();
-                    }
-                });
-            }
-        }
-        while (!due.isEmpty() && due.peek().at.before(schedule.end())) {
-            Due d = due.poll();
-            now = d.at;
-            d.deed.run();
-        }
-        comeRound();
-        return new Outcome(List.copyOf(broken), datagrams, mostBytes, suspected, List.copyOf(foundAfter));
+  public Outcome play() {
+    for (int i = 0; i < schedule.fronts(); i++) {
+      Front f = new Front(i);
+      fronts.add(f);
+      at(new Moment(chance.nextInt(1_000_000)), f::start);
+    }
+    for (Trouble t : schedule.troubles()) {
+      if (t.kind() == Trouble.Kind.KILL) {
+        at(
+            t.from(),
+            () -> {
+              fronts.get(t.a()).up = false;
+              killedAt.put(t.a(), now);
+            });
+        at(
+            t.to(),
+            () -> {
+              if (!schedule.is(Trouble.Kind.KILL, t.a(), 0, now) && !fronts.get(t.a()).up) {
+                killedAt.remove(t.a());
+                fronts.get(t.a()).start();
+              }
+            });
+      }
+    }
+    while (!due.isEmpty() && due.peek().at.before(schedule.end())) {
+      Due d = due.poll();
+      now = d.at;
+      d.deed.run();
     }
+    comeRound();
+    return new Outcome(
+        List.copyOf(broken), datagrams, mostBytes, suspected, List.copyOf(foundAfter));
+  }
 
-    /** Long after the last trouble everybody holds everybody for there, in their present life. */
-    private void comeRound() {
-        for (Front f : fronts) {
-            List<News> held = f.core.held();
-            if (held.size() != fronts.size() - 1) {
-                broken.add(at() + f.number + " holds " + held.size() + " of " + (fronts.size() - 1));
-            }
-            for (News n : held) {
-                Front other = fronts.get(n.member().number());
-                if (n.standing() != Standing.ALIVE || n.incarnation() != other.core.incarnation()) {
-                    broken.add(at() + f.number + " holds " + n.member().number() + " for " + n.standing());
-                }
-            }
+  /** Long after the last trouble everybody holds everybody for there, in their present life. */
+  private void comeRound() {
+    for (Front f : fronts) {
+      List<News> held = f.core.held();
+      if (held.size() != fronts.size() - 1) {
+        broken.add(at() + f.number + " holds " + held.size() + " of " + (fronts.size() - 1));
+      }
+      for (News n : held) {
+        Front other = fronts.get(n.member().number());
+        if (n.standing() != Standing.ALIVE || n.incarnation() != other.core.incarnation()) {
+          broken.add(at() + f.number + " holds " + n.member().number() + " for " + n.standing());
         }
+      }
     }
+  }
 }
--- a/src/main/java/linengauge/members/explore/Trouble.java
+++ b/src/main/java/linengauge/members/explore/Trouble.java
@@ -9,14 +9,30 @@
  * @param b of CUT, the front to which its words are lost; else unused
  */
 public record Trouble(Kind kind, int a, int b, Moment from, Moment to) {
-    /**
-     * KILL: dead from then on, started anew at the end. CUT: one way between two fronts. MUTE, DEAF: nothing leaves a zone, or
-     * comes to it. LOSS: three in ten datagrams to and from it are lost, the others late. SICK: gives up all in every datagram.
-     */
-    public enum Kind { KILL, FREEZE, CUT, MUTE, DEAF, LOSS, SICK }
+  /**
+   * KILL: dead from then on, started anew at the end. CUT: one way between two fronts. MUTE, DEAF:
+   * nothing leaves a zone, or comes to it. LOSS: three in ten datagrams to and from it are lost,
+   * the others late. SICK: gives up all in every datagram.
+   */
+  public enum Kind {
+    KILL,
+    FREEZE,
+    CUT,
+    MUTE,
+    DEAF,
+    LOSS,
+    SICK
+  }
 
-    @Override
-    public String toString() {
-        return kind + " " + a + (kind == Kind.CUT ? " to " + b : "") + " " + from.micros() / 1000 + "-" + to.micros() / 1000;
-    }
+  @Override
+  public String toString() {
+    return kind
+        + " "
+        + a
+        + (kind == Kind.CUT ? " to " + b : "")
+        + " "
+        + from.micros() / 1000
+        + "-"
+        + to.micros() / 1000;
+  }
 }
--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -18,431 +18,482 @@
 import linengauge.platform.keep.ReceiveQueue;
 
 /**
- * One connection from viewers. What comes is read in two steps. Messages are taken apart as they come: an end, a test or a
- * release heard is acted on at once. Set-ups are queued, and begun in turns once the loop has read what everybody sent.
- * Guards against a set-up that is begun though its viewer has left: the end lies behind what is still to be read. It could
- * hurt a viewer by the rest of the loop's turn.
+ * One connection from viewers. What comes is read in two steps. Messages are taken apart as they
+ * come: an end, a test or a release heard is acted on at once. Set-ups are queued, and begun in
+ * turns once the loop has read what everybody sent. Guards against a set-up that is begun though
+ * its viewer has left: the end lies behind what is still to be read. It could hurt a viewer by the
+ * rest of the loop's turn.
  */
 final class ClientConnection implements ViewerMessages.Heard {
-    /** What one connection may take apart, and begin, in one turn of the loop. */
-    private static final Span TURN = Span.ofMillis(10);
-    private static final Span NEXT_TURN = Span.ofMillis(1);
-    /** Messages taken apart between two looks at the time: each takes some microseconds. */
-    private static final int A_LOOK_AT_THE_TIME = 16;
-    /** Bytes of sessions handed over that wait to be begun; beyond, nothing more is taken from the connection. */
-    private static final int MOST_HANDED_OVER = 128 * 1024;
-    /** A release told so lately may not have been read by a viewer that closes the connection. */
-    private static final Span MAY_BE_UNREAD = Span.ofMillis(500);
-    private static final int MOST_TOLD = 512;
-
-    /** A set-up that waits to be begun, and when it may have come. */
-    private record Queued(Message message, Moment came) {
-    }
-
-    private record Told(boolean cut, Moment at) {
-    }
-
-    private final ClientListener listener;
-    private final Net.Connection socket;
-    private final ViewerMessages reader = new ViewerMessages(this);
-    /** Viewings whose answer is owed here; each leaves with its answer. */
-    private final Set<ClientSession> waiting = new LinkedHashSet<>();
-    /** Set-ups by id that wait to be begun; emptied by the next turns, by their ends and by the close. */
-    private final Map<Long, Queued> setUps = new LinkedHashMap<>();
-    /** Sessions handed over that wait to be begun: they belong to no connection, and are begun though this one closes. */
-    private final Map<Long, Queued> handOvers = new LinkedHashMap<>();
-    /** Releases written here and not known to be heard; bounded, the oldest goes; emptied by time. */
-    private final Map<Long, Told> told = new LinkedHashMap<>();
-    private IdleConnection idle;
-    private boolean viewers;
-    private boolean closed;
-    /** Messages that have come wait for a turn in which they are taken apart. */
-    private boolean goesOn;
-    /** What is queued has a turn coming. */
-    private boolean begins;
-    private boolean paused;
-    /** When what is taken apart, or begun, may have come, and what follows the message that has begun. */
-    private Moment lain = Moment.DISTANT_PAST;
-    private Moment nextLain;
-    private final ReceiveQueue received;
-    private int handedOver;
-    /** Bytes of set-ups that wait here, begun or not: what the front must keep of what it was sent. */
-    private int keeps;
-
-    ClientConnection(ClientListener listener, Net.Connection socket, Moment cameAfter) {
-        this.listener = listener;
-        this.socket = socket;
-        this.received = new ReceiveQueue(cameAfter, front().now());
-        socket.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(this::gone));
-    }
-
-    private PlatformFront front() {
-        return listener.front();
-    }
-
-    void idle(IdleConnection given) {
-        idle = given;
-    }
-
-    boolean isOpen() {
-        return !closed;
-    }
-
-    /** A viewing has been answered on it, or handed over by it; whoever only tests the front hears of no viewing. */
-    boolean isViewers() {
-        return viewers;
-    }
-
-    /* ---- what comes is taken apart ---- */
-
-    private void read(byte[] data) {
-        if (closed) {
-            return;
-        }
-        Moment now = front().now();
-        received.come(data, now.minus(front().unread()), now);
-        if (!goesOn) {
-            takeApart();
-        } else if (received.isFull(reader.unread())) {
-            pause();
-        }
-    }
-
-    /**
-     * Takes apart what has come, for one turn's share of time; the rest in turns of its own. Guards against a client that
-     * sends at full speed and makes all others wait.
-     */
-    private void takeApart() {
-        if (closed) {
-            return;
-        }
-        try {
-            Moment until = front().now().plus(TURN);
-            boolean ended = false;
-            boolean more = true;
-            for (int i = 1; more && !closed && front().now().before(until) && handedOver <= MOST_HANDED_OVER; i++) {
-                more = takesMessage();
-                ended |= more;
-                more = more || takesNext();
-                if (i % A_LOOK_AT_THE_TIME == 0) {
-                    front().tick();
-                }
-            }
-            idle.read(ended, !more && reader.isMidMessage(), front().now());
-            if (more && !closed) {
-                goesOn = true;
-                if (received.isFull(reader.unread())) {
-                    pause();
-                }
-                // By a timer: what is merely put off runs before the loop reads from anybody else.
-                front().after(NEXT_TURN, () -> {
-                    goesOn = false;
-                    takeApart();
-                });
-            }
-            resume();
-        } catch (BadMessage e) {
-            listener.log("unreadable viewer", socket.peer(), e.getMessage());
-            close();
-        }
-        beginLater();
-    }
-
-    private boolean takesMessage() throws BadMessage {
-        Message m = reader.frame();
-        if (m == null) {
-            return false;
-        }
-        if (m.isSetUp()) {
-            queue(m);
-        } else if (m.isHeard()) {
-            told.remove(m.id());
-        } else {
-            reader.read(m);
-        }
-        if (nextLain != null) {
-            lain = nextLain;
-            nextLain = null;
-        }
-        return true;
-    }
-
-    private boolean takesNext() {
-        ReceiveQueue.Piece piece = received.next();
-        if (piece == null) {
-            return false;
-        }
-        if (reader.isMidMessage()) {
-            nextLain = piece.came(); // of what begins in it, not of the message that it ends
-        } else {
-            lain = piece.came();
-        }
-        reader.take(piece.data());
-        return true;
-    }
-
-    private void queue(Message m) {
-        boolean handOver = m.isHandOver();
-        if (setUps.containsKey(m.id()) && !handOver) {
-            listener.log("two set-ups of one id", null, "");
-            close();
-        } else if (handOver) {
-            if (handOvers.putIfAbsent(m.id(), new Queued(m.kept(), lain)) == null) {
-                handedOver += m.length();
-                listener.queued(m.id(), this);
-            }
-        } else if (keeps + m.length() > ClientListener.MOST_KEPT || !listener.mayKeep(m.length())) {
-            // Not by reading nothing more: whoever has sent too much would not be seen to leave.
-            write(ViewerMessages.blocked(m.id(), listener.turnedAway().micros() / 1000));
-        } else {
-            setUps.put(m.id(), new Queued(m.kept(), lain));
-            keep(m.length());
-            listener.queued(m.id(), this);
-        }
-    }
-
-    private void keep(int more) {
-        keeps += more;
-        listener.keeps(more);
-    }
-
-    private void pause() {
-        if (!paused) {
-            paused = true;
-            received.paused();
-            socket.pause();
-        }
-    }
-
-    private void resume() {
-        if (paused && !received.isFull(reader.unread())) {
-            paused = false;
-            received.resumed(front().now());
-            socket.resume();
-        }
-    }
-
-    /* ---- what is queued is begun ---- */
-
-    private void beginLater() {
-        if (!begins && (!handOvers.isEmpty() || mayBegin())) {
-            begins = true;
-            front().later(this::begin);
-        }
-    }
-
-    /** A set-up is begun once all that has come with it is taken apart: its end may stand there. */
-    private boolean mayBegin() {
-        return !setUps.isEmpty() && !closed && !goesOn && !paused;
-    }
+  /** What one connection may take apart, and begin, in one turn of the loop. */
+  private static final Span TURN = Span.ofMillis(10);
 
-    /** Begins what is queued, for one turn's share of time: first what plays already, as the rules count it. */
-    private void begin() {
-        begins = false;
-        Moment until = front().now().plus(TURN);
-        try {
-            while (front().now().before(until) && (!handOvers.isEmpty() || mayBegin())) {
-                Map<Long, Queued> from = handOvers.isEmpty() ? setUps : handOvers;
-                begin(from, from.keySet().iterator().next());
-            }
-        } catch (BadMessage e) {
-            listener.log("unreadable viewer", socket.peer(), e.getMessage());
-            close();
-        }
-        if (!begins && (!handOvers.isEmpty() || mayBegin())) {
-            begins = true;
-            front().after(NEXT_TURN, this::begin);
-        }
-    }
+  private static final Span NEXT_TURN = Span.ofMillis(1);
 
-    private void begin(Map<Long, Queued> from, long id) throws BadMessage {
-        Queued q = unqueue(from, id);
-        lain = q.came();
-        front().tick();
-        reader.read(q.message());
-    }
+  /** Messages taken apart between two looks at the time: each takes some microseconds. */
+  private static final int A_LOOK_AT_THE_TIME = 16;
 
-    private Queued unqueue(Map<Long, Queued> from, long id) {
-        Queued q = from.remove(id);
-        if (from == setUps) {
-            keep(-q.message().length());
-        } else {
-            handedOver -= q.message().length();
-        }
-        listener.unqueued(id, this);
-        return q;
-    }
+  /**
+   * Bytes of sessions handed over that wait to be begun; beyond, nothing more is taken from the
+   * connection.
+   */
+  private static final int MOST_HANDED_OVER = 128 * 1024;
 
-    /** The end of a session has come while its set-up waits here: one handed over is begun now, another never. */
-    void endedUnbegun(long id) {
-        if (setUps.containsKey(id)) {
-            unqueue(setUps, id);
-        }
-        if (handOvers.containsKey(id)) {
-            Moment was = lain;
-            try {
-                begin(handOvers, id);
-            } catch (BadMessage e) {
-                listener.log("unreadable viewer", socket.peer(), e.getMessage());
-            }
-            lain = was;
-        }
-    }
-
-    /** How long what is being begun now may have lain unread. */
-    Span lain() {
-        return front().now().since(lain);
-    }
+  /** A release told so lately may not have been read by a viewer that closes the connection. */
+  private static final Span MAY_BE_UNREAD = Span.ofMillis(500);
 
-    /* ---- its end ---- */
+  private static final int MOST_TOLD = 512;
 
-    /** Closes it; what waits on it is answered by the close. */
-    void close() {
-        if (!closed) {
-            socket.close();
-            gone();
-        }
-    }
+  /** A set-up that waits to be begun, and when it may have come. */
+  private record Queued(Message message, Moment came) {}
 
-    private void gone() {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        listener.left(this, idle);
-        for (long id : List.copyOf(setUps.keySet())) {
-            unqueue(setUps, id);
-        }
-        // What has come before the close is still heard: ends, and what is handed over, belong to no connection.
-        try {
-            boolean more = true;
-            while (more) {
-                Message m = reader.frame();
-                if (m != null && m.isSetUp() && m.isHandOver()) {
-                    queue(m);
-                } else if (m != null && !m.isSetUp()) {
-                    reader.read(m);
-                }
-                more = m != null || takesNext();
-            }
-        } catch (BadMessage e) {
-            // what follows cannot be read
-        }
-        beginLater();
-        List<ClientSession> sessions = new ArrayList<>(waiting);
-        if (!sessions.isEmpty()) {
-            listener.log("connection gone with set-ups open", Texts.id(sessions.get(0).id()), sessions.size() + " of " + socket.peer());
-        }
-        waiting.clear();
-        sessions.forEach(s -> {
-            keep(-s.length());
-            listener.giveUp(s);
+  private record Told(boolean cut, Moment at) {}
+
+  private final ClientListener listener;
+  private final Net.Connection socket;
+  private final ViewerMessages reader = new ViewerMessages(this);
+
+  /** Viewings whose answer is owed here; each leaves with its answer. */
+  private final Set<ClientSession> waiting = new LinkedHashSet<>();
+
+  /**
+   * Set-ups by id that wait to be begun; emptied by the next turns, by their ends and by the close.
+   */
+  private final Map<Long, Queued> setUps = new LinkedHashMap<>();
+
+  /**
+   * Sessions handed over that wait to be begun: they belong to no connection, and are begun though
+   * this one closes.
+   */
+  private final Map<Long, Queued> handOvers = new LinkedHashMap<>();
+
+  /** Releases written here and not known to be heard; bounded, the oldest goes; emptied by time. */
+  private final Map<Long, Told> told = new LinkedHashMap<>();
+
+  private IdleConnection idle;
+  private boolean viewers;
+  private boolean closed;
+
+  /** Messages that have come wait for a turn in which they are taken apart. */
+  private boolean goesOn;
+
+  /** What is queued has a turn coming. */
+  private boolean begins;
+
+  private boolean paused;
+
+  /**
+   * When what is taken apart, or begun, may have come, and what follows the message that has begun.
+   */
+  private Moment lain = Moment.DISTANT_PAST;
+
+  private Moment nextLain;
+  private final ReceiveQueue received;
+  private int handedOver;
+
+  /**
+   * Bytes of set-ups that wait here, begun or not: what the front must keep of what it was sent.
+   */
+  private int keeps;
+
+  ClientConnection(ClientListener listener, Net.Connection socket, Moment cameAfter) {
+    this.listener = listener;
+    this.socket = socket;
+    this.received = new ReceiveQueue(cameAfter, front().now());
+    socket.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(this::gone));
+  }
+
+  private PlatformFront front() {
+    return listener.front();
+  }
+
+  void idle(IdleConnection given) {
+    idle = given;
+  }
+
+  boolean isOpen() {
+    return !closed;
+  }
+
+  /**
+   * A viewing has been answered on it, or handed over by it; whoever only tests the front hears of
+   * no viewing.
+   */
+  boolean isViewers() {
+    return viewers;
+  }
+
+  /* ---- what comes is taken apart ---- */
+
+  private void read(byte[] data) {
+    if (closed) {
+      return;
+    }
+    Moment now = front().now();
+    received.come(data, now.minus(front().unread()), now);
+    if (!goesOn) {
+      takeApart();
+    } else if (received.isFull(reader.unread())) {
+      pause();
+    }
+  }
+
+  /**
+   * Takes apart what has come, for one turn's share of time; the rest in turns of its own. Guards
+   * against a client that sends at full speed and makes all others wait.
+   */
+  private void takeApart() {
+    if (closed) {
+      return;
+    }
+    try {
+      Moment until = front().now().plus(TURN);
+      boolean ended = false;
+      boolean more = true;
+      for (int i = 1;
+          more && !closed && front().now().before(until) && handedOver <= MOST_HANDED_OVER;
+          i++) {
+        more = takesMessage();
+        ended |= more;
+        more = more || takesNext();
+        if (i % A_LOOK_AT_THE_TIME == 0) {
+          front().tick();
+        }
+      }
+      idle.read(ended, !more && reader.isMidMessage(), front().now());
+      if (more && !closed) {
+        goesOn = true;
+        if (received.isFull(reader.unread())) {
+          pause();
+        }
+        // By a timer: what is merely put off runs before the loop reads from anybody else.
+        front()
+            .after(
+                NEXT_TURN,
+                () -> {
+                  goesOn = false;
+                  takeApart();
+                });
+      }
+      resume();
+    } catch (BadMessage e) {
+      listener.log("unreadable viewer", socket.peer(), e.getMessage());
+      close();
+    }
+    beginLater();
+  }
+
+  private boolean takesMessage() throws BadMessage {
+    Message m = reader.frame();
+    if (m == null) {
+      return false;
+    }
+    if (m.isSetUp()) {
+      queue(m);
+    } else if (m.isHeard()) {
+      told.remove(m.id());
+    } else {
+      reader.read(m);
+    }
+    if (nextLain != null) {
+      lain = nextLain;
+      nextLain = null;
+    }
+    return true;
+  }
+
+  private boolean takesNext() {
+    ReceiveQueue.Piece piece = received.next();
+    if (piece == null) {
+      return false;
+    }
+    if (reader.isMidMessage()) {
+      nextLain = piece.came(); // of what begins in it, not of the message that it ends
+    } else {
+      lain = piece.came();
+    }
+    reader.take(piece.data());
+    return true;
+  }
+
+  private void queue(Message m) {
+    boolean handOver = m.isHandOver();
+    if (setUps.containsKey(m.id()) && !handOver) {
+      listener.log("two set-ups of one id", null, "");
+      close();
+    } else if (handOver) {
+      if (handOvers.putIfAbsent(m.id(), new Queued(m.kept(), lain)) == null) {
+        handedOver += m.length();
+        listener.queued(m.id(), this);
+      }
+    } else if (keeps + m.length() > ClientListener.MOST_KEPT || !listener.mayKeep(m.length())) {
+      // Not by reading nothing more: whoever has sent too much would not be seen to leave.
+      write(ViewerMessages.blocked(m.id(), listener.turnedAway().micros() / 1000));
+    } else {
+      setUps.put(m.id(), new Queued(m.kept(), lain));
+      keep(m.length());
+      listener.queued(m.id(), this);
+    }
+  }
+
+  private void keep(int more) {
+    keeps += more;
+    listener.keeps(more);
+  }
+
+  private void pause() {
+    if (!paused) {
+      paused = true;
+      received.paused();
+      socket.pause();
+    }
+  }
+
+  private void resume() {
+    if (paused && !received.isFull(reader.unread())) {
+      paused = false;
+      received.resumed(front().now());
+      socket.resume();
+    }
+  }
+
+  /* ---- what is queued is begun ---- */
+
+  private void beginLater() {
+    if (!begins && (!handOvers.isEmpty() || mayBegin())) {
+      begins = true;
+      front().later(this::begin);
+    }
+  }
+
+  /** A set-up is begun once all that has come with it is taken apart: its end may stand there. */
+  private boolean mayBegin() {
+    return !setUps.isEmpty() && !closed && !goesOn && !paused;
+  }
+
+  /**
+   * Begins what is queued, for one turn's share of time: first what plays already, as the rules
+   * count it.
+   */
+  private void begin() {
+    begins = false;
+    Moment until = front().now().plus(TURN);
+    try {
+      while (front().now().before(until) && (!handOvers.isEmpty() || mayBegin())) {
+        Map<Long, Queued> from = handOvers.isEmpty() ? setUps : handOvers;
+        begin(from, from.keySet().iterator().next());
+      }
+    } catch (BadMessage e) {
+      listener.log("unreadable viewer", socket.peer(), e.getMessage());
+      close();
+    }
+    if (!begins && (!handOvers.isEmpty() || mayBegin())) {
+      begins = true;
+      front().after(NEXT_TURN, this::begin);
+    }
+  }
+
+  private void begin(Map<Long, Queued> from, long id) throws BadMessage {
+    Queued q = unqueue(from, id);
+    lain = q.came();
+    front().tick();
+    reader.read(q.message());
+  }
+
+  private Queued unqueue(Map<Long, Queued> from, long id) {
+    Queued q = from.remove(id);
+    if (from == setUps) {
+      keep(-q.message().length());
+    } else {
+      handedOver -= q.message().length();
+    }
+    listener.unqueued(id, this);
+    return q;
+  }
+
+  /**
+   * The end of a session has come while its set-up waits here: one handed over is begun now,
+   * another never.
+   */
+  void endedUnbegun(long id) {
+    if (setUps.containsKey(id)) {
+      unqueue(setUps, id);
+    }
+    if (handOvers.containsKey(id)) {
+      Moment was = lain;
+      try {
+        begin(handOvers, id);
+      } catch (BadMessage e) {
+        listener.log("unreadable viewer", socket.peer(), e.getMessage());
+      }
+      lain = was;
+    }
+  }
+
+  /** How long what is being begun now may have lain unread. */
+  Span lain() {
+    return front().now().since(lain);
+  }
+
+  /* ---- its end ---- */
+
+  /** Closes it; what waits on it is answered by the close. */
+  void close() {
+    if (!closed) {
+      socket.close();
+      gone();
+    }
+  }
+
+  private void gone() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    listener.left(this, idle);
+    for (long id : List.copyOf(setUps.keySet())) {
+      unqueue(setUps, id);
+    }
+    // What has come before the close is still heard: ends, and what is handed over, belong to no
+    // connection.
+    try {
+      boolean more = true;
+      while (more) {
+        Message m = reader.frame();
+        if (m != null && m.isSetUp() && m.isHandOver()) {
+          queue(m);
+        } else if (m != null && !m.isSetUp()) {
+          reader.read(m);
+        }
+        more = m != null || takesNext();
+      }
+    } catch (BadMessage e) {
+      // what follows cannot be read
+    }
+    beginLater();
+    List<ClientSession> sessions = new ArrayList<>(waiting);
+    if (!sessions.isEmpty()) {
+      listener.log(
+          "connection gone with set-ups open",
+          Texts.id(sessions.get(0).id()),
+          sessions.size() + " of " + socket.peer());
+    }
+    waiting.clear();
+    sessions.forEach(
+        s -> {
+          keep(-s.length());
+          listener.giveUp(s);
         });
-        // Their viewer may not have read them: told again elsewhere, where that is still of use.
-        Moment unread = front().now().minus(MAY_BE_UNREAD);
-        told.forEach((id, t) -> {
-            if (!t.at().before(unread)) {
-                listener.release(id, t.cut(), null);
-            }
+    // Their viewer may not have read them: told again elsewhere, where that is still of use.
+    Moment unread = front().now().minus(MAY_BE_UNREAD);
+    told.forEach(
+        (id, t) -> {
+          if (!t.at().before(unread)) {
+            listener.release(id, t.cut(), null);
+          }
         });
-        told.clear();
-    }
-
-    /* ---- what is owed here ---- */
-
-    void waits(ClientSession session) {
-        waiting.add(session);
-        idle.asked();
-        keep(session.length());
-    }
-
-    /** Its viewing plays from here on. */
-    void home(ClientSession session) {
-        session.home(this);
-    }
-
-    void answer(ClientSession session, byte[] message) {
-        unwait(session);
-        if (session.answerBy().before(front().now())) {
-            listener.log("answered late", Texts.id(session.id()), front().now().since(session.answerBy()).micros() / 1000 + " ms");
-        }
-        write(message);
-        viewers();
-    }
-
-    void unwait(ClientSession session) {
-        if (waiting.remove(session)) {
-            idle.settled(front().now());
-            keep(-session.length());
-        }
-    }
-
-    /** Tells that what played is over; false where it cannot be told here. */
-    boolean release(long id, boolean cut) {
-        if (!write(ViewerMessages.over(id, cut))) {
-            return false;
-        }
-        Moment now = front().now();
-        Iterator<Told> oldest = told.values().iterator();
-        while (oldest.hasNext() && (oldest.next().at().plus(MAY_BE_UNREAD).before(now) || told.size() >= MOST_TOLD)) {
-            oldest.remove();
-        }
-        told.put(id, new Told(cut, now));
-        return true;
-    }
-
-    /** Writes, or closes where whoever is there does not read; false where nothing was written. */
-    boolean write(byte[] message) {
-        if (closed) {
-            return false;
-        }
-        if (socket.isFull()) {
-            listener.log("viewer does not read", socket.peer(), "");
-            front().later(this::close);
-            return false;
-        }
-        socket.write(message);
-        return true;
-    }
-
-    /** Nothing is open on it and nothing that has come waits here. */
-    boolean rests() {
-        return waiting.isEmpty() && setUps.isEmpty() && handOvers.isEmpty() && !goesOn && !paused;
-    }
-
-    /* ---- what its messages say ---- */
-
-    @Override
-    public void setUp(long id, SetUpForm form) {
-        if (!closed || form.at() != null) {
-            listener.setUp(this, id, form);
-        }
-    }
-
-    @Override
-    public void ended(long id, int cause) {
-        listener.endedByViewer(id);
-    }
-
-    @Override
-    public void test(long id) {
-        if (write(ViewerMessages.tested(id))) {
-            idle.proven();
-        }
-    }
-
-    @Override
-    public void unfit(long id, String why) {
-        listener.log("unfit set-up", socket.peer(), why);
-        write(ViewerMessages.unfit(id));
-    }
-
-    /** It is viewers': it has been answered, or a viewing that plays was handed over by it. */
-    void viewers() {
-        if (!closed) {
-            idle.proven();
-            viewers = true;
-            listener.viewers(this);
-        }
-    }
+    told.clear();
+  }
+
+  /* ---- what is owed here ---- */
+
+  void waits(ClientSession session) {
+    waiting.add(session);
+    idle.asked();
+    keep(session.length());
+  }
+
+  /** Its viewing plays from here on. */
+  void home(ClientSession session) {
+    session.home(this);
+  }
+
+  void answer(ClientSession session, byte[] message) {
+    unwait(session);
+    if (session.answerBy().before(front().now())) {
+      listener.log(
+          "answered late",
+          Texts.id(session.id()),
+          front().now().since(session.answerBy()).micros() / 1000 + " ms");
+    }
+    write(message);
+    viewers();
+  }
+
+  void unwait(ClientSession session) {
+    if (waiting.remove(session)) {
+      idle.settled(front().now());
+      keep(-session.length());
+    }
+  }
+
+  /** Tells that what played is over; false where it cannot be told here. */
+  boolean release(long id, boolean cut) {
+    if (!write(ViewerMessages.over(id, cut))) {
+      return false;
+    }
+    Moment now = front().now();
+    Iterator<Told> oldest = told.values().iterator();
+    while (oldest.hasNext()
+        && (oldest.next().at().plus(MAY_BE_UNREAD).before(now) || told.size() >= MOST_TOLD)) {
+      oldest.remove();
+    }
+    told.put(id, new Told(cut, now));
+    return true;
+  }
+
+  /** Writes, or closes where whoever is there does not read; false where nothing was written. */
+  boolean write(byte[] message) {
+    if (closed) {
+      return false;
+    }
+    if (socket.isFull()) {
+      listener.log("viewer does not read", socket.peer(), "");
+      front().later(this::close);
+      return false;
+    }
+    socket.write(message);
+    return true;
+  }
+
+  /** Nothing is open on it and nothing that has come waits here. */
+  boolean rests() {
+    return waiting.isEmpty() && setUps.isEmpty() && handOvers.isEmpty() && !goesOn && !paused;
+  }
+
+  /* ---- what its messages say ---- */
+
+  @Override
+  public void setUp(long id, SetUpForm form) {
+    if (!closed || form.at() != null) {
+      listener.setUp(this, id, form);
+    }
+  }
+
+  @Override
+  public void ended(long id, int cause) {
+    listener.endedByViewer(id);
+  }
+
+  @Override
+  public void test(long id) {
+    if (write(ViewerMessages.tested(id))) {
+      idle.proven();
+    }
+  }
+
+  @Override
+  public void unfit(long id, String why) {
+    listener.log("unfit set-up", socket.peer(), why);
+    write(ViewerMessages.unfit(id));
+  }
+
+  /** It is viewers': it has been answered, or a viewing that plays was handed over by it. */
+  void viewers() {
+    if (!closed) {
+      idle.proven();
+      viewers = true;
+      listener.viewers(this);
+    }
+  }
 }
--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -10,138 +10,156 @@
 import linengauge.session.BoxTable.Row;
 
 /**
- * Follows the journal service. A stream that breaks, skips an event, or brings no whole frame for clearly longer than its sign
- * of life is apart, is asked for again from the last event held, after pauses that grow, are bounded, and drawn apart from those
- * of other fronts: they all lose it at one moment.
+ * Follows the journal service. A stream that breaks, skips an event, or brings no whole frame for
+ * clearly longer than its sign of life is apart, is asked for again from the last event held, after
+ * pauses that grow, are bounded, and drawn apart from those of other fronts: they all lose it at
+ * one moment.
  */
 final class DiscoveryWatch {
-    private static final Span SILENCE = Span.ofMillis(2200);
-    private static final Span FIRST_PAUSE = Span.ofMillis(50);
-    private static final int MOST_UNREAD = 1024;
-    /** Tells this source of chance from the module's, which has the same seed. */
-    private static final long SALT = 0x6c697374L;
-    private static final Span LONGEST_PAUSE = Span.ofMillis(800);
-
-    private final PlatformFront front;
-    private String address;
-    private long last;
-    private Net.Connection socket;
-    /** Counts connections tried: what an earlier one still says is passed over. */
-    private int turn;
-    private Moment connectedAt;
-    /** When the last whole frame came: what drips and never ends is no sign of life. */
-    private Moment heardAt;
-    private final Backoff pauses;
-
-    DiscoveryWatch(PlatformFront front, String address, long seed) {
-        this.front = front;
-        this.address = address;
-        this.pauses = new Backoff(FIRST_PAUSE, LONGEST_PAUSE, new SplittableRandom(seed ^ SALT));
-    }
+  private static final Span SILENCE = Span.ofMillis(2200);
+  private static final Span FIRST_PAUSE = Span.ofMillis(50);
+  private static final int MOST_UNREAD = 1024;
 
-    /** An event that was known at the start. */
-    void known(Configuration.Piece piece) {
-        event(piece.number(), piece.whole(), piece.rows());
-    }
+  /** Tells this source of chance from the module's, which has the same seed. */
+  private static final long SALT = 0x6c697374L;
 
-    /** The service has moved; the numbers go on. */
-    void moved(String to) {
-        if (!to.equals(address)) {
-            address = to;
-            pauses.reset();
-            connect();
-        }
-    }
+  private static final Span LONGEST_PAUSE = Span.ofMillis(800);
 
-    void connect() {
-        int mine = ++turn;
-        if (socket != null) {
-            socket.close();
-            socket = null;
-        }
-        heardAt = front.now();
-        front.connect(address, MOST_UNREAD, new Net.Tried() {
-            @Override
-            public void up(Net.Connection connection) {
-                if (mine == turn) {
-                    follow(connection, mine);
-                } else {
-                    connection.close();
-                }
-            }
+  private final PlatformFront front;
+  private String address;
+  private long last;
+  private Net.Connection socket;
 
-            @Override
-            public void failed(boolean refused, String why) {
-                broke(mine, "not reached: " + why);
-            }
-        });
+  /** Counts connections tried: what an earlier one still says is passed over. */
+  private int turn;
+
+  private Moment connectedAt;
+
+  /** When the last whole frame came: what drips and never ends is no sign of life. */
+  private Moment heardAt;
+
+  private final Backoff pauses;
+
+  DiscoveryWatch(PlatformFront front, String address, long seed) {
+    this.front = front;
+    this.address = address;
+    this.pauses = new Backoff(FIRST_PAUSE, LONGEST_PAUSE, new SplittableRandom(seed ^ SALT));
+  }
+
+  /** An event that was known at the start. */
+  void known(Configuration.Piece piece) {
+    event(piece.number(), piece.whole(), piece.rows());
+  }
+
+  /** The service has moved; the numbers go on. */
+  void moved(String to) {
+    if (!to.equals(address)) {
+      address = to;
+      pauses.reset();
+      connect();
     }
+  }
 
-    private void follow(Net.Connection s, int mine) {
-        socket = s;
-        connectedAt = front.now();
-        heardAt = connectedAt;
-        JournalFrames frames = new JournalFrames((number, whole, rows) -> {
+  void connect() {
+    int mine = ++turn;
+    if (socket != null) {
+      socket.close();
+      socket = null;
+    }
+    heardAt = front.now();
+    front.connect(
+        address,
+        MOST_UNREAD,
+        new Net.Tried() {
+          @Override
+          public void up(Net.Connection connection) {
             if (mine == turn) {
-                event(number, whole, rows);
+              follow(connection, mine);
+            } else {
+              connection.close();
             }
+          }
+
+          @Override
+          public void failed(boolean refused, String why) {
+            broke(mine, "not reached: " + why);
+          }
         });
-        s.hears(data -> front.onEvent(() -> {
-            if (mine == turn) {
-                try {
-                    if (frames.feed(data) > 0) {
+  }
+
+  private void follow(Net.Connection s, int mine) {
+    socket = s;
+    connectedAt = front.now();
+    heardAt = connectedAt;
+    JournalFrames frames =
+        new JournalFrames(
+            (number, whole, rows) -> {
+              if (mine == turn) {
+                event(number, whole, rows);
+              }
+            });
+    s.hears(
+        data ->
+            front.onEvent(
+                () -> {
+                  if (mine == turn) {
+                    try {
+                      if (frames.feed(data) > 0) {
                         heardAt = front.now();
                         if (LONGEST_PAUSE.under(heardAt.since(connectedAt))) {
-                            pauses.reset();
+                          pauses.reset();
                         }
+                      }
+                    } catch (BadMessage e) {
+                      broke(mine, e.getMessage());
                     }
-                } catch (BadMessage e) {
-                    broke(mine, e.getMessage());
-                }
-            }
-        }), () -> front.onEvent(() -> broke(mine, "closed")));
-        s.write(JournalFrames.from(last));
-    }
+                  }
+                }),
+        () -> front.onEvent(() -> broke(mine, "closed")));
+    s.write(JournalFrames.from(last));
+  }
 
-    private void broke(int mine, String why) {
-        if (mine != turn) {
-            return;
-        }
-        front.log("journal service broke off", address, why);
-        turn++;
-        if (socket != null) {
-            socket.close();
-            socket = null;
-        }
-        front.after(pauses.next(), () -> {
-            if (mine + 1 == turn) {
-                connect();
-            }
-        });
+  private void broke(int mine, String why) {
+    if (mine != turn) {
+      return;
     }
-
-    /** To be called some times a second. */
-    void look(Moment now) {
-        if (socket != null && SILENCE.under(now.since(heardAt)) && !front.isBehind()) {
-            front.log("journal service silent", address, "");
+    front.log("journal service broke off", address, why);
+    turn++;
+    if (socket != null) {
+      socket.close();
+      socket = null;
+    }
+    front.after(
+        pauses.next(),
+        () -> {
+          if (mine + 1 == turn) {
             connect();
-        }
+          }
+        });
+  }
+
+  /** To be called some times a second. */
+  void look(Moment now) {
+    if (socket != null && SILENCE.under(now.since(heardAt)) && !front.isBehind()) {
+      front.log("journal service silent", address, "");
+      connect();
     }
+  }
 
-    private void event(long number, boolean whole, List<Row> rows) {
-        if (number <= last) {
-            return; // told before
-        }
-        if (!whole && number != last + 1) {
-            broke(turn, "skipped from " + last + " to " + number);
-            return;
-        }
-        last = number;
-        if (whole) {
-            front.desk().listed(number, rows);
-        } else {
-            front.desk().listChanged(number - 1, number, rows);
-        }
-        front.boxes().listed();
+  private void event(long number, boolean whole, List<Row> rows) {
+    if (number <= last) {
+      return; // told before
+    }
+    if (!whole && number != last + 1) {
+      broke(turn, "skipped from " + last + " to " + number);
+      return;
+    }
+    last = number;
+    if (whole) {
+      front.desk().listed(number, rows);
+    } else {
+      front.desk().listChanged(number - 1, number, rows);
     }
+    front.boxes().listed();
+  }
 }
--- a/src/main/java/linengauge/platform/Net.java
+++ b/src/main/java/linengauge/platform/Net.java
@@ -6,69 +6,79 @@
 import linengauge.session.Carrier.Wake;
 
 /**
- * What a front of the platform is carried by: connections, timers and the time. On the platform these are sockets on one
- * event loop ({@link VertxNet}), in the fleet of the rehearsal a model in virtual time. Everything told through it comes
- * one after another and never within a call of it.
+ * What a front of the platform is carried by: connections, timers and the time. On the platform
+ * these are sockets on one event loop ({@link VertxNet}), in the fleet of the rehearsal a model in
+ * virtual time. Everything told through it comes one after another and never within a call of it.
  */
 public interface Net {
-    /** One connection. */
-    interface Connection {
-        /** Whoever hears it from here on; the second is told once, as it has closed, whoever closed it. */
-        void hears(Consumer<byte[]> data, Runnable closed);
+  /** One connection. */
+  interface Connection {
+    /**
+     * Whoever hears it from here on; the second is told once, as it has closed, whoever closed it.
+     */
+    void hears(Consumer<byte[]> data, Runnable closed);
 
-        void write(byte[] message);
+    void write(byte[] message);
 
-        /** So much waits for whoever reads that nothing more should be written. */
-        boolean isFull();
+    /** So much waits for whoever reads that nothing more should be written. */
+    boolean isFull();
 
-        /** Reads nothing more until resumed. */
-        void pause();
+    /** Reads nothing more until resumed. */
+    void pause();
 
-        void resume();
+    void resume();
 
-        void close();
+    void close();
 
-        /** For the log. */
-        String peer();
-    }
+    /** For the log. */
+    String peer();
+  }
 
-    /** What comes of trying a connection: one of both, once. */
-    interface Tried {
-        void up(Connection connection);
+  /** What comes of trying a connection: one of both, once. */
+  interface Tried {
+    void up(Connection connection);
 
-        /** Refused: nothing listens there. Else it did not come up in its time, or is not to be had. */
-        void failed(boolean refused, String why);
-    }
+    /** Refused: nothing listens there. Else it did not come up in its time, or is not to be had. */
+    void failed(boolean refused, String why);
+  }
 
-    /** Listens for viewers; told when it does so (null), or why it cannot, and later of connections not taken. */
-    interface Listener {
-        void listens(String failed);
+  /**
+   * Listens for viewers; told when it does so (null), or why it cannot, and later of connections
+   * not taken.
+   */
+  interface Listener {
+    void listens(String failed);
 
-        void arrived(Connection connection);
+    void arrived(Connection connection);
 
-        void notTaken(String why);
-    }
+    void notTaken(String why);
+  }
 
-    Moment now();
+  Moment now();
 
-    /** Tries a connection to host:port, no longer than the dialling time; so many bytes may wait on it. */
-    void connect(String address, int mostUnread, Tried then);
+  /**
+   * Tries a connection to host:port, no longer than the dialling time; so many bytes may wait on
+   * it.
+   */
+  void connect(String address, int mostUnread, Tried then);
 
-    /** Listens at host:port; so many bytes may wait on each connection. */
-    void listen(String address, int mostUnread, Listener listener);
+  /** Listens at host:port; so many bytes may wait on each connection. */
+  void listen(String address, int mostUnread, Listener listener);
 
-    /** Runs the step once, not earlier than after the span. */
-    Wake after(Span span, Runnable step);
+  /** Runs the step once, not earlier than after the span. */
+  Wake after(Span span, Runnable step);
 
-    /** Runs the step again and again, so far apart. */
-    void every(Span span, Runnable step);
+  /** Runs the step again and again, so far apart. */
+  void every(Span span, Runnable step);
 
-    /** Runs the step as soon as what is under way is over, and what has come with it has been read. */
-    void later(Runnable step);
+  /**
+   * Runs the step as soon as what is under way is over, and what has come with it has been read.
+   */
+  void later(Runnable step);
 
-    /**
-     * Runs the step once all that has been written so far has left the process, or cannot any more; and after the span at
-     * the latest, whoever does not read.
-     */
-    void written(Span atMost, Runnable step);
+  /**
+   * Runs the step once all that has been written so far has left the process, or cannot any more;
+   * and after the span at the latest, whoever does not read.
+   */
+  void written(Span atMost, Runnable step);
 }
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -15,318 +15,359 @@
 
 /** One connection to a media box, from being tried until it has closed. */
 final class ServerConnection implements BoxLines.Heard {
-    private static final int MOST_UNREAD = 256 * 1024;
-    private static final int MOST_SPENT = 2048;
-    /** Longer than anything of an attempt is on its way: as long as the platform gives to release what has ended. */
-    private static final Span SPENT_KEPT = Span.ofSeconds(8);
-
-    /** How it ended: closed by either side, or never there. */
-    private enum Gone { CLOSED, NOT_REACHED, REFUSED }
-
-    /** A set-up that is out on it, or waits for it to come up. */
-    private static final class Out {
-        private final Held held;
-        private final int tuneIn;
-        private boolean written;
-        private Moment writtenAt;
-
-        private Out(Held held, int tuneIn) {
-            this.held = held;
-            this.tuneIn = tuneIn;
-        }
+  private static final int MOST_UNREAD = 256 * 1024;
+  private static final int MOST_SPENT = 2048;
+
+  /**
+   * Longer than anything of an attempt is on its way: as long as the platform gives to release what
+   * has ended.
+   */
+  private static final Span SPENT_KEPT = Span.ofSeconds(8);
+
+  /** How it ended: closed by either side, or never there. */
+  private enum Gone {
+    CLOSED,
+    NOT_REACHED,
+    REFUSED
+  }
+
+  /** A set-up that is out on it, or waits for it to come up. */
+  private static final class Out {
+    private final Held held;
+    private final int tuneIn;
+    private boolean written;
+    private Moment writtenAt;
+
+    private Out(Held held, int tuneIn) {
+      this.held = held;
+      this.tuneIn = tuneIn;
     }
-
-    private final ServerLink link;
-    private final String address;
-    private final int closingsWhenBegun;
-    private final BoxLines reader = new BoxLines(this);
-    private final Map<Long, Out> outs = new LinkedHashMap<>();
-    private final SpentIds spent = new SpentIds(MOST_SPENT, SPENT_KEPT);
-    /** Tests whose result is waited for, with their timers. */
-    private final Map<Long, Wake> tests = new LinkedHashMap<>();
-    private Net.Connection socket;
-    private boolean closed;
-    /** This front closes it since nothing is left on it. */
-    private boolean rested;
-    private final Line line;
-
-    ServerConnection(ServerLink link, String address, int closingsWhenBegun) {
-        this.link = link;
-        this.address = address;
-        this.closingsWhenBegun = closingsWhenBegun;
-        this.line = new Line(front().now());
-    }
-
-    private PlatformFront front() {
-        return link.links().front();
-    }
-
-    boolean isUp() {
-        return socket != null && !closed;
-    }
-
-    /** It takes nothing more. */
-    boolean isRetired() {
-        return line.isRetired() || closed;
-    }
-
-    int load() {
-        return outs.size() + tests.size();
-    }
-
-    int closingsWhenBegun() {
-        return closingsWhenBegun;
-    }
-
-    /** When that set-up was written here; null where it was not. */
-    Moment writtenAt(Held vw, int tuneIn) {
-        Out out = outs.get(((ClientSession) vw.viewer()).id());
-        return out != null && out.held == vw && out.tuneIn == tuneIn ? out.writtenAt : null;
-    }
-
-    /** How it is used. */
-    Line line() {
-        return line;
-    }
-
-    void connect() {
-        front().connect(address, MOST_UNREAD, new Net.Tried() {
-            @Override
-            public void up(Net.Connection connection) {
+  }
+
+  private final ServerLink link;
+  private final String address;
+  private final int closingsWhenBegun;
+  private final BoxLines reader = new BoxLines(this);
+  private final Map<Long, Out> outs = new LinkedHashMap<>();
+  private final SpentIds spent = new SpentIds(MOST_SPENT, SPENT_KEPT);
+
+  /** Tests whose result is waited for, with their timers. */
+  private final Map<Long, Wake> tests = new LinkedHashMap<>();
+
+  private Net.Connection socket;
+  private boolean closed;
+
+  /** This front closes it since nothing is left on it. */
+  private boolean rested;
+
+  private final Line line;
+
+  ServerConnection(ServerLink link, String address, int closingsWhenBegun) {
+    this.link = link;
+    this.address = address;
+    this.closingsWhenBegun = closingsWhenBegun;
+    this.line = new Line(front().now());
+  }
+
+  private PlatformFront front() {
+    return link.links().front();
+  }
+
+  boolean isUp() {
+    return socket != null && !closed;
+  }
+
+  /** It takes nothing more. */
+  boolean isRetired() {
+    return line.isRetired() || closed;
+  }
+
+  int load() {
+    return outs.size() + tests.size();
+  }
+
+  int closingsWhenBegun() {
+    return closingsWhenBegun;
+  }
+
+  /** When that set-up was written here; null where it was not. */
+  Moment writtenAt(Held vw, int tuneIn) {
+    Out out = outs.get(((ClientSession) vw.viewer()).id());
+    return out != null && out.held == vw && out.tuneIn == tuneIn ? out.writtenAt : null;
+  }
+
+  /** How it is used. */
+  Line line() {
+    return line;
+  }
+
+  void connect() {
+    front()
+        .connect(
+            address,
+            MOST_UNREAD,
+            new Net.Tried() {
+              @Override
+              public void up(Net.Connection connection) {
                 if (closed) {
-                    connection.close();
+                  connection.close();
                 } else {
-                    ServerConnection.this.up(connection);
+                  ServerConnection.this.up(connection);
                 }
-            }
+              }
 
-            @Override
-            public void failed(boolean refused, String why) {
+              @Override
+              public void failed(boolean refused, String why) {
                 gone(refused ? Gone.REFUSED : Gone.NOT_REACHED);
-            }
-        });
-    }
-
-    private void up(Net.Connection s) {
-        socket = s;
-        line.up(front().now());
-        s.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(() -> gone(Gone.CLOSED)));
-        link.up(this);
-        // What came while it was dialled is read first: a viewer may have left meanwhile.
-        front().later(() -> {
-            for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
+              }
+            });
+  }
+
+  private void up(Net.Connection s) {
+    socket = s;
+    line.up(front().now());
+    s.hears(
+        data -> front().onEvent(() -> read(data)), () -> front().onEvent(() -> gone(Gone.CLOSED)));
+    link.up(this);
+    // What came while it was dialled is read first: a viewer may have left meanwhile.
+    front()
+        .later(
+            () -> {
+              for (Map.Entry<Long, Out> o : List.copyOf(outs.entrySet())) {
                 if (!o.getValue().written) {
-                    front().tick();
-                    send(o.getKey(), o.getValue());
+                  front().tick();
+                  send(o.getKey(), o.getValue());
                 }
-            }
-        });
-        for (long id : List.copyOf(tests.keySet())) {
-            write(BoxLines.test(id));
-        }
+              }
+            });
+    for (long id : List.copyOf(tests.keySet())) {
+      write(BoxLines.test(id));
     }
+  }
 
-    private void read(byte[] data) {
-        if (closed) {
-            return;
-        }
-        link.heard();
-        line.heard(front().now());
-        try {
-            boolean ended = reader.feed(data) > 0;
-            line.read(ended, reader.isMidLine(), front().now());
-        } catch (BadMessage e) {
-            front().log("unreadable box", link.box(), e.getMessage());
-            close(e.getMessage());
-        }
+  private void read(byte[] data) {
+    if (closed) {
+      return;
     }
-
-    void write(byte[] message) {
-        if (!isUp()) {
-            return;
-        }
-        if (socket.isFull()) {
-            front().later(() -> close("does not read"));
-            return;
-        }
-        line.used(front().now());
-        socket.write(message);
+    link.heard();
+    line.heard(front().now());
+    try {
+      boolean ended = reader.feed(data) > 0;
+      line.read(ended, reader.isMidLine(), front().now());
+    } catch (BadMessage e) {
+      front().log("unreadable box", link.box(), e.getMessage());
+      close(e.getMessage());
     }
+  }
 
-    /* ---- what is sent ---- */
-
-    /** Whether an attempt of that id was here before: what still comes of it could be taken for an answer to another. */
-    boolean hasSpent(long id) {
-        return spent.has(id, front().now());
+  void write(byte[] message) {
+    if (!isUp()) {
+      return;
     }
-
-    void setUp(Held vw, int tuneIn) {
-        Out out = new Out(vw, tuneIn);
-        outs.put(((ClientSession) vw.viewer()).id(), out);
-        if (isUp()) {
-            send(((ClientSession) vw.viewer()).id(), out);
-        }
+    if (socket.isFull()) {
+      front().later(() -> close("does not read"));
+      return;
     }
-
-    /** The one place that set-ups leave by: once the loop has read what may end them. */
-    private void send(long id, Out out) {
-        front().whenRead(() -> {
-            if (outs.get(id) == out && !out.written && isUp()) {
+    line.used(front().now());
+    socket.write(message);
+  }
+
+  /* ---- what is sent ---- */
+
+  /**
+   * Whether an attempt of that id was here before: what still comes of it could be taken for an
+   * answer to another.
+   */
+  boolean hasSpent(long id) {
+    return spent.has(id, front().now());
+  }
+
+  void setUp(Held vw, int tuneIn) {
+    Out out = new Out(vw, tuneIn);
+    outs.put(((ClientSession) vw.viewer()).id(), out);
+    if (isUp()) {
+      send(((ClientSession) vw.viewer()).id(), out);
+    }
+  }
+
+  /** The one place that set-ups leave by: once the loop has read what may end them. */
+  private void send(long id, Out out) {
+    front()
+        .whenRead(
+            () -> {
+              if (outs.get(id) == out && !out.written && isUp()) {
                 leave(id, out);
-            }
-        });
+              }
+            });
+  }
+
+  private void leave(long id, Out out) {
+    if (!out.held.sendable(out.tuneIn)) {
+      outs.remove(id, out);
+      front().later(() -> out.held.failed(out.tuneIn, Ending.NEVER_SENT));
+      return;
     }
-
-    private void leave(long id, Out out) {
-        if (!out.held.sendable(out.tuneIn)) {
-            outs.remove(id, out);
-            front().later(() -> out.held.failed(out.tuneIn, Ending.NEVER_SENT));
-            return;
-        }
-        out.written = true;
-        out.writtenAt = front().now();
-        spent.add(id, out.writtenAt);
-        ClientSession seat = (ClientSession) out.held.viewer();
-        write(BoxLines.setUp(id, seat.pack(), out.held.ask().title(), Math.max(1, out.held.waitLeft().micros() / 1000),
-                out.held.rungNow(), seat.description()));
+    out.written = true;
+    out.writtenAt = front().now();
+    spent.add(id, out.writtenAt);
+    ClientSession seat = (ClientSession) out.held.viewer();
+    write(
+        BoxLines.setUp(
+            id,
+            seat.pack(),
+            out.held.ask().title(),
+            Math.max(1, out.held.waitLeft().micros() / 1000),
+            out.held.rungNow(),
+            seat.description()));
+  }
+
+  void test(long id) {
+    Moment asked = front().now();
+    tests.put(
+        id,
+        front()
+            .after(
+                front().briefing().dial(),
+                () -> {
+                  if (tests.remove(id) != null) {
+                    line.unanswered(asked);
+                    front().desk().probed(link.box(), link.silence(asked, null));
+                  }
+                }));
+    if (isUp()) {
+      write(BoxLines.test(id));
     }
-
-    void test(long id) {
-        Moment asked = front().now();
-        tests.put(id, front().after(front().briefing().dial(), () -> {
-            if (tests.remove(id) != null) {
-                line.unanswered(asked);
-                front().desk().probed(link.box(), link.silence(asked, null));
-            }
-        }));
-        if (isUp()) {
-            write(BoxLines.test(id));
-        }
+  }
+
+  /**
+   * Asks whether the box is there at all: any answer is a sign, none is judged by {@link
+   * ServerLink#look}.
+   */
+  void ask(long id) {
+    write(BoxLines.test(id));
+  }
+
+  /** Takes back a set-up that is out here; false where it is not. */
+  boolean withdraw(Held vw, int tuneIn) {
+    long id = ((ClientSession) vw.viewer()).id();
+    Out out = outs.get(id);
+    if (out == null || out.held != vw || out.tuneIn != tuneIn) {
+      return false;
     }
-
-    /** Asks whether the box is there at all: any answer is a sign, none is judged by {@link ServerLink#look}. */
-    void ask(long id) {
-        write(BoxLines.test(id));
+    outs.remove(id);
+    if (out.written) {
+      write(BoxLines.end(id));
+      if (vw.waitLeft().equals(Span.NONE)) {
+        line.unanswered(out.writtenAt);
+      }
     }
+    return true;
+  }
 
-    /** Takes back a set-up that is out here; false where it is not. */
-    boolean withdraw(Held vw, int tuneIn) {
-        long id = ((ClientSession) vw.viewer()).id();
-        Out out = outs.get(id);
-        if (out == null || out.held != vw || out.tuneIn != tuneIn) {
-            return false;
-        }
-        outs.remove(id);
-        if (out.written) {
-            write(BoxLines.end(id));
-            if (vw.waitLeft().equals(Span.NONE)) {
-                line.unanswered(out.writtenAt);
-            }
-        }
-        return true;
-    }
+  /* ---- what is heard ---- */
 
-    /* ---- what is heard ---- */
-
-    @Override
-    public void plays(long id, byte[] description) {
-        Out out = outs.get(id);
-        if (out == null || !out.written) {
-            return;
-        }
-        ClientSession seat = (ClientSession) out.held.viewer();
-        seat.answered(description);
-        front().tick();
-        out.held.plays(out.tuneIn);
-        // Where the core did not want it any more it has been taken back meanwhile, on this very connection.
-        if (outs.remove(id, out)) {
-            link.plays(seat, this);
-        }
+  @Override
+  public void plays(long id, byte[] description) {
+    Out out = outs.get(id);
+    if (out == null || !out.written) {
+      return;
     }
-
-    @Override
-    public void ended(long id, int cause, BoxLines.Load load) {
-        link.reported(load);
-        Out out = outs.get(id);
-        if (out == null || !out.written) {
-            link.ended(id, BoxLines.played(cause), this);
-            return;
-        }
-        outs.remove(id);
-        out.held.failed(out.tuneIn, BoxLines.unanswered(cause));
+    ClientSession seat = (ClientSession) out.held.viewer();
+    seat.answered(description);
+    front().tick();
+    out.held.plays(out.tuneIn);
+    // Where the core did not want it any more it has been taken back meanwhile, on this very
+    // connection.
+    if (outs.remove(id, out)) {
+      link.plays(seat, this);
     }
-
-    @Override
-    public void tested(long id, boolean passed, BoxLines.Load load) {
-        link.reported(load);
-        Wake timer = tests.remove(id);
-        if (timer != null) {
-            timer.cancel();
-            front().desk().probed(link.box(), passed);
-        }
+  }
+
+  @Override
+  public void ended(long id, int cause, BoxLines.Load load) {
+    link.reported(load);
+    Out out = outs.get(id);
+    if (out == null || !out.written) {
+      link.ended(id, BoxLines.played(cause), this);
+      return;
     }
-
-    @Override
-    public void shareDelivered(long id, double share) {
-        Held vw = link.playing(id);
-        if (vw != null) {
-            vw.shareDelivered(share);
-        }
+    outs.remove(id);
+    out.held.failed(out.tuneIn, BoxLines.unanswered(cause));
+  }
+
+  @Override
+  public void tested(long id, boolean passed, BoxLines.Load load) {
+    link.reported(load);
+    Wake timer = tests.remove(id);
+    if (timer != null) {
+      timer.cancel();
+      front().desk().probed(link.box(), passed);
     }
+  }
 
-    @Override
-    public void rungInForce(long id, int rung) {
-        Held vw = link.playing(id);
-        if (vw != null) {
-            vw.rungInForce(rung);
-        }
+  @Override
+  public void shareDelivered(long id, double share) {
+    Held vw = link.playing(id);
+    if (vw != null) {
+      vw.shareDelivered(share);
     }
+  }
 
-    @Override
-    public void loadsTold(long id, double linkAsked, double uplinkAsked) {
-        Held vw = link.playing(id);
-        if (vw != null) {
-            vw.loadsTold(linkAsked, uplinkAsked);
-        }
+  @Override
+  public void rungInForce(long id, int rung) {
+    Held vw = link.playing(id);
+    if (vw != null) {
+      vw.rungInForce(rung);
     }
+  }
 
-    /* ---- its end ---- */
-
-    void look(Moment now, Span rests) {
-        switch (line.verdict(load(), isUp() ? rests : Span.NONE, now)) {
-            case SPOILT -> close("a line that does not end");
-            case RESTS -> {
-                rested = !line.isRetired();
-                close("rests");
-            }
-            default -> {
-            }
-        }
+  @Override
+  public void loadsTold(long id, double linkAsked, double uplinkAsked) {
+    Held vw = link.playing(id);
+    if (vw != null) {
+      vw.loadsTold(linkAsked, uplinkAsked);
     }
-
-    void close(String why) {
-        if (!closed) {
-            if (socket != null) {
-                socket.close();
-            }
-            gone(Gone.CLOSED);
-        }
+  }
+
+  /* ---- its end ---- */
+
+  void look(Moment now, Span rests) {
+    switch (line.verdict(load(), isUp() ? rests : Span.NONE, now)) {
+      case SPOILT -> close("a line that does not end");
+      case RESTS -> {
+        rested = !line.isRetired();
+        close("rests");
+      }
+      default -> {}
+    }
+  }
+
+  void close(String why) {
+    if (!closed) {
+      if (socket != null) {
+        socket.close();
+      }
+      gone(Gone.CLOSED);
     }
+  }
 
-    private void gone(Gone how) {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        boolean wasUp = socket != null;
-        for (Out out : ServerLinks.taken(outs)) {
-            Ending broken = out.written && link.silence(out.writtenAt, this) == Ending.UNHEARD ? Ending.UNHEARD : Ending.BROKEN;
-            out.held.failed(out.tuneIn, out.written ? broken : Ending.NOT_REACHED);
-        }
-        for (Wake timer : ServerLinks.taken(tests)) {
-            timer.cancel();
-            front().desk().probed(link.box(), false);
-        }
-        link.closed(this, wasUp || how == Gone.CLOSED, how == Gone.REFUSED, rested);
+  private void gone(Gone how) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    boolean wasUp = socket != null;
+    for (Out out : ServerLinks.taken(outs)) {
+      Ending broken =
+          out.written && link.silence(out.writtenAt, this) == Ending.UNHEARD
+              ? Ending.UNHEARD
+              : Ending.BROKEN;
+      out.held.failed(out.tuneIn, out.written ? broken : Ending.NOT_REACHED);
+    }
+    for (Wake timer : ServerLinks.taken(tests)) {
+      timer.cancel();
+      front().desk().probed(link.box(), false);
     }
+    link.closed(this, wasUp || how == Gone.CLOSED, how == Gone.REFUSED, rested);
+  }
 }
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -18,305 +18,350 @@
 
 /** One media box: its connections, and the viewings that stand there. */
 final class ServerLink {
-    private static final int MOST_WIRES = 4;
-    private static final int MOST_SAYINGS = 512;
-    private static final int MOST_EARLY_ENDS = 256;
-    /** As long as the platform gives a front to release what has ended. */
-    private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
-    /** Connections beyond the first are closed when they have rested so long. */
-    private static final Span SPARE_RESTS = Span.ofSeconds(4);
-
-    private final ServerLinks links;
-    private final BoxTable.Entry box;
-    private final ReachabilityDetector reach;
-    private final List<ServerConnection> wires = new ArrayList<>();
-    /** Viewings that play at the box; each leaves with its end. */
-    private final Map<Long, ClientSession> standing = new LinkedHashMap<>();
-    private final EarlyEnds earlyEnds = new EarlyEnds(MOST_EARLY_ENDS, EARLY_END_KEPT);
-    /** What is to be said of them once a connection is there; bounded, the oldest goes. */
-    private final ArrayDeque<byte[]> sayings = new ArrayDeque<>();
-
-    ServerLink(ServerLinks links, BoxTable.Entry box) {
-        this.links = links;
-        this.box = box;
-        this.reach = new ReachabilityDetector(ReachabilityDetector.Terms.PLATFORM, links.front().now());
-    }
+  private static final int MOST_WIRES = 4;
+  private static final int MOST_SAYINGS = 512;
+  private static final int MOST_EARLY_ENDS = 256;
 
-    BoxTable.Entry box() {
-        return box;
-    }
+  /** As long as the platform gives a front to release what has ended. */
+  private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
 
-    ServerLinks links() {
-        return links;
-    }
+  /** Connections beyond the first are closed when they have rested so long. */
+  private static final Span SPARE_RESTS = Span.ofSeconds(4);
 
-    private PlatformFront front() {
-        return links.front();
-    }
+  private final ServerLinks links;
+  private final BoxTable.Entry box;
+  private final ReachabilityDetector reach;
+  private final List<ServerConnection> wires = new ArrayList<>();
 
-    /* ---- what the core wants ---- */
+  /** Viewings that play at the box; each leaves with its end. */
+  private final Map<Long, ClientSession> standing = new LinkedHashMap<>();
 
-    void setUp(Held vw, int tuneIn) {
-        long id = ((ClientSession) vw.viewer()).id();
-        ServerConnection w = connection(id);
-        if (w == null || w.hasSpent(id)) {
-            front().later(() -> vw.failed(tuneIn, Ending.NEVER_SENT));
-        } else {
-            w.setUp(vw, tuneIn);
-        }
-    }
+  private final EarlyEnds earlyEnds = new EarlyEnds(MOST_EARLY_ENDS, EARLY_END_KEPT);
 
-    void probe() {
-        ServerConnection w = connection(0);
-        if (w == null) {
-            front().later(() -> front().desk().probed(box, false));
-        } else {
-            w.test(links.testId());
-        }
-    }
+  /** What is to be said of them once a connection is there; bounded, the oldest goes. */
+  private final ArrayDeque<byte[]> sayings = new ArrayDeque<>();
 
-    void rung(ClientSession seat, int rung) {
-        say(BoxLines.rung(seat.id(), rung));
-    }
+  ServerLink(ServerLinks links, BoxTable.Entry box) {
+    this.links = links;
+    this.box = box;
+    this.reach = new ReachabilityDetector(ReachabilityDetector.Terms.PLATFORM, links.front().now());
+  }
 
-    void withdraw(Held vw, int tuneIn) {
-        ClientSession seat = (ClientSession) vw.viewer();
-        for (ServerConnection w : List.copyOf(wires)) {
-            if (w.withdraw(vw, tuneIn)) {
-                return;
-            }
-        }
-        // One that was never written is not said to be over.
-        if (over(seat.id()) != null && !reach.lost(front().now())) {
-            say(BoxLines.end(seat.id()));
-        }
-    }
+  BoxTable.Entry box() {
+    return box;
+  }
 
-    void stands(ClientSession seat) {
-        standing.put(seat.id(), seat);
-        Ending how = earlyEnds.take(seat.id());
-        if (how != null) {
-            front().later(() -> ended(seat.id(), how, null));
-            return;
-        }
-        if (wires.isEmpty()) {
-            open();
-        }
-    }
+  ServerLinks links() {
+    return links;
+  }
 
-    private void say(byte[] line) {
-        ServerConnection best = null;
-        for (ServerConnection w : wires) {
-            if (w.isUp() && !w.isRetired() && (best == null || best.line().heardAt().before(w.line().heardAt()))) {
-                best = w;
-            }
-        }
-        if (best != null) {
-            best.write(line);
-            return;
-        }
-        if (box.state() == BoxTable.State.GONE) {
-            return; // nobody is there to hear it
-        }
-        if (sayings.size() == MOST_SAYINGS) {
-            sayings.poll();
-        }
-        sayings.add(line);
-        if (wires.isEmpty()) {
-            open();
-        }
-    }
+  private PlatformFront front() {
+    return links.front();
+  }
 
-    /** The connection with the fewest set-ups and tests out that takes more, best one that has not had that id; or null. */
-    private ServerConnection leastLoaded(long id) {
-        ServerConnection least = null;
-        for (ServerConnection w : wires) {
-            if (!w.isRetired() && (least == null || least.hasSpent(id) && !w.hasSpent(id)
-                    || least.hasSpent(id) == w.hasSpent(id) && w.load() < least.load())) {
-                least = w;
-            }
-        }
-        return least;
-    }
+  /* ---- what the core wants ---- */
 
-    /** A connection for one more attempt or test: one with none open, else a new one, else the one with the fewest. */
-    private ServerConnection connection(long id) {
-        ServerConnection least = leastLoaded(id);
-        long usable = wires.stream().filter(w -> !w.isRetired()).count();
-        if (least != null && (least.load() == 0 && !least.hasSpent(id) || usable >= MOST_WIRES)) {
-            return least;
-        }
-        ServerConnection fresh = open();
-        return fresh == null ? least : fresh;
+  void setUp(Held vw, int tuneIn) {
+    long id = ((ClientSession) vw.viewer()).id();
+    ServerConnection w = connection(id);
+    if (w == null || w.hasSpent(id)) {
+      front().later(() -> vw.failed(tuneIn, Ending.NEVER_SENT));
+    } else {
+      w.setUp(vw, tuneIn);
     }
-
-    private ServerConnection open() {
-        String address = box.address();
-        if (address == null || Configuration.port(address) < 0 || box.state() == BoxTable.State.GONE
-                || !links.place() && !(links.makePlace() && links.place())) {
-            return null;
-        }
-        ServerConnection w = new ServerConnection(this, address, reach.closings());
-        wires.add(w);
-        w.connect();
-        return w;
+  }
+
+  void probe() {
+    ServerConnection w = connection(0);
+    if (w == null) {
+      front().later(() -> front().desk().probed(box, false));
+    } else {
+      w.test(links.testId());
     }
-
-    /* ---- what its connections tell ---- */
-
-    void up(ServerConnection w) {
-        reach.up(w.closingsWhenBegun(), front().now());
-        for (byte[] line = sayings.poll(); line != null; line = sayings.poll()) {
-            w.write(line);
-        }
+  }
+
+  void rung(ClientSession seat, int rung) {
+    say(BoxLines.rung(seat.id(), rung));
+  }
+
+  void withdraw(Held vw, int tuneIn) {
+    ClientSession seat = (ClientSession) vw.viewer();
+    for (ServerConnection w : List.copyOf(wires)) {
+      if (w.withdraw(vw, tuneIn)) {
+        return;
+      }
     }
-
-    void heard() {
-        reach.sign(front().now());
+    // One that was never written is not said to be over.
+    if (over(seat.id()) != null && !reach.lost(front().now())) {
+      say(BoxLines.end(seat.id()));
     }
-
-    /**
-     * A connection has closed, or did not come up. One that this front closed since it rested leaves nothing unsaid: nothing
-     * that plays was set up on it, and what has no connection of its own keeps all open ({@link #look}).
-     */
-    void closed(ServerConnection w, boolean wasUp, boolean refused, boolean rested) {
-        wires.remove(w);
-        links.placeFree();
-        for (ClientSession seat : standing.values()) {
-            if (seat.wire() == w) {
-                seat.wire(null);
-            }
-        }
-        if (wasUp) {
-            if (!rested) {
-                reach.closed();
-            }
-            return;
-        }
-        reach.failed(front().now());
-        if (refused && wires.stream().noneMatch(ServerConnection::isUp)) {
-            // Nothing listens there: its process has died, and what it played with it. Where another connection is up it lives,
-            // and has no place for more; had it died, that one would close now, and the next one tried be refused.
-            lost("refused");
-        }
+  }
+
+  void stands(ClientSession seat) {
+    standing.put(seat.id(), seat);
+    Ending how = earlyEnds.take(seat.id());
+    if (how != null) {
+      front().later(() -> ended(seat.id(), how, null));
+      return;
     }
-
-    private void lost(String why) {
-        if (!standing.isEmpty()) {
-            front().log("box lost", box, why + ", " + standing.size() + " viewings");
-            for (ClientSession seat : List.copyOf(standing.values())) {
-                seat.held().boxLost(); // taken back at the box, which ends it here
-                over(seat.id());
-            }
-            front().desk().lostSight(box);
-        }
+    if (wires.isEmpty()) {
+      open();
     }
-
-    /* ---- what the box says ---- */
-
-    void plays(ClientSession seat, ServerConnection by) {
-        standing.put(seat.id(), seat);
-        seat.wire(by);
-        by.line().stands(1);
+  }
+
+  private void say(byte[] line) {
+    ServerConnection best = null;
+    for (ServerConnection w : wires) {
+      if (w.isUp()
+          && !w.isRetired()
+          && (best == null || best.line().heardAt().before(w.line().heardAt()))) {
+        best = w;
+      }
     }
-
-    /** It no longer plays here, for whatever reason; null where nothing of that id does. */
-    private ClientSession over(long id) {
-        ClientSession seat = standing.remove(id);
-        if (seat != null && seat.wire() != null) {
-            seat.wire().line().stands(-1);
-            seat.wire(null);
-        }
-        return seat;
+    if (best != null) {
+      best.write(line);
+      return;
     }
-
-    /** The box says on that connection (null: before its handing over) that an attempt or a viewing is over. */
-    void ended(long id, Ending how, ServerConnection by) {
-        ClientSession stands = standing.get(id);
-        if (by != null && by.hasSpent(id) && stands != null && stands.wire() != null && stands.wire() != by) {
-            return; // of an earlier attempt: a box says what concerns a session on the connection of its set-up while that is open
-        }
-        ClientSession seat = over(id);
-        if (seat == null) {
-            earlyEnds.heard(id, how, front().now());
-        } else {
-            seat.held().boxEnded(how, switch (how) {
+    if (box.state() == BoxTable.State.GONE) {
+      return; // nobody is there to hear it
+    }
+    if (sayings.size() == MOST_SAYINGS) {
+      sayings.poll();
+    }
+    sayings.add(line);
+    if (wires.isEmpty()) {
+      open();
+    }
+  }
+
+  /**
+   * The connection with the fewest set-ups and tests out that takes more, best one that has not had
+   * that id; or null.
+   */
+  private ServerConnection leastLoaded(long id) {
+    ServerConnection least = null;
+    for (ServerConnection w : wires) {
+      if (!w.isRetired()
+          && (least == null
+              || least.hasSpent(id) && !w.hasSpent(id)
+              || least.hasSpent(id) == w.hasSpent(id) && w.load() < least.load())) {
+        least = w;
+      }
+    }
+    return least;
+  }
+
+  /**
+   * A connection for one more attempt or test: one with none open, else a new one, else the one
+   * with the fewest.
+   */
+  private ServerConnection connection(long id) {
+    ServerConnection least = leastLoaded(id);
+    long usable = wires.stream().filter(w -> !w.isRetired()).count();
+    if (least != null && (least.load() == 0 && !least.hasSpent(id) || usable >= MOST_WIRES)) {
+      return least;
+    }
+    ServerConnection fresh = open();
+    return fresh == null ? least : fresh;
+  }
+
+  private ServerConnection open() {
+    String address = box.address();
+    if (address == null
+        || Configuration.port(address) < 0
+        || box.state() == BoxTable.State.GONE
+        || !links.place() && !(links.makePlace() && links.place())) {
+      return null;
+    }
+    ServerConnection w = new ServerConnection(this, address, reach.closings());
+    wires.add(w);
+    w.connect();
+    return w;
+  }
+
+  /* ---- what its connections tell ---- */
+
+  void up(ServerConnection w) {
+    reach.up(w.closingsWhenBegun(), front().now());
+    for (byte[] line = sayings.poll(); line != null; line = sayings.poll()) {
+      w.write(line);
+    }
+  }
+
+  void heard() {
+    reach.sign(front().now());
+  }
+
+  /**
+   * A connection has closed, or did not come up. One that this front closed since it rested leaves
+   * nothing unsaid: nothing that plays was set up on it, and what has no connection of its own
+   * keeps all open ({@link #look}).
+   */
+  void closed(ServerConnection w, boolean wasUp, boolean refused, boolean rested) {
+    wires.remove(w);
+    links.placeFree();
+    for (ClientSession seat : standing.values()) {
+      if (seat.wire() == w) {
+        seat.wire(null);
+      }
+    }
+    if (wasUp) {
+      if (!rested) {
+        reach.closed();
+      }
+      return;
+    }
+    reach.failed(front().now());
+    if (refused && wires.stream().noneMatch(ServerConnection::isUp)) {
+      // Nothing listens there: its process has died, and what it played with it. Where another
+      // connection is up it lives,
+      // and has no place for more; had it died, that one would close now, and the next one tried be
+      // refused.
+      lost("refused");
+    }
+  }
+
+  private void lost(String why) {
+    if (!standing.isEmpty()) {
+      front().log("box lost", box, why + ", " + standing.size() + " viewings");
+      for (ClientSession seat : List.copyOf(standing.values())) {
+        seat.held().boxLost(); // taken back at the box, which ends it here
+        over(seat.id());
+      }
+      front().desk().lostSight(box);
+    }
+  }
+
+  /* ---- what the box says ---- */
+
+  void plays(ClientSession seat, ServerConnection by) {
+    standing.put(seat.id(), seat);
+    seat.wire(by);
+    by.line().stands(1);
+  }
+
+  /** It no longer plays here, for whatever reason; null where nothing of that id does. */
+  private ClientSession over(long id) {
+    ClientSession seat = standing.remove(id);
+    if (seat != null && seat.wire() != null) {
+      seat.wire().line().stands(-1);
+      seat.wire(null);
+    }
+    return seat;
+  }
+
+  /**
+   * The box says on that connection (null: before its handing over) that an attempt or a viewing is
+   * over.
+   */
+  void ended(long id, Ending how, ServerConnection by) {
+    ClientSession stands = standing.get(id);
+    if (by != null
+        && by.hasSpent(id)
+        && stands != null
+        && stands.wire() != null
+        && stands.wire() != by) {
+      return; // of an earlier attempt: a box says what concerns a session on the connection of its
+      // set-up while that is open
+    }
+    ClientSession seat = over(id);
+    if (seat == null) {
+      earlyEnds.heard(id, how, front().now());
+    } else {
+      seat.held()
+          .boxEnded(
+              how,
+              switch (how) {
                 case FINISHED -> Viewer.End.OVER;
                 case WITHDRAWN -> Viewer.End.LEFT;
                 default -> Viewer.End.BOX_LOST;
-            });
-        }
+              });
     }
-
-    Ending unanswered(Held vw, int tuneIn) {
-        for (ServerConnection w : wires) {
-            Moment writtenAt = w.writtenAt(vw, tuneIn);
-            if (writtenAt != null) {
-                return silence(writtenAt, null);
-            }
-        }
-        return Ending.NO_ANSWER;
+  }
+
+  Ending unanswered(Held vw, int tuneIn) {
+    for (ServerConnection w : wires) {
+      Moment writtenAt = w.writtenAt(vw, tuneIn);
+      if (writtenAt != null) {
+        return silence(writtenAt, null);
+      }
     }
-
-    /** What it means that nothing came of something written then; one connection, if any, has just broken. */
-    Ending silence(Moment writtenAt, ServerConnection but) {
-        return TimeoutCause.meaning(writtenAt, front().lag(), front().now(), wires.stream().filter(w -> w != but && w.isUp()).map(ServerConnection::line)
-                .toList());
+    return Ending.NO_ANSWER;
+  }
+
+  /**
+   * What it means that nothing came of something written then; one connection, if any, has just
+   * broken.
+   */
+  Ending silence(Moment writtenAt, ServerConnection but) {
+    return TimeoutCause.meaning(
+        writtenAt,
+        front().lag(),
+        front().now(),
+        wires.stream().filter(w -> w != but && w.isUp()).map(ServerConnection::line).toList());
+  }
+
+  /** The viewing of that id that plays here, or null. */
+  Held playing(long id) {
+    ClientSession seat = standing.get(id);
+    return seat == null ? null : seat.held();
+  }
+
+  /**
+   * Of its connections that take nothing new and the given one, the one with the fewest viewings.
+   */
+  ServerConnection leastRetired(ServerConnection least) {
+    for (ServerConnection w : wires) {
+      if (w.isRetired()
+          && w.load() == 0
+          && (least == null || w.line().standing() < least.line().standing())) {
+        least = w;
+      }
     }
+    return least;
+  }
 
-    /** The viewing of that id that plays here, or null. */
-    Held playing(long id) {
-        ClientSession seat = standing.get(id);
-        return seat == null ? null : seat.held();
+  void reported(BoxLines.Load load) {
+    if (load != null) {
+      front().desk().reported(box, load.linkAsked(), load.uplinkAsked(), load.streams());
     }
+  }
 
-    /** Of its connections that take nothing new and the given one, the one with the fewest viewings. */
-    ServerConnection leastRetired(ServerConnection least) {
-        for (ServerConnection w : wires) {
-            if (w.isRetired() && w.load() == 0 && (least == null || w.line().standing() < least.line().standing())) {
-                least = w;
-            }
-        }
-        return least;
-    }
+  /* ---- time ---- */
 
-    void reported(BoxLines.Load load) {
-        if (load != null) {
-            front().desk().reported(box, load.linkAsked(), load.uplinkAsked(), load.streams());
-        }
+  /** True once nothing is left of it. */
+  boolean look(Moment now) {
+    if (box.state() == BoxTable.State.GONE) {
+      lost("gone from the list");
+      sayings.clear();
+      List.copyOf(wires).forEach(w -> w.close("its box has gone"));
+      return wires.isEmpty();
     }
-
-    /* ---- time ---- */
-
-    /** True once nothing is left of it. */
-    boolean look(Moment now) {
-        if (box.state() == BoxTable.State.GONE) {
-            lost("gone from the list");
-            sayings.clear();
-            List.copyOf(wires).forEach(w -> w.close("its box has gone"));
-            return wires.isEmpty();
-        }
-        earlyEnds.look(now);
-        int usable = 0;
-        boolean coming = false;
-        // The end of a viewing without a connection of its own may come on any that is open.
-        boolean spareRests = standing.values().stream().allMatch(seat -> seat.wire() != null);
-        for (ServerConnection w : List.copyOf(wires)) {
-            w.look(now, usable == 0 ? front().briefing().restingClosed().times(0.8) : spareRests ? SPARE_RESTS : Span.NONE);
-            usable += w.isRetired() ? 0 : 1;
-            coming |= !w.isUp();
-        }
-        if (!standing.isEmpty() && !coming) {
-            if (usable > 0 && reach.wantsTest(now)) {
-                leastLoaded(0).ask(links.testId());
-            }
-            if (reach.wantsConnection(usable, now)) {
-                open();
-            }
-            if (reach.lost(now)) {
-                lost("out of reach");
-            }
-        }
-        return false;
+    earlyEnds.look(now);
+    int usable = 0;
+    boolean coming = false;
+    // The end of a viewing without a connection of its own may come on any that is open.
+    boolean spareRests = standing.values().stream().allMatch(seat -> seat.wire() != null);
+    for (ServerConnection w : List.copyOf(wires)) {
+      w.look(
+          now,
+          usable == 0
+              ? front().briefing().restingClosed().times(0.8)
+              : spareRests ? SPARE_RESTS : Span.NONE);
+      usable += w.isRetired() ? 0 : 1;
+      coming |= !w.isUp();
+    }
+    if (!standing.isEmpty() && !coming) {
+      if (usable > 0 && reach.wantsTest(now)) {
+        leastLoaded(0).ask(links.testId());
+      }
+      if (reach.wantsConnection(usable, now)) {
+        open();
+      }
+      if (reach.lost(now)) {
+        lost("out of reach");
+      }
     }
+    return false;
+  }
 }
--- a/src/main/java/linengauge/platform/TryOut.java
+++ b/src/main/java/linengauge/platform/TryOut.java
@@ -5,11 +5,13 @@
 import java.util.concurrent.Callable;
 
 /**
- * A front of the platform that plays to itself on loopback: one viewing after another is set up at a box that answers, and
- * ends. What it loads is what a real front loads, so the build makes the archive of classes from it.
+ * A front of the platform that plays to itself on loopback: one viewing after another is set up at
+ * a box that answers, and ends. What it loads is what a real front loads, so the build makes the
+ * archive of classes from it.
  */
 public final class TryOut {
-    private static final String SETTINGS = """
+  private static final String SETTINGS =
+      """
             {"balancers":1,"charges":{"probe":0.01},"domain":{"floorByClass":[0],"highestRung":[4],"ladderKb":[100,200,400,600,800],
             "places":4,"placesByKind":[30],"rateFactor":[1],"seeUs":1000000,"shelves":2,"uplinkKb":90000,"weightKb":20000,
             "linksKb":100000,"worthByRung":[0.3,0.5,0.7,0.8,1]},"guarantees":{"coldUs":5000000,"drainGraceUs":1000000,
@@ -20,34 +22,43 @@
             "requestClasses":[{"aimUs":800000,"deadlineUs":400000,"idempotency":"safe","name":"lesson","worth":1}],
             "weights":"rough","zone":0}""";
 
-    private TryOut() {
-    }
+  private TryOut() {}
 
-    /** The configuration of a front with boxes and journal service at these loopback ports. */
-    static String configuration(int listen, int journal, int... boxes) {
-        StringBuilder rows = new StringBuilder();
-        for (int i = 0; i < boxes.length; i++) {
-            rows.append(i == 0 ? "" : ",").append(String.format("{\"uid\":\"s-%08x\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"hall\","
-                    + "\"model\":\"box\",\"pod_group\":%d,\"state\":\"up\",\"capacity_hint\":2,\"boot_ms\":0}", i + 1, boxes[i], i));
-        }
-        return String.format("{\"name\":\"n0\",\"listen\":\"127.0.0.1:%d\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
-                + "\"memory_mb\":128,\"sockets\":256},\"journal\":\"127.0.0.1:%d\",\"known\":{\"pos\":1,\"entries\":[{\"pos\":1,"
-                + "\"hosts\":{\"rev\":1,\"all\":true,\"targets\":[%s]}}]},\"settings\":%s}", listen, journal, rows, SETTINGS);
+  /** The configuration of a front with boxes and journal service at these loopback ports. */
+  static String configuration(int listen, int journal, int... boxes) {
+    StringBuilder rows = new StringBuilder();
+    for (int i = 0; i < boxes.length; i++) {
+      rows.append(i == 0 ? "" : ",")
+          .append(
+              String.format(
+                  "{\"uid\":\"s-%08x\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"hall\","
+                      + "\"model\":\"box\",\"pod_group\":%d,\"state\":\"up\",\"capacity_hint\":2,\"boot_ms\":0}",
+                  i + 1, boxes[i], i));
     }
+    return String.format(
+        "{\"name\":\"n0\",\"listen\":\"127.0.0.1:%d\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1,"
+            + "\"memory_mb\":128,\"sockets\":256},\"journal\":\"127.0.0.1:%d\",\"known\":{\"pos\":1,\"entries\":[{\"pos\":1,"
+            + "\"hosts\":{\"rev\":1,\"all\":true,\"targets\":[%s]}}]},\"settings\":%s}",
+        listen, journal, rows, SETTINGS);
+  }
 
-    /** Plays with the rest of the platform at these ports; returns the process's exit code: 0 where the dialogue was good. */
-    public static int run(int port, int journal, int[] boxes, Callable<Boolean> play) throws Exception {
-        Path file = Files.createTempFile("linengauge-tryout", ".json");
-        try {
-            Files.writeString(file, configuration(port, journal, boxes));
-            Service service = new Service(file, Configuration.read(file));
-            service.begin().join();
-            boolean good = play.call();
-            service.postedAnew();
-            service.tellToStop();
-            return good && service.await().isEmpty() ? 0 : 1;
-        } finally {
-            Files.delete(file);
-        }
+  /**
+   * Plays with the rest of the platform at these ports; returns the process's exit code: 0 where
+   * the dialogue was good.
+   */
+  public static int run(int port, int journal, int[] boxes, Callable<Boolean> play)
+      throws Exception {
+    Path file = Files.createTempFile("linengauge-tryout", ".json");
+    try {
+      Files.writeString(file, configuration(port, journal, boxes));
+      Service service = new Service(file, Configuration.read(file));
+      service.begin().join();
+      boolean good = play.call();
+      service.postedAnew();
+      service.tellToStop();
+      return good && service.await().isEmpty() ? 0 : 1;
+    } finally {
+      Files.delete(file);
     }
+  }
 }
--- a/src/main/java/linengauge/platform/codec/SetUpForm.java
+++ b/src/main/java/linengauge/platform/codec/SetUpForm.java
@@ -1,11 +1,19 @@
 package linengauge.platform.codec;
 
 /**
- * What a viewer asks for. Figures are ABSENT where they are not given and NONE where they are no number; the time left is
- * in milliseconds. `at` names the box where it plays already, null for a new viewing.
+ * What a viewer asks for. Figures are ABSENT where they are not given and NONE where they are no
+ * number; the time left is in milliseconds. `at` names the box where it plays already, null for a
+ * new viewing.
  */
-public record SetUpForm(String pack, long leftMs, String title, long firstCell, long cellsInRow, long ceiling, String at,
-        String description) {
-    public static final long ABSENT = -1;
-    public static final long NONE = -2;
+public record SetUpForm(
+    String pack,
+    long leftMs,
+    String title,
+    long firstCell,
+    long cellsInRow,
+    long ceiling,
+    String at,
+    String description) {
+  public static final long ABSENT = -1;
+  public static final long NONE = -2;
 }
--- a/src/main/java/linengauge/platform/keep/EarlyEnds.java
+++ b/src/main/java/linengauge/platform/keep/EarlyEnds.java
@@ -6,47 +6,48 @@
 import linengauge.Span;
 
 /**
- * Ends that a box has told of viewings which this front does not hold, by their ids. Guards against an end that overtakes the
- * handing over of its viewing: a front just started opens a connection for the first viewing handed over at a box, and hears
- * there of the others' ends before it has read of these; the box does not tell them a third time, and the viewing would be
- * left standing. It could hurt where an id came into use again: ids are new with each set-up.
+ * Ends that a box has told of viewings which this front does not hold, by their ids. Guards against
+ * an end that overtakes the handing over of its viewing: a front just started opens a connection
+ * for the first viewing handed over at a box, and hears there of the others' ends before it has
+ * read of these; the box does not tell them a third time, and the viewing would be left standing.
+ * It could hurt where an id came into use again: ids are new with each set-up.
  */
 public final class EarlyEnds {
-    private record End(Ending how, Moment until) {
-    }
-
-    private final int most;
-    private final Span kept;
-    /** Bounded, the oldest goes; each leaves with its time. */
-    private final LinkedHashMap<Long, End> ends = new LinkedHashMap<>();
+  private record End(Ending how, Moment until) {}
 
-    public EarlyEnds(int most, Span kept) {
-        this.most = most;
-        this.kept = kept;
-    }
+  private final int most;
+  private final Span kept;
 
-    public void heard(long id, Ending how, Moment now) {
-        look(now);
-        if (ends.size() == most) {
-            ends.remove(ends.keySet().iterator().next());
-        }
-        ends.putIfAbsent(id, new End(how, now.plus(kept)));
-    }
+  /** Bounded, the oldest goes; each leaves with its time. */
+  private final LinkedHashMap<Long, End> ends = new LinkedHashMap<>();
 
-    /** How the viewing of that id has ended already, once; null where nothing was heard of it. */
-    public Ending take(long id) {
-        End end = ends.remove(id);
-        return end == null ? null : end.how();
-    }
+  public EarlyEnds(int most, Span kept) {
+    this.most = most;
+    this.kept = kept;
+  }
 
-    public int size() {
-        return ends.size();
+  public void heard(long id, Ending how, Moment now) {
+    look(now);
+    if (ends.size() == most) {
+      ends.remove(ends.keySet().iterator().next());
     }
-
-    public void look(Moment now) {
-        var oldest = ends.entrySet().iterator();
-        while (oldest.hasNext() && oldest.next().getValue().until().before(now)) {
-            oldest.remove();
-        }
+    ends.putIfAbsent(id, new End(how, now.plus(kept)));
+  }
+
+  /** How the viewing of that id has ended already, once; null where nothing was heard of it. */
+  public Ending take(long id) {
+    End end = ends.remove(id);
+    return end == null ? null : end.how();
+  }
+
+  public int size() {
+    return ends.size();
+  }
+
+  public void look(Moment now) {
+    var oldest = ends.entrySet().iterator();
+    while (oldest.hasNext() && oldest.next().getValue().until().before(now)) {
+      oldest.remove();
     }
+  }
 }
--- a/src/main/java/linengauge/rehearsal/Host.java
+++ b/src/main/java/linengauge/rehearsal/Host.java
@@ -4,24 +4,24 @@
 
 /** A process that takes part: what comes to it are events, run one after another. */
 interface Host {
-    /** Something comes; it is dropped where the process has died. */
-    void event(Runnable deed);
+  /** Something comes; it is dropped where the process has died. */
+  void event(Runnable deed);
 
-    /** Where the process is in time: ahead of the world's clock while it is at work on an event. */
-    Moment now();
+  /** Where the process is in time: ahead of the world's clock while it is at work on an event. */
+  Moment now();
 
-    /** One that takes no time over anything and never dies: all stand-ins. */
-    static Host idle(Clockwork clock) {
-        return new Host() {
-            @Override
-            public void event(Runnable deed) {
-                deed.run();
-            }
+  /** One that takes no time over anything and never dies: all stand-ins. */
+  static Host idle(Clockwork clock) {
+    return new Host() {
+      @Override
+      public void event(Runnable deed) {
+        deed.run();
+      }
 
-            @Override
-            public Moment now() {
-                return clock.now();
-            }
-        };
-    }
+      @Override
+      public Moment now() {
+        return clock.now();
+      }
+    };
+  }
 }
--- a/src/main/java/linengauge/rules/Judge.java
+++ b/src/main/java/linengauge/rules/Judge.java
@@ -8,263 +8,340 @@
 import java.util.Set;
 
 /**
- * Judges the six rules from a record of traffic alone (docs/protocol/traffic.md). It knows no code of the front. Moments
- * were taken at the ends of sockets, so a little slack, told in the record's terms, stands between what a front did and
- * what was seen of it; it always counts for the front.
+ * Judges the six rules from a record of traffic alone (docs/protocol/traffic.md). It knows no code
+ * of the front. Moments were taken at the ends of sockets, so a little slack, told in the record's
+ * terms, stands between what a front did and what was seen of it; it always counts for the front.
  */
 public final class Judge {
-    private final Day day;
-    private final Verdict verdict = new Verdict();
+  private final Day day;
+  private final Verdict verdict = new Verdict();
 
-    private Judge(Day day) {
-        this.day = day;
-    }
+  private Judge(Day day) {
+    this.day = day;
+  }
 
-    /** Judges a record, one JSON object a line. */
-    public static Verdict judge(List<String> lines) throws BadRecord {
-        Judge j = new Judge(Day.read(lines));
-        j.oneAnswer();
-        j.noDoubleSetUp();
-        j.drains();
-        j.coldBoxes();
-        j.floors();
-        j.seats();
-        j.furtherTuneIns();
-        return j.verdict;
-    }
+  /** Judges a record, one JSON object a line. */
+  public static Verdict judge(List<String> lines) throws BadRecord {
+    Judge j = new Judge(Day.read(lines));
+    j.oneAnswer();
+    j.noDoubleSetUp();
+    j.drains();
+    j.coldBoxes();
+    j.floors();
+    j.seats();
+    j.furtherTuneIns();
+    return j.verdict;
+  }
 
-    /** Rule 1. A request counts as taken unless its front was dead or killed, or stood still past the viewer's patience. */
-    private void oneAnswer() {
-        for (Day.Ask a : day.asks.values()) {
-            long patienceEnds = a.at + a.patience;
-            long last = a.ends.isEmpty() ? patienceEnds : a.ends.get(a.ends.size() - 1).at();
-            if (day.down(a.front, a.at) || day.killedWithin(a.front, a.at, Math.max(last, patienceEnds) + day.terms.slack())) {
-                long answers = a.ends.stream().filter(e -> e.what().equals("answered")).count();
-                if (answers > 1) {
-                    verdict.broken("one-answer", a.at, a.id, 0, "answered " + answers + " times by a front since killed");
-                }
-                continue;
-            }
-            if (day.running(a.front, patienceEnds) != patienceEnds) {
-                continue;
-            }
-            if (a.cut && a.ends.size() == 1 && !a.ends.get(0).what().equals("answered")) {
-                continue; // the network broke it, as the shared address went to another front
-            }
-            verdict.tried("one-answer");
-            if (a.ends.size() != 1) {
-                verdict.broken("one-answer", a.at, a.id, 0, a.ends.size() + " ends of one request");
-                continue;
-            }
-            Seen end = a.ends.get(0);
-            String how = end.text("how");
-            if (!end.what().equals("answered")) {
-                verdict.broken("one-answer", a.at, a.id, 0, "no answer: " + end.what());
-            } else if (how == null || !Set.of("plays", "blocked", "aborted").contains(how)) {
-                verdict.broken("one-answer", a.at, a.id, 0, "an unclear answer: " + end.text("status"));
-            } else if (end.at() > patienceEnds + day.terms.slack()) {
-                verdict.broken("one-answer", a.at, a.id, 0, "answered " + (end.at() - patienceEnds) / 1000
-                        + " ms after the viewer's patience");
-            } else if (how.equals("plays") && day.byViewing.getOrDefault(end.text("viewing"), List.of()).stream()
-                    .noneMatch(u -> "plays".equals(u.how))) {
-                verdict.broken("one-answer", a.at, a.id, 0, "said to play, and no box plays it");
-            }
+  /**
+   * Rule 1. A request counts as taken unless its front was dead or killed, or stood still past the
+   * viewer's patience.
+   */
+  private void oneAnswer() {
+    for (Day.Ask a : day.asks.values()) {
+      long patienceEnds = a.at + a.patience;
+      long last = a.ends.isEmpty() ? patienceEnds : a.ends.get(a.ends.size() - 1).at();
+      if (day.down(a.front, a.at)
+          || day.killedWithin(a.front, a.at, Math.max(last, patienceEnds) + day.terms.slack())) {
+        long answers = a.ends.stream().filter(e -> e.what().equals("answered")).count();
+        if (answers > 1) {
+          verdict.broken(
+              "one-answer",
+              a.at,
+              a.id,
+              0,
+              "answered " + answers + " times by a front since killed");
         }
+        continue;
+      }
+      if (day.running(a.front, patienceEnds) != patienceEnds) {
+        continue;
+      }
+      if (a.cut && a.ends.size() == 1 && !a.ends.get(0).what().equals("answered")) {
+        continue; // the network broke it, as the shared address went to another front
+      }
+      verdict.tried("one-answer");
+      if (a.ends.size() != 1) {
+        verdict.broken("one-answer", a.at, a.id, 0, a.ends.size() + " ends of one request");
+        continue;
+      }
+      Seen end = a.ends.get(0);
+      String how = end.text("how");
+      if (!end.what().equals("answered")) {
+        verdict.broken("one-answer", a.at, a.id, 0, "no answer: " + end.what());
+      } else if (how == null || !Set.of("plays", "blocked", "aborted").contains(how)) {
+        verdict.broken("one-answer", a.at, a.id, 0, "an unclear answer: " + end.text("status"));
+      } else if (end.at() > patienceEnds + day.terms.slack()) {
+        verdict.broken(
+            "one-answer",
+            a.at,
+            a.id,
+            0,
+            "answered " + (end.at() - patienceEnds) / 1000 + " ms after the viewer's patience");
+      } else if (how.equals("plays")
+          && day.byViewing.getOrDefault(end.text("viewing"), List.of()).stream()
+              .noneMatch(u -> "plays".equals(u.how))) {
+        verdict.broken("one-answer", a.at, a.id, 0, "said to play, and no box plays it");
+      }
     }
+  }
 
-    /** Rule 2. */
-    private void noDoubleSetUp() {
-        String rule = "no-double-set-up";
-        for (List<Day.SetUp> of : day.byViewing.values()) {
-            Set<Integer> numbers = new HashSet<>();
-            for (int i = 0; i < of.size(); i++) {
-                Day.SetUp u = of.get(i);
-                verdict.tried(rule);
-                if (!numbers.add(u.tuneIn)) {
-                    verdict.broken(rule, u.at, u.viewing, u.box, "tune-in " + u.tuneIn + " was sent twice");
-                }
-                for (Day.SetUp earlier : of.subList(0, i)) {
-                    if (earlier.noLongerOut() > u.at + day.terms.slack()) {
-                        verdict.broken(rule, u.at, u.viewing, u.box, "two tune-ins out: the other at box " + earlier.box);
-                    }
-                    if (day.terms.packages().get(u.pack).paid() && !earlier.provablyNeverRan()) {
-                        verdict.broken(rule, u.at, u.viewing, u.box, "set up again though paid for at box " + earlier.box);
-                    }
-                }
-            }
+  /** Rule 2. */
+  private void noDoubleSetUp() {
+    String rule = "no-double-set-up";
+    for (List<Day.SetUp> of : day.byViewing.values()) {
+      Set<Integer> numbers = new HashSet<>();
+      for (int i = 0; i < of.size(); i++) {
+        Day.SetUp u = of.get(i);
+        verdict.tried(rule);
+        if (!numbers.add(u.tuneIn)) {
+          verdict.broken(rule, u.at, u.viewing, u.box, "tune-in " + u.tuneIn + " was sent twice");
         }
-        Map<String, List<Day.SetUp>> byKey = new HashMap<>();
-        day.setUps.forEach(u -> byKey.computeIfAbsent(u.key + "@" + u.front, k -> new ArrayList<>()).add(u));
-        for (Day.Ask a : day.asks.values()) {
-            if (!day.terms.packages().get(a.pack).paid() || a.ends.isEmpty()
-                    || !"blocked".equals(a.ends.get(0).text("how"))) {
-                continue;
-            }
-            verdict.tried(rule);
-            long answered = a.ends.get(0).at();
-            for (Day.SetUp u : byKey.getOrDefault(a.key + "@" + a.front, List.of())) {
-                if (u.at >= a.at && u.at <= answered && !u.provablyNeverRan()) {
-                    verdict.broken(rule, answered, u.viewing, u.box, "blocked, though paid for and perhaps set up");
-                }
-            }
+        for (Day.SetUp earlier : of.subList(0, i)) {
+          if (earlier.noLongerOut() > u.at + day.terms.slack()) {
+            verdict.broken(
+                rule, u.at, u.viewing, u.box, "two tune-ins out: the other at box " + earlier.box);
+          }
+          if (day.terms.packages().get(u.pack).paid() && !earlier.provablyNeverRan()) {
+            verdict.broken(
+                rule, u.at, u.viewing, u.box, "set up again though paid for at box " + earlier.box);
+          }
         }
+      }
     }
-
-    /** Rule 3. A front hears when it runs; a whole list that no longer names a box says that it is gone. */
-    private void drains() {
-        String rule = "drains";
-        Map<String, Long> notServing = new HashMap<>();
-        Map<Integer, Set<Long>> known = new HashMap<>();
-        for (Seen s : day.all) {
-            int front = (int) s.whole("front");
-            switch (s.what()) {
-                case "front-started" -> {
-                    notServing.keySet().removeIf(k -> k.startsWith(front + "/"));
-                    known.remove(front);
-                }
-                case "told" -> told(notServing, known, front, s.whole("box"), s.at(), s.text("state").equals("serving"));
-                case "told-whole" -> {
-                    Set<Long> named = new HashSet<>();
-                    s.fields().path("boxes").forEach(b -> named.add(b.asLong()));
-                    for (long box : List.copyOf(known.getOrDefault(front, Set.of()))) {
-                        if (!named.contains(box)) {
-                            told(notServing, known, front, box, s.at(), false);
-                        }
-                    }
-                }
-                case "set-up" -> {
-                    Long since = notServing.get(front + "/" + s.whole("box"));
-                    if (since != null && s.at() > day.running(front, since) + day.terms.grace() + day.terms.slack()) {
-                        verdict.broken(rule, s.at(), s.text("viewing"), s.whole("box"), "sent "
-                                + (s.at() - since) / 1000 + " ms after it was told not to serve");
-                    }
-                }
-                default -> {
-                }
-            }
+    Map<String, List<Day.SetUp>> byKey = new HashMap<>();
+    day.setUps.forEach(
+        u -> byKey.computeIfAbsent(u.key + "@" + u.front, k -> new ArrayList<>()).add(u));
+    for (Day.Ask a : day.asks.values()) {
+      if (!day.terms.packages().get(a.pack).paid()
+          || a.ends.isEmpty()
+          || !"blocked".equals(a.ends.get(0).text("how"))) {
+        continue;
+      }
+      verdict.tried(rule);
+      long answered = a.ends.get(0).at();
+      for (Day.SetUp u : byKey.getOrDefault(a.key + "@" + a.front, List.of())) {
+        if (u.at >= a.at && u.at <= answered && !u.provablyNeverRan()) {
+          verdict.broken(
+              rule, answered, u.viewing, u.box, "blocked, though paid for and perhaps set up");
         }
+      }
     }
+  }
 
-    private void told(Map<String, Long> notServing, Map<Integer, Set<Long>> known, int front, long box, long at,
-            boolean serving) {
-        known.computeIfAbsent(front, f -> new HashSet<>()).add(box);
-        if (serving) {
-            notServing.remove(front + "/" + box);
-        } else if (notServing.putIfAbsent(front + "/" + box, at) == null) {
-            verdict.tried("drains");
+  /**
+   * Rule 3. A front hears when it runs; a whole list that no longer names a box says that it is
+   * gone.
+   */
+  private void drains() {
+    String rule = "drains";
+    Map<String, Long> notServing = new HashMap<>();
+    Map<Integer, Set<Long>> known = new HashMap<>();
+    for (Seen s : day.all) {
+      int front = (int) s.whole("front");
+      switch (s.what()) {
+        case "front-started" -> {
+          notServing.keySet().removeIf(k -> k.startsWith(front + "/"));
+          known.remove(front);
         }
-    }
-
-    /** Rule 4. In no window of the fall's length may all fronts together send more than the multiple of the pace. */
-    private void coldBoxes() {
-        String rule = "cold-boxes";
-        Map<Long, long[]> cold = new HashMap<>();
-        Map<Long, List<Long>> sends = new HashMap<>();
-        for (Seen s : day.all) {
-            long box = s.whole("box");
-            if (s.what().equals("box-started")) {
-                sends.remove(box);
-                cold.remove(box);
-                if (s.fields().path("cold").asBoolean()) {
-                    cold.put(box, new long[] {s.at(), s.whole("streams")});
-                }
-            } else if (s.what().equals("box-fell")) {
-                verdict.broken(rule, s.at(), "all", box, "the box fell over");
-            } else if (s.what().equals("set-up") && cold.containsKey(box)) {
-                long[] start = cold.get(box);
-                if (s.at() - start[0] >= day.terms.cold()) {
-                    cold.remove(box);
-                    continue;
-                }
-                verdict.tried(rule);
-                List<Long> of = sends.computeIfAbsent(box, b -> new ArrayList<>());
-                of.add(s.at());
-                long from = s.at() - day.terms.fallAfter();
-                of.removeIf(at -> at < from);
-                double most = Math.max(1, day.terms.fallMultiple() * start[1] * warmed(Math.max(0, from - start[0]),
-                        s.at() - start[0]) / day.terms.cold());
-                if (of.size() > most) {
-                    verdict.broken(rule, s.at(), s.text("viewing"), box, of.size() + " set-ups in a window of "
-                            + String.format(java.util.Locale.ROOT, "%.1f", most));
-                }
+        case "told" ->
+            told(
+                notServing,
+                known,
+                front,
+                s.whole("box"),
+                s.at(),
+                s.text("state").equals("serving"));
+        case "told-whole" -> {
+          Set<Long> named = new HashSet<>();
+          s.fields().path("boxes").forEach(b -> named.add(b.asLong()));
+          for (long box : List.copyOf(known.getOrDefault(front, Set.of()))) {
+            if (!named.contains(box)) {
+              told(notServing, known, front, box, s.at(), false);
             }
+          }
+        }
+        case "set-up" -> {
+          Long since = notServing.get(front + "/" + s.whole("box"));
+          if (since != null
+              && s.at() > day.running(front, since) + day.terms.grace() + day.terms.slack()) {
+            verdict.broken(
+                rule,
+                s.at(),
+                s.text("viewing"),
+                s.whole("box"),
+                "sent " + (s.at() - since) / 1000 + " ms after it was told not to serve");
+          }
         }
+        default -> {}
+      }
     }
+  }
 
-    /** The share warmed, summed over a window of a cold box's age, microseconds. A window that began before it counts whole. */
-    private double warmed(long from, long to) {
-        double start = day.terms.startCapacity();
-        double middle = start + (1 - start) * ((from + to) / 2.0) / day.terms.cold();
-        return Math.min(1, middle) * day.terms.fallAfter();
+  private void told(
+      Map<String, Long> notServing,
+      Map<Integer, Set<Long>> known,
+      int front,
+      long box,
+      long at,
+      boolean serving) {
+    known.computeIfAbsent(front, f -> new HashSet<>()).add(box);
+    if (serving) {
+      notServing.remove(front + "/" + box);
+    } else if (notServing.putIfAbsent(front + "/" + box, at) == null) {
+      verdict.tried("drains");
     }
+  }
 
-    /** Rule 5, the rungs. */
-    private void floors() {
-        Map<String, Terms.Pack> packs = new HashMap<>();
-        for (Seen s : day.all) {
-            boolean setUp = s.what().equals("set-up");
-            if (!setUp && !s.what().equals("rung")) {
-                continue;
-            }
-            if (setUp) {
-                packs.put(s.text("viewing"), day.terms.packages().get(s.text("package")));
-            }
-            Terms.Pack p = packs.get(s.text("viewing"));
-            if (p == null) {
-                continue;
-            }
-            if (p.lowest() > 0) {
-                verdict.tried("terms");
-            }
-            if (s.whole("rung") < p.lowest() || s.whole("rung") > p.highest()) {
-                verdict.broken("terms", s.at(), s.text("viewing"), s.whole("box"), "rung " + s.whole("rung")
-                        + " of a package with " + p.lowest() + " to " + p.highest());
-            }
+  /**
+   * Rule 4. In no window of the fall's length may all fronts together send more than the multiple
+   * of the pace.
+   */
+  private void coldBoxes() {
+    String rule = "cold-boxes";
+    Map<Long, long[]> cold = new HashMap<>();
+    Map<Long, List<Long>> sends = new HashMap<>();
+    for (Seen s : day.all) {
+      long box = s.whole("box");
+      if (s.what().equals("box-started")) {
+        sends.remove(box);
+        cold.remove(box);
+        if (s.fields().path("cold").asBoolean()) {
+          cold.put(box, new long[] {s.at(), s.whole("streams")});
+        }
+      } else if (s.what().equals("box-fell")) {
+        verdict.broken(rule, s.at(), "all", box, "the box fell over");
+      } else if (s.what().equals("set-up") && cold.containsKey(box)) {
+        long[] start = cold.get(box);
+        if (s.at() - start[0] >= day.terms.cold()) {
+          cold.remove(box);
+          continue;
         }
+        verdict.tried(rule);
+        List<Long> of = sends.computeIfAbsent(box, b -> new ArrayList<>());
+        of.add(s.at());
+        long from = s.at() - day.terms.fallAfter();
+        of.removeIf(at -> at < from);
+        double most =
+            Math.max(
+                1,
+                day.terms.fallMultiple()
+                    * start[1]
+                    * warmed(Math.max(0, from - start[0]), s.at() - start[0])
+                    / day.terms.cold());
+        if (of.size() > most) {
+          verdict.broken(
+              rule,
+              s.at(),
+              s.text("viewing"),
+              box,
+              of.size()
+                  + " set-ups in a window of "
+                  + String.format(java.util.Locale.ROOT, "%.1f", most));
+        }
+      }
     }
+  }
 
-    /** Rule 5, the seats: viewings of one title and package that one life of a front holds, set-ups counted. */
-    private void seats() {
-        Map<String, List<Day.SetUp>> held = new HashMap<>();
-        for (Day.SetUp u : day.setUps) {
-            int seats = day.terms.packages().get(u.pack).seats();
-            if (seats <= 0) {
-                continue;
-            }
-            verdict.tried("terms");
-            List<Day.SetUp> of = held.computeIfAbsent(u.life() + "/" + u.title + "/" + u.pack, k -> new ArrayList<>());
-            of.removeIf(other -> other.overAt <= u.at + day.terms.slack() || other.viewing.equals(u.viewing));
-            of.add(u);
-            if (of.size() > seats) {
-                verdict.broken("terms", u.at, u.viewing, u.box, of.size() + " viewings of " + u.title + " on " + seats
-                        + " seats");
-            }
-        }
+  /**
+   * The share warmed, summed over a window of a cold box's age, microseconds. A window that began
+   * before it counts whole.
+   */
+  private double warmed(long from, long to) {
+    double start = day.terms.startCapacity();
+    double middle = start + (1 - start) * ((from + to) / 2.0) / day.terms.cold();
+    return Math.min(1, middle) * day.terms.fallAfter();
+  }
+
+  /** Rule 5, the rungs. */
+  private void floors() {
+    Map<String, Terms.Pack> packs = new HashMap<>();
+    for (Seen s : day.all) {
+      boolean setUp = s.what().equals("set-up");
+      if (!setUp && !s.what().equals("rung")) {
+        continue;
+      }
+      if (setUp) {
+        packs.put(s.text("viewing"), day.terms.packages().get(s.text("package")));
+      }
+      Terms.Pack p = packs.get(s.text("viewing"));
+      if (p == null) {
+        continue;
+      }
+      if (p.lowest() > 0) {
+        verdict.tried("terms");
+      }
+      if (s.whole("rung") < p.lowest() || s.whole("rung") > p.highest()) {
+        verdict.broken(
+            "terms",
+            s.at(),
+            s.text("viewing"),
+            s.whole("box"),
+            "rung " + s.whole("rung") + " of a package with " + p.lowest() + " to " + p.highest());
+      }
     }
+  }
 
-    /** Rule 6, for each life of a front. */
-    private void furtherTuneIns() {
-        if (day.terms.furtherSpan() <= 0) {
-            return;
-        }
-        Map<String, List<Long>> further = new HashMap<>();
-        for (Day.SetUp u : day.setUps) {
-            if (u.tuneIn == 0) {
-                continue;
-            }
-            verdict.tried("further-tune-ins");
-            List<Long> of = further.computeIfAbsent(u.life(), l -> new ArrayList<>());
-            of.add(u.at);
-            long from = u.at - day.terms.furtherSpan();
-            of.removeIf(at -> at <= from + day.terms.slack());
-            long taken = day.asks.values().stream().filter(a -> a.front == u.front).mapToLong(a ->
-                    day.running(a.front, a.at)).filter(at -> at >= from - day.terms.slack()
-                            && at <= u.at + day.terms.slack()).count();
-            double most = day.terms.furtherFree() + day.terms.furtherShare() * taken;
-            if (of.size() > most) {
-                verdict.broken("further-tune-ins", u.at, u.viewing, u.box, of.size() + " further tune-ins of "
-                        + String.format(java.util.Locale.ROOT, "%.1f", most));
-            }
-        }
+  /**
+   * Rule 5, the seats: viewings of one title and package that one life of a front holds, set-ups
+   * counted.
+   */
+  private void seats() {
+    Map<String, List<Day.SetUp>> held = new HashMap<>();
+    for (Day.SetUp u : day.setUps) {
+      int seats = day.terms.packages().get(u.pack).seats();
+      if (seats <= 0) {
+        continue;
+      }
+      verdict.tried("terms");
+      List<Day.SetUp> of =
+          held.computeIfAbsent(u.life() + "/" + u.title + "/" + u.pack, k -> new ArrayList<>());
+      of.removeIf(
+          other -> other.overAt <= u.at + day.terms.slack() || other.viewing.equals(u.viewing));
+      of.add(u);
+      if (of.size() > seats) {
+        verdict.broken(
+            "terms",
+            u.at,
+            u.viewing,
+            u.box,
+            of.size() + " viewings of " + u.title + " on " + seats + " seats");
+      }
+    }
+  }
+
+  /** Rule 6, for each life of a front. */
+  private void furtherTuneIns() {
+    if (day.terms.furtherSpan() <= 0) {
+      return;
+    }
+    Map<String, List<Long>> further = new HashMap<>();
+    for (Day.SetUp u : day.setUps) {
+      if (u.tuneIn == 0) {
+        continue;
+      }
+      verdict.tried("further-tune-ins");
+      List<Long> of = further.computeIfAbsent(u.life(), l -> new ArrayList<>());
+      of.add(u.at);
+      long from = u.at - day.terms.furtherSpan();
+      of.removeIf(at -> at <= from + day.terms.slack());
+      long taken =
+          day.asks.values().stream()
+              .filter(a -> a.front == u.front)
+              .mapToLong(a -> day.running(a.front, a.at))
+              .filter(at -> at >= from - day.terms.slack() && at <= u.at + day.terms.slack())
+              .count();
+      double most = day.terms.furtherFree() + day.terms.furtherShare() * taken;
+      if (of.size() > most) {
+        verdict.broken(
+            "further-tune-ins",
+            u.at,
+            u.viewing,
+            u.box,
+            of.size()
+                + " further tune-ins of "
+                + String.format(java.util.Locale.ROOT, "%.1f", most));
+      }
     }
+  }
 }
--- a/src/main/java/linengauge/session/ListFollower.java
+++ b/src/main/java/linengauge/session/ListFollower.java
@@ -3,59 +3,68 @@
 import java.util.List;
 
 /**
- * Keeps the box list in the order of its revisions. Changes are applied only on the revision that they start from; after
- * a gap, a break too long or a list that started anew, the whole list is wanted.
+ * Keeps the box list in the order of its revisions. Changes are applied only on the revision that
+ * they start from; after a gap, a break too long or a list that started anew, the whole list is
+ * wanted.
  */
 public final class ListFollower {
-    /** What became of a piece of the list. */
-    public enum Heard {
-        APPLIED,
-        /** Heard before; nothing was done. */
-        OLD,
-        /** Something before it was missed: the whole list is wanted, and the present one stands till it comes. */
-        GAP
-    }
+  /** What became of a piece of the list. */
+  public enum Heard {
+    APPLIED,
+    /** Heard before; nothing was done. */
+    OLD,
+    /**
+     * Something before it was missed: the whole list is wanted, and the present one stands till it
+     * comes.
+     */
+    GAP
+  }
 
-    /** No list has been heard: the whole one is wanted. */
-    public static final long NONE = -1;
+  /** No list has been heard: the whole one is wanted. */
+  public static final long NONE = -1;
 
-    private final BoxTable boxes;
-    private long revision = NONE;
+  private final BoxTable boxes;
+  private long revision = NONE;
 
-    public ListFollower(BoxTable boxes) {
-        this.boxes = boxes;
-    }
+  public ListFollower(BoxTable boxes) {
+    this.boxes = boxes;
+  }
 
-    /** The revision that the boxes are at, from which changes may be asked; NONE: the whole list is wanted. */
-    public long revision() {
-        return revision;
-    }
+  /**
+   * The revision that the boxes are at, from which changes may be asked; NONE: the whole list is
+   * wanted.
+   */
+  public long revision() {
+    return revision;
+  }
 
-    /** A whole list; one older than what is known is from a list that started anew, and holds as well. */
-    public Heard whole(long at, List<BoxTable.Row> rows) {
-        boxes.apply(true, rows);
-        revision = at;
-        return Heard.APPLIED;
-    }
+  /**
+   * A whole list; one older than what is known is from a list that started anew, and holds as well.
+   */
+  public Heard whole(long at, List<BoxTable.Row> rows) {
+    boxes.apply(true, rows);
+    revision = at;
+    return Heard.APPLIED;
+  }
 
-    /** Changes that lead from one revision to another. */
-    public Heard changes(long from, long to, List<BoxTable.Row> rows) {
-        if (revision == NONE || from > revision) {
-            return Heard.GAP;
-        }
-        if (to <= revision) {
-            return Heard.OLD;
-        }
-        if (from < revision) {
-            return Heard.GAP; // part of it is known, part not: rows of both cannot be told apart
-        }
-        boxes.apply(false, rows);
-        revision = to;
-        return Heard.APPLIED;
+  /** Changes that lead from one revision to another. */
+  public Heard changes(long from, long to, List<BoxTable.Row> rows) {
+    if (revision == NONE || from > revision) {
+      return Heard.GAP;
     }
-
-    /** The list cannot answer for the revision known: the next one must be whole. */
-    public void forget() {
-        revision = NONE;
+    if (to <= revision) {
+      return Heard.OLD;
+    }
+    if (from < revision) {
+      return Heard.GAP; // part of it is known, part not: rows of both cannot be told apart
     }
+    boxes.apply(false, rows);
+    revision = to;
+    return Heard.APPLIED;
+  }
+
+  /** The list cannot answer for the revision known: the next one must be whole. */
+  public void forget() {
+    revision = NONE;
+  }
 }
--- a/src/main/java/linengauge/site/BadSite.java
+++ b/src/main/java/linengauge/site/BadSite.java
@@ -5,15 +5,15 @@
 
 /** A site file that is refused, whole; its message has one line a fault. */
 public final class BadSite extends Exception {
-    private static final long serialVersionUID = 1L;
-    private final transient List<SiteFault> faults;
+  private static final long serialVersionUID = 1L;
+  private final transient List<SiteFault> faults;
 
-    BadSite(List<SiteFault> faults) {
-        super(faults.stream().map(SiteFault::toString).collect(Collectors.joining("\n")));
-        this.faults = List.copyOf(faults);
-    }
+  BadSite(List<SiteFault> faults) {
+    super(faults.stream().map(SiteFault::toString).collect(Collectors.joining("\n")));
+    this.faults = List.copyOf(faults);
+  }
 
-    public List<SiteFault> faults() {
-        return faults;
-    }
+  public List<SiteFault> faults() {
+    return faults;
+  }
 }
--- a/src/main/java/linengauge/standin/PlatformJournal.java
+++ b/src/main/java/linengauge/standin/PlatformJournal.java
@@ -10,99 +10,120 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** The journal service of the platform (docs/protocol/platform.md), on loopback; for tests and try-outs. */
+/**
+ * The journal service of the platform (docs/protocol/platform.md), on loopback; for tests and
+ * try-outs.
+ */
 public final class PlatformJournal implements AutoCloseable {
-    private final ServerSocket door;
-    private final List<byte[]> events = new ArrayList<>();
-    private final List<Socket> readers = new CopyOnWriteArrayList<>();
-    /** The numbers from which it was asked. */
-    public final List<Long> asked = new CopyOnWriteArrayList<>();
+  private final ServerSocket door;
+  private final List<byte[]> events = new ArrayList<>();
+  private final List<Socket> readers = new CopyOnWriteArrayList<>();
 
-    /** Numbers go on from that of the last event known elsewhere. */
-    public PlatformJournal(long from) throws IOException {
-        this(from, 0);
-    }
+  /** The numbers from which it was asked. */
+  public final List<Long> asked = new CopyOnWriteArrayList<>();
 
-    /** The same at a port, as one that comes back there. */
-    public PlatformJournal(long from, int port) throws IOException {
-        door = new ServerSocket(port, 16, InetAddress.getLoopbackAddress());
-        for (long i = 0; i < from; i++) {
-            events.add(new byte[0]);
-        }
-        Thread t = new Thread(this::accept, "platform-journal");
-        t.setDaemon(true);
-        t.start();
-    }
+  /** Numbers go on from that of the last event known elsewhere. */
+  public PlatformJournal(long from) throws IOException {
+    this(from, 0);
+  }
 
-    public int port() {
-        return door.getLocalPort();
+  /** The same at a port, as one that comes back there. */
+  public PlatformJournal(long from, int port) throws IOException {
+    door = new ServerSocket(port, 16, InetAddress.getLoopbackAddress());
+    for (long i = 0; i < from; i++) {
+      events.add(new byte[0]);
     }
+    Thread t = new Thread(this::accept, "platform-journal");
+    t.setDaemon(true);
+    t.start();
+  }
 
-    private void accept() {
-        try {
-            while (true) {
-                Socket s = door.accept();
-                long last = new DataInputStream(s.getInputStream()).readLong();
-                synchronized (this) {
-                    asked.add(last);
-                    readers.add(s);
-                    for (long n = last; n < events.size(); n++) {
-                        s.getOutputStream().write(events.get((int) n));
-                    }
-                }
-            }
-        } catch (IOException e) {
-            // closed
+  public int port() {
+    return door.getLocalPort();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket s = door.accept();
+        long last = new DataInputStream(s.getInputStream()).readLong();
+        synchronized (this) {
+          asked.add(last);
+          readers.add(s);
+          for (long n = last; n < events.size(); n++) {
+            s.getOutputStream().write(events.get((int) n));
+          }
         }
+      }
+    } catch (IOException e) {
+      // closed
     }
+  }
 
-    /** A record of the list; state: 0 ready, 1 draining, 2 gone. */
-    public static byte[] record(int id, int port, int state, int cell, long startedMs) {
-        return ByteBuffer.allocate(27).putInt(id).put(new byte[] {127, 0, 0, 1}).putShort((short) port).put((byte) state)
-                .put((byte) 0).put((byte) 0).putShort((short) cell).putInt(2000).putLong(startedMs).array();
-    }
+  /** A record of the list; state: 0 ready, 1 draining, 2 gone. */
+  public static byte[] record(int id, int port, int state, int cell, long startedMs) {
+    return ByteBuffer.allocate(27)
+        .putInt(id)
+        .put(new byte[] {127, 0, 0, 1})
+        .putShort((short) port)
+        .put((byte) state)
+        .put((byte) 0)
+        .put((byte) 0)
+        .putShort((short) cell)
+        .putInt(2000)
+        .putLong(startedMs)
+        .array();
+  }
 
-    public synchronized void change(byte[]... records) {
-        ByteBuffer f = ByteBuffer.allocate(13 + 27 * records.length).putInt(9 + 27 * records.length)
-                .putLong(events.size() + 1).put((byte) 2);
-        for (byte[] r : records) {
-            f.put(r);
-        }
-        events.add(f.array());
-        tell(f.array());
+  public synchronized void change(byte[]... records) {
+    ByteBuffer f =
+        ByteBuffer.allocate(13 + 27 * records.length)
+            .putInt(9 + 27 * records.length)
+            .putLong(events.size() + 1)
+            .put((byte) 2);
+    for (byte[] r : records) {
+      f.put(r);
     }
+    events.add(f.array());
+    tell(f.array());
+  }
 
-    /** The sign of life. */
-    public synchronized void nothingNew() {
-        tell(ByteBuffer.allocate(13).putInt(9).putLong(events.size()).put((byte) 0).array());
-    }
+  /** The sign of life. */
+  public synchronized void nothingNew() {
+    tell(ByteBuffer.allocate(13).putInt(9).putLong(events.size()).put((byte) 0).array());
+  }
 
-    /** Begins an event and breaks off within it; who asks again gets it whole. */
-    public synchronized void breakWithin(byte[] record) throws IOException {
-        ByteBuffer f = ByteBuffer.allocate(13 + 27).putInt(9 + 27).putLong(events.size() + 1).put((byte) 2).put(record);
-        events.add(f.array());
-        for (Socket s : readers) {
-            s.getOutputStream().write(f.array(), 0, 20);
-            s.close();
-        }
-        readers.clear();
+  /** Begins an event and breaks off within it; who asks again gets it whole. */
+  public synchronized void breakWithin(byte[] record) throws IOException {
+    ByteBuffer f =
+        ByteBuffer.allocate(13 + 27)
+            .putInt(9 + 27)
+            .putLong(events.size() + 1)
+            .put((byte) 2)
+            .put(record);
+    events.add(f.array());
+    for (Socket s : readers) {
+      s.getOutputStream().write(f.array(), 0, 20);
+      s.close();
     }
+    readers.clear();
+  }
 
-    public synchronized void tell(byte[] bytes) {
-        for (Socket s : readers) {
-            try {
-                s.getOutputStream().write(bytes);
-            } catch (IOException e) {
-                readers.remove(s);
-            }
-        }
+  public synchronized void tell(byte[] bytes) {
+    for (Socket s : readers) {
+      try {
+        s.getOutputStream().write(bytes);
+      } catch (IOException e) {
+        readers.remove(s);
+      }
     }
+  }
 
-    @Override
-    public void close() throws IOException {
-        door.close();
-        for (Socket s : readers) {
-            s.close();
-        }
+  @Override
+  public void close() throws IOException {
+    door.close();
+    for (Socket s : readers) {
+      s.close();
     }
+  }
 }
--- a/src/main/java/linengauge/standin/PlatformTryOut.java
+++ b/src/main/java/linengauge/standin/PlatformTryOut.java
@@ -4,72 +4,75 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 
-/** The other side of a try-out: three boxes, the journal service and a connection of viewers, on free loopback ports. */
+/**
+ * The other side of a try-out: three boxes, the journal service and a connection of viewers, on
+ * free loopback ports.
+ */
 public final class PlatformTryOut implements AutoCloseable {
-    private static final int VIEWINGS = 200;
-    private final PlatformBox[] boxes = {new PlatformBox(), new PlatformBox(), new PlatformBox()};
-    private final PlatformJournal journal = new PlatformJournal(1);
-    private final int port;
+  private static final int VIEWINGS = 200;
+  private final PlatformBox[] boxes = {new PlatformBox(), new PlatformBox(), new PlatformBox()};
+  private final PlatformJournal journal = new PlatformJournal(1);
+  private final int port;
 
-    public PlatformTryOut() throws IOException {
-        port = freePort();
-    }
+  public PlatformTryOut() throws IOException {
+    port = freePort();
+  }
 
-    /** A port that was free just now. */
-    public static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
+  /** A port that was free just now. */
+  public static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
     }
+  }
 
-    public int port() {
-        return port;
-    }
+  public int port() {
+    return port;
+  }
 
-    public int journal() {
-        return journal.port();
-    }
+  public int journal() {
+    return journal.port();
+  }
 
-    public int[] boxes() {
-        return new int[] {boxes[0].port(), boxes[1].port(), boxes[2].port()};
-    }
+  public int[] boxes() {
+    return new int[] {boxes[0].port(), boxes[1].port(), boxes[2].port()};
+  }
 
-    /** True where every viewing asked for was answered: it plays. */
-    public boolean play() throws IOException, InterruptedException {
-        int played = 0;
-        try (var viewers = new PlatformViewers(port)) {
-            viewers.test();
-            viewers.next(2000);
-            journal.change(PlatformJournal.record(9, 1, 1, 3, 0));
-            for (int id = 1; id <= VIEWINGS; id++) {
-                viewers.send(PlatformViewers.setUp(id, "lesson", 2000, ""));
-                boxes[id % 3].mood = id % 20 == 0 ? PlatformBox.Mood.FULL : PlatformBox.Mood.WELL;
-                for (var said = viewers.next(3000); said != null; said = viewers.next(3000)) {
-                    if (said.id() == id) {
-                        played += said.type() == 9 ? 1 : 0;
-                        break;
-                    }
-                }
-                if (id % 2 == 0) {
-                    viewers.end(id, 16);
-                } else {
-                    for (PlatformBox b : boxes) {
-                        if (b.playing().containsKey(String.format("%016x", id))) {
-                            b.note(String.format("%016x", id), "got", 0.9);
-                            b.end(String.format("%016x", id), 16);
-                        }
-                    }
-                }
+  /** True where every viewing asked for was answered: it plays. */
+  public boolean play() throws IOException, InterruptedException {
+    int played = 0;
+    try (var viewers = new PlatformViewers(port)) {
+      viewers.test();
+      viewers.next(2000);
+      journal.change(PlatformJournal.record(9, 1, 1, 3, 0));
+      for (int id = 1; id <= VIEWINGS; id++) {
+        viewers.send(PlatformViewers.setUp(id, "lesson", 2000, ""));
+        boxes[id % 3].mood = id % 20 == 0 ? PlatformBox.Mood.FULL : PlatformBox.Mood.WELL;
+        for (var said = viewers.next(3000); said != null; said = viewers.next(3000)) {
+          if (said.id() == id) {
+            played += said.type() == 9 ? 1 : 0;
+            break;
+          }
+        }
+        if (id % 2 == 0) {
+          viewers.end(id, 16);
+        } else {
+          for (PlatformBox b : boxes) {
+            if (b.playing().containsKey(String.format("%016x", id))) {
+              b.note(String.format("%016x", id), "got", 0.9);
+              b.end(String.format("%016x", id), 16);
             }
+          }
         }
-        return played >= VIEWINGS / 2;
+      }
     }
+    return played >= VIEWINGS / 2;
+  }
 
-    @Override
-    public void close() throws IOException {
-        for (PlatformBox b : boxes) {
-            b.close();
-        }
-        journal.close();
+  @Override
+  public void close() throws IOException {
+    for (PlatformBox b : boxes) {
+      b.close();
     }
+    journal.close();
+  }
 }
