--- a/src/main/java/linengauge/standin/PlatformViewers.java
+++ b/src/main/java/linengauge/standin/PlatformViewers.java
@@ -10,90 +10,108 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-/** One connection of viewers as the platform's speak (docs/protocol/platform.md, "Viewers"); for tests and try-outs. */
+/**
+ * One connection of viewers as the platform's speak (docs/protocol/platform.md, "Viewers"); for
+ * tests and try-outs.
+ */
 public final class PlatformViewers implements AutoCloseable {
-    /** What the front said: type, id, cause (-1: none), description and advice (null: none). CLOSED ends it. */
-    public record Said(int type, long id, int cause, String description, String comeBack) {
-        public static final Said CLOSED = new Said(-1, 0, -1, null, null);
-    }
+  /**
+   * What the front said: type, id, cause (-1: none), description and advice (null: none). CLOSED
+   * ends it.
+   */
+  public record Said(int type, long id, int cause, String description, String comeBack) {
+    public static final Said CLOSED = new Said(-1, 0, -1, null, null);
+  }
 
-    private final Socket socket;
-    private final BlockingQueue<Said> said = new LinkedBlockingQueue<>();
+  private final Socket socket;
+  private final BlockingQueue<Said> said = new LinkedBlockingQueue<>();
 
-    public PlatformViewers(int port) throws IOException {
-        socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        socket.setTcpNoDelay(true);
-        Thread t = new Thread(this::read, "platform-viewers");
-        t.setDaemon(true);
-        t.start();
-    }
+  public PlatformViewers(int port) throws IOException {
+    socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    socket.setTcpNoDelay(true);
+    Thread t = new Thread(this::read, "platform-viewers");
+    t.setDaemon(true);
+    t.start();
+  }
 
-    private void read() {
-        try {
-            var in = new DataInputStream(socket.getInputStream());
-            while (true) {
-                byte[] m = new byte[in.readUnsignedShort()];
-                in.readFully(m);
-                ByteBuffer b = ByteBuffer.wrap(m);
-                int type = b.get() & 0xff;
-                long id = b.getLong();
-                int cause = -1;
-                String description = null;
-                String comeBack = null;
-                while (b.hasRemaining()) {
-                    int code = b.get() & 0xff;
-                    byte[] value = new byte[b.getShort() & 0xffff];
-                    b.get(value);
-                    switch (code) {
-                        case 61 -> cause = value[0] & 0xff;
-                        case 63 -> description = new String(value, StandardCharsets.UTF_8);
-                        case 45 -> comeBack = new String(value, StandardCharsets.UTF_8);
-                        default -> {
-                        }
-                    }
-                }
-                said.add(new Said(type, id, cause, description, comeBack));
-            }
-        } catch (IOException e) {
-            said.add(Said.CLOSED);
+  private void read() {
+    try {
+      var in = new DataInputStream(socket.getInputStream());
+      while (true) {
+        byte[] m = new byte[in.readUnsignedShort()];
+        in.readFully(m);
+        ByteBuffer b = ByteBuffer.wrap(m);
+        int type = b.get() & 0xff;
+        long id = b.getLong();
+        int cause = -1;
+        String description = null;
+        String comeBack = null;
+        while (b.hasRemaining()) {
+          int code = b.get() & 0xff;
+          byte[] value = new byte[b.getShort() & 0xffff];
+          b.get(value);
+          switch (code) {
+            case 61 -> cause = value[0] & 0xff;
+            case 63 -> description = new String(value, StandardCharsets.UTF_8);
+            case 45 -> comeBack = new String(value, StandardCharsets.UTF_8);
+            default -> {}
+          }
         }
+        said.add(new Said(type, id, cause, description, comeBack));
+      }
+    } catch (IOException e) {
+      said.add(Said.CLOSED);
     }
+  }
 
-    /** The next thing the front says, or null when nothing came in that time. */
-    public Said next(long ms) throws InterruptedException {
-        return said.poll(ms, TimeUnit.MILLISECONDS);
-    }
+  /** The next thing the front says, or null when nothing came in that time. */
+  public Said next(long ms) throws InterruptedException {
+    return said.poll(ms, TimeUnit.MILLISECONDS);
+  }
 
-    public static byte[] message(int type, long id, Object... parameters) {
-        ByteBuffer b = ByteBuffer.allocate(16 * 1024).putShort((short) 0).put((byte) type).putLong(id);
-        for (int i = 0; i < parameters.length; i += 2) {
-            byte[] value = parameters[i + 1] instanceof byte[] bytes ? bytes
-                    : parameters[i + 1].toString().getBytes(StandardCharsets.UTF_8);
-            b.put(((Integer) parameters[i]).byteValue()).putShort((short) value.length).put(value);
-        }
-        b.putShort(0, (short) (b.position() - 2));
-        return java.util.Arrays.copyOf(b.array(), b.position());
+  public static byte[] message(int type, long id, Object... parameters) {
+    ByteBuffer b = ByteBuffer.allocate(16 * 1024).putShort((short) 0).put((byte) type).putLong(id);
+    for (int i = 0; i < parameters.length; i += 2) {
+      byte[] value =
+          parameters[i + 1] instanceof byte[] bytes
+              ? bytes
+              : parameters[i + 1].toString().getBytes(StandardCharsets.UTF_8);
+      b.put(((Integer) parameters[i]).byteValue()).putShort((short) value.length).put(value);
     }
+    b.putShort(0, (short) (b.position() - 2));
+    return java.util.Arrays.copyOf(b.array(), b.position());
+  }
 
-    public static byte[] setUp(long id, String pack, long leftMs, String more) {
-        return message(1, id, 33, pack, 35, leftMs, 41, "7f3a9c21e0b4d655", 43,
-                "home:0;copies:0;top:4;viewer:00000000b4d65521" + more, 63, "m=audio of " + id + "\r\n");
-    }
+  public static byte[] setUp(long id, String pack, long leftMs, String more) {
+    return message(
+        1,
+        id,
+        33,
+        pack,
+        35,
+        leftMs,
+        41,
+        "7f3a9c21e0b4d655",
+        43,
+        "home:0;copies:0;top:4;viewer:00000000b4d65521" + more,
+        63,
+        "m=audio of " + id + "\r\n");
+  }
 
-    public void send(byte[] bytes) throws IOException {
-        socket.getOutputStream().write(bytes);
-    }
+  public void send(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+  }
 
-    public void test() throws IOException {
-        send(message(52, 1, 61, new byte[] {0}));
-    }
+  public void test() throws IOException {
+    send(message(52, 1, 61, new byte[] {0}));
+  }
 
-    public void end(long id, int cause) throws IOException {
-        send(message(12, id, 61, new byte[] {(byte) cause}));
-    }
+  public void end(long id, int cause) throws IOException {
+    send(message(12, id, 61, new byte[] {(byte) cause}));
+  }
 
-    @Override
-    public void close() throws IOException {
-        socket.close();
-    }
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
 }
--- a/src/main/java/linengauge/standin/Tap.java
+++ b/src/main/java/linengauge/standin/Tap.java
@@ -9,50 +9,51 @@
 import java.util.List;
 
 /**
- * What was seen on the sockets, in the order seen, one JSON object a line (docs/protocol/traffic.md). All stand-ins of a
- * drill write to one tap, so their moments are of one clock. It holds at most {@link #MOST} lines and then says that it is
- * full: a record cut short is no proof.
+ * What was seen on the sockets, in the order seen, one JSON object a line
+ * (docs/protocol/traffic.md). All stand-ins of a drill write to one tap, so their moments are of
+ * one clock. It holds at most {@link #MOST} lines and then says that it is full: a record cut short
+ * is no proof.
  */
 public final class Tap {
-    static final int MOST = 4_000_000;
-    private static final ObjectMapper JSON = new ObjectMapper();
+  static final int MOST = 4_000_000;
+  private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final long origin = System.nanoTime();
-    private final List<String> lines = new ArrayList<>();
-    private boolean full;
+  private final long origin = System.nanoTime();
+  private final List<String> lines = new ArrayList<>();
+  private boolean full;
 
-    /** Microseconds since the tap was opened. */
-    public long micros() {
-        return (System.nanoTime() - origin) / 1000;
-    }
+  /** Microseconds since the tap was opened. */
+  public long micros() {
+    return (System.nanoTime() - origin) / 1000;
+  }
 
-    /** Writes one line down; the values go in pairs, name and value. */
-    public synchronized void saw(String what, Object... pairs) {
-        if (lines.size() >= MOST) {
-            full = true;
-            return;
-        }
-        StringWriter text = new StringWriter(160);
-        try (JsonGenerator g = JSON.createGenerator(text)) {
-            g.writeStartObject();
-            g.writeNumberField("at", micros());
-            g.writeStringField("what", what);
-            for (int i = 0; i < pairs.length; i += 2) {
-                g.writeFieldName((String) pairs[i]);
-                g.writePOJO(pairs[i + 1]);
-            }
-            g.writeEndObject();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        lines.add(text.toString());
+  /** Writes one line down; the values go in pairs, name and value. */
+  public synchronized void saw(String what, Object... pairs) {
+    if (lines.size() >= MOST) {
+      full = true;
+      return;
     }
-
-    public synchronized List<String> lines() {
-        return new ArrayList<>(lines);
+    StringWriter text = new StringWriter(160);
+    try (JsonGenerator g = JSON.createGenerator(text)) {
+      g.writeStartObject();
+      g.writeNumberField("at", micros());
+      g.writeStringField("what", what);
+      for (int i = 0; i < pairs.length; i += 2) {
+        g.writeFieldName((String) pairs[i]);
+        g.writePOJO(pairs[i + 1]);
+      }
+      g.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
+    lines.add(text.toString());
+  }
 
-    public synchronized boolean full() {
-        return full;
-    }
+  public synchronized List<String> lines() {
+    return new ArrayList<>(lines);
+  }
+
+  public synchronized boolean full() {
+    return full;
+  }
 }
--- a/src/main/java/linengauge/standin/WordPost.java
+++ b/src/main/java/linengauge/standin/WordPost.java
@@ -7,44 +7,51 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
-/** Carries datagrams between fronts, a port for each front that is written to: late, and some lost. */
+/**
+ * Carries datagrams between fronts, a port for each front that is written to: late, and some lost.
+ */
 public final class WordPost {
-    private final Vertx vertx;
-    private final SplittableRandom chance;
-    private final List<DatagramSocket> sockets = new ArrayList<>();
-    private double lost;
-    private long carried;
-    private long dropped;
+  private final Vertx vertx;
+  private final SplittableRandom chance;
+  private final List<DatagramSocket> sockets = new ArrayList<>();
+  private double lost;
+  private long carried;
+  private long dropped;
 
-    public WordPost(Vertx vertx, long seed) {
-        this.vertx = vertx;
-        this.chance = new SplittableRandom(seed);
-    }
+  public WordPost(Vertx vertx, long seed) {
+    this.vertx = vertx;
+    this.chance = new SplittableRandom(seed);
+  }
 
-    /** What comes to the one port goes on to the other. */
-    public Future<?> carry(String host, int from, int to) {
-        DatagramSocket socket = vertx.createDatagramSocket();
-        sockets.add(socket);
-        return socket.listen(from, host).onSuccess(s -> s.handler(p -> {
-            if (chance.nextDouble() < lost) {
-                dropped++;
-                return;
-            }
-            carried++;
-            vertx.setTimer(2 + chance.nextInt(15), t -> socket.send(p.data(), to, host));
-        }));
-    }
+  /** What comes to the one port goes on to the other. */
+  public Future<?> carry(String host, int from, int to) {
+    DatagramSocket socket = vertx.createDatagramSocket();
+    sockets.add(socket);
+    return socket
+        .listen(from, host)
+        .onSuccess(
+            s ->
+                s.handler(
+                    p -> {
+                      if (chance.nextDouble() < lost) {
+                        dropped++;
+                        return;
+                      }
+                      carried++;
+                      vertx.setTimer(2 + chance.nextInt(15), t -> socket.send(p.data(), to, host));
+                    }));
+  }
 
-    /** This part of all datagrams is lost from now on. */
-    public void lose(double part) {
-        lost = part;
-    }
+  /** This part of all datagrams is lost from now on. */
+  public void lose(double part) {
+    lost = part;
+  }
 
-    public long carried() {
-        return carried;
-    }
+  public long carried() {
+    return carried;
+  }
 
-    public long dropped() {
-        return dropped;
-    }
+  public long dropped() {
+    return dropped;
+  }
 }
--- a/src/main/java/linengauge/vrrp/Advert.java
+++ b/src/main/java/linengauge/vrrp/Advert.java
@@ -12,11 +12,12 @@
  * @param addresses shared by the virtual router, 1 to 255, all of one family
  */
 public record Advert(int vrid, int priority, Span interval, List<NodeAddress> addresses) {
-    /** One hundredth of a second, the unit of intervals on the wire (section 5.2.7). */
-    public static final Span CENTISECOND = Span.ofMillis(10);
-    public static final int MOST_CENTISECONDS = 4095;
+  /** One hundredth of a second, the unit of intervals on the wire (section 5.2.7). */
+  public static final Span CENTISECOND = Span.ofMillis(10);
 
-    public Advert {
-        addresses = List.copyOf(addresses);
-    }
+  public static final int MOST_CENTISECONDS = 4095;
+
+  public Advert {
+    addresses = List.copyOf(addresses);
+  }
 }
--- a/src/main/java/linengauge/vrrp/Fitness.java
+++ b/src/main/java/linengauge/vrrp/Fitness.java
@@ -10,8 +10,8 @@
  * @param mostLate from which on that is an overloaded desk; none: never
  */
 public record Fitness(int servingBoxes, Span deskLate, Span mostLate) {
-    /** It could only block, or not even that. */
-    public boolean isUnwell() {
-        return servingBoxes == 0 || Span.NONE.under(mostLate) && !deskLate.under(mostLate);
-    }
+  /** It could only block, or not even that. */
+  public boolean isUnwell() {
+    return servingBoxes == 0 || Span.NONE.under(mostLate) && !deskLate.under(mostLate);
+  }
 }
--- a/src/main/java/linengauge/vrrp/Packets.java
+++ b/src/main/java/linengauge/vrrp/Packets.java
@@ -16,99 +16,112 @@
  * </pre>
  */
 public final class Packets {
-    private static final int VERSION = 3;
-    private static final int ADVERTISEMENT = 1;
-    private static final int HEADER_BYTES = 8;
-    /** The IP protocol number of VRRP (section 5.1), which the pseudo-header names though the packet is carried over UDP. */
-    private static final int PROTOCOL = 112;
+  private static final int VERSION = 3;
+  private static final int ADVERTISEMENT = 1;
+  private static final int HEADER_BYTES = 8;
 
-    private final boolean pseudoHeaderForIpv4;
+  /**
+   * The IP protocol number of VRRP (section 5.1), which the pseudo-header names though the packet
+   * is carried over UDP.
+   */
+  private static final int PROTOCOL = 112;
 
-    /**
-     * @param pseudoHeaderForIpv4 whether IPv4 checksums cover a pseudo-header too, as routers of RFC 5798 may have it;
-     *        RFC 9568 (5.2.8) has one for IPv6 only
-     */
-    public Packets(boolean pseudoHeaderForIpv4) {
-        this.pseudoHeaderForIpv4 = pseudoHeaderForIpv4;
-    }
+  private final boolean pseudoHeaderForIpv4;
 
-    /** The bytes of an advertisement between two addresses, which the checksum may cover. */
-    public byte[] encode(Advert a, NodeAddress from, NodeAddress to) {
-        int width = a.addresses().get(0).isIpv6() ? 16 : 4;
-        ByteBuffer b = ByteBuffer.allocate(HEADER_BYTES + width * a.addresses().size());
-        b.put((byte) (VERSION << 4 | ADVERTISEMENT)).put((byte) a.vrid()).put((byte) a.priority());
-        b.put((byte) a.addresses().size());
-        b.putShort((short) (a.interval().micros() / Advert.CENTISECOND.micros())).putShort((short) 0);
-        a.addresses().forEach(x -> b.put(x.bytes()));
-        b.putShort(6, (short) checksum(b.array(), b.capacity(), width == 16, from, to));
-        return b.array();
-    }
+  /**
+   * @param pseudoHeaderForIpv4 whether IPv4 checksums cover a pseudo-header too, as routers of RFC
+   *     5798 may have it; RFC 9568 (5.2.8) has one for IPv6 only
+   */
+  public Packets(boolean pseudoHeaderForIpv4) {
+    this.pseudoHeaderForIpv4 = pseudoHeaderForIpv4;
+  }
+
+  /** The bytes of an advertisement between two addresses, which the checksum may cover. */
+  public byte[] encode(Advert a, NodeAddress from, NodeAddress to) {
+    int width = a.addresses().get(0).isIpv6() ? 16 : 4;
+    ByteBuffer b = ByteBuffer.allocate(HEADER_BYTES + width * a.addresses().size());
+    b.put((byte) (VERSION << 4 | ADVERTISEMENT)).put((byte) a.vrid()).put((byte) a.priority());
+    b.put((byte) a.addresses().size());
+    b.putShort((short) (a.interval().micros() / Advert.CENTISECOND.micros())).putShort((short) 0);
+    a.addresses().forEach(x -> b.put(x.bytes()));
+    b.putShort(6, (short) checksum(b.array(), b.capacity(), width == 16, from, to));
+    return b.array();
+  }
 
-    /**
-     * Reads an advertisement whose addresses are of the receiving address's family; the first `length` bytes are it whole.
-     *
-     * @throws BadPacket with what section 7.1 has it discarded for
-     */
-    public Advert decode(byte[] bytes, int length, NodeAddress from, NodeAddress to) throws BadPacket {
-        int width = to.isIpv6() ? 16 : 4;
-        if (length < HEADER_BYTES || length > bytes.length) {
-            throw new BadPacket(Drop.LENGTH);
-        }
-        ByteBuffer b = ByteBuffer.wrap(bytes, 0, length);
-        int first = b.get() & 255;
-        if (first >> 4 != VERSION) {
-            throw new BadPacket(Drop.VERSION);
-        }
-        if ((first & 15) != ADVERTISEMENT) {
-            throw new BadPacket(Drop.TYPE);
-        }
-        int vrid = b.get() & 255;
-        int priority = b.get() & 255;
-        int count = b.get() & 255;
-        int centis = b.getShort() & 0xfff; // the four reserved bits are ignored on receipt (5.2.6)
-        if (count == 0) {
-            throw new BadPacket(Drop.COUNT);
-        }
-        if (length != HEADER_BYTES + width * count) {
-            throw new BadPacket(Drop.LENGTH);
-        }
-        if (checksum(bytes, length, to.isIpv6(), from, to) != 0) {
-            throw new BadPacket(Drop.CHECKSUM);
-        }
-        if (vrid == 0) {
-            throw new BadPacket(Drop.VRID);
-        }
-        if (centis == 0) {
-            throw new BadPacket(Drop.INTERVAL);
-        }
-        b.getShort();
-        List<NodeAddress> addresses = new ArrayList<>(count);
-        for (int i = 0; i < count; i++) {
-            byte[] one = new byte[width];
-            b.get(one);
-            addresses.add(new NodeAddress(one));
-        }
-        return new Advert(vrid, priority, new Span(centis * Advert.CENTISECOND.micros()), addresses);
+  /**
+   * Reads an advertisement whose addresses are of the receiving address's family; the first
+   * `length` bytes are it whole.
+   *
+   * @throws BadPacket with what section 7.1 has it discarded for
+   */
+  public Advert decode(byte[] bytes, int length, NodeAddress from, NodeAddress to)
+      throws BadPacket {
+    int width = to.isIpv6() ? 16 : 4;
+    if (length < HEADER_BYTES || length > bytes.length) {
+      throw new BadPacket(Drop.LENGTH);
+    }
+    ByteBuffer b = ByteBuffer.wrap(bytes, 0, length);
+    int first = b.get() & 255;
+    if (first >> 4 != VERSION) {
+      throw new BadPacket(Drop.VERSION);
+    }
+    if ((first & 15) != ADVERTISEMENT) {
+      throw new BadPacket(Drop.TYPE);
+    }
+    int vrid = b.get() & 255;
+    int priority = b.get() & 255;
+    int count = b.get() & 255;
+    int centis = b.getShort() & 0xfff; // the four reserved bits are ignored on receipt (5.2.6)
+    if (count == 0) {
+      throw new BadPacket(Drop.COUNT);
     }
+    if (length != HEADER_BYTES + width * count) {
+      throw new BadPacket(Drop.LENGTH);
+    }
+    if (checksum(bytes, length, to.isIpv6(), from, to) != 0) {
+      throw new BadPacket(Drop.CHECKSUM);
+    }
+    if (vrid == 0) {
+      throw new BadPacket(Drop.VRID);
+    }
+    if (centis == 0) {
+      throw new BadPacket(Drop.INTERVAL);
+    }
+    b.getShort();
+    List<NodeAddress> addresses = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      byte[] one = new byte[width];
+      b.get(one);
+      addresses.add(new NodeAddress(one));
+    }
+    return new Advert(vrid, priority, new Span(centis * Advert.CENTISECOND.micros()), addresses);
+  }
 
-    /** The ones' complement of the ones' complement sum (section 5.2.8); 0 over bytes that hold their own checksum. */
-    private int checksum(byte[] bytes, int length, boolean ipv6, NodeAddress from, NodeAddress to) {
-        long sum = 0;
-        if (ipv6 || pseudoHeaderForIpv4) {
-            sum += sum(from.bytes(), from.bytes().length) + sum(to.bytes(), to.bytes().length) + length + PROTOCOL;
-        }
-        sum += sum(bytes, length);
-        while (sum >> 16 != 0) {
-            sum = (sum & 0xffff) + (sum >> 16);
-        }
-        return (int) (~sum & 0xffff);
+  /**
+   * The ones' complement of the ones' complement sum (section 5.2.8); 0 over bytes that hold their
+   * own checksum.
+   */
+  private int checksum(byte[] bytes, int length, boolean ipv6, NodeAddress from, NodeAddress to) {
+    long sum = 0;
+    if (ipv6 || pseudoHeaderForIpv4) {
+      sum +=
+          sum(from.bytes(), from.bytes().length)
+              + sum(to.bytes(), to.bytes().length)
+              + length
+              + PROTOCOL;
+    }
+    sum += sum(bytes, length);
+    while (sum >> 16 != 0) {
+      sum = (sum & 0xffff) + (sum >> 16);
     }
+    return (int) (~sum & 0xffff);
+  }
 
-    private static long sum(byte[] bytes, int length) {
-        long sum = 0;
-        for (int i = 0; i < length; i++) {
-            sum += (i & 1) == 0 ? (bytes[i] & 255L) << 8 : bytes[i] & 255L;
-        }
-        return sum;
+  private static long sum(byte[] bytes, int length) {
+    long sum = 0;
+    for (int i = 0; i < length; i++) {
+      sum += (i & 1) == 0 ? (bytes[i] & 255L) << 8 : bytes[i] & 255L;
     }
+    return sum;
+  }
 }
--- a/src/main/java/linengauge/vrrp/explore/Explorer.java
+++ b/src/main/java/linengauge/vrrp/explore/Explorer.java
@@ -8,177 +8,209 @@
 import linengauge.Span;
 
 /**
- * Plays every schedule of troubles up to a bound through the real state machine: advertisements lost or late, nodes that
- * crash, start again or stand still, links that are cut one way or both, at every point between two happenings. After
- * each it lets the troubles end and looks whether one node comes to be Active, and stays. What it has been in before is
- * not played again.
+ * Plays every schedule of troubles up to a bound through the real state machine: advertisements
+ * lost or late, nodes that crash, start again or stand still, links that are cut one way or both,
+ * at every point between two happenings. After each it lets the troubles end and looks whether one
+ * node comes to be Active, and stays. What it has been in before is not played again.
  */
 public final class Explorer {
-    /** A broken property with the schedule that leads to it; null where none is. */
-    public record Found(String what, List<String> schedule) {
-    }
+  /** A broken property with the schedule that leads to it; null where none is. */
+  public record Found(String what, List<String> schedule) {}
 
-    /** What an exploration came to. */
-    public record Outcome(long schedules, long states, Found found) {
-        public boolean held() {
-            return found == null;
-        }
+  /** What an exploration came to. */
+  public record Outcome(long schedules, long states, Found found) {
+    public boolean held() {
+      return found == null;
     }
+  }
 
-    /** One choice and those before it. */
-    private record Trail(Trail before, String choice) {
-        List<String> all() {
-            List<String> list = new ArrayList<>();
-            for (Trail t = this; t != null; t = t.before) {
-                list.add(0, t.choice);
-            }
-            return list;
-        }
+  /** One choice and those before it. */
+  private record Trail(Trail before, String choice) {
+    List<String> all() {
+      List<String> list = new ArrayList<>();
+      for (Trail t = this; t != null; t = t.before) {
+        list.add(0, t.choice);
+      }
+      return list;
     }
+  }
 
-    private final Plan plan;
-    /** States met, with what was still allowed in them; bounded by the plan's depth and faults. */
-    private final Map<List<Object>, Integer> met = new HashMap<>();
-    private long schedules;
-    private Found found;
+  private final Plan plan;
 
-    private Explorer(Plan plan) {
-        this.plan = plan;
-    }
+  /** States met, with what was still allowed in them; bounded by the plan's depth and faults. */
+  private final Map<List<Object>, Integer> met = new HashMap<>();
 
-    public static Outcome explore(Plan plan) {
-        Explorer e = new Explorer(plan);
-        e.go(new World(plan), plan.depth(), plan.faults(), null);
-        return new Outcome(e.schedules, e.met.size(), e.found);
-    }
+  private long schedules;
+  private Found found;
 
-    private void go(World w, int depth, int faults, Trail trail) {
-        if (found != null) {
-            return;
-        }
-        List<Object> mark = w.mark();
-        mark.add(faults);
-        Integer before = met.get(mark);
-        if (before != null && before >= depth) {
-            return; // met with as much to come
-        }
-        met.put(mark, depth);
-        if (depth == 0 || faults == 0) {
-            schedules++;
-            settle(new World(w), trail, faults == plan.faults());
-            return;
-        }
-        World.Message next = w.nextMessage();
-        if (faults > 0) {
-            if (next != null) {
-                World lost = new World(w);
-                lost.lose(next);
-                go(lost, depth - 1, faults - 1, note(trail, w, "lost: " + next.from() + " to " + next.to()));
-                World late = new World(w);
-                late.delay(next, Plan.INTERVAL.times(0.7));
-                go(late, depth - 1, faults - 1, note(trail, w, "late: " + next.from() + " to " + next.to()));
-            }
-            for (int n = 0; n < plan.nodes(); n++) {
-                troublesOf(w, n, depth, faults, trail);
-            }
-        }
-        if (w.nextAt() == null) {
-            return; // all are down, and nothing is on its way
-        }
-        World on = new World(w);
-        String broken = on.step();
-        if (broken != null) {
-            found = new Found(broken, trail == null ? List.of() : trail.all());
-            return;
-        }
-        go(on, depth - 1, faults, trail);
-    }
+  private Explorer(Plan plan) {
+    this.plan = plan;
+  }
 
-    private void troublesOf(World w, int n, int depth, int faults, Trail trail) {
-        if (!w.isUp(n)) {
-            World restarted = new World(w);
-            restarted.restart(n);
-            go(restarted, depth - 1, faults - 1, note(trail, w, "starts: " + n));
-            return;
-        }
-        World crashed = new World(w);
-        crashed.crash(n);
-        go(crashed, depth - 1, faults - 1, note(trail, w, "crashes: " + n));
-        if (!w.isFrozen(n)) {
-            for (double intervals : new double[] {1.5, 6}) {
-                World frozen = new World(w);
-                frozen.freeze(n, Plan.INTERVAL.times(intervals));
-                go(frozen, depth - 1, faults - 1, note(trail, w, "stands still for " + intervals + " intervals: " + n));
-            }
-        }
-        for (int to = 0; to < plan.nodes(); to++) {
-            if (to == n) {
-                continue;
-            }
-            World oneWay = new World(w);
-            oneWay.cut(n, to, !w.isCut(n, to));
-            go(oneWay, depth - 1, faults - 1, note(trail, w, (w.isCut(n, to) ? "heard again: " : "not heard: ") + n + " by " + to));
-            if (to > n) {
-                World both = new World(w);
-                both.cut(n, to, !w.isCut(n, to));
-                both.cut(to, n, !w.isCut(n, to));
-                go(both, depth - 1, faults - 1, note(trail, w, (w.isCut(n, to) ? "joined: " : "parted: ") + n + " and " + to));
-            }
-        }
-    }
+  public static Outcome explore(Plan plan) {
+    Explorer e = new Explorer(plan);
+    e.go(new World(plan), plan.depth(), plan.faults(), null);
+    return new Outcome(e.schedules, e.met.size(), e.found);
+  }
 
-    private static Trail note(Trail trail, World w, String choice) {
-        return new Trail(trail, String.format(java.util.Locale.ROOT, "%.2f s %s", w.now().micros() / 1e6, choice));
+  private void go(World w, int depth, int faults, Trail trail) {
+    if (found != null) {
+      return;
+    }
+    List<Object> mark = w.mark();
+    mark.add(faults);
+    Integer before = met.get(mark);
+    if (before != null && before >= depth) {
+      return; // met with as much to come
+    }
+    met.put(mark, depth);
+    if (depth == 0 || faults == 0) {
+      schedules++;
+      settle(new World(w), trail, faults == plan.faults());
+      return;
+    }
+    World.Message next = w.nextMessage();
+    if (faults > 0) {
+      if (next != null) {
+        World lost = new World(w);
+        lost.lose(next);
+        go(
+            lost,
+            depth - 1,
+            faults - 1,
+            note(trail, w, "lost: " + next.from() + " to " + next.to()));
+        World late = new World(w);
+        late.delay(next, Plan.INTERVAL.times(0.7));
+        go(
+            late,
+            depth - 1,
+            faults - 1,
+            note(trail, w, "late: " + next.from() + " to " + next.to()));
+      }
+      for (int n = 0; n < plan.nodes(); n++) {
+        troublesOf(w, n, depth, faults, trail);
+      }
+    }
+    if (w.nextAt() == null) {
+      return; // all are down, and nothing is on its way
+    }
+    World on = new World(w);
+    String broken = on.step();
+    if (broken != null) {
+      found = new Found(broken, trail == null ? List.of() : trail.all());
+      return;
     }
+    go(on, depth - 1, faults, trail);
+  }
 
-    /** Troubles are over: one node is to be Active within a stated time, and to stay it. */
-    private void settle(World w, Trail trail, boolean noTrouble) {
-        w.heal();
-        Moment settled = w.now().plus(plan.settles());
-        Moment end = settled.plus(Plan.INTERVAL.times(8));
-        List<Integer> then = null;
-        String broken = null;
-        for (Moment at = w.nextAt(); broken == null && at != null && at.before(end); at = w.nextAt()) {
-            if (then == null && !at.before(settled)) {
-                then = w.active();
-                broken = wrong(w, then);
-            }
-            broken = broken == null ? w.step() : broken;
-            if (broken == null && then != null && !then.equals(w.active())) {
-                broken = "Active changed from " + then + " to " + w.active() + " with no trouble for "
-                        + w.now().since(settled).plus(plan.settles()).seconds() + " s";
-            }
-        }
-        if (broken == null && noTrouble && w.activations() > (allEqual() ? plan.nodes() : 1)) {
-            broken = "Active changed with no trouble at all";
-        }
-        if (broken != null) {
-            found = new Found(broken, trail == null ? List.of() : trail.all());
-        }
+  private void troublesOf(World w, int n, int depth, int faults, Trail trail) {
+    if (!w.isUp(n)) {
+      World restarted = new World(w);
+      restarted.restart(n);
+      go(restarted, depth - 1, faults - 1, note(trail, w, "starts: " + n));
+      return;
     }
+    World crashed = new World(w);
+    crashed.crash(n);
+    go(crashed, depth - 1, faults - 1, note(trail, w, "crashes: " + n));
+    if (!w.isFrozen(n)) {
+      for (double intervals : new double[] {1.5, 6}) {
+        World frozen = new World(w);
+        frozen.freeze(n, Plan.INTERVAL.times(intervals));
+        go(
+            frozen,
+            depth - 1,
+            faults - 1,
+            note(trail, w, "stands still for " + intervals + " intervals: " + n));
+      }
+    }
+    for (int to = 0; to < plan.nodes(); to++) {
+      if (to == n) {
+        continue;
+      }
+      World oneWay = new World(w);
+      oneWay.cut(n, to, !w.isCut(n, to));
+      go(
+          oneWay,
+          depth - 1,
+          faults - 1,
+          note(trail, w, (w.isCut(n, to) ? "heard again: " : "not heard: ") + n + " by " + to));
+      if (to > n) {
+        World both = new World(w);
+        both.cut(n, to, !w.isCut(n, to));
+        both.cut(to, n, !w.isCut(n, to));
+        go(
+            both,
+            depth - 1,
+            faults - 1,
+            note(trail, w, (w.isCut(n, to) ? "joined: " : "parted: ") + n + " and " + to));
+      }
+    }
+  }
+
+  private static Trail note(Trail trail, World w, String choice) {
+    return new Trail(
+        trail, String.format(java.util.Locale.ROOT, "%.2f s %s", w.now().micros() / 1e6, choice));
+  }
 
-    private boolean allEqual() {
-        return plan.priorities().stream().distinct().count() == 1;
+  /** Troubles are over: one node is to be Active within a stated time, and to stay it. */
+  private void settle(World w, Trail trail, boolean noTrouble) {
+    w.heal();
+    Moment settled = w.now().plus(plan.settles());
+    Moment end = settled.plus(Plan.INTERVAL.times(8));
+    List<Integer> then = null;
+    String broken = null;
+    for (Moment at = w.nextAt(); broken == null && at != null && at.before(end); at = w.nextAt()) {
+      if (then == null && !at.before(settled)) {
+        then = w.active();
+        broken = wrong(w, then);
+      }
+      broken = broken == null ? w.step() : broken;
+      if (broken == null && then != null && !then.equals(w.active())) {
+        broken =
+            "Active changed from "
+                + then
+                + " to "
+                + w.active()
+                + " with no trouble for "
+                + w.now().since(settled).plus(plan.settles()).seconds()
+                + " s";
+      }
+    }
+    if (broken == null && noTrouble && w.activations() > (allEqual() ? plan.nodes() : 1)) {
+      broken = "Active changed with no trouble at all";
+    }
+    if (broken != null) {
+      found = new Found(broken, trail == null ? List.of() : trail.all());
     }
+  }
 
-    /** What is wrong with who is Active once things have settled; null: nothing. */
-    private String wrong(World w, List<Integer> active) {
-        int up = 0;
-        int best = -1;
-        for (int n = 0; n < plan.nodes(); n++) {
-            up += w.isUp(n) ? 1 : 0;
-            best = w.isUp(n) && (best < 0 || plan.priorities().get(n) > plan.priorities().get(best)) ? n : best;
-        }
-        if (up == 0) {
-            return active.isEmpty() ? null : "Active " + active + " and none is up";
-        }
-        Span after = plan.settles();
-        if (active.size() != 1) {
-            return "Active " + active + " after " + after.seconds() + " s without trouble";
-        }
-        if (plan.preempt() && !plan.priorities().get(active.get(0)).equals(plan.priorities().get(best))) {
-            return "Active " + active + ", and " + best + " has the higher priority and preempts";
-        }
-        return null;
+  private boolean allEqual() {
+    return plan.priorities().stream().distinct().count() == 1;
+  }
+
+  /** What is wrong with who is Active once things have settled; null: nothing. */
+  private String wrong(World w, List<Integer> active) {
+    int up = 0;
+    int best = -1;
+    for (int n = 0; n < plan.nodes(); n++) {
+      up += w.isUp(n) ? 1 : 0;
+      best =
+          w.isUp(n) && (best < 0 || plan.priorities().get(n) > plan.priorities().get(best))
+              ? n
+              : best;
+    }
+    if (up == 0) {
+      return active.isEmpty() ? null : "Active " + active + " and none is up";
+    }
+    Span after = plan.settles();
+    if (active.size() != 1) {
+      return "Active " + active + " after " + after.seconds() + " s without trouble";
+    }
+    if (plan.preempt()
+        && !plan.priorities().get(active.get(0)).equals(plan.priorities().get(best))) {
+      return "Active " + active + ", and " + best + " has the higher priority and preempts";
     }
+    return null;
+  }
 }
--- a/src/main/java/linengauge/vrrp/udp/Lease.java
+++ b/src/main/java/linengauge/vrrp/udp/Lease.java
@@ -1,17 +1,18 @@
 package linengauge.vrrp.udp;
 
 /**
- * Whether this node holds a shared address at this very moment; asked on any thread. It ends by itself where the node is
- * not heard to say that it still holds it, so that one that stood still serves nobody before it knows what happened.
+ * Whether this node holds a shared address at this very moment; asked on any thread. It ends by
+ * itself where the node is not heard to say that it still holds it, so that one that stood still
+ * serves nobody before it knows what happened.
  */
 public final class Lease {
-    private volatile long until = Long.MIN_VALUE;
+  private volatile long until = Long.MIN_VALUE;
 
-    void until(long micros) {
-        until = micros;
-    }
+  void until(long micros) {
+    until = micros;
+  }
 
-    public boolean holds() {
-        return System.nanoTime() / 1000 < until;
-    }
+  public boolean holds() {
+    return System.nanoTime() / 1000 < until;
+  }
 }
--- a/src/main/java/linengauge/wire/BadLine.java
+++ b/src/main/java/linengauge/wire/BadLine.java
@@ -2,9 +2,9 @@
 
 /** A line of input that cannot be read; its message names the line and what is wrong. */
 public final class BadLine extends Exception {
-    private static final long serialVersionUID = 1L;
+  private static final long serialVersionUID = 1L;
 
-    BadLine(long line, String what) {
-        super("line " + line + ": " + what);
-    }
+  BadLine(long line, String what) {
+    super("line " + line + ": " + what);
+  }
 }
--- a/src/main/java/linengauge/wire/Message.java
+++ b/src/main/java/linengauge/wire/Message.java
@@ -7,153 +7,159 @@
 import linengauge.briefing.JsonTree;
 import linengauge.wire.WireHost.Wrong;
 
-/** Walks the values of one message in their order; null and a value left out at the end mean the same. */
+/**
+ * Walks the values of one message in their order; null and a value left out at the end mean the
+ * same.
+ */
 final class Message {
-    private final JsonParser p;
-    private boolean over;
+  private final JsonParser p;
+  private boolean over;
 
-    Message(JsonParser p) throws Wrong {
-        this.p = p;
-        if (p.currentToken() != JsonToken.START_ARRAY) {
-            throw new Wrong("an event must be an array");
-        }
+  Message(JsonParser p) throws Wrong {
+    this.p = p;
+    if (p.currentToken() != JsonToken.START_ARRAY) {
+      throw new Wrong("an event must be an array");
     }
+  }
 
-    String name() throws IOException, Wrong {
-        return text("event name");
-    }
+  String name() throws IOException, Wrong {
+    return text("event name");
+  }
 
-    private JsonToken next() throws IOException {
-        if (over) {
-            return JsonToken.VALUE_NULL;
-        }
-        JsonToken t = p.nextToken();
-        if (t == JsonToken.END_ARRAY) {
-            over = true;
-            return JsonToken.VALUE_NULL;
-        }
-        return t;
+  private JsonToken next() throws IOException {
+    if (over) {
+      return JsonToken.VALUE_NULL;
+    }
+    JsonToken t = p.nextToken();
+    if (t == JsonToken.END_ARRAY) {
+      over = true;
+      return JsonToken.VALUE_NULL;
     }
+    return t;
+  }
+
+  private static Wrong wrongType(String what, String wanted) {
+    return new Wrong("'" + what + "' should be " + wanted);
+  }
 
-    private static Wrong wrongType(String what, String wanted) {
-        return new Wrong("'" + what + "' should be " + wanted);
+  long whole(String what) throws IOException, Wrong {
+    if (next() != JsonToken.VALUE_NUMBER_INT) {
+      throw wrongType(what, "a whole number");
     }
+    return exact(what);
+  }
 
-    long whole(String what) throws IOException, Wrong {
-        if (next() != JsonToken.VALUE_NUMBER_INT) {
-            throw wrongType(what, "a whole number");
-        }
-        return exact(what);
-    }
-
-    long whole(String what, long absent) throws IOException, Wrong {
-        JsonToken t = next();
-        if (t == JsonToken.VALUE_NULL) {
-            return absent;
-        }
-        if (t != JsonToken.VALUE_NUMBER_INT) {
-            throw wrongType(what, "a whole number");
-        }
-        return exact(what);
+  long whole(String what, long absent) throws IOException, Wrong {
+    JsonToken t = next();
+    if (t == JsonToken.VALUE_NULL) {
+      return absent;
     }
+    if (t != JsonToken.VALUE_NUMBER_INT) {
+      throw wrongType(what, "a whole number");
+    }
+    return exact(what);
+  }
 
-    private long exact(String what) throws IOException, Wrong {
-        if (p.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
-            var big = p.getBigIntegerValue();
-            if (big.bitLength() > 64) {
-                throw wrongType(what, "a whole number of 64 bits");
-            }
-            return big.longValue();
-        }
-        return p.getLongValue();
+  private long exact(String what) throws IOException, Wrong {
+    if (p.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+      var big = p.getBigIntegerValue();
+      if (big.bitLength() > 64) {
+        throw wrongType(what, "a whole number of 64 bits");
+      }
+      return big.longValue();
     }
+    return p.getLongValue();
+  }
+
+  int integer(String what) throws IOException, Wrong {
+    return narrow(what, whole(what));
+  }
 
-    int integer(String what) throws IOException, Wrong {
-        return narrow(what, whole(what));
+  int integer(String what, int absent) throws IOException, Wrong {
+    return narrow(what, whole(what, absent));
+  }
+
+  private static int narrow(String what, long value) throws Wrong {
+    if (value != (int) value) {
+      throw wrongType(what, "a small number");
     }
+    return (int) value;
+  }
 
-    int integer(String what, int absent) throws IOException, Wrong {
-        return narrow(what, whole(what, absent));
+  double number(String what, double absent) throws IOException, Wrong {
+    JsonToken t = next();
+    if (t == JsonToken.VALUE_NULL) {
+      return absent;
+    }
+    if (!t.isNumeric()) {
+      throw wrongType(what, "a number");
     }
+    return p.getDoubleValue();
+  }
 
-    private static int narrow(String what, long value) throws Wrong {
-        if (value != (int) value) {
-            throw wrongType(what, "a small number");
-        }
-        return (int) value;
+  String text(String what) throws IOException, Wrong {
+    if (next() != JsonToken.VALUE_STRING) {
+      throw wrongType(what, "text");
     }
+    return p.getText();
+  }
 
-    double number(String what, double absent) throws IOException, Wrong {
-        JsonToken t = next();
-        if (t == JsonToken.VALUE_NULL) {
-            return absent;
-        }
-        if (!t.isNumeric()) {
-            throw wrongType(what, "a number");
-        }
-        return p.getDoubleValue();
+  void skip() throws IOException {
+    next();
+    if (!over) {
+      p.skipChildren();
     }
+  }
 
-    String text(String what) throws IOException, Wrong {
-        if (next() != JsonToken.VALUE_STRING) {
-            throw wrongType(what, "text");
-        }
-        return p.getText();
+  boolean flag(String what) throws IOException, Wrong {
+    JsonToken t = next();
+    if (t == JsonToken.VALUE_NULL) {
+      return false;
+    }
+    if (!t.isBoolean()) {
+      throw wrongType(what, "true or false");
     }
+    return t == JsonToken.VALUE_TRUE;
+  }
 
-    void skip() throws IOException {
-        next();
-        if (!over) {
-            p.skipChildren();
-        }
+  /** The object that comes next as nested maps and lists; empty where it is absent. */
+  Map<?, ?> object(String what) throws IOException, Wrong {
+    JsonToken t = next();
+    if (t == JsonToken.VALUE_NULL) {
+      return Map.of();
     }
+    if (t != JsonToken.START_OBJECT) {
+      throw wrongType(what, "an object");
+    }
+    return (Map<?, ?>) JsonTree.read(p, t);
+  }
 
-    boolean flag(String what) throws IOException, Wrong {
-        JsonToken t = next();
-        if (t == JsonToken.VALUE_NULL) {
-            return false;
-        }
-        if (!t.isBoolean()) {
-            throw wrongType(what, "true or false");
-        }
-        return t == JsonToken.VALUE_TRUE;
+  void array(String what) throws IOException, Wrong {
+    if (next() != JsonToken.START_ARRAY) {
+      throw wrongType(what, "an array");
     }
+  }
 
-    /** The object that comes next as nested maps and lists; empty where it is absent. */
-    Map<?, ?> object(String what) throws IOException, Wrong {
-        JsonToken t = next();
-        if (t == JsonToken.VALUE_NULL) {
-            return Map.of();
-        }
-        if (t != JsonToken.START_OBJECT) {
-            throw wrongType(what, "an object");
-        }
-        return (Map<?, ?>) JsonTree.read(p, t);
+  /**
+   * Steps into the next row of the array just entered; false at its end, and then back among the
+   * outer values.
+   */
+  boolean nextRow() throws IOException, Wrong {
+    JsonToken t = p.nextToken();
+    over = false;
+    if (t == JsonToken.END_ARRAY) {
+      return false;
+    }
+    if (t != JsonToken.START_ARRAY) {
+      throw new Wrong("a row of a pool must be an array");
     }
+    return true;
+  }
 
-    void array(String what) throws IOException, Wrong {
-        if (next() != JsonToken.START_ARRAY) {
-            throw wrongType(what, "an array");
-        }
-    }
-
-    /** Steps into the next row of the array just entered; false at its end, and then back among the outer values. */
-    boolean nextRow() throws IOException, Wrong {
-        JsonToken t = p.nextToken();
-        over = false;
-        if (t == JsonToken.END_ARRAY) {
-            return false;
-        }
-        if (t != JsonToken.START_ARRAY) {
-            throw new Wrong("a row of a pool must be an array");
-        }
-        return true;
-    }
-
-    /** Passes over what is left of the message or row. */
-    void end() throws IOException {
-        while (!over) {
-            skip();
-        }
+  /** Passes over what is left of the message or row. */
+  void end() throws IOException {
+    while (!over) {
+      skip();
     }
+  }
 }
--- a/src/main/java/linengauge/work/Chore.java
+++ b/src/main/java/linengauge/work/Chore.java
@@ -7,22 +7,30 @@
  *
  * @param name one job of a name waits at a time: a further wish for it is the same one
  * @param urgency 0: before all others of a higher number
- * @param within how soon it should have begun after it is wished for or due; from then on it goes before all that are not late
- *        themselves
+ * @param within how soon it should have begun after it is wished for or due; from then on it goes
+ *     before all that are not late themselves
  * @param every how long after it was done it is due again; none: it is done once
  * @param tries how often it may fail in a row; 0: for ever
  * @param deskTime that it is thought to take of the desk; learnt from what it takes
  * @param bytes that it is thought to read or write; learnt too
  * @param step does it, or begins it; must tell the job of its end, then or later
  */
-public record Chore(String name, int urgency, Span within, Span every, int tries, Span deskTime, long bytes, Step step) {
-    /** What is done. */
-    public interface Step {
-        void run(Job job);
+public record Chore(
+    String name,
+    int urgency,
+    Span within,
+    Span every,
+    int tries,
+    Span deskTime,
+    long bytes,
+    Step step) {
+  /** What is done. */
+  public interface Step {
+    void run(Job job);
 
-        /** It has failed for the last time, or had to leave for more urgent ones. */
-        default void givenUp(Job job) {
-            // most have nothing to take back
-        }
+    /** It has failed for the last time, or had to leave for more urgent ones. */
+    default void givenUp(Job job) {
+      // most have nothing to take back
     }
+  }
 }
--- a/src/main/java/linengauge/work/WorkTerms.java
+++ b/src/main/java/linengauge/work/WorkTerms.java
@@ -15,6 +15,14 @@
  * @param ageing after which a job that waits counts as one step more urgent
  * @param firstPause and mostPause between tries of a job that fails
  */
-public record WorkTerms(Span window, Span deskTime, long bytes, double floor, Span lateFrom, int jobs, int atOnce, Span ageing,
-        Span firstPause, Span mostPause) {
-}
+public record WorkTerms(
+    Span window,
+    Span deskTime,
+    long bytes,
+    double floor,
+    Span lateFrom,
+    int jobs,
+    int atOnce,
+    Span ageing,
+    Span firstPause,
+    Span mostPause) {}
--- a/src/main/java/linengauge/zones/Evidence.java
+++ b/src/main/java/linengauge/zones/Evidence.java
@@ -8,9 +8,10 @@
  * @param asked what its newcomers ask of the place, kB a second
  */
 public record Evidence(int tries, int failed, double asked) {
-    public Evidence {
-        if (tries < 0 || failed < 0 || failed > tries || !(asked >= 0) || asked > 1e9) {
-            throw new IllegalArgumentException("no evidence: " + tries + " tries, " + failed + " failed, " + asked + " kB");
-        }
+  public Evidence {
+    if (tries < 0 || failed < 0 || failed > tries || !(asked >= 0) || asked > 1e9) {
+      throw new IllegalArgumentException(
+          "no evidence: " + tries + " tries, " + failed + " failed, " + asked + " kB");
     }
+  }
 }
--- a/src/main/java/linengauge/zones/Row.java
+++ b/src/main/java/linengauge/zones/Row.java
@@ -7,27 +7,37 @@
  * One place's row.
  *
  * @param stays share of its newcomers that it serves itself, 0 to 1
- * @param goes share that is sent elsewhere; what is left, 1 - stays - goes, is refused where it asks
+ * @param goes share that is sent elsewhere; what is left, 1 - stays - goes, is refused where it
+ *     asks
  * @param relapses how often it was given up again since it last stood near for long
  * @param order of an operator that holds it so, or ""
  * @param since the table's number with which it came to stand so
  */
-public record Row(Standing standing, double stays, double goes, int relapses, String order, long since) {
-    private static final int MOST_ORDER = 256;
+public record Row(
+    Standing standing, double stays, double goes, int relapses, String order, long since) {
+  private static final int MOST_ORDER = 256;
 
-    public static final Row AT_REST = new Row(Standing.NEAR, 1, 0, 0, "", 0);
+  public static final Row AT_REST = new Row(Standing.NEAR, 1, 0, 0, "", 0);
 
-    public Row {
-        if (!(stays >= 0 && goes >= 0 && stays + goes <= 1 + 1e-9) || relapses < 0 || order.length() > MOST_ORDER) {
-            throw new IllegalArgumentException("no row: " + stays + " stays, " + goes + " goes");
-        }
+  public Row {
+    if (!(stays >= 0 && goes >= 0 && stays + goes <= 1 + 1e-9)
+        || relapses < 0
+        || order.length() > MOST_ORDER) {
+      throw new IllegalArgumentException("no row: " + stays + " stays, " + goes + " goes");
     }
+  }
 
-    void write(Pack to) {
-        to.num(standing.ordinal()).real(stays).real(goes).num(relapses).text(order).num(since);
-    }
+  void write(Pack to) {
+    to.num(standing.ordinal()).real(stays).real(goes).num(relapses).text(order).num(since);
+  }
 
-    static Row read(Unpack from) {
-        return new Row(from.one(Standing.values()), from.real(), from.real(), from.num(0, Integer.MAX_VALUE), from.text(4 * MOST_ORDER), from.num());
-    }
+  static Row read(Unpack from) {
+    return new Row(
+        from.one(Standing.values()),
+        from.real(),
+        from.real(),
+        from.num(0, Integer.MAX_VALUE),
+        from.text(4 * MOST_ORDER),
+        from.num());
+  }
 }
--- a/src/main/java/linengauge/zones/Weighing.java
+++ b/src/main/java/linengauge/zones/Weighing.java
@@ -8,181 +8,221 @@
 import linengauge.Span;
 
 /**
- * From what fronts tell to the change that is wanted: whoever leads the council runs it beside the table. Each front's word counts
- * as one at the most, the worst and the best are left out, and nothing is moved that has no room where it would go.
+ * From what fronts tell to the change that is wanted: whoever leads the council runs it beside the
+ * table. Each front's word counts as one at the most, the worst and the best are left out, and
+ * nothing is moved that has no room where it would go.
  */
 public final class Weighing {
-    private record Told(Moment at, Evidence evidence) {
-    }
+  private record Told(Moment at, Evidence evidence) {}
 
-    /** How one place has been of late. */
-    private static final class Course {
-        private Moment badSince;
-        private Moment wellSince;
-        private Moment nearSince;
-        private Moment steppedAt = Moment.DISTANT_PAST;
-    }
+  /** How one place has been of late. */
+  private static final class Course {
+    private Moment badSince;
+    private Moment wellSince;
+    private Moment nearSince;
+    private Moment steppedAt = Moment.DISTANT_PAST;
+  }
 
-    /** Fewer words than this condemn nobody. */
-    private static final int LEAST_WORDS = 3;
-    private static final int MOST_FRONTS = 1024;
-
-    private final WeighingTerms terms;
-    private final ZoneTable table;
-    /** By place, then by front; what is older than it counts leaves with the next look. */
-    private final TreeMap<Integer, TreeMap<Integer, Told>> told = new TreeMap<>();
-    private final TreeMap<Integer, Course> courses = new TreeMap<>();
-    /** What each place can serve, kB a second; one without room known takes nothing in. */
-    private final TreeMap<Integer, Double> rooms = new TreeMap<>();
-    private Moment sharedAt = Moment.DISTANT_PAST;
-
-    public Weighing(WeighingTerms terms, ZoneTable table) {
-        this.terms = terms;
-        this.table = table;
-    }
+  /** Fewer words than this condemn nobody. */
+  private static final int LEAST_WORDS = 3;
 
-    /** What the place's boxes can serve, by the list. */
-    public void room(int place, double kb) {
-        if (place >= 0 && place < ZoneTable.MOST_PLACES && kb >= 0) {
-            rooms.put(place, kb);
-        }
-    }
+  private static final int MOST_FRONTS = 1024;
+
+  private final WeighingTerms terms;
+  private final ZoneTable table;
+
+  /** By place, then by front; what is older than it counts leaves with the next look. */
+  private final TreeMap<Integer, TreeMap<Integer, Told>> told = new TreeMap<>();
+
+  private final TreeMap<Integer, Course> courses = new TreeMap<>();
+
+  /** What each place can serve, kB a second; one without room known takes nothing in. */
+  private final TreeMap<Integer, Double> rooms = new TreeMap<>();
+
+  private Moment sharedAt = Moment.DISTANT_PAST;
+
+  public Weighing(WeighingTerms terms, ZoneTable table) {
+    this.terms = terms;
+    this.table = table;
+  }
 
-    public void heard(Moment now, int front, int place, Evidence e) {
-        if (place < 0 || place >= ZoneTable.MOST_PLACES) {
-            return;
-        }
-        TreeMap<Integer, Told> words = told.computeIfAbsent(place, p -> new TreeMap<>());
-        if (words.size() < MOST_FRONTS || words.containsKey(front)) {
-            words.put(front, new Told(now, e));
-        }
+  /** What the place's boxes can serve, by the list. */
+  public void room(int place, double kb) {
+    if (place >= 0 && place < ZoneTable.MOST_PLACES && kb >= 0) {
+      rooms.put(place, kb);
     }
+  }
 
-    /** The rows that are to change now, all in one decision from the table's number; empty: none. */
-    public Map<Integer, Row> look(Moment now) {
-        told.values().forEach(words -> words.values().removeIf(t -> terms.holds().under(now.since(t.at()))));
-        TreeMap<Integer, Row> next = new TreeMap<>();
-        for (int place : rooms.keySet()) {
-            Row r = table.row(place);
-            if (r.order().isEmpty()) {
-                Row wanted = standing(place, r, courses.computeIfAbsent(place, p -> new Course()), now);
-                next.put(place, wanted);
-            }
-        }
-        shares(next);
-        next.entrySet().removeIf(e -> isAlike(table.row(e.getKey()), e.getValue()));
-        if (next.entrySet().stream().allMatch(e -> table.row(e.getKey()).standing() == e.getValue().standing())
-                && now.before(sharedAt.plus(terms.step()))) {
-            return Map.of(); // demand that rocks is followed at a pace: each change is news to the whole fleet
-        }
-        sharedAt = next.isEmpty() ? sharedAt : now;
-        next.forEach((place, r) -> {
-            if (r.standing() == Standing.COMING_BACK) {
-                courses.get(place).steppedAt = now;
-            }
+  public void heard(Moment now, int front, int place, Evidence e) {
+    if (place < 0 || place >= ZoneTable.MOST_PLACES) {
+      return;
+    }
+    TreeMap<Integer, Told> words = told.computeIfAbsent(place, p -> new TreeMap<>());
+    if (words.size() < MOST_FRONTS || words.containsKey(front)) {
+      words.put(front, new Told(now, e));
+    }
+  }
+
+  /** The rows that are to change now, all in one decision from the table's number; empty: none. */
+  public Map<Integer, Row> look(Moment now) {
+    told.values()
+        .forEach(words -> words.values().removeIf(t -> terms.holds().under(now.since(t.at()))));
+    TreeMap<Integer, Row> next = new TreeMap<>();
+    for (int place : rooms.keySet()) {
+      Row r = table.row(place);
+      if (r.order().isEmpty()) {
+        Row wanted = standing(place, r, courses.computeIfAbsent(place, p -> new Course()), now);
+        next.put(place, wanted);
+      }
+    }
+    shares(next);
+    next.entrySet().removeIf(e -> isAlike(table.row(e.getKey()), e.getValue()));
+    if (next.entrySet().stream()
+            .allMatch(e -> table.row(e.getKey()).standing() == e.getValue().standing())
+        && now.before(sharedAt.plus(terms.step()))) {
+      return Map
+          .of(); // demand that rocks is followed at a pace: each change is news to the whole fleet
+    }
+    sharedAt = next.isEmpty() ? sharedAt : now;
+    next.forEach(
+        (place, r) -> {
+          if (r.standing() == Standing.COMING_BACK) {
+            courses.get(place).steppedAt = now;
+          }
         });
-        return next;
+    return next;
+  }
+
+  private boolean isAlike(Row a, Row b) {
+    return a.standing() == b.standing()
+        && a.relapses() == b.relapses()
+        && Math.abs(a.stays() - b.stays()) < terms.worth()
+        && Math.abs(a.goes() - b.goes()) < terms.worth();
+  }
+
+  /** Where it is to stand, by evidence that has held; how much of it goes where comes after. */
+  private Row standing(int place, Row r, Course c, Moment now) {
+    double ill = illness(place);
+    c.badSince = ill >= terms.bad() ? c.badSince == null ? now : c.badSince : null;
+    c.wellSince = ill >= 0 && ill < terms.well() ? c.wellSince == null ? now : c.wellSince : null;
+    boolean near = r.standing() == Standing.NEAR || r.standing() == Standing.SHARING;
+    c.nearSince = near ? c.nearSince == null ? now : c.nearSince : null;
+    boolean bad = c.badSince != null && !now.before(c.badSince.plus(terms.after()));
+    if (r.standing() != Standing.GIVEN_UP && bad) {
+      return new Row(
+          Standing.GIVEN_UP,
+          0,
+          0,
+          r.standing() == Standing.COMING_BACK || r.relapses() > 0 ? r.relapses() + 1 : 1,
+          "",
+          0);
     }
-
-    private boolean isAlike(Row a, Row b) {
-        return a.standing() == b.standing() && a.relapses() == b.relapses() && Math.abs(a.stays() - b.stays()) < terms.worth()
-                && Math.abs(a.goes() - b.goes()) < terms.worth();
+    return switch (r.standing()) {
+      case GIVEN_UP ->
+          c.wellSince != null && !now.before(c.wellSince.plus(holdOff(r.relapses())))
+              ? new Row(Standing.COMING_BACK, terms.first(), 0, r.relapses(), "", 0)
+              : r;
+      case COMING_BACK ->
+          c.wellSince == null || now.before(c.steppedAt.plus(terms.step()))
+              ? r
+              : r.stays() * 2 < 1
+                  ? new Row(Standing.COMING_BACK, r.stays() * 2, 0, r.relapses(), "", 0)
+                  : new Row(Standing.NEAR, 1, 0, r.relapses(), "", 0);
+      default ->
+          terms.rested().under(now.since(c.nearSince))
+              ? new Row(r.standing(), r.stays(), r.goes(), 0, "", 0)
+              : r;
+    };
+  }
+
+  private Span holdOff(int relapses) {
+    return terms
+        .back()
+        .times(1L << Math.min(10, Math.max(0, relapses - 1)))
+        .orLess(terms.backAtMost());
+  }
+
+  /**
+   * The share of failures, the worst and the best word left out; -1 where too few speak. Guards
+   * against one sick front that condemns a place, or one that praises it. It could hurt where two
+   * alone see a place: it is never given up for them.
+   */
+  private double illness(int place) {
+    List<double[]> words = new ArrayList<>();
+    for (Told t : told.getOrDefault(place, new TreeMap<>()).values()) {
+      Evidence e = t.evidence();
+      if (e.tries() > 0) {
+        words.add(
+            new double[] {(double) e.failed() / e.tries(), Math.min(1, e.tries() / terms.full())});
+      }
     }
-
-    /** Where it is to stand, by evidence that has held; how much of it goes where comes after. */
-    private Row standing(int place, Row r, Course c, Moment now) {
-        double ill = illness(place);
-        c.badSince = ill >= terms.bad() ? c.badSince == null ? now : c.badSince : null;
-        c.wellSince = ill >= 0 && ill < terms.well() ? c.wellSince == null ? now : c.wellSince : null;
-        boolean near = r.standing() == Standing.NEAR || r.standing() == Standing.SHARING;
-        c.nearSince = near ? c.nearSince == null ? now : c.nearSince : null;
-        boolean bad = c.badSince != null && !now.before(c.badSince.plus(terms.after()));
-        if (r.standing() != Standing.GIVEN_UP && bad) {
-            return new Row(Standing.GIVEN_UP, 0, 0, r.standing() == Standing.COMING_BACK || r.relapses() > 0 ? r.relapses() + 1 : 1, "", 0);
-        }
-        return switch (r.standing()) {
-            case GIVEN_UP -> c.wellSince != null && !now.before(c.wellSince.plus(holdOff(r.relapses())))
-                    ? new Row(Standing.COMING_BACK, terms.first(), 0, r.relapses(), "", 0) : r;
-            case COMING_BACK -> c.wellSince == null || now.before(c.steppedAt.plus(terms.step())) ? r
-                    : r.stays() * 2 < 1 ? new Row(Standing.COMING_BACK, r.stays() * 2, 0, r.relapses(), "", 0)
-                    : new Row(Standing.NEAR, 1, 0, r.relapses(), "", 0);
-            default -> terms.rested().under(now.since(c.nearSince)) ? new Row(r.standing(), r.stays(), r.goes(), 0, "", 0) : r;
-        };
+    if (words.size() < LEAST_WORDS) {
+      return -1;
     }
-
-    private Span holdOff(int relapses) {
-        return terms.back().times(1L << Math.min(10, Math.max(0, relapses - 1))).orLess(terms.backAtMost());
+    words.sort((a, b) -> Double.compare(a[0], b[0]));
+    double bad = 0;
+    double all = 0;
+    for (double[] w : words.subList(1, words.size() - 1)) {
+      bad += w[0] * w[1];
+      all += w[1];
     }
+    return all > 0 ? bad / all : -1;
+  }
 
-    /**
-     * The share of failures, the worst and the best word left out; -1 where too few speak. Guards against one sick front that
-     * condemns a place, or one that praises it. It could hurt where two alone see a place: it is never given up for them.
-     */
-    private double illness(int place) {
-        List<double[]> words = new ArrayList<>();
-        for (Told t : told.getOrDefault(place, new TreeMap<>()).values()) {
-            Evidence e = t.evidence();
-            if (e.tries() > 0) {
-                words.add(new double[] {(double) e.failed() / e.tries(), Math.min(1, e.tries() / terms.full())});
-            }
-        }
-        if (words.size() < LEAST_WORDS) {
-            return -1;
-        }
-        words.sort((a, b) -> Double.compare(a[0], b[0]));
-        double bad = 0;
-        double all = 0;
-        for (double[] w : words.subList(1, words.size() - 1)) {
-            bad += w[0] * w[1];
-            all += w[1];
-        }
-        return all > 0 ? bad / all : -1;
+  private double asked(int place) {
+    double sum = 0;
+    for (Told t : told.getOrDefault(place, new TreeMap<>()).values()) {
+      sum += t.evidence().asked();
     }
-
-    private double asked(int place) {
-        double sum = 0;
-        for (Told t : told.getOrDefault(place, new TreeMap<>()).values()) {
-            sum += t.evidence().asked();
-        }
-        return sum;
+    return sum;
+  }
+
+  /**
+   * Who keeps what, and how much of the rest fits elsewhere: a place that has no room over takes
+   * nothing in, so that what fails over does not push it over as well. What fits nowhere is refused
+   * where it asks.
+   */
+  private void shares(TreeMap<Integer, Row> next) {
+    double spare = 0;
+    double leaves = 0;
+    for (Map.Entry<Integer, Double> room : rooms.entrySet()) {
+      Row r = next.getOrDefault(room.getKey(), table.row(room.getKey()));
+      double asked = asked(room.getKey());
+      double kept = keeps(r, asked, room.getValue());
+      leaves += asked * (1 - kept);
+      if (r.standing() == Standing.NEAR || r.standing() == Standing.SHARING) {
+        spare += Math.max(0, terms.fill() * room.getValue() - asked);
+      }
     }
-
-    /**
-     * Who keeps what, and how much of the rest fits elsewhere: a place that has no room over takes nothing in, so that what fails
-     * over does not push it over as well. What fits nowhere is refused where it asks.
-     */
-    private void shares(TreeMap<Integer, Row> next) {
-        double spare = 0;
-        double leaves = 0;
-        for (Map.Entry<Integer, Double> room : rooms.entrySet()) {
-            Row r = next.getOrDefault(room.getKey(), table.row(room.getKey()));
-            double asked = asked(room.getKey());
-            double kept = keeps(r, asked, room.getValue());
-            leaves += asked * (1 - kept);
-            if (r.standing() == Standing.NEAR || r.standing() == Standing.SHARING) {
-                spare += Math.max(0, terms.fill() * room.getValue() - asked);
-            }
-        }
-        double fits = leaves > 0 ? Math.min(1, spare / leaves) : 1;
-        next.replaceAll((place, r) -> {
-            double kept = keeps(r, asked(place), rooms.get(place));
-            Standing s = r.standing() != Standing.NEAR && r.standing() != Standing.SHARING ? r.standing()
-                    : kept < 1 - terms.worth() ? Standing.SHARING : Standing.NEAR;
-            boolean all = s == Standing.NEAR;
-            // What fits nowhere stays where a place still serves, and is refused where it does not.
-            double goes = all ? 0 : (1 - kept) * fits;
-            return new Row(s, all ? 1 : s == Standing.SHARING ? 1 - goes : kept, goes, r.relapses(), "", r.since());
+    double fits = leaves > 0 ? Math.min(1, spare / leaves) : 1;
+    next.replaceAll(
+        (place, r) -> {
+          double kept = keeps(r, asked(place), rooms.get(place));
+          Standing s =
+              r.standing() != Standing.NEAR && r.standing() != Standing.SHARING
+                  ? r.standing()
+                  : kept < 1 - terms.worth() ? Standing.SHARING : Standing.NEAR;
+          boolean all = s == Standing.NEAR;
+          // What fits nowhere stays where a place still serves, and is refused where it does not.
+          double goes = all ? 0 : (1 - kept) * fits;
+          return new Row(
+              s,
+              all ? 1 : s == Standing.SHARING ? 1 - goes : kept,
+              goes,
+              r.relapses(),
+              "",
+              r.since());
         });
-    }
+  }
 
-    private double keeps(Row r, double asked, double room) {
-        if (!r.order().isEmpty()) {
-            return r.stays();
-        }
-        return switch (r.standing()) {
-            case GIVEN_UP -> 0;
-            case COMING_BACK -> r.stays();
-            default -> asked <= room * terms.fill() ? 1 : room * terms.fill() / asked;
-        };
+  private double keeps(Row r, double asked, double room) {
+    if (!r.order().isEmpty()) {
+      return r.stays();
     }
+    return switch (r.standing()) {
+      case GIVEN_UP -> 0;
+      case COMING_BACK -> r.stays();
+      default -> asked <= room * terms.fill() ? 1 : room * terms.fill() / asked;
+    };
+  }
 }
--- a/src/main/java/linengauge/zones/WeighingTerms.java
+++ b/src/main/java/linengauge/zones/WeighingTerms.java
@@ -17,10 +17,45 @@
  * @param fill of a place's room that newcomers may take
  * @param worth shares closer than this to the table's are left as they are
  */
-public record WeighingTerms(Span holds, double full, double bad, double well, Span after, Span back, Span backAtMost, Span step,
-        double first, Span rested, double fill, double worth) {
-    public static final WeighingTerms ZONES = new WeighingTerms(Span.ofSeconds(3), 10, 0.5, 0.15, Span.ofMillis(1200), Span.ofSeconds(4),
-            Span.ofSeconds(120), Span.ofSeconds(2), 0.1, Span.ofSeconds(300), 0.9, 0.05);
-    public static final WeighingTerms REGIONS = new WeighingTerms(Span.ofSeconds(3), 10, 0.7, 0.1, Span.ofSeconds(4), Span.ofSeconds(20),
-            Span.ofSeconds(600), Span.ofSeconds(6), 0.1, Span.ofSeconds(900), 0.8, 0.05);
+public record WeighingTerms(
+    Span holds,
+    double full,
+    double bad,
+    double well,
+    Span after,
+    Span back,
+    Span backAtMost,
+    Span step,
+    double first,
+    Span rested,
+    double fill,
+    double worth) {
+  public static final WeighingTerms ZONES =
+      new WeighingTerms(
+          Span.ofSeconds(3),
+          10,
+          0.5,
+          0.15,
+          Span.ofMillis(1200),
+          Span.ofSeconds(4),
+          Span.ofSeconds(120),
+          Span.ofSeconds(2),
+          0.1,
+          Span.ofSeconds(300),
+          0.9,
+          0.05);
+  public static final WeighingTerms REGIONS =
+      new WeighingTerms(
+          Span.ofSeconds(3),
+          10,
+          0.7,
+          0.1,
+          Span.ofSeconds(4),
+          Span.ofSeconds(20),
+          Span.ofSeconds(600),
+          Span.ofSeconds(6),
+          0.1,
+          Span.ofSeconds(900),
+          0.8,
+          0.05);
 }
--- a/src/main/java/linengauge/zones/ZoneTable.java
+++ b/src/main/java/linengauge/zones/ZoneTable.java
@@ -8,141 +8,168 @@
 import linengauge.council.Unpack;
 
 /**
- * The numbered table of places that decisions change: the same at every front after the same decisions. A change names the
- * number that it goes out from and does nothing to any other: two that were thought of at once are one, and the second is thought of
- * again. A row that an operator holds changes by an operator's word alone.
+ * The numbered table of places that decisions change: the same at every front after the same
+ * decisions. A change names the number that it goes out from and does nothing to any other: two
+ * that were thought of at once are one, and the second is thought of again. A row that an operator
+ * holds changes by an operator's word alone.
  */
 public final class ZoneTable implements Machine {
-    /** Places at the most; one that no table names stands near. */
-    public static final int MOST_PLACES = 256;
-
-    private enum Kind { CHANGE, HOLD, RELEASE }
-
-    private final SortedMap<Integer, Row> rows = new TreeMap<>();
-    private long number;
-
-    /** Rises with every change that did something. */
-    public long number() {
-        return number;
-    }
-
-    public Row row(int place) {
-        return rows.getOrDefault(place, Row.AT_REST);
-    }
-
-    /** All that do not simply stand near. */
-    public SortedMap<Integer, Row> rows() {
-        return java.util.Collections.unmodifiableSortedMap(rows);
+  /** Places at the most; one that no table names stands near. */
+  public static final int MOST_PLACES = 256;
+
+  private enum Kind {
+    CHANGE,
+    HOLD,
+    RELEASE
+  }
+
+  private final SortedMap<Integer, Row> rows = new TreeMap<>();
+  private long number;
+
+  /** Rises with every change that did something. */
+  public long number() {
+    return number;
+  }
+
+  public Row row(int place) {
+    return rows.getOrDefault(place, Row.AT_REST);
+  }
+
+  /** All that do not simply stand near. */
+  public SortedMap<Integer, Row> rows() {
+    return java.util.Collections.unmodifiableSortedMap(rows);
+  }
+
+  /** Nothing is on its way from one standing to another, and nobody leans on another. */
+  public boolean isAtRest() {
+    return rows.values().stream().allMatch(r -> r.standing() == Standing.NEAR);
+  }
+
+  /* ---- decisions ---- */
+
+  /** All that changes at one moment, in one decision. */
+  public static byte[] change(long from, Map<Integer, Row> rows) {
+    Pack to = new Pack().num(Kind.CHANGE.ordinal()).num(from).num(rows.size());
+    new TreeMap<>(rows)
+        .forEach(
+            (place, row) -> {
+              to.num(place);
+              row.write(to);
+            });
+    return to.done();
+  }
+
+  /** An operator holds a place as it says there, until it is released. */
+  public static byte[] hold(int place, Standing standing, double stays, double goes, String order) {
+    if (order.isBlank()) {
+      throw new IllegalArgumentException("an order without its author");
     }
-
-    /** Nothing is on its way from one standing to another, and nobody leans on another. */
-    public boolean isAtRest() {
-        return rows.values().stream().allMatch(r -> r.standing() == Standing.NEAR);
-    }
-
-    /* ---- decisions ---- */
-
-    /** All that changes at one moment, in one decision. */
-    public static byte[] change(long from, Map<Integer, Row> rows) {
-        Pack to = new Pack().num(Kind.CHANGE.ordinal()).num(from).num(rows.size());
-        new TreeMap<>(rows).forEach((place, row) -> {
-            to.num(place);
-            row.write(to);
-        });
-        return to.done();
-    }
-
-    /** An operator holds a place as it says there, until it is released. */
-    public static byte[] hold(int place, Standing standing, double stays, double goes, String order) {
-        if (order.isBlank()) {
-            throw new IllegalArgumentException("an order without its author");
+    Pack to = new Pack().num(Kind.HOLD.ordinal()).num(place);
+    new Row(standing, stays, goes, 0, order, 0).write(to);
+    return to.done();
+  }
+
+  /**
+   * That order ends, by an operator or as its time is over; what the place stands in goes on from
+   * there.
+   */
+  public static byte[] release(int place, String order) {
+    return new Pack().num(Kind.RELEASE.ordinal()).num(place).text(order).done();
+  }
+
+  @Override
+  public void apply(long index, long author, byte[] decision) {
+    try {
+      Unpack from = new Unpack(decision);
+      switch (from.one(Kind.values())) {
+        case CHANGE -> changed(from);
+        case HOLD -> {
+          int place = from.num(0, MOST_PLACES - 1);
+          Row r = Row.read(from);
+          from.end();
+          set(
+              place,
+              new Row(
+                  r.standing(), r.stays(), r.goes(), row(place).relapses(), r.order(), ++number));
         }
-        Pack to = new Pack().num(Kind.HOLD.ordinal()).num(place);
-        new Row(standing, stays, goes, 0, order, 0).write(to);
-        return to.done();
+        default -> {
+          int place = from.num(0, MOST_PLACES - 1);
+          String order = from.text(1024);
+          from.end();
+          Row r = row(place);
+          if (!r.order().isEmpty() && r.order().equals(order)) {
+            set(place, new Row(r.standing(), r.stays(), r.goes(), r.relapses(), "", ++number));
+          }
+        }
+      }
+    } catch (IllegalArgumentException e) {
+      return; // makes no sense, to every front alike
     }
-
-    /** That order ends, by an operator or as its time is over; what the place stands in goes on from there. */
-    public static byte[] release(int place, String order) {
-        return new Pack().num(Kind.RELEASE.ordinal()).num(place).text(order).done();
+  }
+
+  private void changed(Unpack from) {
+    long base = from.num();
+    SortedMap<Integer, Row> next = new TreeMap<>();
+    for (int n = from.num(0, MOST_PLACES); n > 0; n--) {
+      int place = from.num(0, MOST_PLACES - 1);
+      next.put(place, Row.read(from));
     }
-
-    @Override
-    public void apply(long index, long author, byte[] decision) {
-        try {
-            Unpack from = new Unpack(decision);
-            switch (from.one(Kind.values())) {
-                case CHANGE -> changed(from);
-                case HOLD -> {
-                    int place = from.num(0, MOST_PLACES - 1);
-                    Row r = Row.read(from);
-                    from.end();
-                    set(place, new Row(r.standing(), r.stays(), r.goes(), row(place).relapses(), r.order(), ++number));
-                }
-                default -> {
-                    int place = from.num(0, MOST_PLACES - 1);
-                    String order = from.text(1024);
-                    from.end();
-                    Row r = row(place);
-                    if (!r.order().isEmpty() && r.order().equals(order)) {
-                        set(place, new Row(r.standing(), r.stays(), r.goes(), r.relapses(), "", ++number));
-                    }
-                }
-            }
-        } catch (IllegalArgumentException e) {
-            return; // makes no sense, to every front alike
-        }
+    from.end();
+    next.entrySet()
+        .removeIf(
+            e ->
+                !row(e.getKey()).order().isEmpty()
+                    || !row(e.getKey()).standing().mayBecome(e.getValue().standing()));
+    if (base != number || next.isEmpty()) {
+      return;
     }
-
-    private void changed(Unpack from) {
-        long base = from.num();
-        SortedMap<Integer, Row> next = new TreeMap<>();
-        for (int n = from.num(0, MOST_PLACES); n > 0; n--) {
-            int place = from.num(0, MOST_PLACES - 1);
-            next.put(place, Row.read(from));
-        }
-        from.end();
-        next.entrySet().removeIf(e -> !row(e.getKey()).order().isEmpty() || !row(e.getKey()).standing().mayBecome(e.getValue().standing()));
-        if (base != number || next.isEmpty()) {
-            return;
-        }
-        number++;
-        next.forEach((place, r) -> {
-            boolean asBefore = r.standing() == row(place).standing();
-            set(place, new Row(r.standing(), r.stays(), r.goes(), r.relapses(), "", asBefore ? row(place).since() : number));
+    number++;
+    next.forEach(
+        (place, r) -> {
+          boolean asBefore = r.standing() == row(place).standing();
+          set(
+              place,
+              new Row(
+                  r.standing(),
+                  r.stays(),
+                  r.goes(),
+                  r.relapses(),
+                  "",
+                  asBefore ? row(place).since() : number));
         });
-    }
+  }
 
-    private void set(int place, Row r) {
-        if (r.standing() == Standing.NEAR && r.relapses() == 0 && r.order().isEmpty()) {
-            rows.remove(place);
-        } else {
-            rows.put(place, r);
-        }
+  private void set(int place, Row r) {
+    if (r.standing() == Standing.NEAR && r.relapses() == 0 && r.order().isEmpty()) {
+      rows.remove(place);
+    } else {
+      rows.put(place, r);
     }
-
-    @Override
-    public byte[] whole() {
-        Pack to = new Pack().num(number).num(rows.size());
-        rows.forEach((place, r) -> {
-            to.num(place);
-            r.write(to);
+  }
+
+  @Override
+  public byte[] whole() {
+    Pack to = new Pack().num(number).num(rows.size());
+    rows.forEach(
+        (place, r) -> {
+          to.num(place);
+          r.write(to);
         });
-        return to.done();
-    }
-
-    @Override
-    public void restore(byte[] whole) {
-        rows.clear();
-        number = 0;
-        if (whole.length > 0) {
-            Unpack from = new Unpack(whole);
-            number = from.num();
-            for (int n = from.num(0, MOST_PLACES); n > 0; n--) {
-                int place = from.num(0, MOST_PLACES - 1);
-                rows.put(place, Row.read(from));
-            }
-            from.end();
-        }
+    return to.done();
+  }
+
+  @Override
+  public void restore(byte[] whole) {
+    rows.clear();
+    number = 0;
+    if (whole.length > 0) {
+      Unpack from = new Unpack(whole);
+      number = from.num();
+      for (int n = from.num(0, MOST_PLACES); n > 0; n--) {
+        int place = from.num(0, MOST_PLACES - 1);
+        rows.put(place, Row.read(from));
+      }
+      from.end();
     }
+  }
 }
--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -13,473 +13,541 @@
 
 /** Plain cases, one for each part of the ordinary path and one for each failure met. */
 class PolicyTest {
-    private static final PackageTerms PLAIN = Stage.terms(0, 0, false);
-    private static final Span PATIENCE = Span.ofSeconds(3);
-
-    private static Stage stage(int boxes, boolean messages) {
-        Stage s = new Stage(Stage.place(2, messages, false, Span.NONE, PLAIN), 7, boxes);
-        s.pass(Span.ofSeconds(2));
-        return s;
-    }
-
-    private static void report(Stage s, double load) {
-        for (Stage.Box b : s.boxes) {
-            b.handle.reported(load, Double.NaN, Double.NaN);
-        }
-    }
-
-    @Test
-    void highShortAverageStepsTopRungsDownByOwnPartAndIsReset() {
-        Stage s = stage(1, false);
-        Policy.Title t = s.policy.title(0, 4);
-        for (int rung : new int[] {4, 4, 2}) {
-            s.plays(PLAIN, t, s.boxes.get(0), rung);
-        }
-        s.pass(Span.ofMillis(600));
-        report(s, 1.2);
-        s.pass(Span.ofMillis(600));
-        assertEquals(10, rungs(s), "one sample is not enough");
-        s.pass(Span.ofMillis(400));
-        assertEquals(2, s.viewers.get(2).rung);
-        int after = rungs(s);
-        assertTrue(after == 9 || after == 8, "a third of 700 kB is a step of 130 and by chance one more: " + after);
-        s.pass(Span.ofMillis(500));
-        assertEquals(after, rungs(s), "the reset holds the next step back");
-    }
-
-    private static int rungs(Stage s) {
-        return s.viewers.stream().mapToInt(v -> v.rung).sum();
-    }
-
-    @Test
-    void manyFrontsOnTheSameNewsShedTogetherWhatIsShort() {
-        int stepped = 0;
-        for (int seed = 0; seed < 80; seed++) {
-            Stage s = new Stage(Stage.place(80, false, false, Span.NONE, PLAIN), seed, 1);
-            Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
-            report(s, 1.2);
-            s.pass(Span.ofSeconds(2.5));
-            stepped += v.rung < 2 ? 1 : 0;
-        }
-        assertTrue(stepped > 30 && stepped < 65, "a fifth and more of 100 kB is about half a step: " + stepped);
-    }
-
-    @Test
-    void oldNewsOfALinkFades() {
-        Stage s = stage(2, true);
-        s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
-        s.boxes.get(1).handle.frontPlays(1, 6, 600, 1);
-        Policy.Title t = s.policy.title(0, 4);
-        assertSame(s.boxes.get(1), s.take(PLAIN, t, PATIENCE).out);
-        s.viewers.get(0).ends(Outside.Ending.NEVER_SENT);
-        s.pass(Span.ofSeconds(12));
-        assertSame(s.boxes.get(0), s.take(PLAIN, t, PATIENCE).out);
-    }
-
-    @Test
-    void lowLongAverageStepsTheLowestRungUp() {
-        Stage s = stage(1, false);
-        Policy.Title t = s.policy.title(0, 4);
-        Stage.Viewer high = s.plays(PLAIN, t, s.boxes.get(0), 3);
-        Stage.Viewer low = s.plays(PLAIN, t, s.boxes.get(0), 1);
-        report(s, 0.6);
-        s.pass(Span.ofMillis(900));
-        assertEquals(1, low.rung, "not before the long average has come down");
-        for (int i = 0; i < 20 && low.rung == 1; i++) {
-            s.pass(Span.ofMillis(500));
-        }
-        assertTrue(low.rung > 1);
-        assertEquals(3, high.rung);
-    }
-
-    @Test
-    void aLongGapMovesAnAverageToTheSampleAndNotPastIt() {
-        Stage s = stage(1, false);
-        Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
-        s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
-        s.now = s.now.plus(Span.ofSeconds(30));
-        s.policy.clock(s.now);
-        s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
-        assertEquals(2, v.rung);
-    }
-
-    @Test
-    void capBoundsTheRungOfASetUp() {
-        Stage s = stage(1, false);
-        Policy.Title t = s.policy.title(0, 4);
-        assertEquals(4, s.take(PLAIN, t, PATIENCE).rung, "an empty link leaves room for the top rung");
-        report(s, 0.7);
-        s.pass(Span.ofMillis(10));
-        assertTrue(s.take(PLAIN, t, PATIENCE).rung < 4);
-    }
-
-    @Test
-    void goesToTheRoomiestHolder() {
-        Stage s = stage(4, false);
-        report(s, 0.8);
-        s.boxes.get(2).handle.reported(0.2, Double.NaN, Double.NaN);
-        s.boxes.get(3).handle.reported(0.1, Double.NaN, Double.NaN);
-        assertSame(s.boxes.get(2), s.take(PLAIN, s.policy.title(0, 3), PATIENCE).out);
-    }
-
-    @Test
-    void afterSilenceAnotherBoxIsTriedAndTheSilentOneAvoided() {
-        Stage s = stage(2, false);
-        Policy.Title t = s.policy.title(0, 4);
-        Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
-        Stage.Box silent = v.out;
-        assertTrue(v.timeout.under(PLAIN.joinTarget()), "room for another within the join target");
-        s.pass(v.timeout);
-        assertNotEquals(silent, v.out);
-        v.plays();
-        assertNotEquals(silent, s.take(PLAIN, t, PATIENCE).out);
-    }
-
-    @Test
-    void afterAnErrorOthersArePreferred() {
-        Stage s = stage(2, false);
-        Policy.Title t = s.policy.title(0, 4);
-        Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
-        Stage.Box failing = v.out;
-        v.ends(Outside.Ending.ERROR);
-        v.plays();
-        assertNotEquals(failing, s.take(PLAIN, t, PATIENCE).out);
-    }
-
-    @Test
-    void whenEveryBoxIsUnderSuspicionOneIsUsedAllTheSame() {
-        Stage s = stage(2, false);
-        s.boxes.forEach(b -> b.handle.probed(false));
-        s.pass(Span.ofSeconds(3));
-        s.boxes.forEach(b -> b.handle.probed(false));
-        assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
-    }
-
-    @Test
-    void fullToTheFloorBlocksAtOnceAndSaysWhenToComeBack() {
-        Stage s = stage(1, false);
-        report(s, 2.5);
-        assertEquals("blocked", s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer);
-    }
-
-    @Test
-    void paidAtSetUpIsAbortedOnceItMayHaveRun() {
-        PackageTerms paid = Stage.terms(0, 0, true);
-        Stage s = new Stage(Stage.place(2, false, false, Span.NONE, paid), 7, 2);
-        Stage.Viewer v = s.take(paid, s.policy.title(0, 4), PATIENCE);
+  private static final PackageTerms PLAIN = Stage.terms(0, 0, false);
+  private static final Span PATIENCE = Span.ofSeconds(3);
+
+  private static Stage stage(int boxes, boolean messages) {
+    Stage s = new Stage(Stage.place(2, messages, false, Span.NONE, PLAIN), 7, boxes);
+    s.pass(Span.ofSeconds(2));
+    return s;
+  }
+
+  private static void report(Stage s, double load) {
+    for (Stage.Box b : s.boxes) {
+      b.handle.reported(load, Double.NaN, Double.NaN);
+    }
+  }
+
+  @Test
+  void highShortAverageStepsTopRungsDownByOwnPartAndIsReset() {
+    Stage s = stage(1, false);
+    Policy.Title t = s.policy.title(0, 4);
+    for (int rung : new int[] {4, 4, 2}) {
+      s.plays(PLAIN, t, s.boxes.get(0), rung);
+    }
+    s.pass(Span.ofMillis(600));
+    report(s, 1.2);
+    s.pass(Span.ofMillis(600));
+    assertEquals(10, rungs(s), "one sample is not enough");
+    s.pass(Span.ofMillis(400));
+    assertEquals(2, s.viewers.get(2).rung);
+    int after = rungs(s);
+    assertTrue(
+        after == 9 || after == 8,
+        "a third of 700 kB is a step of 130 and by chance one more: " + after);
+    s.pass(Span.ofMillis(500));
+    assertEquals(after, rungs(s), "the reset holds the next step back");
+  }
+
+  private static int rungs(Stage s) {
+    return s.viewers.stream().mapToInt(v -> v.rung).sum();
+  }
+
+  @Test
+  void manyFrontsOnTheSameNewsShedTogetherWhatIsShort() {
+    int stepped = 0;
+    for (int seed = 0; seed < 80; seed++) {
+      Stage s = new Stage(Stage.place(80, false, false, Span.NONE, PLAIN), seed, 1);
+      Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
+      report(s, 1.2);
+      s.pass(Span.ofSeconds(2.5));
+      stepped += v.rung < 2 ? 1 : 0;
+    }
+    assertTrue(
+        stepped > 30 && stepped < 65,
+        "a fifth and more of 100 kB is about half a step: " + stepped);
+  }
+
+  @Test
+  void oldNewsOfALinkFades() {
+    Stage s = stage(2, true);
+    s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
+    s.boxes.get(1).handle.frontPlays(1, 6, 600, 1);
+    Policy.Title t = s.policy.title(0, 4);
+    assertSame(s.boxes.get(1), s.take(PLAIN, t, PATIENCE).out);
+    s.viewers.get(0).ends(Outside.Ending.NEVER_SENT);
+    s.pass(Span.ofSeconds(12));
+    assertSame(s.boxes.get(0), s.take(PLAIN, t, PATIENCE).out);
+  }
+
+  @Test
+  void lowLongAverageStepsTheLowestRungUp() {
+    Stage s = stage(1, false);
+    Policy.Title t = s.policy.title(0, 4);
+    Stage.Viewer high = s.plays(PLAIN, t, s.boxes.get(0), 3);
+    Stage.Viewer low = s.plays(PLAIN, t, s.boxes.get(0), 1);
+    report(s, 0.6);
+    s.pass(Span.ofMillis(900));
+    assertEquals(1, low.rung, "not before the long average has come down");
+    for (int i = 0; i < 20 && low.rung == 1; i++) {
+      s.pass(Span.ofMillis(500));
+    }
+    assertTrue(low.rung > 1);
+    assertEquals(3, high.rung);
+  }
+
+  @Test
+  void aLongGapMovesAnAverageToTheSampleAndNotPastIt() {
+    Stage s = stage(1, false);
+    Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
+    s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
+    s.now = s.now.plus(Span.ofSeconds(30));
+    s.policy.clock(s.now);
+    s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
+    assertEquals(2, v.rung);
+  }
+
+  @Test
+  void capBoundsTheRungOfASetUp() {
+    Stage s = stage(1, false);
+    Policy.Title t = s.policy.title(0, 4);
+    assertEquals(4, s.take(PLAIN, t, PATIENCE).rung, "an empty link leaves room for the top rung");
+    report(s, 0.7);
+    s.pass(Span.ofMillis(10));
+    assertTrue(s.take(PLAIN, t, PATIENCE).rung < 4);
+  }
+
+  @Test
+  void goesToTheRoomiestHolder() {
+    Stage s = stage(4, false);
+    report(s, 0.8);
+    s.boxes.get(2).handle.reported(0.2, Double.NaN, Double.NaN);
+    s.boxes.get(3).handle.reported(0.1, Double.NaN, Double.NaN);
+    assertSame(s.boxes.get(2), s.take(PLAIN, s.policy.title(0, 3), PATIENCE).out);
+  }
+
+  @Test
+  void afterSilenceAnotherBoxIsTriedAndTheSilentOneAvoided() {
+    Stage s = stage(2, false);
+    Policy.Title t = s.policy.title(0, 4);
+    Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
+    Stage.Box silent = v.out;
+    assertTrue(v.timeout.under(PLAIN.joinTarget()), "room for another within the join target");
+    s.pass(v.timeout);
+    assertNotEquals(silent, v.out);
+    v.plays();
+    assertNotEquals(silent, s.take(PLAIN, t, PATIENCE).out);
+  }
+
+  @Test
+  void afterAnErrorOthersArePreferred() {
+    Stage s = stage(2, false);
+    Policy.Title t = s.policy.title(0, 4);
+    Stage.Viewer v = s.take(PLAIN, t, PATIENCE);
+    Stage.Box failing = v.out;
+    v.ends(Outside.Ending.ERROR);
+    v.plays();
+    assertNotEquals(failing, s.take(PLAIN, t, PATIENCE).out);
+  }
+
+  @Test
+  void whenEveryBoxIsUnderSuspicionOneIsUsedAllTheSame() {
+    Stage s = stage(2, false);
+    s.boxes.forEach(b -> b.handle.probed(false));
+    s.pass(Span.ofSeconds(3));
+    s.boxes.forEach(b -> b.handle.probed(false));
+    assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
+  }
+
+  @Test
+  void fullToTheFloorBlocksAtOnceAndSaysWhenToComeBack() {
+    Stage s = stage(1, false);
+    report(s, 2.5);
+    assertEquals("blocked", s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer);
+  }
+
+  @Test
+  void paidAtSetUpIsAbortedOnceItMayHaveRun() {
+    PackageTerms paid = Stage.terms(0, 0, true);
+    Stage s = new Stage(Stage.place(2, false, false, Span.NONE, paid), 7, 2);
+    Stage.Viewer v = s.take(paid, s.policy.title(0, 4), PATIENCE);
+    v.ends(Outside.Ending.TURNED_AWAY);
+    assertNotNull(v.out, "what provably never ran is sent again");
+    v.ends(Outside.Ending.ERROR);
+    assertEquals("aborted", v.answer);
+  }
+
+  @Test
+  void oneShortBoxDoesNotBlameTheUplink() {
+    Stage s = stage(3, true);
+    Policy.Title t = s.policy.title(0, 4);
+    Stage.Viewer hit = s.plays(PLAIN, t, s.boxes.get(0), 3);
+    Stage.Viewer other = s.plays(PLAIN, t, s.boxes.get(1), 3);
+    for (int i = 0; i < 4; i++) {
+      hit.handle.shareDelivered(0.8);
+      s.pass(Span.ofSeconds(1));
+    }
+    assertTrue(hit.rung < 3);
+    assertTrue(other.rung >= 3);
+  }
+
+  @Test
+  void whatOtherFrontsPlayFillsTheRoom() {
+    Stage s = stage(2, true);
+    s.boxes.get(0).handle.frontPlays(1, 9, 800, 1);
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    assertSame(s.boxes.get(1), v.out);
+    s.boxes.get(0).handle.frontPlays(2, 1, 60, 1);
+    assertEquals(List.of(0.0, 800.0), s.answered);
+  }
+
+  @Test
+  void aSilentFrontsLastWordIsForgotten() {
+    Stage s = stage(1, true);
+    s.boxes.get(0).handle.frontPlays(1, 9, 1200, 1);
+    Policy.Title t = s.policy.title(0, 4);
+    assertEquals(0, s.take(PLAIN, t, PATIENCE).rung);
+    s.viewers.get(0).ends(Outside.Ending.NEVER_SENT);
+    s.pass(Span.ofSeconds(20));
+    assertEquals(4, s.take(PLAIN, t, PATIENCE).rung);
+  }
+
+  @Test
+  void anUplinkKeepsRoomForEachOfItsBoxes() {
+    Stage s = stage(4, true);
+    for (int i = 0; i < 3; i++) {
+      s.boxes.get(i).handle.frontPlays(1, 10, 1150, 1);
+    }
+    s.boxes.get(3).handle.frontPlays(1, 3, 60, 1);
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(3, 1), PATIENCE);
+    assertTrue(v.rung > 0 && v.rung < 4, "rung " + v.rung);
+  }
+
+  @Test
+  void noMoreTuneInsThanAllowed() {
+    Stage s = stage(4, false);
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    while (v.out != null) {
+      v.ends(Outside.Ending.TURNED_AWAY);
+    }
+    assertEquals(4, v.tuneIns);
+    assertEquals("blocked", v.answer);
+  }
+
+  @Test
+  void drainingBoxesGetNothingAndHeldViewingsAreAnswered() {
+    Stage s = stage(1, false);
+    s.boxes.get(0).draining();
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    assertNull(v.out);
+    s.pass(PATIENCE);
+    assertEquals("blocked", v.answer);
+  }
+
+  @Test
+  void aViewerWhoLeavesIsNotAnswered() {
+    Stage s = stage(1, false);
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    v.handle.viewerLeft();
+    v.answer = "left";
+    v.ends(Outside.Ending.WITHDRAWN);
+    assertEquals(1, v.tuneIns);
+    assertFalse(v.playing);
+  }
+
+  private static Stage probing() {
+    Stage s = new Stage(Stage.place(80, false, true, Span.NONE, PLAIN), 7, 3);
+    s.pass(Span.ofSeconds(2));
+    return s;
+  }
+
+  @Test
+  void aNewcomerGoesToTheRoomierOfTheBoxesAsked() {
+    Stage s = probing();
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    assertNull(v.out, "it waits for the answers");
+    List<Stage.Box> asked = s.boxes.stream().filter(b -> b.probes > 0).toList();
+    assertEquals(2, asked.size());
+    asked.get(0).handle.reported(0.9, 0.5, Double.NaN);
+    asked.get(0).handle.probed(true);
+    asked.get(1).handle.reported(0.8, 0.5, Double.NaN);
+    asked.get(1).handle.probed(true);
+    assertSame(asked.get(1), v.out, "heard of, it comes before the third that is only guessed at");
+  }
+
+  @Test
+  void withNoAnswerANewcomerIsSentAllTheSame() {
+    Stage s = probing();
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    assertNull(v.out);
+    s.pass(Span.ofMillis(100));
+    assertNotNull(v.out);
+  }
+
+  @Test
+  void aStepUpAsksFirst() {
+    Stage s = probing();
+    Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 1);
+    s.take(PLAIN, s.policy.title(0, 4), PATIENCE); // a viewing more: the price of probes is earned
+    s.pass(Span.ofSeconds(6));
+    assertEquals(1, v.rung, "nothing heard, nothing stepped");
+    assertTrue(s.boxes.get(0).probes > 0);
+    for (int i = 0; i < 12; i++) {
+      s.boxes.get(0).handle.reported(0.1, 0.1, Double.NaN);
+      s.pass(Span.ofMillis(500));
+    }
+    assertTrue(v.rung > 1);
+  }
+
+  @Test
+  void shortNotesThatStillShowWhatWasShedShedNoMore() {
+    Stage s = stage(1, false);
+    Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 4);
+    Stage.Viewer w = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 4);
+    s.pass(Span.ofSeconds(4));
+    while (v.rung + w.rung == 8) {
+      v.handle.shareDelivered(0.75);
+      s.pass(Span.ofMillis(500));
+    }
+    int after = v.rung + w.rung;
+    for (int i = 0; i < 3; i++) {
+      v.handle.shareDelivered(0.75);
+      s.pass(Span.ofMillis(500));
+    }
+    assertEquals(after, v.rung + w.rung);
+  }
+
+  @Test
+  void theKeeperSizesAShortUplinkAndTellsIt() {
+    Stage s = stage(1, true);
+    s.boxes.get(0).handle.frontPlays(1, 9, 3000, 1);
+    s.pass(Span.ofSeconds(4));
+    s.boxes.get(0).handle.frontPlays(1, 9, 3000, 0.8);
+    assertEquals(4000, s.sizes.get(0), 1);
+    assertEquals(2400, s.sizes.get(1), 60);
+  }
+
+  @Test
+  void aKeeperThatHasJustStartedAnswersNobody() {
+    Stage s = new Stage(Stage.place(2, true, false, Span.NONE, PLAIN), 7, 1);
+    s.boxes.get(0).handle.frontPlays(1, 9, 800, 1);
+    assertTrue(s.answered.isEmpty());
+    assertNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer, "a partial sum blocks nobody");
+  }
+
+  @Test
+  void aNewcomerThatWouldMakeItsBoxShortIsBlocked() {
+    Stage s = stage(1, false);
+    report(s, 0.99);
+    assertEquals("blocked", s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer);
+    s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
+    assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
+  }
+
+  @Test
+  void furtherTuneInsAreRationedAcrossViewings() {
+    Stage s = new Stage(Stage.place(2, false, false, Span.ofSeconds(5), PLAIN), 7, 4);
+    for (int i = 0; i < 10; i++) {
+      Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+      while (v.out != null) {
         v.ends(Outside.Ending.TURNED_AWAY);
-        assertNotNull(v.out, "what provably never ran is sent again");
-        v.ends(Outside.Ending.ERROR);
-        assertEquals("aborted", v.answer);
-    }
-
-    @Test
-    void oneShortBoxDoesNotBlameTheUplink() {
-        Stage s = stage(3, true);
-        Policy.Title t = s.policy.title(0, 4);
-        Stage.Viewer hit = s.plays(PLAIN, t, s.boxes.get(0), 3);
-        Stage.Viewer other = s.plays(PLAIN, t, s.boxes.get(1), 3);
-        for (int i = 0; i < 4; i++) {
-            hit.handle.shareDelivered(0.8);
-            s.pass(Span.ofSeconds(1));
-        }
-        assertTrue(hit.rung < 3);
-        assertTrue(other.rung >= 3);
-    }
-
-    @Test
-    void whatOtherFrontsPlayFillsTheRoom() {
-        Stage s = stage(2, true);
-        s.boxes.get(0).handle.frontPlays(1, 9, 800, 1);
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        assertSame(s.boxes.get(1), v.out);
-        s.boxes.get(0).handle.frontPlays(2, 1, 60, 1);
-        assertEquals(List.of(0.0, 800.0), s.answered);
-    }
-
-    @Test
-    void aSilentFrontsLastWordIsForgotten() {
-        Stage s = stage(1, true);
-        s.boxes.get(0).handle.frontPlays(1, 9, 1200, 1);
-        Policy.Title t = s.policy.title(0, 4);
-        assertEquals(0, s.take(PLAIN, t, PATIENCE).rung);
-        s.viewers.get(0).ends(Outside.Ending.NEVER_SENT);
-        s.pass(Span.ofSeconds(20));
-        assertEquals(4, s.take(PLAIN, t, PATIENCE).rung);
-    }
-
-    @Test
-    void anUplinkKeepsRoomForEachOfItsBoxes() {
-        Stage s = stage(4, true);
-        for (int i = 0; i < 3; i++) {
-            s.boxes.get(i).handle.frontPlays(1, 10, 1150, 1);
-        }
-        s.boxes.get(3).handle.frontPlays(1, 3, 60, 1);
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(3, 1), PATIENCE);
-        assertTrue(v.rung > 0 && v.rung < 4, "rung " + v.rung);
-    }
-
-    @Test
-    void noMoreTuneInsThanAllowed() {
-        Stage s = stage(4, false);
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        while (v.out != null) {
-            v.ends(Outside.Ending.TURNED_AWAY);
-        }
-        assertEquals(4, v.tuneIns);
-        assertEquals("blocked", v.answer);
-    }
-
-    @Test
-    void drainingBoxesGetNothingAndHeldViewingsAreAnswered() {
-        Stage s = stage(1, false);
-        s.boxes.get(0).draining();
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        assertNull(v.out);
-        s.pass(PATIENCE);
-        assertEquals("blocked", v.answer);
-    }
-
-    @Test
-    void aViewerWhoLeavesIsNotAnswered() {
-        Stage s = stage(1, false);
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        v.handle.viewerLeft();
-        v.answer = "left";
-        v.ends(Outside.Ending.WITHDRAWN);
-        assertEquals(1, v.tuneIns);
-        assertFalse(v.playing);
-    }
-
-    private static Stage probing() {
-        Stage s = new Stage(Stage.place(80, false, true, Span.NONE, PLAIN), 7, 3);
-        s.pass(Span.ofSeconds(2));
-        return s;
-    }
-
-    @Test
-    void aNewcomerGoesToTheRoomierOfTheBoxesAsked() {
-        Stage s = probing();
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        assertNull(v.out, "it waits for the answers");
-        List<Stage.Box> asked = s.boxes.stream().filter(b -> b.probes > 0).toList();
-        assertEquals(2, asked.size());
-        asked.get(0).handle.reported(0.9, 0.5, Double.NaN);
-        asked.get(0).handle.probed(true);
-        asked.get(1).handle.reported(0.8, 0.5, Double.NaN);
-        asked.get(1).handle.probed(true);
-        assertSame(asked.get(1), v.out, "heard of, it comes before the third that is only guessed at");
-    }
-
-    @Test
-    void withNoAnswerANewcomerIsSentAllTheSame() {
-        Stage s = probing();
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        assertNull(v.out);
-        s.pass(Span.ofMillis(100));
-        assertNotNull(v.out);
-    }
-
-    @Test
-    void aStepUpAsksFirst() {
-        Stage s = probing();
-        Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 1);
-        s.take(PLAIN, s.policy.title(0, 4), PATIENCE); // a viewing more: the price of probes is earned
-        s.pass(Span.ofSeconds(6));
-        assertEquals(1, v.rung, "nothing heard, nothing stepped");
-        assertTrue(s.boxes.get(0).probes > 0);
-        for (int i = 0; i < 12; i++) {
-            s.boxes.get(0).handle.reported(0.1, 0.1, Double.NaN);
-            s.pass(Span.ofMillis(500));
-        }
-        assertTrue(v.rung > 1);
-    }
-
-    @Test
-    void shortNotesThatStillShowWhatWasShedShedNoMore() {
-        Stage s = stage(1, false);
-        Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 4);
-        Stage.Viewer w = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 4);
-        s.pass(Span.ofSeconds(4));
-        while (v.rung + w.rung == 8) {
-            v.handle.shareDelivered(0.75);
-            s.pass(Span.ofMillis(500));
-        }
-        int after = v.rung + w.rung;
-        for (int i = 0; i < 3; i++) {
-            v.handle.shareDelivered(0.75);
-            s.pass(Span.ofMillis(500));
-        }
-        assertEquals(after, v.rung + w.rung);
-    }
-
-    @Test
-    void theKeeperSizesAShortUplinkAndTellsIt() {
-        Stage s = stage(1, true);
-        s.boxes.get(0).handle.frontPlays(1, 9, 3000, 1);
-        s.pass(Span.ofSeconds(4));
-        s.boxes.get(0).handle.frontPlays(1, 9, 3000, 0.8);
-        assertEquals(4000, s.sizes.get(0), 1);
-        assertEquals(2400, s.sizes.get(1), 60);
-    }
-
-    @Test
-    void aKeeperThatHasJustStartedAnswersNobody() {
-        Stage s = new Stage(Stage.place(2, true, false, Span.NONE, PLAIN), 7, 1);
-        s.boxes.get(0).handle.frontPlays(1, 9, 800, 1);
-        assertTrue(s.answered.isEmpty());
-        assertNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer, "a partial sum blocks nobody");
-    }
-
-    @Test
-    void aNewcomerThatWouldMakeItsBoxShortIsBlocked() {
-        Stage s = stage(1, false);
-        report(s, 0.99);
-        assertEquals("blocked", s.take(PLAIN, s.policy.title(0, 4), PATIENCE).answer);
-        s.boxes.get(0).handle.reported(0.9, Double.NaN, Double.NaN);
-        assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
-    }
-
-    @Test
-    void furtherTuneInsAreRationedAcrossViewings() {
-        Stage s = new Stage(Stage.place(2, false, false, Span.ofSeconds(5), PLAIN), 7, 4);
-        for (int i = 0; i < 10; i++) {
-            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-            while (v.out != null) {
-                v.ends(Outside.Ending.TURNED_AWAY);
-            }
-        }
-        assertEquals(10 + 3 + 2, s.viewers.stream().mapToInt(v -> v.tuneIns).sum());
-    }
-
-    /** A set-up may leave half a second after its choice: the window of what has left must hold, not that of the choices. */
-    @Test
-    void furtherTuneInsStayWithinTheirBudgetHoweverLateTheyLeave() {
-        Stage s = new Stage(Stage.place(2, false, false, Span.ofSeconds(5), PLAIN), 7, 4);
-        for (int i = 0; i < 4; i++) {
-            refused(s);
-        }
-        int before = s.viewers.stream().mapToInt(v -> v.tuneIns).sum();
-        assertEquals(4 + 3, before, "the three that are free");
-        s.pass(Span.ofMillis(5100));
-        assertEquals(1, refused(s), "those three may have left a tenth of a second ago");
-        s.pass(Span.ofMillis(500));
-        assertTrue(refused(s) > 1);
-    }
-
-    private static int refused(Stage s) {
-        Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        while (v.out != null) {
-            v.ends(Outside.Ending.TURNED_AWAY);
-        }
-        return v.tuneIns;
-    }
-
-    @Test
-    void aFrontThatHasJustStartedSendsNothingToAColdBox() {
-        Stage s = new Stage(Stage.place(1, false, false, Span.NONE, PLAIN), 7, 1);
-        s.boxes.get(0).serving(s.now);
-        assertNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
-        s.pass(Span.ofSeconds(3));
-        assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
-    }
-
-    @Test
-    void ratesInForceBeforeTheFirstReportAreNoNews() {
-        Stage s = stage(1, false);
-        Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 4);
-        report(s, 0.9);
-        s.pass(Span.ofSeconds(2));
-        assertEquals(4, v.rung, "its 300 kB are in the 900 reported");
-    }
-
-    @Test
-    void whenAllWordsAreLostTheGuessAloneShedsNothing() {
-        Stage s = stage(8, true);
-        Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
-        s.boxes.get(0).handle.frontPlays(1, 9, 300, 1);
-        s.pass(Span.ofSeconds(20));
-        for (int i = 0; i < 40; i++) {
-            s.boxes.get(1).handle.reported(4, Double.NaN, Double.NaN); // a usual load far over all links
-            s.boxes.get(0).handle.reported(0.5, Double.NaN, Double.NaN);
-            s.pass(Span.ofMillis(500));
-        }
-        assertTrue(v.rung >= 2);
-    }
-
-    /** Taken for a restart, a lost answer or the front's own stand-still held a box to a cold one's pace for long. */
-    @Test
-    void aBoxThatWasHeardMeanwhileIsHeldToNoColdPace() {
-        for (Outside.Ending how : List.of(Outside.Ending.NO_ANSWER, Outside.Ending.UNHEARD, Outside.Ending.HELD_UP)) {
-            Stage s = stage(1, false);
-            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-            v.ends(how);
-            assertEquals(how == Outside.Ending.NO_ANSWER, v.out == null, how + ": it may have started anew");
-        }
-        Stage s = new Stage(Stage.place(2, false, true, Span.NONE, PLAIN), 7, 1);
-        s.pass(Span.ofSeconds(3));
-        s.boxes.get(0).handle.probed(Outside.Ending.HELD_UP);
-        s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        s.pass(Span.ofMillis(100));
-        s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-        s.pass(Span.ofMillis(100));
-        assertTrue(s.viewers.stream().allMatch(v -> v.out != null), "two within the window, as at any warm box");
-    }
-
-    @Test
-    void onOldNewsANewcomerTakesTheRungNearestItsPartOfTheUplink() {
-        for (double price : new double[] {0.008, 0.08}) {
-            Headend h = Stage.place(200, false, true, Span.NONE, PLAIN);
-            Headend.Permits p = h.permits();
-            Stage s = new Stage(new Headend(h.fronts(), h.ownNumber(), h.building(), h.packages(), h.ladderKb(), h.rungValue(),
-                    h.fleet(), h.rules(), new Headend.Permits(p.tuneIns(), false, true, true, price, 0.01, 0, p.longestAdvice())), 7, 1);
-            s.pass(Span.ofSeconds(3));
-            s.boxes.get(0).handle.reported(0.3, 0.95, 10);
-            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
-            s.pass(Span.ofMillis(100));
-            assertEquals(price > 0.01 ? 2 : 0, v.rung, "4000 kB over the 40 viewings of 95 kB that seem to be there");
-        }
-    }
-
-    /** Rungs that step down look like room; newcomers of all fronts took it, and viewers left within a second. */
-    @Test
-    void onOldNewsNewcomersBeginLowWhereTheirBoxOrAnyTwoAreShort() {
-        record Case(int plays, int isShort, boolean low) {
-        }
-        for (Case c : List.of(new Case(2, 0, false), new Case(1, 1, false), new Case(4, 1, false), new Case(2, 2, true), new Case(4, 2, true))) {
-            Headend h = Stage.place(200, false, true, Span.NONE, PLAIN);
-            Stage s = new Stage(new Headend(h.fronts(), h.ownNumber(), h.building(), h.packages(), h.ladderKb(), h.rungValue(),
-                    h.fleet(), h.rules(), new Headend.Permits(4, false, true, true, 0.08, 0.01, 0, Span.ofSeconds(2))), 7, 5);
-            s.pass(Span.ofSeconds(3));
-            for (int box = 1; box <= c.plays(); box++) {
-                Stage.Viewer there = s.plays(PLAIN, s.policy.title(box, 1), s.boxes.get(box), 1);
-                s.boxes.get(box).handle.reported(0.9, 0.1, 1); // it is the link there, not the uplink of all
-                there.handle.shareDelivered(box <= c.isShort() ? 0.9 : 1);
-            }
-            s.boxes.get(0).handle.reported(0.1, 0.1, 1);
-            Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 1), PATIENCE);
-            s.pass(Span.ofMillis(100));
-            assertEquals(c.low(), v.rung == 0, "rung " + v.rung + " in " + c);
-            Stage.Viewer beside = s.take(PLAIN, s.policy.title(1, 1), PATIENCE);
-            s.pass(Span.ofMillis(100));
-            assertEquals(c.isShort() > 0, beside.rung == 0, "rung " + beside.rung + " at the box that is short in " + c);
-        }
-    }
-
-    @Test
-    void whereConnectionsArePricedNewcomersKeepToBoxesThatTheFrontPlaysOn() {
-        Headend h = Stage.place(200, false, false, Span.NONE, PLAIN);
-        for (double price : new double[] {0, 0.08}) {
-            Stage s = new Stage(new Headend(h.fronts(), h.ownNumber(), h.building(), h.packages(), h.ladderKb(), h.rungValue(),
-                    h.fleet(), h.rules(), new Headend.Permits(4, false, false, false, 0, 0, price, Span.ofSeconds(2))), 7, 4);
-            s.pass(Span.ofSeconds(3));
-            Policy.Title t = s.policy.title(0, 4);
-            s.plays(PLAIN, t, s.boxes.get(3), 2);
-            int there = 0;
-            for (int i = 0; i < 4; i++) {
-                there += s.take(PLAIN, t, PATIENCE).out == s.boxes.get(3) ? 1 : 0;
-            }
-            assertTrue(price > 0 ? there == 4 : there < 4, there + " of 4 at a price of " + price);
-        }
-    }
+      }
+    }
+    assertEquals(10 + 3 + 2, s.viewers.stream().mapToInt(v -> v.tuneIns).sum());
+  }
+
+  /**
+   * A set-up may leave half a second after its choice: the window of what has left must hold, not
+   * that of the choices.
+   */
+  @Test
+  void furtherTuneInsStayWithinTheirBudgetHoweverLateTheyLeave() {
+    Stage s = new Stage(Stage.place(2, false, false, Span.ofSeconds(5), PLAIN), 7, 4);
+    for (int i = 0; i < 4; i++) {
+      refused(s);
+    }
+    int before = s.viewers.stream().mapToInt(v -> v.tuneIns).sum();
+    assertEquals(4 + 3, before, "the three that are free");
+    s.pass(Span.ofMillis(5100));
+    assertEquals(1, refused(s), "those three may have left a tenth of a second ago");
+    s.pass(Span.ofMillis(500));
+    assertTrue(refused(s) > 1);
+  }
+
+  private static int refused(Stage s) {
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    while (v.out != null) {
+      v.ends(Outside.Ending.TURNED_AWAY);
+    }
+    return v.tuneIns;
+  }
+
+  @Test
+  void aFrontThatHasJustStartedSendsNothingToAColdBox() {
+    Stage s = new Stage(Stage.place(1, false, false, Span.NONE, PLAIN), 7, 1);
+    s.boxes.get(0).serving(s.now);
+    assertNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
+    s.pass(Span.ofSeconds(3));
+    assertNotNull(s.take(PLAIN, s.policy.title(0, 4), PATIENCE).out);
+  }
+
+  @Test
+  void ratesInForceBeforeTheFirstReportAreNoNews() {
+    Stage s = stage(1, false);
+    Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 4);
+    report(s, 0.9);
+    s.pass(Span.ofSeconds(2));
+    assertEquals(4, v.rung, "its 300 kB are in the 900 reported");
+  }
+
+  @Test
+  void whenAllWordsAreLostTheGuessAloneShedsNothing() {
+    Stage s = stage(8, true);
+    Stage.Viewer v = s.plays(PLAIN, s.policy.title(0, 4), s.boxes.get(0), 2);
+    s.boxes.get(0).handle.frontPlays(1, 9, 300, 1);
+    s.pass(Span.ofSeconds(20));
+    for (int i = 0; i < 40; i++) {
+      s.boxes.get(1).handle.reported(4, Double.NaN, Double.NaN); // a usual load far over all links
+      s.boxes.get(0).handle.reported(0.5, Double.NaN, Double.NaN);
+      s.pass(Span.ofMillis(500));
+    }
+    assertTrue(v.rung >= 2);
+  }
+
+  /**
+   * Taken for a restart, a lost answer or the front's own stand-still held a box to a cold one's
+   * pace for long.
+   */
+  @Test
+  void aBoxThatWasHeardMeanwhileIsHeldToNoColdPace() {
+    for (Outside.Ending how :
+        List.of(Outside.Ending.NO_ANSWER, Outside.Ending.UNHEARD, Outside.Ending.HELD_UP)) {
+      Stage s = stage(1, false);
+      Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+      v.ends(how);
+      assertEquals(
+          how == Outside.Ending.NO_ANSWER, v.out == null, how + ": it may have started anew");
+    }
+    Stage s = new Stage(Stage.place(2, false, true, Span.NONE, PLAIN), 7, 1);
+    s.pass(Span.ofSeconds(3));
+    s.boxes.get(0).handle.probed(Outside.Ending.HELD_UP);
+    s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    s.pass(Span.ofMillis(100));
+    s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    s.pass(Span.ofMillis(100));
+    assertTrue(
+        s.viewers.stream().allMatch(v -> v.out != null),
+        "two within the window, as at any warm box");
+  }
+
+  @Test
+  void onOldNewsANewcomerTakesTheRungNearestItsPartOfTheUplink() {
+    for (double price : new double[] {0.008, 0.08}) {
+      Headend h = Stage.place(200, false, true, Span.NONE, PLAIN);
+      Headend.Permits p = h.permits();
+      Stage s =
+          new Stage(
+              new Headend(
+                  h.fronts(),
+                  h.ownNumber(),
+                  h.building(),
+                  h.packages(),
+                  h.ladderKb(),
+                  h.rungValue(),
+                  h.fleet(),
+                  h.rules(),
+                  new Headend.Permits(
+                      p.tuneIns(), false, true, true, price, 0.01, 0, p.longestAdvice())),
+              7,
+              1);
+      s.pass(Span.ofSeconds(3));
+      s.boxes.get(0).handle.reported(0.3, 0.95, 10);
+      Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+      s.pass(Span.ofMillis(100));
+      assertEquals(
+          price > 0.01 ? 2 : 0,
+          v.rung,
+          "4000 kB over the 40 viewings of 95 kB that seem to be there");
+    }
+  }
+
+  /**
+   * Rungs that step down look like room; newcomers of all fronts took it, and viewers left within a
+   * second.
+   */
+  @Test
+  void onOldNewsNewcomersBeginLowWhereTheirBoxOrAnyTwoAreShort() {
+    record Case(int plays, int isShort, boolean low) {}
+    for (Case c :
+        List.of(
+            new Case(2, 0, false),
+            new Case(1, 1, false),
+            new Case(4, 1, false),
+            new Case(2, 2, true),
+            new Case(4, 2, true))) {
+      Headend h = Stage.place(200, false, true, Span.NONE, PLAIN);
+      Stage s =
+          new Stage(
+              new Headend(
+                  h.fronts(),
+                  h.ownNumber(),
+                  h.building(),
+                  h.packages(),
+                  h.ladderKb(),
+                  h.rungValue(),
+                  h.fleet(),
+                  h.rules(),
+                  new Headend.Permits(4, false, true, true, 0.08, 0.01, 0, Span.ofSeconds(2))),
+              7,
+              5);
+      s.pass(Span.ofSeconds(3));
+      for (int box = 1; box <= c.plays(); box++) {
+        Stage.Viewer there = s.plays(PLAIN, s.policy.title(box, 1), s.boxes.get(box), 1);
+        s.boxes
+            .get(box)
+            .handle
+            .reported(0.9, 0.1, 1); // it is the link there, not the uplink of all
+        there.handle.shareDelivered(box <= c.isShort() ? 0.9 : 1);
+      }
+      s.boxes.get(0).handle.reported(0.1, 0.1, 1);
+      Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 1), PATIENCE);
+      s.pass(Span.ofMillis(100));
+      assertEquals(c.low(), v.rung == 0, "rung " + v.rung + " in " + c);
+      Stage.Viewer beside = s.take(PLAIN, s.policy.title(1, 1), PATIENCE);
+      s.pass(Span.ofMillis(100));
+      assertEquals(
+          c.isShort() > 0,
+          beside.rung == 0,
+          "rung " + beside.rung + " at the box that is short in " + c);
+    }
+  }
+
+  @Test
+  void whereConnectionsArePricedNewcomersKeepToBoxesThatTheFrontPlaysOn() {
+    Headend h = Stage.place(200, false, false, Span.NONE, PLAIN);
+    for (double price : new double[] {0, 0.08}) {
+      Stage s =
+          new Stage(
+              new Headend(
+                  h.fronts(),
+                  h.ownNumber(),
+                  h.building(),
+                  h.packages(),
+                  h.ladderKb(),
+                  h.rungValue(),
+                  h.fleet(),
+                  h.rules(),
+                  new Headend.Permits(4, false, false, false, 0, 0, price, Span.ofSeconds(2))),
+              7,
+              4);
+      s.pass(Span.ofSeconds(3));
+      Policy.Title t = s.policy.title(0, 4);
+      s.plays(PLAIN, t, s.boxes.get(3), 2);
+      int there = 0;
+      for (int i = 0; i < 4; i++) {
+        there += s.take(PLAIN, t, PATIENCE).out == s.boxes.get(3) ? 1 : 0;
+      }
+      assertTrue(price > 0 ? there == 4 : there < 4, there + " of 4 at a price of " + price);
+    }
+  }
 }
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -13,282 +13,325 @@
 
 /** One front with its boxes and viewers, and the six rules checked at every send and answer. */
 final class Stage implements Outside {
-    private static final Span DRAIN_GRACE = Span.ofMillis(1000);
-
-    final class Box implements Line {
-        final Policy.MediaBox handle;
-        int cell;
-        boolean serving;
-        Moment told = Moment.DISTANT_PAST;
-        Moment startedAt = Moment.DISTANT_PAST;
-        Moment witnessed = Moment.DISTANT_PAST;
-        int probes;
-        final List<Moment> sends = new ArrayList<>();
-
-        Box(int cell) {
-            this.cell = cell;
-            this.handle = policy.box(this);
-        }
-
-        void serving(Moment startedAt) {
-            serving = true;
-            this.startedAt = startedAt;
-            handle.serving(1, cell, 0, 0, startedAt);
-        }
-
-        void draining() {
-            told = serving ? now : told;
-            serving = false;
-            handle.draining();
-        }
-
-        void gone() {
-            told = serving ? now : told;
-            serving = false;
-            handle.gone();
-        }
-
-        @Override
-        public void probe() {
-            assertTrue(headend.permits().probes(), "probed where it may not");
-            probes++;
-        }
+  private static final Span DRAIN_GRACE = Span.ofMillis(1000);
+
+  final class Box implements Line {
+    final Policy.MediaBox handle;
+    int cell;
+    boolean serving;
+    Moment told = Moment.DISTANT_PAST;
+    Moment startedAt = Moment.DISTANT_PAST;
+    Moment witnessed = Moment.DISTANT_PAST;
+    int probes;
+    final List<Moment> sends = new ArrayList<>();
+
+    Box(int cell) {
+      this.cell = cell;
+      this.handle = policy.box(this);
     }
 
-    final class Viewer implements Player {
-        final PackageTerms terms;
-        final Policy.Title title;
-        final int ceiling;
-        final Moment end;
-        Policy.Viewing handle;
-        Box out;
-        int tuneIns;
-        int rung;
-        boolean playing;
-        boolean mayHaveRun;
-        String answer;
-        Span timeout;
-
-        Viewer(PackageTerms terms, Policy.Title title, int ceiling, Span patience) {
-            this.terms = terms;
-            this.title = title;
-            this.ceiling = ceiling;
-            this.end = now.plus(patience);
-        }
-
-        @Override
-        public void tuneIn(Policy.MediaBox at, Span timeout) {
-            Box box = (Box) at.line();
-            Headend.Rules rules = headend.rules();
-            assertNull(answer, "sent after the answer");
-            assertNull(out, "two tune-ins out");
-            assertFalse(terms.paidAtSetUp() && mayHaveRun, "set up twice");
-            assertTrue(++tuneIns <= headend.permits().tuneIns(), "too many tune-ins");
-            assertTrue(box.serving || now.since(box.told).under(DRAIN_GRACE), "sent past the drain grace");
-            assertTrue(timeout.micros() > 0 && !end.before(now.plus(timeout)), "time-out past the patience");
-            Moment coldSince = box.startedAt.orLater(box.witnessed);
-            box.sends.add(now);
-            if (now.before(coldSince.plus(rules.coldFor()))) {
-                box.sends.removeIf(m -> m.before(now.minus(rules.fallAfter())));
-                double all = rules.fallMultiple() * headend.fleet().streamsByKind()[0] * rules.startCapacity()
-                        * rules.fallAfter().seconds() / rules.coldFor().seconds();
-                int fair = Math.max(1, (int) Math.floor(all / headend.fronts()));
-                assertTrue(box.sends.size() <= fair, "cold box pushed: " + box.sends.size() + " of " + fair);
-            }
-            if (tuneIns > 1 && !rules.furtherSpan().equals(Span.NONE)) {
-                further.add(now);
-                Moment from = now.minus(rules.furtherSpan());
-                long made = further.stream().filter(m -> !m.before(from)).count();
-                long took = taken.stream().filter(m -> !m.before(from)).count();
-                assertTrue(made <= rules.furtherFree() + rules.furtherShare() * took, "further tune-ins over budget");
-            }
-            out = box;
-            this.timeout = timeout;
-            int sent = tuneIns;
-            wakeAfter(timeout, () -> {
-                if (out != null && !playing && tuneIns == sent) {
-                    ends(Ending.NO_ANSWER);
-                }
-            });
-            if (terms.seats() > 0) {
-                long held = viewers.stream().filter(v -> v.out != null && v.title == title && v.terms == terms).count();
-                assertTrue(held <= terms.seats(), "more viewings than seats");
-            }
-        }
-
-        @Override
-        public void rung(int rung) {
-            assertTrue(rung >= terms.lowestRung() && rung <= ceiling, "rung " + rung + " not allowed");
-            this.rung = rung;
-        }
-
-        @Override
-        public void block(Span comeBackAfter) {
-            assertFalse(terms.paidAtSetUp() && mayHaveRun, "blocked though it may have run");
-            answered("blocked");
-        }
-
-        @Override
-        public void abort() {
-            answered("aborted");
-        }
-
-        private void answered(String how) {
-            assertNull(answer, "answered twice");
-            assertFalse(end.before(now), "answered too late");
-            answer = how;
-        }
-
-        void plays() {
-            answered("plays");
-            playing = true;
-            handle.playing();
-        }
-
-        void ends(Ending how) {
-            boolean over = playing;
-            if (how == Ending.NO_ANSWER || how == Ending.NOT_REACHED || how == Ending.BROKEN) {
-                out.witnessed = now;
-            }
-            playing = false;
-            mayHaveRun |= !how.neverRan;
-            out = null;
-            if (over || answer != null) {
-                viewers.remove(this);
-            }
-            handle.tuneInEnded(how, over);
-        }
+    void serving(Moment startedAt) {
+      serving = true;
+      this.startedAt = startedAt;
+      handle.serving(1, cell, 0, 0, startedAt);
     }
 
-    private record Step(Moment at, long number, Runnable deed) {
+    void draining() {
+      told = serving ? now : told;
+      serving = false;
+      handle.draining();
     }
 
-    final Headend headend;
-    final Policy policy;
-    final List<Box> boxes = new ArrayList<>();
-    final List<Viewer> viewers = new ArrayList<>();
-    final List<Double> answered = new ArrayList<>();
-    final List<Double> sizes = new ArrayList<>();
-    private final ArrayDeque<Moment> taken = new ArrayDeque<>();
-    private final ArrayDeque<Moment> further = new ArrayDeque<>();
-    private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at.equals(b.at)
-            ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
-    private long number;
-    Moment now;
-
-    Stage(Headend headend, long seed, int boxCount) {
-        this(headend, seed, boxCount, new Moment(1_000_000_000L));
+    void gone() {
+      told = serving ? now : told;
+      serving = false;
+      handle.gone();
     }
 
-    /** One that starts at that moment. */
-    Stage(Headend headend, long seed, int boxCount, Moment begun) {
-        this.now = begun;
-        this.headend = headend;
-        this.policy = new Policy(headend, seed, this);
-        policy.clock(now);
-        for (int i = 0; i < boxCount; i++) {
-            Box b = new Box(i);
-            boxes.add(b);
-            b.serving(Moment.DISTANT_PAST);
-        }
+    @Override
+    public void probe() {
+      assertTrue(headend.permits().probes(), "probed where it may not");
+      probes++;
     }
-
-    /** A small place: five rungs, links of 1000 kB, one rack of 4000 kB, nothing rationed unless said. */
-    static Headend place(int fronts, boolean messages, boolean probes, Span ration, PackageTerms... packages) {
-        return new Headend(fronts, 0, 0, List.of(packages), new double[] {30, 60, 100, 170, 300},
-                new double[] {0.25, 0.45, 0.65, 0.82, 1},
-                new Headend.Fleet(4, 1, new int[] {24}, 4000, 1000, 4000, Span.ofMillis(800)),
-                new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 3, 0.2, ration),
-                new Headend.Permits(4, messages, probes, probes, 0.008, 0.01, 0, Span.ofSeconds(2)));
+  }
+
+  final class Viewer implements Player {
+    final PackageTerms terms;
+    final Policy.Title title;
+    final int ceiling;
+    final Moment end;
+    Policy.Viewing handle;
+    Box out;
+    int tuneIns;
+    int rung;
+    boolean playing;
+    boolean mayHaveRun;
+    String answer;
+    Span timeout;
+
+    Viewer(PackageTerms terms, Policy.Title title, int ceiling, Span patience) {
+      this.terms = terms;
+      this.title = title;
+      this.ceiling = ceiling;
+      this.end = now.plus(patience);
     }
 
-    static PackageTerms terms(int floor, int seats, boolean paid) {
-        return new PackageTerms(1, Span.ofMillis(800), 1, floor, 4, seats, paid);
+    @Override
+    public void tuneIn(Policy.MediaBox at, Span timeout) {
+      Box box = (Box) at.line();
+      Headend.Rules rules = headend.rules();
+      assertNull(answer, "sent after the answer");
+      assertNull(out, "two tune-ins out");
+      assertFalse(terms.paidAtSetUp() && mayHaveRun, "set up twice");
+      assertTrue(++tuneIns <= headend.permits().tuneIns(), "too many tune-ins");
+      assertTrue(
+          box.serving || now.since(box.told).under(DRAIN_GRACE), "sent past the drain grace");
+      assertTrue(
+          timeout.micros() > 0 && !end.before(now.plus(timeout)), "time-out past the patience");
+      Moment coldSince = box.startedAt.orLater(box.witnessed);
+      box.sends.add(now);
+      if (now.before(coldSince.plus(rules.coldFor()))) {
+        box.sends.removeIf(m -> m.before(now.minus(rules.fallAfter())));
+        double all =
+            rules.fallMultiple()
+                * headend.fleet().streamsByKind()[0]
+                * rules.startCapacity()
+                * rules.fallAfter().seconds()
+                / rules.coldFor().seconds();
+        int fair = Math.max(1, (int) Math.floor(all / headend.fronts()));
+        assertTrue(
+            box.sends.size() <= fair, "cold box pushed: " + box.sends.size() + " of " + fair);
+      }
+      if (tuneIns > 1 && !rules.furtherSpan().equals(Span.NONE)) {
+        further.add(now);
+        Moment from = now.minus(rules.furtherSpan());
+        long made = further.stream().filter(m -> !m.before(from)).count();
+        long took = taken.stream().filter(m -> !m.before(from)).count();
+        assertTrue(
+            made <= rules.furtherFree() + rules.furtherShare() * took,
+            "further tune-ins over budget");
+      }
+      out = box;
+      this.timeout = timeout;
+      int sent = tuneIns;
+      wakeAfter(
+          timeout,
+          () -> {
+            if (out != null && !playing && tuneIns == sent) {
+              ends(Ending.NO_ANSWER);
+            }
+          });
+      if (terms.seats() > 0) {
+        long held =
+            viewers.stream()
+                .filter(v -> v.out != null && v.title == title && v.terms == terms)
+                .count();
+        assertTrue(held <= terms.seats(), "more viewings than seats");
+      }
     }
 
-    static Headend numbered(Headend p, int own) {
-        return new Headend(p.fronts(), own, p.building(), p.packages(), p.ladderKb(), p.rungValue(), p.fleet(), p.rules(),
-                p.permits());
+    @Override
+    public void rung(int rung) {
+      assertTrue(rung >= terms.lowestRung() && rung <= ceiling, "rung " + rung + " not allowed");
+      this.rung = rung;
     }
 
-    Viewer take(PackageTerms terms, Policy.Title title, Span patience) {
-        taken.add(now);
-        Viewer v = new Viewer(terms, title, 4, patience);
-        viewers.add(v);
-        v.handle = policy.take(v, terms, title, 4, patience);
-        assertNotNull(v.handle);
-        return v;
+    @Override
+    public void block(Span comeBackAfter) {
+      assertFalse(terms.paidAtSetUp() && mayHaveRun, "blocked though it may have run");
+      answered("blocked");
     }
 
-    /** A viewing that has played at the box since before. */
-    Viewer plays(PackageTerms terms, Policy.Title title, Box at, int rung) {
-        Viewer v = new Viewer(terms, title, 4, Span.NONE);
-        viewers.add(v);
-        v.answer = "plays";
-        v.playing = true;
-        v.out = at;
-        v.rung = rung;
-        v.handle = policy.handOver(v, terms, title, 4, at.handle);
-        v.handle.rungInForce(rung);
-        return v;
+    @Override
+    public void abort() {
+      answered("aborted");
     }
 
-    void pass(Span span) {
-        Moment until = now.plus(span);
-        while (!steps.isEmpty() && !until.before(steps.peek().at)) {
-            Step s = steps.poll();
-            now = s.at;
-            policy.clock(now);
-            s.deed.run();
-            checkAnswersOwed();
-        }
-        now = until;
-        policy.clock(now);
-        checkAnswersOwed();
+    private void answered(String how) {
+      assertNull(answer, "answered twice");
+      assertFalse(end.before(now), "answered too late");
+      answer = how;
     }
 
-    /** The front stands still: what fell due meanwhile it finds all at once, and some viewers are gone. */
-    void standStill(Span span) {
-        now = now.plus(span);
-        policy.clock(now);
-        for (Viewer v : List.copyOf(viewers)) {
-            if (v.answer == null && v.end.before(now)) {
-                v.answer = "left";
-                v.handle.viewerLeft();
-                if (v.out == null) {
-                    viewers.remove(v);
-                }
-            }
-        }
-        while (!steps.isEmpty() && !now.before(steps.peek().at)) {
-            steps.poll().deed.run();
-        }
-        checkAnswersOwed();
+    void plays() {
+      answered("plays");
+      playing = true;
+      handle.playing();
     }
 
-    /** A viewing out of patience is answered, or its time-out has just run down. */
-    void checkAnswersOwed() {
-        for (Viewer v : viewers) {
-            assertTrue(v.answer != null || !v.end.before(now), "no answer before the patience ran out");
-        }
-        assertEquals(0, viewers.stream().filter(v -> v.answer == null && v.out == null
-                && v.end.before(now.plus(Span.ofMillis(1)))).count(), "held past its patience");
+    void ends(Ending how) {
+      boolean over = playing;
+      if (how == Ending.NO_ANSWER || how == Ending.NOT_REACHED || how == Ending.BROKEN) {
+        out.witnessed = now;
+      }
+      playing = false;
+      mayHaveRun |= !how.neverRan;
+      out = null;
+      if (over || answer != null) {
+        viewers.remove(this);
+      }
+      handle.tuneInEnded(how, over);
     }
-
-    @Override
-    public void wakeAfter(Span span, Runnable step) {
-        steps.add(new Step(now.plus(span), number++, step));
+  }
+
+  private record Step(Moment at, long number, Runnable deed) {}
+
+  final Headend headend;
+  final Policy policy;
+  final List<Box> boxes = new ArrayList<>();
+  final List<Viewer> viewers = new ArrayList<>();
+  final List<Double> answered = new ArrayList<>();
+  final List<Double> sizes = new ArrayList<>();
+  private final ArrayDeque<Moment> taken = new ArrayDeque<>();
+  private final ArrayDeque<Moment> further = new ArrayDeque<>();
+  private final PriorityQueue<Step> steps =
+      new PriorityQueue<>(
+          (a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
+  private long number;
+  Moment now;
+
+  Stage(Headend headend, long seed, int boxCount) {
+    this(headend, seed, boxCount, new Moment(1_000_000_000L));
+  }
+
+  /** One that starts at that moment. */
+  Stage(Headend headend, long seed, int boxCount, Moment begun) {
+    this.now = begun;
+    this.headend = headend;
+    this.policy = new Policy(headend, seed, this);
+    policy.clock(now);
+    for (int i = 0; i < boxCount; i++) {
+      Box b = new Box(i);
+      boxes.add(b);
+      b.serving(Moment.DISTANT_PAST);
     }
-
-    @Override
-    public void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare) {
-        assertTrue(headend.permits().messages(), "talked where it may not");
+  }
+
+  /**
+   * A small place: five rungs, links of 1000 kB, one rack of 4000 kB, nothing rationed unless said.
+   */
+  static Headend place(
+      int fronts, boolean messages, boolean probes, Span ration, PackageTerms... packages) {
+    return new Headend(
+        fronts,
+        0,
+        0,
+        List.of(packages),
+        new double[] {30, 60, 100, 170, 300},
+        new double[] {0.25, 0.45, 0.65, 0.82, 1},
+        new Headend.Fleet(4, 1, new int[] {24}, 4000, 1000, 4000, Span.ofMillis(800)),
+        new Headend.Rules(Span.ofSeconds(10), 0.4, 2.5, Span.ofSeconds(2), 3, 0.2, ration),
+        new Headend.Permits(4, messages, probes, probes, 0.008, 0.01, 0, Span.ofSeconds(2)));
+  }
+
+  static PackageTerms terms(int floor, int seats, boolean paid) {
+    return new PackageTerms(1, Span.ofMillis(800), 1, floor, 4, seats, paid);
+  }
+
+  static Headend numbered(Headend p, int own) {
+    return new Headend(
+        p.fronts(),
+        own,
+        p.building(),
+        p.packages(),
+        p.ladderKb(),
+        p.rungValue(),
+        p.fleet(),
+        p.rules(),
+        p.permits());
+  }
+
+  Viewer take(PackageTerms terms, Policy.Title title, Span patience) {
+    taken.add(now);
+    Viewer v = new Viewer(terms, title, 4, patience);
+    viewers.add(v);
+    v.handle = policy.take(v, terms, title, 4, patience);
+    assertNotNull(v.handle);
+    return v;
+  }
+
+  /** A viewing that has played at the box since before. */
+  Viewer plays(PackageTerms terms, Policy.Title title, Box at, int rung) {
+    Viewer v = new Viewer(terms, title, 4, Span.NONE);
+    viewers.add(v);
+    v.answer = "plays";
+    v.playing = true;
+    v.out = at;
+    v.rung = rung;
+    v.handle = policy.handOver(v, terms, title, 4, at.handle);
+    v.handle.rungInForce(rung);
+    return v;
+  }
+
+  void pass(Span span) {
+    Moment until = now.plus(span);
+    while (!steps.isEmpty() && !until.before(steps.peek().at)) {
+      Step s = steps.poll();
+      now = s.at;
+      policy.clock(now);
+      s.deed.run();
+      checkAnswersOwed();
+    }
+    now = until;
+    policy.clock(now);
+    checkAnswersOwed();
+  }
+
+  /**
+   * The front stands still: what fell due meanwhile it finds all at once, and some viewers are
+   * gone.
+   */
+  void standStill(Span span) {
+    now = now.plus(span);
+    policy.clock(now);
+    for (Viewer v : List.copyOf(viewers)) {
+      if (v.answer == null && v.end.before(now)) {
+        v.answer = "left";
+        v.handle.viewerLeft();
+        if (v.out == null) {
+          viewers.remove(v);
+        }
+      }
+    }
+    while (!steps.isEmpty() && !now.before(steps.peek().at)) {
+      steps.poll().deed.run();
     }
+    checkAnswersOwed();
+  }
 
-    @Override
-    public void answer(int front, Policy.MediaBox box, int othersViewings, double othersKb, double rackKb,
-            double rackSizeKb) {
-        answered.add(othersKb);
-        sizes.add(rackSizeKb);
+  /** A viewing out of patience is answered, or its time-out has just run down. */
+  void checkAnswersOwed() {
+    for (Viewer v : viewers) {
+      assertTrue(v.answer != null || !v.end.before(now), "no answer before the patience ran out");
     }
+    assertEquals(
+        0,
+        viewers.stream()
+            .filter(
+                v -> v.answer == null && v.out == null && v.end.before(now.plus(Span.ofMillis(1))))
+            .count(),
+        "held past its patience");
+  }
+
+  @Override
+  public void wakeAfter(Span span, Runnable step) {
+    steps.add(new Step(now.plus(span), number++, step));
+  }
+
+  @Override
+  public void tell(int front, Policy.MediaBox box, int viewings, double kb, double uplinkShare) {
+    assertTrue(headend.permits().messages(), "talked where it may not");
+  }
+
+  @Override
+  public void answer(
+      int front,
+      Policy.MediaBox box,
+      int othersViewings,
+      double othersKb,
+      double rackKb,
+      double rackSizeKb) {
+    answered.add(othersKb);
+    sizes.add(rackSizeKb);
+  }
 }
--- a/src/test/java/linengauge/council/VoterTest.java
+++ b/src/test/java/linengauge/council/VoterTest.java
@@ -13,153 +13,197 @@
 
 /** One voter of three, told word by word what the others say. */
 class VoterTest {
-    private static final Machine NOTHING = new Machine() {
+  private static final Machine NOTHING =
+      new Machine() {
         @Override
         public void apply(long index, long author, byte[] decision) {
-            // only how many there are is looked at
+          // only how many there are is looked at
         }
 
         @Override
         public byte[] whole() {
-            return new byte[0];
+          return new byte[0];
         }
 
         @Override
         public void restore(byte[] whole) {
-            // nothing is held
+          // nothing is held
         }
-    };
-
-    private final List<Word> sent = new ArrayList<>();
-    private final List<Word> answers = new ArrayList<>();
-    private final Voters three = founding();
-    private final Voter voter = new Voter(CouncilTerms.USUAL, 0, Saved.founding(100, three, NOTHING), NOTHING, 1, new Voter.Port() {
-        @Override
-        public void save(Saved saved) {
-            // lasts
-        }
-
-        @Override
-        public void send(int to, Word word) {
-            sent.add(word);
-        }
-
-        @Override
-        public void answer(long asker, Word word) {
-            answers.add(word);
-        }
-    });
-    private Moment now = new Moment(0);
-
-    VoterTest() {
-        voter.start(now);
+      };
+
+  private final List<Word> sent = new ArrayList<>();
+  private final List<Word> answers = new ArrayList<>();
+  private final Voters three = founding();
+  private final Voter voter =
+      new Voter(
+          CouncilTerms.USUAL,
+          0,
+          Saved.founding(100, three, NOTHING),
+          NOTHING,
+          1,
+          new Voter.Port() {
+            @Override
+            public void save(Saved saved) {
+              // lasts
+            }
+
+            @Override
+            public void send(int to, Word word) {
+              sent.add(word);
+            }
+
+            @Override
+            public void answer(long asker, Word word) {
+              answers.add(word);
+            }
+          });
+  private Moment now = new Moment(0);
+
+  VoterTest() {
+    voter.start(now);
+  }
+
+  private static Voters founding() {
+    TreeMap<Integer, Voters.Chair> chairs = new TreeMap<>();
+    for (int i = 0; i < 3; i++) {
+      chairs.put(i, new Voters.Chair(100 + i, "10.0.0." + i + ":7", true));
     }
-
-    private static Voters founding() {
-        TreeMap<Integer, Voters.Chair> chairs = new TreeMap<>();
-        for (int i = 0; i < 3; i++) {
-            chairs.put(i, new Voters.Chair(100 + i, "10.0.0." + i + ":7", true));
-        }
-        return new Voters(chairs);
+    return new Voters(chairs);
+  }
+
+  private static Word from(int number, Kind kind, long term) {
+    return Word.of(kind, number, 100 + number, term);
+  }
+
+  /**
+   * 1 leads that term and says that these are the entries after the given one, all decided up to
+   * there.
+   */
+  private void append(long term, long before, long beforeTerm, long commit, Entry... entries) {
+    voter.heard(
+        now,
+        from(1, Kind.APPEND, term)
+            .at(before, beforeTerm)
+            .committed(commit, 0)
+            .with(List.of(entries)));
+  }
+
+  private static Entry decision(long term, long number) {
+    return new Entry(term, Entry.Kind.DECISION, 9, number, new byte[] {1});
+  }
+
+  private Word last(List<Word> of) {
+    return of.get(of.size() - 1);
+  }
+
+  /** It leads, and 1 and 2 have taken all it has. */
+  private void leads() {
+    now = now.plus(Span.ofSeconds(2));
+    voter.step(now);
+    voter.heard(now, from(1, Kind.WOULD, 1).yes(true));
+    voter.heard(now, from(1, Kind.VOTED, 1).yes(true));
+    assertEquals(Voter.Role.LEADER, voter.role());
+    taken(1);
+    taken(2);
+  }
+
+  private void taken(int by) {
+    voter.heard(now, from(by, Kind.TAKEN, 1).yes(true).at(voter.last(), 0));
+  }
+
+  @Test
+  void anOldStateIsPassedOverWhateverItIsCalled() {
+    append(1, 1, 0, 4, Entry.blank(1), decision(1, 1), decision(1, 2));
+    assertEquals(4, voter.decided().index());
+    Entry third = voter.entry(3);
+    voter.heard(
+        now,
+        new Word(
+            Kind.INSTALL,
+            1,
+            101,
+            1,
+            2,
+            1,
+            4,
+            0,
+            0,
+            false,
+            List.of(),
+            Saved.founding(5, three, NOTHING).base()));
+    assertEquals(4, voter.decided().index());
+    assertEquals(4, voter.commit());
+    assertEquals(third, voter.entry(3));
+    assertTrue(last(sent).yes());
+    assertEquals(4, last(sent).index());
+  }
+
+  @Test
+  void aNewerStateKeepsWhatLiesBeyondIt() {
+    append(1, 1, 0, 1, Entry.blank(1), decision(1, 1), decision(1, 2));
+    assertEquals(4, voter.last());
+    voter.heard(
+        now,
+        new Word(
+            Kind.INSTALL,
+            1,
+            101,
+            1,
+            3,
+            1,
+            3,
+            0,
+            0,
+            false,
+            List.of(),
+            Saved.founding(5, three, NOTHING).base()));
+    assertEquals(3, voter.commit());
+    assertEquals(decision(1, 2), voter.entry(4), "it said that it has it, and is counted for it");
+  }
+
+  @Test
+  void whoKnowsLessThanIsDecidedSaysThatItsWordIsOld() {
+    append(1, 1, 0, 1);
+    voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
+    assertEquals(0, last(answers).age());
+    now = now.plus(Span.ofMillis(500));
+    append(1, 5, 1, 5); // entries are missing: not taken
+    voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
+    assertEquals(500_000, last(answers).age(), "as old as the last word of which it knew all");
+  }
+
+  @Test
+  void noStepAfterWhichNothingCouldBeDecided() {
+    leads();
+    now = now.plus(Span.ofMillis(500));
+    taken(1);
+    now = now.plus(Span.ofMillis(200)); // 2 has not been heard for 700 ms
+    assertEquals(-1, voter.change(now, three.without(1)), "with 2 alone it would have no majority");
+    assertTrue(voter.change(now, three.without(2)) > 0);
+  }
+
+  @Test
+  void onlySoMuchMayWaitForAMajority() {
+    leads();
+    int placed = 0;
+    while (voter.propose(now, 9, placed + 1, new byte[16]) > 0) {
+      placed++;
     }
-
-    private static Word from(int number, Kind kind, long term) {
-        return Word.of(kind, number, 100 + number, term);
-    }
-
-    /** 1 leads that term and says that these are the entries after the given one, all decided up to there. */
-    private void append(long term, long before, long beforeTerm, long commit, Entry... entries) {
-        voter.heard(now, from(1, Kind.APPEND, term).at(before, beforeTerm).committed(commit, 0).with(List.of(entries)));
-    }
-
-    private static Entry decision(long term, long number) {
-        return new Entry(term, Entry.Kind.DECISION, 9, number, new byte[] {1});
-    }
-
-    private Word last(List<Word> of) {
-        return of.get(of.size() - 1);
-    }
-
-    /** It leads, and 1 and 2 have taken all it has. */
-    private void leads() {
-        now = now.plus(Span.ofSeconds(2));
-        voter.step(now);
-        voter.heard(now, from(1, Kind.WOULD, 1).yes(true));
-        voter.heard(now, from(1, Kind.VOTED, 1).yes(true));
-        assertEquals(Voter.Role.LEADER, voter.role());
-        taken(1);
-        taken(2);
-    }
-
-    private void taken(int by) {
-        voter.heard(now, from(by, Kind.TAKEN, 1).yes(true).at(voter.last(), 0));
-    }
-
-    @Test
-    void anOldStateIsPassedOverWhateverItIsCalled() {
-        append(1, 1, 0, 4, Entry.blank(1), decision(1, 1), decision(1, 2));
-        assertEquals(4, voter.decided().index());
-        Entry third = voter.entry(3);
-        voter.heard(now, new Word(Kind.INSTALL, 1, 101, 1, 2, 1, 4, 0, 0, false, List.of(), Saved.founding(5, three, NOTHING).base()));
-        assertEquals(4, voter.decided().index());
-        assertEquals(4, voter.commit());
-        assertEquals(third, voter.entry(3));
-        assertTrue(last(sent).yes());
-        assertEquals(4, last(sent).index());
-    }
-
-    @Test
-    void aNewerStateKeepsWhatLiesBeyondIt() {
-        append(1, 1, 0, 1, Entry.blank(1), decision(1, 1), decision(1, 2));
-        assertEquals(4, voter.last());
-        voter.heard(now, new Word(Kind.INSTALL, 1, 101, 1, 3, 1, 3, 0, 0, false, List.of(), Saved.founding(5, three, NOTHING).base()));
-        assertEquals(3, voter.commit());
-        assertEquals(decision(1, 2), voter.entry(4), "it said that it has it, and is counted for it");
-    }
-
-    @Test
-    void whoKnowsLessThanIsDecidedSaysThatItsWordIsOld() {
-        append(1, 1, 0, 1);
-        voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
-        assertEquals(0, last(answers).age());
-        now = now.plus(Span.ofMillis(500));
-        append(1, 5, 1, 5); // entries are missing: not taken
-        voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
-        assertEquals(500_000, last(answers).age(), "as old as the last word of which it knew all");
-    }
-
-    @Test
-    void noStepAfterWhichNothingCouldBeDecided() {
-        leads();
-        now = now.plus(Span.ofMillis(500));
-        taken(1);
-        now = now.plus(Span.ofMillis(200)); // 2 has not been heard for 700 ms
-        assertEquals(-1, voter.change(now, three.without(1)), "with 2 alone it would have no majority");
-        assertTrue(voter.change(now, three.without(2)) > 0);
-    }
-
-    @Test
-    void onlySoMuchMayWaitForAMajority() {
-        leads();
-        int placed = 0;
-        while (voter.propose(now, 9, placed + 1, new byte[16]) > 0) {
-            placed++;
-        }
-        assertEquals(CouncilTerms.USUAL.mostOpen(), placed);
-        taken(1);
-        assertTrue(voter.propose(now, 9, placed + 1, new byte[16]) > 0, "decided, they wait no longer");
-    }
-
-    @Test
-    void whoHasLessThanItSaidIsAskedWithTheNextBeatAlone() {
-        leads();
-        voter.propose(now, 9, 1, new byte[16]);
-        taken(1);
-        int before = sent.size();
-        for (int i = 0; i < 50; i++) {
-            voter.heard(now, from(1, Kind.TAKEN, 1).at(0, 0));
-        }
-        assertEquals(before, sent.size());
-        assertEquals(3, voter.commit(), "and nothing is taken back");
+    assertEquals(CouncilTerms.USUAL.mostOpen(), placed);
+    taken(1);
+    assertTrue(voter.propose(now, 9, placed + 1, new byte[16]) > 0, "decided, they wait no longer");
+  }
+
+  @Test
+  void whoHasLessThanItSaidIsAskedWithTheNextBeatAlone() {
+    leads();
+    voter.propose(now, 9, 1, new byte[16]);
+    taken(1);
+    int before = sent.size();
+    for (int i = 0; i < 50; i++) {
+      voter.heard(now, from(1, Kind.TAKEN, 1).at(0, 0));
     }
+    assertEquals(before, sent.size());
+    assertEquals(3, voter.commit(), "and nothing is taken back");
+  }
 }
--- a/src/test/java/linengauge/council/explore/ChamberTest.java
+++ b/src/test/java/linengauge/council/explore/ChamberTest.java
@@ -11,86 +11,99 @@
 import linengauge.council.explore.Lacking.Guard;
 import org.junit.jupiter.api.Test;
 
-/** Voters and followers in virtual time, from seeds: crashed, frozen, cut off, late, with full and emptied disks. */
+/**
+ * Voters and followers in virtual time, from seeds: crashed, frozen, cut off, late, with full and
+ * emptied disks.
+ */
 class ChamberTest {
-    private static final Span END = Span.ofSeconds(20);
+  private static final Span END = Span.ofSeconds(20);
 
-    private static Chamber.Outcome play(long seed, int voters, List<Mishap> mishaps, Maker maker) {
-        return new Chamber(seed, voters, 4, mishaps, END, maker).play();
-    }
+  private static Chamber.Outcome play(long seed, int voters, List<Mishap> mishaps, Maker maker) {
+    return new Chamber(seed, voters, 4, mishaps, END, maker).play();
+  }
 
-    private static void holds(int first, int last, int voters, int many) {
-        for (int seed = first; seed <= last; seed++) {
-            List<Mishap> mishaps = Mishap.drawn(seed, voters, 4, many, END);
-            Chamber.Outcome o = play(seed, voters, mishaps, Maker.REAL);
-            assertEquals(List.of(), o.broken(), "seed " + seed + ", shortest: " + shortest(seed, voters, mishaps, Maker.REAL));
-        }
+  private static void holds(int first, int last, int voters, int many) {
+    for (int seed = first; seed <= last; seed++) {
+      List<Mishap> mishaps = Mishap.drawn(seed, voters, 4, many, END);
+      Chamber.Outcome o = play(seed, voters, mishaps, Maker.REAL);
+      assertEquals(
+          List.of(),
+          o.broken(),
+          "seed " + seed + ", shortest: " + shortest(seed, voters, mishaps, Maker.REAL));
     }
+  }
 
-    /** With each trouble left out that is not needed for a rule to break. */
-    private static List<Mishap> shortest(long seed, int voters, List<Mishap> mishaps, Maker maker) {
-        List<Mishap> left = new ArrayList<>(mishaps);
-        for (Mishap m : mishaps) {
-            List<Mishap> less = new ArrayList<>(left);
-            less.remove(m);
-            if (!play(seed, voters, less, maker).broken().isEmpty()) {
-                left = less;
-            }
-        }
-        return left;
+  /** With each trouble left out that is not needed for a rule to break. */
+  private static List<Mishap> shortest(long seed, int voters, List<Mishap> mishaps, Maker maker) {
+    List<Mishap> left = new ArrayList<>(mishaps);
+    for (Mishap m : mishaps) {
+      List<Mishap> less = new ArrayList<>(left);
+      less.remove(m);
+      if (!play(seed, voters, less, maker).broken().isEmpty()) {
+        left = less;
+      }
     }
+    return left;
+  }
 
-    private static Mishap mishap(Mishap.Kind kind, int a, int b, double from, double to) {
-        return new Mishap(kind, a, b, new Moment((long) (from * 1e6)), new Moment((long) (to * 1e6)));
-    }
+  private static Mishap mishap(Mishap.Kind kind, int a, int b, double from, double to) {
+    return new Mishap(kind, a, b, new Moment((long) (from * 1e6)), new Moment((long) (to * 1e6)));
+  }
 
-    @Test
-    void threeVotersAndFourFollowersKeepEveryRule() {
-        holds(1, 300, 3, 6);
-    }
+  @Test
+  void threeVotersAndFourFollowersKeepEveryRule() {
+    holds(1, 300, 3, 6);
+  }
 
-    @Test
-    void fiveVotersKeepEveryRule() {
-        holds(1001, 1050, 5, 8);
-    }
+  @Test
+  void fiveVotersKeepEveryRule() {
+    holds(1001, 1050, 5, 8);
+  }
 
-    /** Not shown by a rule of safety: without it a leader that nobody hears goes on taking itself for one. */
-    @Test
-    void aLeaderThatIsCutOffLeadsNobody() {
-        Chamber.Outcome o = play(3, 3, leaderCutOff(), Maker.REAL);
-        assertEquals(List.of(), o.broken());
-        assertTrue(o.longestAlone().under(Span.ofSeconds(2)), o.toString());
-        assertFalse(play(3, 3, leaderCutOff(), Lacking.maker(Guard.MOST)).longestAlone().under(Span.ofSeconds(3)));
-    }
+  /**
+   * Not shown by a rule of safety: without it a leader that nobody hears goes on taking itself for
+   * one.
+   */
+  @Test
+  void aLeaderThatIsCutOffLeadsNobody() {
+    Chamber.Outcome o = play(3, 3, leaderCutOff(), Maker.REAL);
+    assertEquals(List.of(), o.broken());
+    assertTrue(o.longestAlone().under(Span.ofSeconds(2)), o.toString());
+    assertFalse(
+        play(3, 3, leaderCutOff(), Lacking.maker(Guard.MOST))
+            .longestAlone()
+            .under(Span.ofSeconds(3)));
+  }
 
-    /** Every voter mute in turn, so that whoever leads is too; it hears all the same. */
-    private static List<Mishap> leaderCutOff() {
-        List<Mishap> all = new ArrayList<>();
-        for (int v = 0; v < 3; v++) {
-            all.add(mishap(Mishap.Kind.DEAF, v, 0, 4 + 5 * v, 8 + 5 * v));
-        }
-        return all;
+  /** Every voter mute in turn, so that whoever leads is too; it hears all the same. */
+  private static List<Mishap> leaderCutOff() {
+    List<Mishap> all = new ArrayList<>();
+    for (int v = 0; v < 3; v++) {
+      all.add(mishap(Mishap.Kind.DEAF, v, 0, 4 + 5 * v, 8 + 5 * v));
     }
+    return all;
+  }
 
-    /** One that hears nobody for a while comes back without deposing whoever leads. */
-    @Test
-    void whoAsksFirstDeposesNobody() {
-        int real = 0;
-        int without = 0;
-        for (int seed = 1; seed <= 10; seed++) {
-            for (int v = 0; v < 3; v++) {
-                List<Mishap> deaf = List.of(mishap(Mishap.Kind.DEAF, v, 0, 5, 9), mishap(Mishap.Kind.DEAF, v, 0, 12, 16));
-                real += play(seed, 3, deaf, Maker.REAL).elections();
-                without += play(seed, 3, deaf, Lacking.maker(Guard.ASKS_FIRST)).elections();
-            }
-        }
-        assertTrue(without > real * 1.5, real + " elections, and " + without + " without asking first");
+  /** One that hears nobody for a while comes back without deposing whoever leads. */
+  @Test
+  void whoAsksFirstDeposesNobody() {
+    int real = 0;
+    int without = 0;
+    for (int seed = 1; seed <= 10; seed++) {
+      for (int v = 0; v < 3; v++) {
+        List<Mishap> deaf =
+            List.of(mishap(Mishap.Kind.DEAF, v, 0, 5, 9), mishap(Mishap.Kind.DEAF, v, 0, 12, 16));
+        real += play(seed, 3, deaf, Maker.REAL).elections();
+        without += play(seed, 3, deaf, Lacking.maker(Guard.ASKS_FIRST)).elections();
+      }
     }
+    assertTrue(without > real * 1.5, real + " elections, and " + without + " without asking first");
+  }
 
-    /** The same seed plays the same. */
-    @Test
-    void theSameSeedPlaysTheSame() {
-        List<Mishap> mishaps = Mishap.drawn(7, 3, 4, 6, END);
-        assertEquals(play(7, 3, mishaps, Maker.REAL), play(7, 3, mishaps, Maker.REAL));
-    }
+  /** The same seed plays the same. */
+  @Test
+  void theSameSeedPlaysTheSame() {
+    List<Mishap> mishaps = Mishap.drawn(7, 3, 4, 6, END);
+    assertEquals(play(7, 3, mishaps, Maker.REAL), play(7, 3, mishaps, Maker.REAL));
+  }
 }
--- a/src/test/java/linengauge/drill/DrillTest.java
+++ b/src/test/java/linengauge/drill/DrillTest.java
@@ -14,16 +14,20 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class DrillTest {
-    /** Front processes, stand-ins, twelve kinds of trouble, a front stopped and one killed; all six rules. */
-    @Test
-    void theShortBadDayHolds() throws Exception {
-        Report r = new DayDrill(DayScript.read("builtin:bad-day-short"), 1, null, true).run();
-        var table = new ByteArrayOutputStream();
-        r.print(new PrintStream(table, true, StandardCharsets.UTF_8));
-        assertTrue(r.held(), table.toString(StandardCharsets.UTF_8));
-    }
+  /**
+   * Front processes, stand-ins, twelve kinds of trouble, a front stopped and one killed; all six
+   * rules.
+   */
+  @Test
+  void theShortBadDayHolds() throws Exception {
+    Report r = new DayDrill(DayScript.read("builtin:bad-day-short"), 1, null, true).run();
+    var table = new ByteArrayOutputStream();
+    r.print(new PrintStream(table, true, StandardCharsets.UTF_8));
+    assertTrue(r.held(), table.toString(StandardCharsets.UTF_8));
+  }
 
-    private static final String DRAWN = """
+  private static final String DRAWN =
+      """
             {"site":"a place","family":"streams","kind":"only:x","length":90000000,"zones":["n","s"],
             "traffic":{"load":0.5,"shape":[[0,0.5],[90,1.5]]},"clients":{"max_retry_after":2000000},
             "discovery":{"notice":1500000},"allow":{"probes":true,"peers":false,"max_attempts":3},"drain_grace":1000000,
@@ -38,43 +42,60 @@
             "see":900000,"tell":0,"worth":[0.2,0.6,1],"capacity":10,"life_s":20,"titles":30,"copies":0,
             "uses":[{"floor":1,"top":2,"scale":1.4,"seats":4}]}}""";
 
-    private static Importer.Imported drawn(String share, String effect) throws IOException {
-        String servers = "{\"kind\":0},".repeat(24);
-        return Importer.read(String.format(DRAWN, share, effect, servers.substring(0, servers.length() - 1))
-                .getBytes(StandardCharsets.UTF_8));
-    }
+  private static Importer.Imported drawn(String share, String effect) throws IOException {
+    String servers = "{\"kind\":0},".repeat(24);
+    return Importer.read(
+        String.format(DRAWN, share, effect, servers.substring(0, servers.length() - 1))
+            .getBytes(StandardCharsets.UTF_8));
+  }
 
-    @Test
-    void aDrawnDayKeepsItsProportions() throws Exception {
-        Importer.Imported got = drawn("0.2", "unsafe");
-        DayScript day = DayScript.parse("drawn", got.script().getBytes(StandardCharsets.UTF_8));
-        assertEquals(12, day.fleet().boxes());
-        assertEquals(3, day.fronts().count());
-        assertEquals(3, day.fleet().racks());
-        assertEquals(2.5, day.traffic().perSecond(), "half of ten a second, for half of the boxes");
-        assertEquals(1.0, day.traffic().times(45));
-        assertEquals("c", day.paidPasses().get(0));
-        assertEquals(24 * 2000 / 6.0 / 4000, day.fleet().boxes() * day.fleet().linkKb() / 3 / day.fleet().uplinkKb(), 0.51,
-                "links over uplinks");
-        assertEquals(95 / 200.0, day.ladder().get(0).kb() / 100, 0.001);
-        assertEquals(4 / 24.0, day.troubles().get(0).part(), 0.001);
-        assertEquals(1.7, day.troubles().get(1).size());
-        assertEquals(2, day.troubles().size(), "the third lies past the end");
-        assertTrue(got.changes().stream().anyMatch(c -> c.contains("past the end")) && day.rules().furtherMs() == 10_000);
-        assertEquals(0, DayScript.parse("drawn", drawn("0", "safe").script().getBytes(StandardCharsets.UTF_8)).rules().furtherMs());
-    }
+  @Test
+  void aDrawnDayKeepsItsProportions() throws Exception {
+    Importer.Imported got = drawn("0.2", "unsafe");
+    DayScript day = DayScript.parse("drawn", got.script().getBytes(StandardCharsets.UTF_8));
+    assertEquals(12, day.fleet().boxes());
+    assertEquals(3, day.fronts().count());
+    assertEquals(3, day.fleet().racks());
+    assertEquals(2.5, day.traffic().perSecond(), "half of ten a second, for half of the boxes");
+    assertEquals(1.0, day.traffic().times(45));
+    assertEquals("c", day.paidPasses().get(0));
+    assertEquals(
+        24 * 2000 / 6.0 / 4000,
+        day.fleet().boxes() * day.fleet().linkKb() / 3 / day.fleet().uplinkKb(),
+        0.51,
+        "links over uplinks");
+    assertEquals(95 / 200.0, day.ladder().get(0).kb() / 100, 0.001);
+    assertEquals(4 / 24.0, day.troubles().get(0).part(), 0.001);
+    assertEquals(1.7, day.troubles().get(1).size());
+    assertEquals(2, day.troubles().size(), "the third lies past the end");
+    assertTrue(
+        got.changes().stream().anyMatch(c -> c.contains("past the end"))
+            && day.rules().furtherMs() == 10_000);
+    assertEquals(
+        0,
+        DayScript.parse("drawn", drawn("0", "safe").script().getBytes(StandardCharsets.UTF_8))
+            .rules()
+            .furtherMs());
+  }
 
-    @ParameterizedTest
-    @ValueSource(strings = {"", "[]", "{\"family\":\"proxy\"}", "{\"family\":\"streams\",\"troubles\":[]}"})
-    void whatIsNoDrawnDayIsRefused(String text) {
-        assertThrows(IOException.class, () -> Importer.read(text.getBytes(StandardCharsets.UTF_8)));
-    }
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"", "[]", "{\"family\":\"proxy\"}", "{\"family\":\"streams\",\"troubles\":[]}"})
+  void whatIsNoDrawnDayIsRefused(String text) {
+    assertThrows(IOException.class, () -> Importer.read(text.getBytes(StandardCharsets.UTF_8)));
+  }
 
-    @Test
-    void aBadScriptIsRefusedWithItsPlace() {
-        BadSite e = assertThrows(BadSite.class, () -> DayScript.parse("d",
-                "{ name: 'x',\n troubles: [ { atS: 1, forS: 1, kind: 'rain' } ] }".getBytes(StandardCharsets.UTF_8)));
-        assertTrue(e.getMessage().contains("d:2: troubles[0].kind"), e.getMessage());
-        assertThrows(IOException.class, () -> DayScript.read("nowhere.json5"));
-    }
+  @Test
+  void aBadScriptIsRefusedWithItsPlace() {
+    BadSite e =
+        assertThrows(
+            BadSite.class,
+            () ->
+                DayScript.parse(
+                    "d",
+                    "{ name: 'x',\n troubles: [ { atS: 1, forS: 1, kind: 'rain' } ] }"
+                        .getBytes(StandardCharsets.UTF_8)));
+    assertTrue(e.getMessage().contains("d:2: troubles[0].kind"), e.getMessage());
+    assertThrows(IOException.class, () -> DayScript.read("nowhere.json5"));
+  }
 }
--- a/src/test/java/linengauge/front/MembersTest.java
+++ b/src/test/java/linengauge/front/MembersTest.java
@@ -20,49 +20,69 @@
 
 /** A front among members, beside one that the test runs. */
 class MembersTest {
-    private static final String KEY = "a key of the whole fleet";
+  private static final String KEY = "a key of the whole fleet";
 
-    @TempDir
-    private Path dir;
+  @TempDir private Path dir;
 
-    private static String section(int own, int seed, Path key) {
-        return "members: { listen: '" + Ports.HOST + ":" + own + "', seeds: ['" + Ports.HOST + ":" + seed + "'], keyFile: '" + key
-                + "', region: 3, periodMs: 100 }";
-    }
+  private static String section(int own, int seed, Path key) {
+    return "members: { listen: '"
+        + Ports.HOST
+        + ":"
+        + own
+        + "', seeds: ['"
+        + Ports.HOST
+        + ":"
+        + seed
+        + "'], keyFile: '"
+        + key
+        + "', region: 3, periodMs: 100 }";
+  }
 
-    @Test
-    void itIsSeenWhileItServesAndSaysThatItLeaves() throws Exception {
-        Path key = Files.writeString(dir.resolve("key"), KEY + "\n");
-        List<Integer> ports = Ports.free(2);
-        Member own = new Member(1, Ports.HOST + ":" + ports.get(1), 0, 2);
-        try (MembersNode other = new MembersNode(MembersTerms.USUAL.inPeriods(Span.ofMillis(100)), own, List.of(),
-                KEY.getBytes(StandardCharsets.UTF_8), n -> { })) {
-            other.start();
-            try (Rig rig = new Rig(1, section(ports.get(0), ports.get(1), key)).start()) {
-                Rig.until(() -> other.held().size() == 1 && rig.state().getJsonObject("members").getJsonArray("others").size() == 1);
-                JsonObject seen = rig.state().getJsonObject("members").getJsonArray("others").getJsonObject(0);
-                assertEquals("ALIVE", seen.getString("standing"));
-                assertEquals(2, seen.getInteger("region"));
-                assertEquals(new Member(0, Ports.HOST + ":" + ports.get(0), 0, 3), other.held().get(0).member());
-            }
-            Rig.until(() -> other.held().get(0).standing() == Standing.LEFT);
-        }
+  @Test
+  void itIsSeenWhileItServesAndSaysThatItLeaves() throws Exception {
+    Path key = Files.writeString(dir.resolve("key"), KEY + "\n");
+    List<Integer> ports = Ports.free(2);
+    Member own = new Member(1, Ports.HOST + ":" + ports.get(1), 0, 2);
+    try (MembersNode other =
+        new MembersNode(
+            MembersTerms.USUAL.inPeriods(Span.ofMillis(100)),
+            own,
+            List.of(),
+            KEY.getBytes(StandardCharsets.UTF_8),
+            n -> {})) {
+      other.start();
+      try (Rig rig = new Rig(1, section(ports.get(0), ports.get(1), key)).start()) {
+        Rig.until(
+            () ->
+                other.held().size() == 1
+                    && rig.state().getJsonObject("members").getJsonArray("others").size() == 1);
+        JsonObject seen =
+            rig.state().getJsonObject("members").getJsonArray("others").getJsonObject(0);
+        assertEquals("ALIVE", seen.getString("standing"));
+        assertEquals(2, seen.getInteger("region"));
+        assertEquals(
+            new Member(0, Ports.HOST + ":" + ports.get(0), 0, 3), other.held().get(0).member());
+      }
+      Rig.until(() -> other.held().get(0).standing() == Standing.LEFT);
     }
+  }
 
-    @Test
-    void withAKeyThatIsNoneItDoesNotStart() throws Exception {
-        Path key = Files.writeString(dir.resolve("key"), "short");
-        List<Integer> ports = Ports.free(2);
-        try (Rig rig = new Rig(1, section(ports.get(0), ports.get(1), key))) {
-            Exception e = assertThrows(Exception.class, () -> Rig.await(rig.program().start(7)));
-            assertTrue(e.getMessage().contains("members.keyFile holds a key of fewer than 16 bytes"), e.getMessage());
-        }
+  @Test
+  void withAKeyThatIsNoneItDoesNotStart() throws Exception {
+    Path key = Files.writeString(dir.resolve("key"), "short");
+    List<Integer> ports = Ports.free(2);
+    try (Rig rig = new Rig(1, section(ports.get(0), ports.get(1), key))) {
+      Exception e = assertThrows(Exception.class, () -> Rig.await(rig.program().start(7)));
+      assertTrue(
+          e.getMessage().contains("members.keyFile holds a key of fewer than 16 bytes"),
+          e.getMessage());
     }
+  }
 
-    @Test
-    void withoutTheSectionNothingIsSaidOfIt() throws Exception {
-        try (Rig rig = new Rig(1, "").start()) {
-            assertEquals(new JsonObject(), rig.state().getJsonObject("members"));
-        }
+  @Test
+  void withoutTheSectionNothingIsSaidOfIt() throws Exception {
+    try (Rig rig = new Rig(1, "").start()) {
+      assertEquals(new JsonObject(), rig.state().getJsonObject("members"));
     }
+  }
 }
--- a/src/test/java/linengauge/hls/PlaylistsTest.java
+++ b/src/test/java/linengauge/hls/PlaylistsTest.java
@@ -16,8 +16,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class PlaylistsTest {
-    private static final UnaryOperator<String> UNDER = uri -> Paths.under("7", "", uri);
-    private static final String MULTI = """
+  private static final UnaryOperator<String> UNDER = uri -> Paths.under("7", "", uri);
+  private static final String MULTI =
+      """
             #EXTM3U
             #EXT-X-VERSION:6
             #EXT-X-MEDIA:TYPE=AUDIO,GROUP-ID="hi",NAME="es, \\"alto\\"",URI="audio/hi.m3u8"
@@ -28,8 +29,10 @@
             low.m3u8
             #EXT-X-I-FRAME-STREAM-INF:BANDWIDTH=90,URI="trick.m3u8"
             #EXT-X-OWN-TAG:kept=yes
-            """.replace(", \\\"alto\\\"", ", alto");
-    private static final String MEDIA = """
+            """
+          .replace(", \\\"alto\\\"", ", alto");
+  private static final String MEDIA =
+      """
             #EXTM3U
             #EXT-X-VERSION:4
             #EXT-X-TARGETDURATION:6
@@ -44,66 +47,90 @@
             #EXTINF:5.5,
             segments/../segments/2.ts
             #EXT-X-ENDLIST
-            """.replace("part one", "part%20one");
+            """
+          .replace("part one", "part%20one");
 
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
-    }
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
 
-    @Test
-    void oneVariantIsLeftWithItsOwnRenditions() throws Exception {
-        String low = Playlists.multivariant(bytes(MULTI), 0, "/v/7/media.m3u8", UNDER);
-        assertTrue(low.contains("BANDWIDTH=300000") && !low.contains("900000"), low);
-        assertTrue(low.contains("URI=\"/v/7/m/audio/lo.m3u8\"") && !low.contains("hi.m3u8") && !low.contains("trick"), low);
-        assertTrue(low.contains("#EXT-X-OWN-TAG:kept=yes"), low);
-        String high = Playlists.multivariant(bytes(MULTI), 9, "/v/7/media.m3u8", UNDER);
-        assertTrue(high.contains("BANDWIDTH=900000") && high.contains("NAME=\"es, alto\""), high);
-        var parsed = new MasterPlaylistParser(ParsingMode.LENIENT).readPlaylist(high);
-        assertEquals(1, parsed.variants().size());
-        assertEquals("/v/7/media.m3u8", parsed.variants().get(0).uri());
-    }
+  @Test
+  void oneVariantIsLeftWithItsOwnRenditions() throws Exception {
+    String low = Playlists.multivariant(bytes(MULTI), 0, "/v/7/media.m3u8", UNDER);
+    assertTrue(low.contains("BANDWIDTH=300000") && !low.contains("900000"), low);
+    assertTrue(
+        low.contains("URI=\"/v/7/m/audio/lo.m3u8\"")
+            && !low.contains("hi.m3u8")
+            && !low.contains("trick"),
+        low);
+    assertTrue(low.contains("#EXT-X-OWN-TAG:kept=yes"), low);
+    String high = Playlists.multivariant(bytes(MULTI), 9, "/v/7/media.m3u8", UNDER);
+    assertTrue(high.contains("BANDWIDTH=900000") && high.contains("NAME=\"es, alto\""), high);
+    var parsed = new MasterPlaylistParser(ParsingMode.LENIENT).readPlaylist(high);
+    assertEquals(1, parsed.variants().size());
+    assertEquals("/v/7/media.m3u8", parsed.variants().get(0).uri());
+  }
 
-    @Test
-    void allOfAMediaPlaylistSurvivesButItsAddresses() throws Exception {
-        String out = Playlists.media(bytes(MEDIA), UNDER);
-        var parsed = new MediaPlaylistParser(ParsingMode.LENIENT).readPlaylist(out);
-        assertEquals(42, parsed.mediaSequence());
-        assertEquals(6, parsed.targetDuration());
-        assertEquals("/v/7/m/segments/2.ts", parsed.mediaSegments().get(1).uri());
-        assertTrue(parsed.mediaSegments().get(0).byteRange().isPresent());
-        assertTrue(out.contains("METHOD=AES-128,URI=\"/v/7/e/") && out.contains(",IV=0x1F"), out);
-        assertTrue(out.contains("URI=\"/v/7/m/init.mp4\",BYTERANGE=\"720@0\"") && out.contains("#EXT-X-OWN-TAG:a=b"), out);
-        String coded = parsed.mediaSegments().get(0).uri();
-        assertEquals("part%20one.mp4", Paths.at(coded.substring("/v/7/".length())), "the address finds its way back");
-    }
+  @Test
+  void allOfAMediaPlaylistSurvivesButItsAddresses() throws Exception {
+    String out = Playlists.media(bytes(MEDIA), UNDER);
+    var parsed = new MediaPlaylistParser(ParsingMode.LENIENT).readPlaylist(out);
+    assertEquals(42, parsed.mediaSequence());
+    assertEquals(6, parsed.targetDuration());
+    assertEquals("/v/7/m/segments/2.ts", parsed.mediaSegments().get(1).uri());
+    assertTrue(parsed.mediaSegments().get(0).byteRange().isPresent());
+    assertTrue(out.contains("METHOD=AES-128,URI=\"/v/7/e/") && out.contains(",IV=0x1F"), out);
+    assertTrue(
+        out.contains("URI=\"/v/7/m/init.mp4\",BYTERANGE=\"720@0\"")
+            && out.contains("#EXT-X-OWN-TAG:a=b"),
+        out);
+    String coded = parsed.mediaSegments().get(0).uri();
+    assertEquals(
+        "part%20one.mp4",
+        Paths.at(coded.substring("/v/7/".length())), "the address finds its way back");
+  }
 
-    @ParameterizedTest
-    @ValueSource(strings = {"", "<html>", "#EXTM3U8\n", "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\n",
-        "#EXTM3U\n#EXT-X-STREAM-INF:AUDIO=\"x\"\nlow.m3u8\n", "#EXTM3U\n",
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "<html>",
+        "#EXTM3U8\n",
+        "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\n",
+        "#EXTM3U\n#EXT-X-STREAM-INF:AUDIO=\"x\"\nlow.m3u8\n",
+        "#EXTM3U\n",
         "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1,BANDWIDTH=2\nlow.m3u8\n",
-        "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1,CODECS=\"a\nlow.m3u8\n"})
-    void aBrokenMultivariantPlaylistIsRefused(String text) {
-        assertThrows(BadPlaylist.class, () -> Playlists.multivariant(bytes(text), 0, "x", UNDER));
-    }
+        "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1,CODECS=\"a\nlow.m3u8\n"
+      })
+  void aBrokenMultivariantPlaylistIsRefused(String text) {
+    assertThrows(BadPlaylist.class, () -> Playlists.multivariant(bytes(text), 0, "x", UNDER));
+  }
 
-    @ParameterizedTest
-    @ValueSource(strings = {"", "#EXTM3U\n#EXTINF:1,\na.ts\n", "#EXTM3U\n#EXT-X-TARGETDURATION:x\n",
-        "#EXTM3U\n#EXT-X-TARGETDURATION:1\n#EXT-X-KEY:METHOD=AES-128,URI=\"k\n#EXTINF:1,\na.ts\n"})
-    void aBrokenMediaPlaylistIsRefused(String text) {
-        assertThrows(BadPlaylist.class, () -> Playlists.media(bytes(text), UNDER));
-        assertThrows(BadPlaylist.class, () -> Playlists.media(new byte[] {'#', 'E', (byte) 0xff}, UNDER));
-    }
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "#EXTM3U\n#EXTINF:1,\na.ts\n",
+        "#EXTM3U\n#EXT-X-TARGETDURATION:x\n",
+        "#EXTM3U\n#EXT-X-TARGETDURATION:1\n#EXT-X-KEY:METHOD=AES-128,URI=\"k\n#EXTINF:1,\na.ts\n"
+      })
+  void aBrokenMediaPlaylistIsRefused(String text) {
+    assertThrows(BadPlaylist.class, () -> Playlists.media(bytes(text), UNDER));
+    assertThrows(
+        BadPlaylist.class, () -> Playlists.media(new byte[] {'#', 'E', (byte) 0xff}, UNDER));
+  }
 
-    @Test
-    void noAddressLeavesTheViewing() {
-        for (String uri : new String[] {"http://else.where/x.ts", "//else/x", "/etc/x", "../x.ts", "a/../../x", ""}) {
-            assertTrue(Paths.under("7", "", uri).endsWith("/refused"), uri);
-        }
-        assertEquals("/v/7/m/up/x.ts", Paths.under("7", "up/down/", "../x.ts"));
-        assertNull(Paths.at("m/../../secret"));
-        assertNull(Paths.at("e/!!"));
-        assertNull(Paths.at("e/Li4vLi4vYQ"), "a coded ../../a");
-        assertNull(Paths.at("refused"));
-        assertFalse(Paths.under("7", "", "a b").contains(" "));
+  @Test
+  void noAddressLeavesTheViewing() {
+    for (String uri :
+        new String[] {"http://else.where/x.ts", "//else/x", "/etc/x", "../x.ts", "a/../../x", ""}) {
+      assertTrue(Paths.under("7", "", uri).endsWith("/refused"), uri);
     }
+    assertEquals("/v/7/m/up/x.ts", Paths.under("7", "up/down/", "../x.ts"));
+    assertNull(Paths.at("m/../../secret"));
+    assertNull(Paths.at("e/!!"));
+    assertNull(Paths.at("e/Li4vLi4vYQ"), "a coded ../../a");
+    assertNull(Paths.at("refused"));
+    assertFalse(Paths.under("7", "", "a b").contains(" "));
+  }
 }
--- a/src/test/java/linengauge/members/FleetOfMembersTest.java
+++ b/src/test/java/linengauge/members/FleetOfMembersTest.java
@@ -16,189 +16,272 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Members in virtual time, under troubles from seeds and under the shortest that break them without one of their guards. */
+/**
+ * Members in virtual time, under troubles from seeds and under the shortest that break them without
+ * one of their guards.
+ */
 class FleetOfMembersTest {
-    private static final MembersTerms USUAL = MembersTerms.USUAL;
-    private static final Span ROUND = Span.ofSeconds(30);
+  private static final MembersTerms USUAL = MembersTerms.USUAL;
+  private static final Span ROUND = Span.ofSeconds(30);
 
-    private static Trouble trouble(Trouble.Kind kind, int a, int b, long from, long to) {
-        return new Trouble(kind, a, b, at(from), at(to));
-    }
+  private static Trouble trouble(Trouble.Kind kind, int a, int b, long from, long to) {
+    return new Trouble(kind, a, b, at(from), at(to));
+  }
 
-    private static Moment at(long ms) {
-        return new Moment(ms * 1000);
-    }
+  private static Moment at(long ms) {
+    return new Moment(ms * 1000);
+  }
 
-    private static Schedule schedule(long seed, int fronts, Trouble... troubles) {
-        Moment quiet = List.of(troubles).stream().map(Trouble::to).max(Moment::compareTo).orElse(at(0));
-        return new Schedule(seed, fronts, 4, List.of(troubles), quiet, quiet.plus(ROUND.times(2)));
-    }
+  private static Schedule schedule(long seed, int fronts, Trouble... troubles) {
+    Moment quiet = List.of(troubles).stream().map(Trouble::to).max(Moment::compareTo).orElse(at(0));
+    return new Schedule(seed, fronts, 4, List.of(troubles), quiet, quiet.plus(ROUND.times(2)));
+  }
 
-    private static Fleet.Outcome play(Schedule s) {
-        return new Fleet(USUAL, s).play();
-    }
+  private static Fleet.Outcome play(Schedule s) {
+    return new Fleet(USUAL, s).play();
+  }
 
-    /** The first that breaks says which seed; without one trouble after another its shortest form is found. */
-    @Test
-    void underAnyTroublesNobodyIsGivenUpWithoutCauseAndAllComeRound() {
-        for (long seed = 1; seed <= 400; seed++) {
-            Schedule s = Schedule.drawn(seed, 7, 4, 6, ROUND);
-            Fleet.Outcome o = play(s);
-            for (int i = 0; !o.broken().isEmpty() && i < s.troubles().size(); i++) {
-                if (!play(s.without(i)).broken().isEmpty()) {
-                    s = s.without(i);
-                    i = -1;
-                }
-            }
-            assertEquals(List.of(), o.broken(), "seed " + seed + ", shortest " + s.troubles());
-        }
-        for (long seed = 1; seed <= 20; seed++) {
-            assertEquals(List.of(), play(Schedule.drawn(seed, 24, 4, 8, ROUND)).broken(), "24 fronts, seed " + seed);
+  /**
+   * The first that breaks says which seed; without one trouble after another its shortest form is
+   * found.
+   */
+  @Test
+  void underAnyTroublesNobodyIsGivenUpWithoutCauseAndAllComeRound() {
+    for (long seed = 1; seed <= 400; seed++) {
+      Schedule s = Schedule.drawn(seed, 7, 4, 6, ROUND);
+      Fleet.Outcome o = play(s);
+      for (int i = 0; !o.broken().isEmpty() && i < s.troubles().size(); i++) {
+        if (!play(s.without(i)).broken().isEmpty()) {
+          s = s.without(i);
+          i = -1;
         }
+      }
+      assertEquals(List.of(), o.broken(), "seed " + seed + ", shortest " + s.troubles());
     }
-
-    @Test
-    void theSameSeedIsTheSameRun() {
-        assertEquals(play(Schedule.drawn(3, 7, 4, 6, ROUND)), play(Schedule.drawn(3, 7, 4, 6, ROUND)));
+    for (long seed = 1; seed <= 20; seed++) {
+      assertEquals(
+          List.of(),
+          play(Schedule.drawn(seed, 24, 4, 8, ROUND)).broken(),
+          "24 fronts, seed " + seed);
     }
+  }
+
+  @Test
+  void theSameSeedIsTheSameRun() {
+    assertEquals(play(Schedule.drawn(3, 7, 4, 6, ROUND)), play(Schedule.drawn(3, 7, 4, 6, ROUND)));
+  }
 
-    /** Each guard, and the shortest schedule found that breaks a rule without it. */
-    private enum Guard {
-        AWAKE(schedule(754, 7, trouble(Trouble.Kind.FREEZE, 0, 0, 51_511, 79_209), trouble(Trouble.Kind.SICK, 3, 0, 50_268, 54_130))),
-        DOUBT(schedule(4, 7, trouble(Trouble.Kind.SICK, 3, 0, 32_952, 33_331))),
-        DENIAL(schedule(1, 7, trouble(Trouble.Kind.MUTE, 0, 0, 53_669, 68_399))),
-        REGATHER(schedule(1, 7)),
-        SUSPICION(schedule(5, 7, trouble(Trouble.Kind.SICK, 0, 0, 39_020, 39_948)));
+  /** Each guard, and the shortest schedule found that breaks a rule without it. */
+  private enum Guard {
+    AWAKE(
+        schedule(
+            754,
+            7,
+            trouble(Trouble.Kind.FREEZE, 0, 0, 51_511, 79_209),
+            trouble(Trouble.Kind.SICK, 3, 0, 50_268, 54_130))),
+    DOUBT(schedule(4, 7, trouble(Trouble.Kind.SICK, 3, 0, 32_952, 33_331))),
+    DENIAL(schedule(1, 7, trouble(Trouble.Kind.MUTE, 0, 0, 53_669, 68_399))),
+    REGATHER(schedule(1, 7)),
+    SUSPICION(schedule(5, 7, trouble(Trouble.Kind.SICK, 0, 0, 39_020, 39_948)));
 
-        private final Schedule breaks;
+    private final Schedule breaks;
 
-        Guard(Schedule breaks) {
-            this.breaks = breaks;
+    Guard(Schedule breaks) {
+      this.breaks = breaks;
+    }
+
+    private Membership without(
+        MembersTerms terms,
+        Member own,
+        long incarnation,
+        List<String> seeds,
+        Membership.Port port,
+        SplittableRandom chance) {
+      MembersTerms less =
+          new MembersTerms(
+              terms.period(),
+              terms.answer(),
+              terms.helpers(),
+              this == SUSPICION ? 0 : terms.suspicion(),
+              terms.longest(),
+              terms.confirmed(),
+              terms.healthMost(),
+              terms.retellings(),
+              terms.deadKept(),
+              this == REGATHER ? Span.NONE : terms.regather(),
+              terms.most());
+      return new Membership(less, own, incarnation, seeds, port, chance) {
+        @Override
+        protected boolean stoodStill(Span late) {
+          return Guard.this != AWAKE && super.stoodStill(late);
         }
 
-        private Membership without(MembersTerms terms, Member own, long incarnation, List<String> seeds, Membership.Port port,
-                SplittableRandom chance) {
-            MembersTerms less = new MembersTerms(terms.period(), terms.answer(), terms.helpers(), this == SUSPICION ? 0 : terms.suspicion(),
-                    terms.longest(), terms.confirmed(), terms.healthMost(), terms.retellings(), terms.deadKept(),
-                    this == REGATHER ? Span.NONE : terms.regather(), terms.most());
-            return new Membership(less, own, incarnation, seeds, port, chance) {
-                @Override
-                protected boolean stoodStill(Span late) {
-                    return Guard.this != AWAKE && super.stoodStill(late);
-                }
-
-                @Override
-                protected boolean doubts() {
-                    return Guard.this != DOUBT;
-                }
-
-                @Override
-                protected boolean denies() {
-                    return Guard.this != DENIAL;
-                }
-            };
+        @Override
+        protected boolean doubts() {
+          return Guard.this != DOUBT;
         }
-    }
 
-    @ParameterizedTest
-    @EnumSource
-    void withoutThisGuardARuleBreaks(Guard guard) {
-        assertEquals(List.of(), play(guard.breaks).broken());
-        assertFalse(new Fleet(USUAL, guard.breaks, guard::without).play().broken().isEmpty());
+        @Override
+        protected boolean denies() {
+          return Guard.this != DENIAL;
+        }
+      };
     }
+  }
 
-    /** One way between two fronts is cut: without helpers each round would make a suspicion of it. */
-    @Test
-    void helpersKeepOneCutWayFromBeingASuspicion() {
-        Schedule s = schedule(9, 7, trouble(Trouble.Kind.CUT, 1, 2, 30_000, 120_000));
-        MembersTerms none = new MembersTerms(USUAL.period(), USUAL.answer(), 0, USUAL.suspicion(), USUAL.longest(), USUAL.confirmed(),
-                USUAL.healthMost(), USUAL.retellings(), USUAL.deadKept(), USUAL.regather(), USUAL.most());
-        int with = play(s).suspected();
-        int without = new Fleet(none, s).play().suspected();
-        assertTrue(without > 4 && with * 4 < without, with + " with, " + without + " without");
-    }
+  @ParameterizedTest
+  @EnumSource
+  void withoutThisGuardARuleBreaks(Guard guard) {
+    assertEquals(List.of(), play(guard.breaks).broken());
+    assertFalse(new Fleet(USUAL, guard.breaks, guard::without).play().broken().isEmpty());
+  }
 
-    /** A front that hears badly lengthens its own waits. */
-    @Test
-    void aFrontThatIsSlowItselfSuspectsLess() {
-        Schedule s = schedule(11, 24, trouble(Trouble.Kind.LOSS, 3, 0, 30_000, 230_000));
-        MembersTerms deaf = new MembersTerms(USUAL.period(), USUAL.answer(), USUAL.helpers(), USUAL.suspicion(), USUAL.longest(),
-                USUAL.confirmed(), 0, USUAL.retellings(), USUAL.deadKept(), USUAL.regather(), USUAL.most());
-        int with = play(s).suspected();
-        int without = new Fleet(deaf, s).play().suspected();
-        assertTrue(with < without, with + " with, " + without + " without");
-    }
+  /** One way between two fronts is cut: without helpers each round would make a suspicion of it. */
+  @Test
+  void helpersKeepOneCutWayFromBeingASuspicion() {
+    Schedule s = schedule(9, 7, trouble(Trouble.Kind.CUT, 1, 2, 30_000, 120_000));
+    MembersTerms none =
+        new MembersTerms(
+            USUAL.period(),
+            USUAL.answer(),
+            0,
+            USUAL.suspicion(),
+            USUAL.longest(),
+            USUAL.confirmed(),
+            USUAL.healthMost(),
+            USUAL.retellings(),
+            USUAL.deadKept(),
+            USUAL.regather(),
+            USUAL.most());
+    int with = play(s).suspected();
+    int without = new Fleet(none, s).play().suspected();
+    assertTrue(without > 4 && with * 4 < without, with + " with, " + without + " without");
+  }
 
-    @Test
-    void aDeathIsFoundByAllInBoundedTimeAndBytes() {
-        Fleet.Outcome o = play(schedule(2, 60, trouble(Trouble.Kind.KILL, 7, 0, 40_000, 100_000)));
-        assertEquals(List.of(), o.broken());
-        assertTrue(o.foundAfter().size() >= 59, "found by " + o.foundAfter().size());
-        Span least = USUAL.period().times(USUAL.suspicion() * Math.log10(60));
-        for (Span after : o.foundAfter()) {
-            assertTrue(after.under(least.times(USUAL.longest())), after.toString());
-        }
-        assertTrue(o.mostBytesASecond() < 64 * 1024, o.mostBytesASecond() + " bytes in one second");
+  /** A front that hears badly lengthens its own waits. */
+  @Test
+  void aFrontThatIsSlowItselfSuspectsLess() {
+    Schedule s = schedule(11, 24, trouble(Trouble.Kind.LOSS, 3, 0, 30_000, 230_000));
+    MembersTerms deaf =
+        new MembersTerms(
+            USUAL.period(),
+            USUAL.answer(),
+            USUAL.helpers(),
+            USUAL.suspicion(),
+            USUAL.longest(),
+            USUAL.confirmed(),
+            0,
+            USUAL.retellings(),
+            USUAL.deadKept(),
+            USUAL.regather(),
+            USUAL.most());
+    int with = play(s).suspected();
+    int without = new Fleet(deaf, s).play().suspected();
+    assertTrue(with < without, with + " with, " + without + " without");
+  }
+
+  @Test
+  void aDeathIsFoundByAllInBoundedTimeAndBytes() {
+    Fleet.Outcome o = play(schedule(2, 60, trouble(Trouble.Kind.KILL, 7, 0, 40_000, 100_000)));
+    assertEquals(List.of(), o.broken());
+    assertTrue(o.foundAfter().size() >= 59, "found by " + o.foundAfter().size());
+    Span least = USUAL.period().times(USUAL.suspicion() * Math.log10(60));
+    for (Span after : o.foundAfter()) {
+      assertTrue(after.under(least.times(USUAL.longest())), after.toString());
     }
+    assertTrue(o.mostBytesASecond() < 64 * 1024, o.mostBytesASecond() + " bytes in one second");
+  }
 
-    @Test
-    void moreMembersThanThereMayBeAreNotTakenIn() {
-        MembersTerms few = new MembersTerms(USUAL.period(), USUAL.answer(), 3, 4, 6, 3, 8, 4, USUAL.deadKept(), USUAL.regather(), 5);
-        List<News> all = new ArrayList<>();
-        for (int i = 1; i <= 9; i++) {
-            all.add(new News(new Member(i, "10.0.0." + i + ":7000", 0, 0), 1, Standing.ALIVE, i));
-        }
-        Membership m = membership(few, new ArrayList<>());
-        m.heard(at(5), "10.0.0.1:7000", new Words(Words.Kind.PAGE, 1, 0, -1, all));
-        assertEquals(5, m.held().size());
-        assertEquals(4, m.refused());
+  @Test
+  void moreMembersThanThereMayBeAreNotTakenIn() {
+    MembersTerms few =
+        new MembersTerms(
+            USUAL.period(),
+            USUAL.answer(),
+            3,
+            4,
+            6,
+            3,
+            8,
+            4,
+            USUAL.deadKept(),
+            USUAL.regather(),
+            5);
+    List<News> all = new ArrayList<>();
+    for (int i = 1; i <= 9; i++) {
+      all.add(new News(new Member(i, "10.0.0." + i + ":7000", 0, 0), 1, Standing.ALIVE, i));
     }
+    Membership m = membership(few, new ArrayList<>());
+    m.heard(at(5), "10.0.0.1:7000", new Words(Words.Kind.PAGE, 1, 0, -1, all));
+    assertEquals(5, m.held().size());
+    assertEquals(4, m.refused());
+  }
 
-    private static Membership membership(MembersTerms terms, List<Words> sent) {
-        Membership m = new Membership(terms, new Member(0, "10.0.0.0:7000", 0, 0), 1000, List.of("10.0.0.1:7000"), new Membership.Port() {
-            @Override
-            public void send(String address, Words words) {
+  private static Membership membership(MembersTerms terms, List<Words> sent) {
+    Membership m =
+        new Membership(
+            terms,
+            new Member(0, "10.0.0.0:7000", 0, 0),
+            1000,
+            List.of("10.0.0.1:7000"),
+            new Membership.Port() {
+              @Override
+              public void send(String address, Words words) {
                 sent.add(words);
-            }
+              }
 
-            @Override
-            public void changed(News held) {
+              @Override
+              public void changed(News held) {
                 // read from the membership
-            }
+              }
 
-            @Override
-            public void clash(String address) {
+              @Override
+              public void clash(String address) {
                 sent.add(null);
-            }
-        }, new SplittableRandom(1));
-        m.start(at(0));
-        return m;
-    }
+              }
+            },
+            new SplittableRandom(1));
+    m.start(at(0));
+    return m;
+  }
 
-    @Test
-    void nonsenseOfItselfIsDeniedAndWhatCannotBeDeniedIsPassedOver() {
-        List<Words> sent = new ArrayList<>();
-        Membership m = membership(USUAL, sent);
-        News dead = new News(new Member(0, "10.0.0.0:7000", 0, 0), 5000, Standing.DEAD, 1);
-        m.heard(at(5), "10.0.0.1:7000", new Words(Words.Kind.PING, 1, 1, 0, List.of(dead)));
-        assertEquals(5001, m.incarnation());
-        News never = new News(new Member(0, "10.0.0.0:7000", 0, 0), Long.MAX_VALUE / 2, Standing.DEAD, 1);
-        m.heard(at(6), "10.0.0.1:7000", new Words(Words.Kind.PING, 1, 2, 0, List.of(never)));
-        assertEquals(5001, m.incarnation());
-        m.heard(at(7), "10.0.0.9:7000", new Words(Words.Kind.PING, 0, 3, 0, List.of()));
-        assertEquals(1, sent.stream().filter(w -> w == null).count(), "another goes by its number");
-    }
+  @Test
+  void nonsenseOfItselfIsDeniedAndWhatCannotBeDeniedIsPassedOver() {
+    List<Words> sent = new ArrayList<>();
+    Membership m = membership(USUAL, sent);
+    News dead = new News(new Member(0, "10.0.0.0:7000", 0, 0), 5000, Standing.DEAD, 1);
+    m.heard(at(5), "10.0.0.1:7000", new Words(Words.Kind.PING, 1, 1, 0, List.of(dead)));
+    assertEquals(5001, m.incarnation());
+    News never =
+        new News(new Member(0, "10.0.0.0:7000", 0, 0), Long.MAX_VALUE / 2, Standing.DEAD, 1);
+    m.heard(at(6), "10.0.0.1:7000", new Words(Words.Kind.PING, 1, 2, 0, List.of(never)));
+    assertEquals(5001, m.incarnation());
+    m.heard(at(7), "10.0.0.9:7000", new Words(Words.Kind.PING, 0, 3, 0, List.of()));
+    assertEquals(1, sent.stream().filter(w -> w == null).count(), "another goes by its number");
+  }
 
-    @Test
-    void whoeverLeavesIsNotSuspectedAndComesBackByANewLife() {
-        List<Words> sent = new ArrayList<>();
-        Membership m = membership(USUAL, sent);
-        Member other = new Member(1, "10.0.0.1:7000", 0, 0);
-        m.heard(at(5), other.address(), new Words(Words.Kind.PING, 1, 1, 0, List.of(new News(other, 10, Standing.ALIVE, 1))));
-        m.heard(at(6), other.address(), new Words(Words.Kind.PING, 1, 2, 0, List.of(new News(other, 10, Standing.LEFT, 1))));
-        m.heard(at(7), "10.0.0.2:7000", new Words(Words.Kind.PING, 2, 1, 0, List.of(new News(other, 10, Standing.SUSPECT, 2))));
-        assertEquals(Standing.LEFT, m.held().get(0).standing());
-        m.heard(at(8), other.address(), new Words(Words.Kind.PING, 1, 3, 0, List.of(new News(other, 11, Standing.ALIVE, 1))));
-        assertEquals(Standing.ALIVE, m.held().get(0).standing());
-    }
+  @Test
+  void whoeverLeavesIsNotSuspectedAndComesBackByANewLife() {
+    List<Words> sent = new ArrayList<>();
+    Membership m = membership(USUAL, sent);
+    Member other = new Member(1, "10.0.0.1:7000", 0, 0);
+    m.heard(
+        at(5),
+        other.address(),
+        new Words(Words.Kind.PING, 1, 1, 0, List.of(new News(other, 10, Standing.ALIVE, 1))));
+    m.heard(
+        at(6),
+        other.address(),
+        new Words(Words.Kind.PING, 1, 2, 0, List.of(new News(other, 10, Standing.LEFT, 1))));
+    m.heard(
+        at(7),
+        "10.0.0.2:7000",
+        new Words(Words.Kind.PING, 2, 1, 0, List.of(new News(other, 10, Standing.SUSPECT, 2))));
+    assertEquals(Standing.LEFT, m.held().get(0).standing());
+    m.heard(
+        at(8),
+        other.address(),
+        new Words(Words.Kind.PING, 1, 3, 0, List.of(new News(other, 11, Standing.ALIVE, 1))));
+    assertEquals(Standing.ALIVE, m.held().get(0).standing());
+  }
 }
