--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -18,7 +18,7 @@
 import linengauge.drill.Report;
 import linengauge.drill.SlowDrill;
 import linengauge.drill.TryOut;
-import linengauge.members.Member;
+import linengauge.membership.Member;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
 import linengauge.rules.Verdict;
--- a/src/main/java/linengauge/drill/MemberProcess.java
+++ b/src/main/java/linengauge/drill/MemberProcess.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import linengauge.Span;
-import linengauge.members.Member;
-import linengauge.members.MembersTerms;
-import linengauge.members.News;
-import linengauge.members.udp.MembersNode;
+import linengauge.membership.Member;
+import linengauge.membership.MemberUpdate;
+import linengauge.membership.MembershipSettings;
+import linengauge.membership.udp.MembershipNode;
 
 /**
  * One front's members alone, as a process: its record is one line for each change as it comes and
@@ -29,10 +29,10 @@
    */
   public static void run(Member own, List<String> seeds, Path keyFile, Path record, Span period)
       throws IOException, InterruptedException {
-    MembersTerms terms = MembersTerms.USUAL.inPeriods(period);
+    MembershipSettings terms = MembershipSettings.USUAL.inPeriods(period);
     try (BufferedWriter out = Files.newBufferedWriter(record);
-        MembersNode node =
-            new MembersNode(
+        MembershipNode node =
+            new MembershipNode(
                 terms,
                 own,
                 seeds,
@@ -41,7 +41,7 @@
       node.start();
       while (System.in.available() == 0) {
         Thread.sleep(EACH_MS);
-        MembersNode.Drops d = node.drops();
+        MembershipNode.Drops d = node.drops();
         line(
             out,
             "holds",
@@ -57,7 +57,7 @@
     }
   }
 
-  private static String one(News n) {
+  private static String one(MemberUpdate n) {
     return "{\"number\":"
         + n.member().number()
         + ",\"standing\":\""
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -34,9 +34,9 @@
 import linengauge.Span;
 import linengauge.carry.Wall;
 import linengauge.flow.Intake;
-import linengauge.members.Member;
-import linengauge.members.MembersTerms;
-import linengauge.members.udp.MembersNode;
+import linengauge.membership.Member;
+import linengauge.membership.MembershipSettings;
+import linengauge.membership.udp.MembershipNode;
 import linengauge.session.BoxTable;
 import linengauge.session.Carrier;
 import linengauge.session.Desk;
@@ -115,7 +115,7 @@
   private UdpNode vrrp;
 
   /** Who of the fleet is there; null where the site file does not ask for it. */
-  private MembersNode members;
+  private MembershipNode members;
 
   private final List<Door> doors = new CopyOnWriteArrayList<>();
 
@@ -315,8 +315,8 @@
     }
     Member own = new Member(site.front().number(), m.listen(), house.building(), m.region());
     members =
-        new MembersNode(
-            MembersTerms.USUAL.inPeriods(Span.ofMillis(m.periodMs())),
+        new MembershipNode(
+            MembershipSettings.USUAL.inPeriods(Span.ofMillis(m.periodMs())),
             own,
             m.seeds(),
             key(m.keyFile(), "members.keyFile"),
@@ -347,7 +347,7 @@
                         .put("standing", n.standing().name())
                         .put("incarnation", n.incarnation())
                         .put("by", n.by())));
-    MembersNode.Drops d = members.drops();
+    MembershipNode.Drops d = members.drops();
     return new JsonObject()
         .put("others", all)
         .put("strangers", d.strangers())
--- a/src/main/java/linengauge/members/Words.java
+++ b/src/main/java/linengauge/membership/Datagram.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -14,7 +14,7 @@
  * @param about of ASK, whom to ping; of PULL and PAGE, the number from which on; of PAGE -1 where
  *     the whole has been told
  */
-public record Words(Kind kind, int from, int sequence, int about, List<News> news) {
+public record Datagram(Kind kind, int from, int sequence, int about, List<MemberUpdate> news) {
   /** Bytes of a datagram at the most, without the carrier's trailer. */
   public static final int MOST = 1200;
 
@@ -36,7 +36,7 @@
   }
 
   /** Bytes that one piece of news takes. */
-  static int size(News n) {
+  static int size(MemberUpdate n) {
     return 2 + 2 + 2 + 1 + 8 + 2 + 1 + n.member().address().getBytes(StandardCharsets.UTF_8).length;
   }
 
@@ -46,14 +46,14 @@
   }
 
   public byte[] bytes() {
-    ByteBuffer b = ByteBuffer.allocate(HEAD + news.stream().mapToInt(Words::size).sum());
+    ByteBuffer b = ByteBuffer.allocate(HEAD + news.stream().mapToInt(Datagram::size).sum());
     b.put(VERSION)
         .put((byte) kind.ordinal())
         .putInt(from)
         .putInt(sequence)
         .putInt(about)
         .putShort((short) news.size());
-    for (News n : news) {
+    for (MemberUpdate n : news) {
       byte[] address = n.member().address().getBytes(StandardCharsets.UTF_8);
       b.putShort((short) n.member().number())
           .putShort((short) n.member().zone())
@@ -72,7 +72,7 @@
    *
    * @throws IllegalArgumentException where it is none of this version's, with why in a few words
    */
-  public static Words read(byte[] bytes, int length) {
+  public static Datagram read(byte[] bytes, int length) {
     try {
       if (length > MOST) {
         throw new IllegalArgumentException("longer than " + MOST + " bytes");
@@ -86,12 +86,12 @@
       int sequence = b.getInt();
       int about = b.getInt();
       int count = b.getShort() & 0xffff;
-      List<News> news = new ArrayList<>();
+      List<MemberUpdate> news = new ArrayList<>();
       for (int i = 0; i < count; i++) {
         int number = b.getShort() & 0xffff;
         int zone = b.getShort() & 0xffff;
         int region = b.getShort() & 0xffff;
-        Standing standing = of(Standing.values(), b.get());
+        MemberState standing = of(MemberState.values(), b.get());
         long incarnation = b.getLong();
         int by = b.getShort() & 0xffff;
         byte[] address = new byte[b.get() & 0xff];
@@ -100,7 +100,7 @@
           throw new IllegalArgumentException("a member that cannot be");
         }
         news.add(
-            new News(
+            new MemberUpdate(
                 new Member(number, new String(address, StandardCharsets.UTF_8), zone, region),
                 incarnation,
                 standing,
@@ -109,7 +109,7 @@
       if (b.hasRemaining()) {
         throw new IllegalArgumentException("more than it says");
       }
-      return new Words(kind, from, sequence, about, List.copyOf(news));
+      return new Datagram(kind, from, sequence, about, List.copyOf(news));
     } catch (BufferUnderflowException e) {
       throw new IllegalArgumentException("cut short", e);
     }
--- a/src/main/java/linengauge/members/Rumours.java
+++ b/src/main/java/linengauge/membership/GossipQueue.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -10,20 +10,20 @@
  * What is to be sent on, one piece a member, each so many times; the least told goes first (SWIM,
  * 4.1). Bounded by the number of members; emptied by telling, and by later news of the same member.
  */
-final class Rumours {
-  private static final class Rumour {
-    private final News news;
+final class GossipQueue {
+  private static final class QueuedUpdate {
+    private final MemberUpdate news;
     private int told;
 
-    private Rumour(News news) {
+    private QueuedUpdate(MemberUpdate news) {
       this.news = news;
     }
   }
 
-  private final Map<Integer, Rumour> rumours = new TreeMap<>();
+  private final Map<Integer, QueuedUpdate> rumours = new TreeMap<>();
 
-  void add(News news) {
-    rumours.put(news.member().number(), new Rumour(news));
+  void add(MemberUpdate news) {
+    rumours.put(news.member().number(), new QueuedUpdate(news));
   }
 
   int size() {
@@ -31,13 +31,13 @@
   }
 
   /** What fits into so many bytes, each counted as told; those told so often leave. */
-  List<News> take(int room, int times) {
-    List<Rumour> all = new ArrayList<>(rumours.values());
+  List<MemberUpdate> take(int room, int times) {
+    List<QueuedUpdate> all = new ArrayList<>(rumours.values());
     all.sort(Comparator.comparingInt(r -> r.told));
-    List<News> out = new ArrayList<>();
+    List<MemberUpdate> out = new ArrayList<>();
     int left = room;
-    for (Rumour r : all) {
-      int size = Words.size(r.news);
+    for (QueuedUpdate r : all) {
+      int size = Datagram.size(r.news);
       if (size > left) {
         continue;
       }
--- a/src/main/java/linengauge/members/Health.java
+++ b/src/main/java/linengauge/membership/LocalHealth.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import linengauge.Span;
 
@@ -8,11 +8,11 @@
  * hears badly and accuses all others. It could hurt where the fault is the others': their deaths
  * are found later, by so many times the period.
  */
-final class Health {
+final class LocalHealth {
   private final int most;
   private int count;
 
-  Health(int most) {
+  LocalHealth(int most) {
     this.most = most;
   }
 
--- a/src/main/java/linengauge/members/Member.java
+++ b/src/main/java/linengauge/membership/Member.java
@@ -1,11 +1,11 @@
-package linengauge.members;
+package linengauge.membership;
 
 /**
  * A front of the fleet, as it tells of itself.
  *
  * @param number its number in the site file, from 0
  * @param address where it is reached, as the carrier writes addresses; at most {@link
- *     Words#MOST_TEXT} bytes of UTF-8
+ *     Datagram#MOST_TEXT} bytes of UTF-8
  * @param zone its zone's number
  * @param region its region's number
  */
--- a/src/main/java/linengauge/members/Standing.java
+++ b/src/main/java/linengauge/membership/MemberState.java
@@ -1,10 +1,10 @@
-package linengauge.members;
+package linengauge.membership;
 
 /**
  * What is held of a member, in the order in which one overrules the other at the same incarnation
  * (SWIM, 4.2).
  */
-public enum Standing {
+public enum MemberState {
   ALIVE,
   SUSPECT,
   /** Nobody could reach it, and it has not spoken against that in its time. */
--- a/src/main/java/linengauge/members/News.java
+++ b/src/main/java/linengauge/membership/MemberUpdate.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 /**
  * What one front tells another of a member.
@@ -7,9 +7,9 @@
  * @param by who says so: itself of ALIVE and LEFT; of SUSPECT and DEAD, the front that could not
  *     reach it
  */
-public record News(Member member, long incarnation, Standing standing, int by) {
+public record MemberUpdate(Member member, long incarnation, MemberState standing, int by) {
   /** Whether this overrules what is held. */
-  boolean overrules(News held) {
+  boolean overrules(MemberUpdate held) {
     return held == null
         || incarnation > held.incarnation
         || incarnation == held.incarnation && standing.compareTo(held.standing) > 0;
--- a/src/main/java/linengauge/members/Membership.java
+++ b/src/main/java/linengauge/membership/Membership.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.members.Words.Kind;
+import linengauge.membership.Datagram.Kind;
 
 /**
  * Who of the fleet is there, as one front holds it: SWIM's pings, indirect pings, suspicion and
@@ -23,10 +23,10 @@
 public class Membership {
   /** What it acts through. */
   public interface Port {
-    void send(String address, Words words);
+    void send(String address, Datagram words);
 
     /** Another is held for something else than before. */
-    void changed(News held);
+    void changed(MemberUpdate held);
 
     /** Another process goes by this one's number, from that address. */
     void clash(String address);
@@ -50,7 +50,7 @@
   private static final long MOST_AHEAD = 1L << 40;
 
   private static final class Entry {
-    private News news;
+    private MemberUpdate news;
     private Suspicion suspicion;
     private Moment since;
   }
@@ -74,16 +74,16 @@
   /** A ping made in another's place. */
   private record Relay(String asker, int theirs, Moment nakAt, Moment goneAt, boolean told) {}
 
-  private final MembersTerms terms;
+  private final MembershipSettings terms;
   private final Member own;
   private final long firstIncarnation;
   private final List<String> seeds;
   private final Port port;
   private final SplittableRandom chance;
   private final Map<Integer, Entry> others = new TreeMap<>();
-  private final Rumours rumours = new Rumours();
+  private final GossipQueue rumours = new GossipQueue();
   private final Map<Integer, Relay> relays = new TreeMap<>();
-  private final Health health;
+  private final LocalHealth health;
   private final List<Integer> round = new ArrayList<>();
   private long incarnation;
   private int sequence;
@@ -103,7 +103,7 @@
    * @param seeds addresses to begin with, and to turn to when nobody is there
    */
   public Membership(
-      MembersTerms terms,
+      MembershipSettings terms,
       Member own,
       long incarnation,
       List<String> seeds,
@@ -116,7 +116,7 @@
     this.seeds = seeds.stream().filter(s -> !s.equals(own.address())).toList();
     this.port = port;
     this.chance = chance;
-    this.health = new Health(terms.healthMost());
+    this.health = new LocalHealth(terms.healthMost());
   }
 
   public void start(Moment now) {
@@ -158,7 +158,7 @@
   }
 
   /** All that is held of others, by number. */
-  public List<News> held() {
+  public List<MemberUpdate> held() {
     return others.values().stream().map(e -> e.news).toList();
   }
 
@@ -187,7 +187,7 @@
       if (e.suspicion != null && !now.before(e.suspicion.endsAt())) {
         hold(
             e,
-            new News(e.news.member(), e.news.incarnation(), Standing.DEAD, own.number()),
+            new MemberUpdate(e.news.member(), e.news.incarnation(), MemberState.DEAD, own.number()),
             now,
             true);
       }
@@ -304,7 +304,7 @@
     List<Integer> all = new ArrayList<>();
     others.forEach(
         (number, e) -> {
-          if (number != but && e.news.standing() == Standing.ALIVE) {
+          if (number != but && e.news.standing() == MemberState.ALIVE) {
             all.add(number);
           }
         });
@@ -340,14 +340,14 @@
     regatherAt = now.plus(there.isEmpty() ? terms.period() : terms.regather());
     List<String> away = new ArrayList<>();
     others.values().stream()
-        .filter(e -> e.news.standing() == Standing.DEAD)
+        .filter(e -> e.news.standing() == MemberState.DEAD)
         .forEach(e -> away.add(e.news.member().address()));
     seeds.stream()
         .filter(s -> others.values().stream().noneMatch(e -> e.news.member().address().equals(s)))
         .forEach(away::add);
     if (!away.isEmpty()) {
       String to = away.get(chance.nextInt(away.size()));
-      List<News> first = new ArrayList<>(List.of(ownNews()));
+      List<MemberUpdate> first = new ArrayList<>(List.of(ownNews()));
       others.values().stream()
           .map(e -> e.news)
           .filter(n -> n.member().address().equals(to))
@@ -368,7 +368,7 @@
   }
 
   /** A datagram has come, proved to be of the fleet, from that address. */
-  public void heard(Moment now, String address, Words w) {
+  public void heard(Moment now, String address, Datagram w) {
     awake(now);
     if (w.from() == own.number()) {
       if (!address.equals(own.address())) {
@@ -377,7 +377,7 @@
       return;
     }
     boolean page = w.kind() == Kind.PAGE;
-    for (News n : w.news()) {
+    for (MemberUpdate n : w.news()) {
       told(n, now, !page);
     }
     switch (w.kind()) {
@@ -415,7 +415,7 @@
     }
   }
 
-  private void pingFor(String asker, Words w, Moment now) {
+  private void pingFor(String asker, Datagram w, Moment now) {
     Entry e = others.get(w.about());
     if (e == null || relays.size() >= MOST_RELAYS) {
       return;
@@ -431,18 +431,18 @@
         e.suspicion == null ? List.of() : List.of(e.news));
   }
 
-  private void page(String asker, Words w) {
-    List<News> all = new ArrayList<>(held());
+  private void page(String asker, Datagram w) {
+    List<MemberUpdate> all = new ArrayList<>(held());
     all.add(ownNews());
     all.sort((a, b) -> Integer.compare(a.member().number(), b.member().number()));
-    List<News> out = new ArrayList<>();
-    int room = Words.room();
+    List<MemberUpdate> out = new ArrayList<>();
+    int room = Datagram.room();
     int next = -1;
-    for (News n : all) {
+    for (MemberUpdate n : all) {
       if (n.member().number() < w.about()) {
         continue;
       }
-      room -= Words.size(n);
+      room -= Datagram.size(n);
       if (room < 0) {
         next = n.member().number();
         break;
@@ -450,23 +450,23 @@
       out.add(n);
     }
     if (pages++ < MOST_PAGES) {
-      port.send(asker, new Words(Kind.PAGE, own.number(), w.sequence(), next, out));
+      port.send(asker, new Datagram(Kind.PAGE, own.number(), w.sequence(), next, out));
     }
   }
 
-  private void answer(Kind kind, String to, int seq, int about, List<News> first) {
+  private void answer(Kind kind, String to, int seq, int about, List<MemberUpdate> first) {
     if (answered++ < MOST_WITH_NEWS) {
       send(kind, to, seq, about, first);
     } else if (answered <= MOST_ANSWERS) {
-      port.send(to, new Words(kind, own.number(), seq, about, first));
+      port.send(to, new Datagram(kind, own.number(), seq, about, first));
     }
   }
 
-  private void send(Kind kind, String to, int seq, int about, List<News> first) {
-    int room = Words.room() - first.stream().mapToInt(Words::size).sum();
-    List<News> news = new ArrayList<>(first);
+  private void send(Kind kind, String to, int seq, int about, List<MemberUpdate> first) {
+    int room = Datagram.room() - first.stream().mapToInt(Datagram::size).sum();
+    List<MemberUpdate> news = new ArrayList<>(first);
     news.addAll(rumours.take(room, times()));
-    port.send(to, new Words(kind, own.number(), seq, about, news));
+    port.send(to, new Datagram(kind, own.number(), seq, about, news));
   }
 
   private int times() {
@@ -475,11 +475,12 @@
             terms.retellings() * (Integer.SIZE - Integer.numberOfLeadingZeros(others.size() + 1)));
   }
 
-  private News ownNews() {
-    return new News(own, incarnation, left ? Standing.LEFT : Standing.ALIVE, own.number());
+  private MemberUpdate ownNews() {
+    return new MemberUpdate(
+        own, incarnation, left ? MemberState.LEFT : MemberState.ALIVE, own.number());
   }
 
-  private void told(News n, Moment now, boolean sendOn) {
+  private void told(MemberUpdate n, Moment now, boolean sendOn) {
     if (Math.abs(n.incarnation() - firstIncarnation) > MOST_AHEAD) {
       return;
     }
@@ -500,13 +501,13 @@
       e.since = now;
       others.put(n.member().number(), e);
       hold(e, n, now, sendOn);
-    } else if (n.standing() == Standing.DEAD
+    } else if (n.standing() == MemberState.DEAD
         && e.news.standing().isThere()
         && n.overrules(e.news)) {
       dead(e, n, now);
     } else if (n.overrules(e.news)) {
       hold(e, n, now, sendOn);
-    } else if (n.standing() == Standing.SUSPECT
+    } else if (n.standing() == MemberState.SUSPECT
         && n.incarnation() == e.news.incarnation()
         && e.suspicion != null
         && n.by() != own.number()
@@ -521,7 +522,7 @@
    * suspicion was never heard here: a death is found later by one more wait, shortened by whoever
    * confirms it.
    */
-  private void dead(Entry e, News n, Moment now) {
+  private void dead(Entry e, MemberUpdate n, Moment now) {
     if (!doubts()) {
       hold(e, n, now, true);
     } else if (e.suspicion != null && e.news.incarnation() == n.incarnation()) {
@@ -542,14 +543,14 @@
   private void suspected(Entry e, int by, long at, Moment now) {
     if (e.suspicion != null && e.news.incarnation() == at) {
       if (e.suspicion.confirmed(by)) {
-        rumours.add(new News(e.news.member(), at, Standing.SUSPECT, by));
+        rumours.add(new MemberUpdate(e.news.member(), at, MemberState.SUSPECT, by));
       }
     } else {
-      hold(e, new News(e.news.member(), at, Standing.SUSPECT, by), now, true);
+      hold(e, new MemberUpdate(e.news.member(), at, MemberState.SUSPECT, by), now, true);
     }
   }
 
-  private void hold(Entry e, News n, Moment now, boolean sendOn) {
+  private void hold(Entry e, MemberUpdate n, Moment now, boolean sendOn) {
     boolean other =
         e.news == null
             || e.news.standing() != n.standing()
@@ -557,7 +558,7 @@
     e.since = e.news == null || e.news.standing() != n.standing() ? now : e.since;
     e.news = n;
     e.suspicion = null;
-    if (n.standing() == Standing.SUSPECT) {
+    if (n.standing() == MemberState.SUSPECT) {
       long there = others.values().stream().filter(o -> o.news.standing().isThere()).count() + 1;
       Span least = terms.period().times(terms.suspicion() * Math.max(1, Math.log10(there)));
       int confirming = (int) Math.min(terms.confirmed(), Math.max(0, there - 3));
@@ -582,8 +583,9 @@
    * Somebody speaks of this front: what is not so it denies, by an incarnation that overrules it
    * (SWIM, 4.2).
    */
-  private void ofThis(News n) {
-    boolean another = !n.member().address().equals(own.address()) && n.standing() == Standing.ALIVE;
+  private void ofThis(MemberUpdate n) {
+    boolean another =
+        !n.member().address().equals(own.address()) && n.standing() == MemberState.ALIVE;
     if (another && n.incarnation() >= incarnation) {
       port.clash(n.member().address());
     }
@@ -591,9 +593,9 @@
       return;
     }
     if (n.incarnation() > incarnation
-        || n.incarnation() == incarnation && n.standing() != Standing.ALIVE && !left) {
+        || n.incarnation() == incarnation && n.standing() != MemberState.ALIVE && !left) {
       incarnation = n.incarnation() + 1;
-      health.worse(n.standing() == Standing.SUSPECT || n.standing() == Standing.DEAD ? 1 : 0);
+      health.worse(n.standing() == MemberState.SUSPECT || n.standing() == MemberState.DEAD ? 1 : 0);
       rumours.add(ownNews());
     }
   }
--- a/src/main/java/linengauge/members/MembersTerms.java
+++ b/src/main/java/linengauge/membership/MembershipSettings.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import linengauge.Span;
 
@@ -20,7 +20,7 @@
  * @param regather between two calls on one that is gone or has never answered; NONE: never
  * @param most members at the most; further ones are not heard of
  */
-public record MembersTerms(
+public record MembershipSettings(
     Span period,
     Span answer,
     int helpers,
@@ -33,8 +33,8 @@
     Span regather,
     int most) {
   /** Fit for some hundreds of fronts in a few buildings. */
-  public static final MembersTerms USUAL =
-      new MembersTerms(
+  public static final MembershipSettings USUAL =
+      new MembershipSettings(
           Span.ofMillis(1000),
           Span.ofMillis(300),
           3,
@@ -48,9 +48,9 @@
           1024);
 
   /** The same with another period, and what goes by it in proportion. */
-  public MembersTerms inPeriods(Span each) {
+  public MembershipSettings inPeriods(Span each) {
     double scale = each.seconds() / period.seconds();
-    return new MembersTerms(
+    return new MembershipSettings(
         each,
         answer.times(scale),
         helpers,
--- a/src/main/java/linengauge/members/Suspicion.java
+++ b/src/main/java/linengauge/membership/Suspicion.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import java.util.Set;
 import java.util.TreeSet;
--- a/src/main/java/linengauge/members/explore/Trouble.java
+++ b/src/main/java/linengauge/membership/explore/Fault.java
@@ -1,4 +1,4 @@
-package linengauge.members.explore;
+package linengauge.membership.explore;
 
 import linengauge.Moment;
 
@@ -8,7 +8,7 @@
  * @param a whom it befalls: a front, or of MUTE and DEAF a zone
  * @param b of CUT, the front to which its words are lost; else unused
  */
-public record Trouble(Kind kind, int a, int b, Moment from, Moment to) {
+public record Fault(Kind kind, int a, int b, Moment from, Moment to) {
   /**
    * KILL: dead from then on, started anew at the end. CUT: one way between two fronts. MUTE, DEAF:
    * nothing leaves a zone, or comes to it. LOSS: three in ten datagrams to and from it are lost,
--- a/src/main/java/linengauge/members/explore/Schedule.java
+++ b/src/main/java/linengauge/membership/explore/FaultSchedule.java
@@ -1,4 +1,4 @@
-package linengauge.members.explore;
+package linengauge.membership.explore;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -12,51 +12,51 @@
  * @param fronts how many, in so many zones by number
  * @param quietFrom after it nothing is wrong any more
  */
-public record Schedule(
-    long seed, int fronts, int zones, List<Trouble> troubles, Moment quietFrom, Moment end) {
+public record FaultSchedule(
+    long seed, int fronts, int zones, List<Fault> troubles, Moment quietFrom, Moment end) {
   /**
    * Troubles drawn from a seed: so many, of spans from a blip to half a minute, and now and then a
    * whole zone cut off.
    */
-  public static Schedule drawn(long seed, int fronts, int zones, int most, Span round) {
+  public static FaultSchedule drawn(long seed, int fronts, int zones, int most, Span round) {
     SplittableRandom chance = new SplittableRandom(seed);
-    List<Trouble> all = new ArrayList<>();
+    List<Fault> all = new ArrayList<>();
     Moment quiet = new Moment(0);
     Moment begin = new Moment(0).plus(round);
     for (int i = 0; i < most; i++) {
-      Trouble.Kind kind = Trouble.Kind.values()[chance.nextInt(Trouble.Kind.values().length)];
+      Fault.Kind kind = Fault.Kind.values()[chance.nextInt(Fault.Kind.values().length)];
       Moment from = begin.plus(Span.ofMillis(chance.nextInt(40_000)));
       Moment to =
           from.plus(Span.ofMillis(200 + chance.nextInt(chance.nextInt(3) == 0 ? 30_000 : 4_000)));
-      if (kind == Trouble.Kind.SICK && all.stream().anyMatch(t -> t.kind() == Trouble.Kind.SICK)) {
+      if (kind == Fault.Kind.SICK && all.stream().anyMatch(t -> t.kind() == Fault.Kind.SICK)) {
         continue; // several that lie at once are beyond what is promised
       }
       quiet = quiet.orLater(to);
-      boolean ofZone = kind == Trouble.Kind.MUTE || kind == Trouble.Kind.DEAF;
+      boolean ofZone = kind == Fault.Kind.MUTE || kind == Fault.Kind.DEAF;
       int a = chance.nextInt(ofZone ? zones : fronts);
-      all.add(new Trouble(kind, a, chance.nextInt(fronts), from, to));
+      all.add(new Fault(kind, a, chance.nextInt(fronts), from, to));
       if (ofZone && chance.nextInt(2) == 0) {
         all.add(
-            new Trouble(
-                kind == Trouble.Kind.MUTE ? Trouble.Kind.DEAF : Trouble.Kind.MUTE, a, 0, from, to));
+            new Fault(kind == Fault.Kind.MUTE ? Fault.Kind.DEAF : Fault.Kind.MUTE, a, 0, from, to));
       }
     }
-    return new Schedule(seed, fronts, zones, List.copyOf(all), quiet, quiet.plus(round.times(2)));
+    return new FaultSchedule(
+        seed, fronts, zones, List.copyOf(all), quiet, quiet.plus(round.times(2)));
   }
 
   /** Whether what one sends another is lost on its way. */
   boolean isCut(int from, int to, Moment now) {
-    return is(Trouble.Kind.CUT, from, to, now)
+    return is(Fault.Kind.CUT, from, to, now)
         || from % zones != to % zones
-            && (is(Trouble.Kind.MUTE, from % zones, 0, now)
-                || is(Trouble.Kind.DEAF, to % zones, 0, now));
+            && (is(Fault.Kind.MUTE, from % zones, 0, now)
+                || is(Fault.Kind.DEAF, to % zones, 0, now));
   }
 
-  boolean is(Trouble.Kind kind, int a, int b, Moment now) {
-    for (Trouble t : troubles) {
+  boolean is(Fault.Kind kind, int a, int b, Moment now) {
+    for (Fault t : troubles) {
       if (t.kind() == kind
           && t.a() == a
-          && (kind != Trouble.Kind.CUT || t.b() == b)
+          && (kind != Fault.Kind.CUT || t.b() == b)
           && !now.before(t.from())
           && now.before(t.to())) {
         return true;
@@ -66,9 +66,9 @@
   }
 
   /** The same without one of its troubles. */
-  public Schedule without(int trouble) {
-    List<Trouble> rest = new ArrayList<>(troubles);
+  public FaultSchedule without(int trouble) {
+    List<Fault> rest = new ArrayList<>(troubles);
     rest.remove(trouble);
-    return new Schedule(seed, fronts, zones, List.copyOf(rest), quietFrom, end);
+    return new FaultSchedule(seed, fronts, zones, List.copyOf(rest), quietFrom, end);
   }
 }
--- a/src/main/java/linengauge/members/explore/Fleet.java
+++ b/src/main/java/linengauge/membership/explore/FleetSimulation.java
@@ -1,4 +1,4 @@
-package linengauge.members.explore;
+package linengauge.membership.explore;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,19 +9,19 @@
 import java.util.SplittableRandom;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.members.Member;
-import linengauge.members.MembersTerms;
-import linengauge.members.Membership;
-import linengauge.members.News;
-import linengauge.members.Standing;
-import linengauge.members.Words;
+import linengauge.membership.Datagram;
+import linengauge.membership.Member;
+import linengauge.membership.MemberState;
+import linengauge.membership.MemberUpdate;
+import linengauge.membership.Membership;
+import linengauge.membership.MembershipSettings;
 
 /**
  * Fronts that tell each other of themselves, in virtual time, over ways that lose, hold up and
  * double what is sent. It judges by what it does to them itself and by what each holds, never by a
  * front's reasons.
  */
-public final class Fleet {
+public final class FleetSimulation {
   /**
    * What was broken, and when; the figures of the run.
    *
@@ -38,7 +38,7 @@
   /** Makes a front's core; one that lacks a guard, to see what it guards. */
   public interface Maker {
     Membership make(
-        MembersTerms terms,
+        MembershipSettings terms,
         Member own,
         long incarnation,
         List<String> seeds,
@@ -105,15 +105,15 @@
 
     /** One that is stopped reads and steps when it goes on. */
     private void run(Runnable deed) {
-      if (schedule.is(Trouble.Kind.FREEZE, number, 0, now)) {
+      if (schedule.is(Fault.Kind.FREEZE, number, 0, now)) {
         unread.add(deed);
         if (!stepping) {
           stepping = true;
           Moment goesOn =
               schedule.troubles().stream()
                   .filter(
-                      t -> t.kind() == Trouble.Kind.FREEZE && t.a() == number && now.before(t.to()))
-                  .map(Trouble::to)
+                      t -> t.kind() == Fault.Kind.FREEZE && t.a() == number && now.before(t.to()))
+                  .map(Fault::to)
                   .max(Moment::compareTo)
                   .orElse(now);
           at(
@@ -133,15 +133,17 @@
     }
 
     @Override
-    public void send(String address, Words words) {
-      Words w = words;
-      if (schedule.is(Trouble.Kind.SICK, number, 0, now)) {
-        List<News> nonsense = new ArrayList<>();
+    public void send(String address, Datagram words) {
+      Datagram w = words;
+      if (schedule.is(Fault.Kind.SICK, number, 0, now)) {
+        List<MemberUpdate> nonsense = new ArrayList<>();
         core.held()
             .forEach(
-                n -> nonsense.add(new News(n.member(), n.incarnation(), Standing.DEAD, number)));
+                n ->
+                    nonsense.add(
+                        new MemberUpdate(n.member(), n.incarnation(), MemberState.DEAD, number)));
         w =
-            new Words(
+            new Datagram(
                 words.kind(),
                 number,
                 words.sequence(),
@@ -149,7 +151,7 @@
                 nonsense.subList(0, Math.min(20, nonsense.size())));
       }
       byte[] sent = w.bytes();
-      if (sent.length > Words.MOST) {
+      if (sent.length > Datagram.MOST) {
         broken.add(at() + number + " sends " + sent.length + " bytes");
       }
       datagrams++;
@@ -161,8 +163,7 @@
       mostBytes = Math.max(mostBytes, bytes);
       int to = Integer.parseInt(address.substring("10.0.0.".length(), address.indexOf(':')));
       boolean lossy =
-          schedule.is(Trouble.Kind.LOSS, number, 0, now)
-              || schedule.is(Trouble.Kind.LOSS, to, 0, now);
+          schedule.is(Fault.Kind.LOSS, number, 0, now) || schedule.is(Fault.Kind.LOSS, to, 0, now);
       if (to >= fronts.size()
           || schedule.isCut(number, to, now)
           || lossy && chance.nextInt(10) < 3) {
@@ -176,7 +177,7 @@
               Front f = fronts.get(to);
               if (f.up) {
                 int mine = f.life;
-                Words read = Words.read(sent, sent.length);
+                Datagram read = Datagram.read(sent, sent.length);
                 f.run(
                     () -> {
                       if (f.life == mine) {
@@ -190,7 +191,7 @@
     }
 
     @Override
-    public void changed(News held) {
+    public void changed(MemberUpdate held) {
       long[] before =
           seen.computeIfAbsent(
               number + "/" + life + "/" + held.member().number(), k -> new long[] {Long.MIN_VALUE});
@@ -199,12 +200,12 @@
             at() + number + " holds an older life of " + held.member().number() + " after a newer");
       }
       before[0] = held.incarnation();
-      if (held.standing() == Standing.SUSPECT
+      if (held.standing() == MemberState.SUSPECT
           && held.by() == number
           && !troubled(held.member().number())) {
         suspected++;
       }
-      if (held.standing() == Standing.DEAD) {
+      if (held.standing() == MemberState.DEAD) {
         Moment died = killedAt.get(held.member().number());
         if (died != null) {
           foundAfter.add(now.since(died));
@@ -222,8 +223,8 @@
   }
 
   private final Maker maker;
-  private final MembersTerms terms;
-  private final Schedule schedule;
+  private final MembershipSettings terms;
+  private final FaultSchedule schedule;
   private final SplittableRandom chance;
   private final PriorityQueue<Due> due =
       new PriorityQueue<>(
@@ -239,11 +240,11 @@
   private int mostBytes;
   private int suspected;
 
-  public Fleet(MembersTerms terms, Schedule schedule) {
+  public FleetSimulation(MembershipSettings terms, FaultSchedule schedule) {
     this(terms, schedule, Membership::new);
   }
 
-  public Fleet(MembersTerms terms, Schedule schedule, Maker maker) {
+  public FleetSimulation(MembershipSettings terms, FaultSchedule schedule, Maker maker) {
     this.maker = maker;
     this.terms = terms;
     this.schedule = schedule;
@@ -265,8 +266,7 @@
     Moment from = now.minus(longestSuspicion());
     long cuts =
         schedule.troubles().stream()
-            .filter(
-                t -> t.kind() == Trouble.Kind.CUT && from.before(t.to()) && !now.before(t.from()))
+            .filter(t -> t.kind() == Fault.Kind.CUT && from.before(t.to()) && !now.before(t.from()))
             .count();
     return cuts > 1
         || schedule.troubles().stream()
@@ -298,8 +298,8 @@
       fronts.add(f);
       at(new Moment(chance.nextInt(1_000_000)), f::start);
     }
-    for (Trouble t : schedule.troubles()) {
-      if (t.kind() == Trouble.Kind.KILL) {
+    for (Fault t : schedule.troubles()) {
+      if (t.kind() == Fault.Kind.KILL) {
         at(
             t.from(),
             () -> {
@@ -309,7 +309,7 @@
         at(
             t.to(),
             () -> {
-              if (!schedule.is(Trouble.Kind.KILL, t.a(), 0, now) && !fronts.get(t.a()).up) {
+              if (!schedule.is(Fault.Kind.KILL, t.a(), 0, now) && !fronts.get(t.a()).up) {
                 killedAt.remove(t.a());
                 fronts.get(t.a()).start();
               }
@@ -329,13 +329,13 @@
   /** Long after the last trouble everybody holds everybody for there, in their present life. */
   private void comeRound() {
     for (Front f : fronts) {
-      List<News> held = f.core.held();
+      List<MemberUpdate> held = f.core.held();
       if (held.size() != fronts.size() - 1) {
         broken.add(at() + f.number + " holds " + held.size() + " of " + (fronts.size() - 1));
       }
-      for (News n : held) {
+      for (MemberUpdate n : held) {
         Front other = fronts.get(n.member().number());
-        if (n.standing() != Standing.ALIVE || n.incarnation() != other.core.incarnation()) {
+        if (n.standing() != MemberState.ALIVE || n.incarnation() != other.core.incarnation()) {
           broken.add(at() + f.number + " holds " + n.member().number() + " for " + n.standing());
         }
       }
--- a/src/main/java/linengauge/members/udp/MembersNode.java
+++ b/src/main/java/linengauge/membership/udp/MembershipNode.java
@@ -1,4 +1,4 @@
-package linengauge.members.udp;
+package linengauge.membership.udp;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,11 +14,11 @@
 import java.util.function.Consumer;
 import linengauge.Moment;
 import linengauge.carry.Address;
-import linengauge.members.Member;
-import linengauge.members.MembersTerms;
-import linengauge.members.Membership;
-import linengauge.members.News;
-import linengauge.members.Words;
+import linengauge.membership.Datagram;
+import linengauge.membership.Member;
+import linengauge.membership.MemberUpdate;
+import linengauge.membership.Membership;
+import linengauge.membership.MembershipSettings;
 import linengauge.vrrp.BadPacket;
 import linengauge.vrrp.Drop;
 import linengauge.vrrp.NodeAddress;
@@ -31,8 +31,8 @@
  * {@link Seal}, by the sender's number; whatever has no key, an old number or no sense is dropped
  * and counted. Between two looks at the timers it reads a bounded number of datagrams.
  */
-public final class MembersNode implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger(MembersNode.class);
+public final class MembershipNode implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(MembershipNode.class);
   private static final int AT_ONCE = 64;
   private static final int NUMBER_BYTES = 4;
 
@@ -51,14 +51,14 @@
   private final DatagramChannel channel;
   private final Thread thread = new Thread(this::run, "members");
   private final CountDownLatch ended = new CountDownLatch(1);
-  private final ByteBuffer in = ByteBuffer.allocate(Words.MOST + Seal.BYTES + 1);
+  private final ByteBuffer in = ByteBuffer.allocate(Datagram.MOST + Seal.BYTES + 1);
   private long strangers;
   private long replayed;
   private long unreadable;
   private boolean clashed;
   private volatile boolean closing;
   private volatile Drops drops = new Drops(0, 0, 0);
-  private volatile List<News> held = List.of();
+  private volatile List<MemberUpdate> held = List.of();
 
   /**
    * Binds at once and starts with {@link #start}.
@@ -69,8 +69,12 @@
    * @param changed told on the node's thread of each change, to be over at once
    * @throws IOException where it cannot listen there
    */
-  public MembersNode(
-      MembersTerms terms, Member own, List<String> seeds, byte[] key, Consumer<News> changed)
+  public MembershipNode(
+      MembershipSettings terms,
+      Member own,
+      List<String> seeds,
+      byte[] key,
+      Consumer<MemberUpdate> changed)
       throws IOException {
     if (key.length < 16) {
       throw new IllegalArgumentException("a key of 16 bytes at least, not " + key.length);
@@ -86,12 +90,12 @@
             seeds,
             new Membership.Port() {
               @Override
-              public void send(String address, Words words) {
+              public void send(String address, Datagram words) {
                 sendTo(address, words);
               }
 
               @Override
-              public void changed(News news) {
+              public void changed(MemberUpdate news) {
                 changed.accept(news);
               }
 
@@ -126,7 +130,7 @@
   }
 
   /** All that is held of the others, as of the last turn. */
-  public List<News> held() {
+  public List<MemberUpdate> held() {
     return held;
   }
 
@@ -218,7 +222,7 @@
       members.heard(
           now(),
           sender.getAddress().getHostAddress() + ":" + sender.getPort(),
-          Words.read(bytes, length));
+          Datagram.read(bytes, length));
     } catch (BadPacket e) {
       strangers += e.cause() == Drop.SEAL ? 1 : 0;
       replayed += e.cause() == Drop.REPLAYED ? 1 : 0;
@@ -233,7 +237,7 @@
     return new NodeAddress(ByteBuffer.allocate(NUMBER_BYTES).putInt(number).array());
   }
 
-  private void sendTo(String address, Words words) {
+  private void sendTo(String address, Datagram words) {
     try {
       channel.send(
           ByteBuffer.wrap(seal.seal(words.bytes(), sealedBy(own.number()))),
--- a/src/test/java/linengauge/front/MembersTest.java
+++ b/src/test/java/linengauge/front/MembersTest.java
@@ -11,10 +11,10 @@
 import java.util.List;
 import linengauge.Span;
 import linengauge.drill.Ports;
-import linengauge.members.Member;
-import linengauge.members.MembersTerms;
-import linengauge.members.Standing;
-import linengauge.members.udp.MembersNode;
+import linengauge.membership.Member;
+import linengauge.membership.MemberState;
+import linengauge.membership.MembershipSettings;
+import linengauge.membership.udp.MembershipNode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -43,9 +43,9 @@
     Path key = Files.writeString(dir.resolve("key"), KEY + "\n");
     List<Integer> ports = Ports.free(2);
     Member own = new Member(1, Ports.HOST + ":" + ports.get(1), 0, 2);
-    try (MembersNode other =
-        new MembersNode(
-            MembersTerms.USUAL.inPeriods(Span.ofMillis(100)),
+    try (MembershipNode other =
+        new MembershipNode(
+            MembershipSettings.USUAL.inPeriods(Span.ofMillis(100)),
             own,
             List.of(),
             KEY.getBytes(StandardCharsets.UTF_8),
@@ -63,7 +63,7 @@
         assertEquals(
             new Member(0, Ports.HOST + ":" + ports.get(0), 0, 3), other.held().get(0).member());
       }
-      Rig.until(() -> other.held().get(0).standing() == Standing.LEFT);
+      Rig.until(() -> other.held().get(0).standing() == MemberState.LEFT);
     }
   }
 
--- a/src/test/java/linengauge/members/WordsTest.java
+++ b/src/test/java/linengauge/membership/DatagramTest.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -8,16 +8,18 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-class WordsTest {
-  private static final News NEWS =
-      new News(new Member(7, "127.0.3.1:7000", 3, 1), 1_764_600_000_000L, Standing.SUSPECT, 12);
-  private static final Words WORDS = new Words(Words.Kind.ASK, 4, -5, 9, List.of(NEWS, NEWS));
+class DatagramTest {
+  private static final MemberUpdate NEWS =
+      new MemberUpdate(
+          new Member(7, "127.0.3.1:7000", 3, 1), 1_764_600_000_000L, MemberState.SUSPECT, 12);
+  private static final Datagram WORDS =
+      new Datagram(Datagram.Kind.ASK, 4, -5, 9, List.of(NEWS, NEWS));
 
   @Test
   void whatIsWrittenIsReadAsItWas() {
     byte[] b = WORDS.bytes();
-    assertEquals(WORDS, Words.read(b, b.length));
-    assertEquals(2 * Words.size(NEWS) + Words.MOST - Words.room(), b.length);
+    assertEquals(WORDS, Datagram.read(b, b.length));
+    assertEquals(2 * Datagram.size(NEWS) + Datagram.MOST - Datagram.room(), b.length);
   }
 
   @Test
@@ -25,16 +27,16 @@
     byte[] b = WORDS.bytes();
     for (int length = 0; length < b.length; length++) {
       int l = length;
-      assertThrows(IllegalArgumentException.class, () -> Words.read(b, l));
+      assertThrows(IllegalArgumentException.class, () -> Datagram.read(b, l));
     }
     assertThrows(
         IllegalArgumentException.class,
-        () -> Words.read(Arrays.copyOf(b, b.length + 1), b.length + 1));
+        () -> Datagram.read(Arrays.copyOf(b, b.length + 1), b.length + 1));
     assertThrows(
         IllegalArgumentException.class,
-        () -> Words.read(Arrays.copyOf(b, Words.MOST + 1), Words.MOST + 1));
+        () -> Datagram.read(Arrays.copyOf(b, Datagram.MOST + 1), Datagram.MOST + 1));
     b[0]++;
-    assertThrows(IllegalArgumentException.class, () -> Words.read(b, b.length));
+    assertThrows(IllegalArgumentException.class, () -> Datagram.read(b, b.length));
   }
 
   /** Noise is refused or read; nothing else is thrown, and nothing is kept of what is not there. */
@@ -48,7 +50,7 @@
         b[chance.nextInt(b.length)] = (byte) chance.nextInt(256);
       }
       try {
-        read += Words.read(b, b.length).news().size() <= 2 ? 1 : 0;
+        read += Datagram.read(b, b.length).news().size() <= 2 ? 1 : 0;
       } catch (IllegalArgumentException e) {
         continue;
       }
--- a/src/test/java/linengauge/members/FleetOfMembersTest.java
+++ b/src/test/java/linengauge/membership/FleetSimulationTest.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,9 +9,9 @@
 import java.util.SplittableRandom;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.members.explore.Fleet;
-import linengauge.members.explore.Schedule;
-import linengauge.members.explore.Trouble;
+import linengauge.membership.explore.Fault;
+import linengauge.membership.explore.FaultSchedule;
+import linengauge.membership.explore.FleetSimulation;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -20,25 +20,25 @@
  * Members in virtual time, under troubles from seeds and under the shortest that break them without
  * one of their guards.
  */
-class FleetOfMembersTest {
-  private static final MembersTerms USUAL = MembersTerms.USUAL;
+class FleetSimulationTest {
+  private static final MembershipSettings USUAL = MembershipSettings.USUAL;
   private static final Span ROUND = Span.ofSeconds(30);
 
-  private static Trouble trouble(Trouble.Kind kind, int a, int b, long from, long to) {
-    return new Trouble(kind, a, b, at(from), at(to));
+  private static Fault trouble(Fault.Kind kind, int a, int b, long from, long to) {
+    return new Fault(kind, a, b, at(from), at(to));
   }
 
   private static Moment at(long ms) {
     return new Moment(ms * 1000);
   }
 
-  private static Schedule schedule(long seed, int fronts, Trouble... troubles) {
-    Moment quiet = List.of(troubles).stream().map(Trouble::to).max(Moment::compareTo).orElse(at(0));
-    return new Schedule(seed, fronts, 4, List.of(troubles), quiet, quiet.plus(ROUND.times(2)));
+  private static FaultSchedule schedule(long seed, int fronts, Fault... troubles) {
+    Moment quiet = List.of(troubles).stream().map(Fault::to).max(Moment::compareTo).orElse(at(0));
+    return new FaultSchedule(seed, fronts, 4, List.of(troubles), quiet, quiet.plus(ROUND.times(2)));
   }
 
-  private static Fleet.Outcome play(Schedule s) {
-    return new Fleet(USUAL, s).play();
+  private static FleetSimulation.Outcome play(FaultSchedule s) {
+    return new FleetSimulation(USUAL, s).play();
   }
 
   /**
@@ -48,8 +48,8 @@
   @Test
   void underAnyTroublesNobodyIsGivenUpWithoutCauseAndAllComeRound() {
     for (long seed = 1; seed <= 400; seed++) {
-      Schedule s = Schedule.drawn(seed, 7, 4, 6, ROUND);
-      Fleet.Outcome o = play(s);
+      FaultSchedule s = FaultSchedule.drawn(seed, 7, 4, 6, ROUND);
+      FleetSimulation.Outcome o = play(s);
       for (int i = 0; !o.broken().isEmpty() && i < s.troubles().size(); i++) {
         if (!play(s.without(i)).broken().isEmpty()) {
           s = s.without(i);
@@ -61,14 +61,15 @@
     for (long seed = 1; seed <= 20; seed++) {
       assertEquals(
           List.of(),
-          play(Schedule.drawn(seed, 24, 4, 8, ROUND)).broken(),
+          play(FaultSchedule.drawn(seed, 24, 4, 8, ROUND)).broken(),
           "24 fronts, seed " + seed);
     }
   }
 
   @Test
   void theSameSeedIsTheSameRun() {
-    assertEquals(play(Schedule.drawn(3, 7, 4, 6, ROUND)), play(Schedule.drawn(3, 7, 4, 6, ROUND)));
+    assertEquals(
+        play(FaultSchedule.drawn(3, 7, 4, 6, ROUND)), play(FaultSchedule.drawn(3, 7, 4, 6, ROUND)));
   }
 
   /** Each guard, and the shortest schedule found that breaks a rule without it. */
@@ -77,28 +78,28 @@
         schedule(
             754,
             7,
-            trouble(Trouble.Kind.FREEZE, 0, 0, 51_511, 79_209),
-            trouble(Trouble.Kind.SICK, 3, 0, 50_268, 54_130))),
-    DOUBT(schedule(4, 7, trouble(Trouble.Kind.SICK, 3, 0, 32_952, 33_331))),
-    DENIAL(schedule(1, 7, trouble(Trouble.Kind.MUTE, 0, 0, 53_669, 68_399))),
+            trouble(Fault.Kind.FREEZE, 0, 0, 51_511, 79_209),
+            trouble(Fault.Kind.SICK, 3, 0, 50_268, 54_130))),
+    DOUBT(schedule(4, 7, trouble(Fault.Kind.SICK, 3, 0, 32_952, 33_331))),
+    DENIAL(schedule(1, 7, trouble(Fault.Kind.MUTE, 0, 0, 53_669, 68_399))),
     REGATHER(schedule(1, 7)),
-    SUSPICION(schedule(5, 7, trouble(Trouble.Kind.SICK, 0, 0, 39_020, 39_948)));
+    SUSPICION(schedule(5, 7, trouble(Fault.Kind.SICK, 0, 0, 39_020, 39_948)));
 
-    private final Schedule breaks;
+    private final FaultSchedule breaks;
 
-    Guard(Schedule breaks) {
+    Guard(FaultSchedule breaks) {
       this.breaks = breaks;
     }
 
     private Membership without(
-        MembersTerms terms,
+        MembershipSettings terms,
         Member own,
         long incarnation,
         List<String> seeds,
         Membership.Port port,
         SplittableRandom chance) {
-      MembersTerms less =
-          new MembersTerms(
+      MembershipSettings less =
+          new MembershipSettings(
               terms.period(),
               terms.answer(),
               terms.helpers(),
@@ -133,15 +134,15 @@
   @EnumSource
   void withoutThisGuardARuleBreaks(Guard guard) {
     assertEquals(List.of(), play(guard.breaks).broken());
-    assertFalse(new Fleet(USUAL, guard.breaks, guard::without).play().broken().isEmpty());
+    assertFalse(new FleetSimulation(USUAL, guard.breaks, guard::without).play().broken().isEmpty());
   }
 
   /** One way between two fronts is cut: without helpers each round would make a suspicion of it. */
   @Test
   void helpersKeepOneCutWayFromBeingASuspicion() {
-    Schedule s = schedule(9, 7, trouble(Trouble.Kind.CUT, 1, 2, 30_000, 120_000));
-    MembersTerms none =
-        new MembersTerms(
+    FaultSchedule s = schedule(9, 7, trouble(Fault.Kind.CUT, 1, 2, 30_000, 120_000));
+    MembershipSettings none =
+        new MembershipSettings(
             USUAL.period(),
             USUAL.answer(),
             0,
@@ -154,16 +155,16 @@
             USUAL.regather(),
             USUAL.most());
     int with = play(s).suspected();
-    int without = new Fleet(none, s).play().suspected();
+    int without = new FleetSimulation(none, s).play().suspected();
     assertTrue(without > 4 && with * 4 < without, with + " with, " + without + " without");
   }
 
   /** A front that hears badly lengthens its own waits. */
   @Test
   void aFrontThatIsSlowItselfSuspectsLess() {
-    Schedule s = schedule(11, 24, trouble(Trouble.Kind.LOSS, 3, 0, 30_000, 230_000));
-    MembersTerms deaf =
-        new MembersTerms(
+    FaultSchedule s = schedule(11, 24, trouble(Fault.Kind.LOSS, 3, 0, 30_000, 230_000));
+    MembershipSettings deaf =
+        new MembershipSettings(
             USUAL.period(),
             USUAL.answer(),
             USUAL.helpers(),
@@ -176,13 +177,14 @@
             USUAL.regather(),
             USUAL.most());
     int with = play(s).suspected();
-    int without = new Fleet(deaf, s).play().suspected();
+    int without = new FleetSimulation(deaf, s).play().suspected();
     assertTrue(with < without, with + " with, " + without + " without");
   }
 
   @Test
   void aDeathIsFoundByAllInBoundedTimeAndBytes() {
-    Fleet.Outcome o = play(schedule(2, 60, trouble(Trouble.Kind.KILL, 7, 0, 40_000, 100_000)));
+    FleetSimulation.Outcome o =
+        play(schedule(2, 60, trouble(Fault.Kind.KILL, 7, 0, 40_000, 100_000)));
     assertEquals(List.of(), o.broken());
     assertTrue(o.foundAfter().size() >= 59, "found by " + o.foundAfter().size());
     Span least = USUAL.period().times(USUAL.suspicion() * Math.log10(60));
@@ -194,8 +196,8 @@
 
   @Test
   void moreMembersThanThereMayBeAreNotTakenIn() {
-    MembersTerms few =
-        new MembersTerms(
+    MembershipSettings few =
+        new MembershipSettings(
             USUAL.period(),
             USUAL.answer(),
             3,
@@ -207,17 +209,18 @@
             USUAL.deadKept(),
             USUAL.regather(),
             5);
-    List<News> all = new ArrayList<>();
+    List<MemberUpdate> all = new ArrayList<>();
     for (int i = 1; i <= 9; i++) {
-      all.add(new News(new Member(i, "10.0.0." + i + ":7000", 0, 0), 1, Standing.ALIVE, i));
+      all.add(
+          new MemberUpdate(new Member(i, "10.0.0." + i + ":7000", 0, 0), 1, MemberState.ALIVE, i));
     }
     Membership m = membership(few, new ArrayList<>());
-    m.heard(at(5), "10.0.0.1:7000", new Words(Words.Kind.PAGE, 1, 0, -1, all));
+    m.heard(at(5), "10.0.0.1:7000", new Datagram(Datagram.Kind.PAGE, 1, 0, -1, all));
     assertEquals(5, m.held().size());
     assertEquals(4, m.refused());
   }
 
-  private static Membership membership(MembersTerms terms, List<Words> sent) {
+  private static Membership membership(MembershipSettings terms, List<Datagram> sent) {
     Membership m =
         new Membership(
             terms,
@@ -226,12 +229,12 @@
             List.of("10.0.0.1:7000"),
             new Membership.Port() {
               @Override
-              public void send(String address, Words words) {
+              public void send(String address, Datagram words) {
                 sent.add(words);
               }
 
               @Override
-              public void changed(News held) {
+              public void changed(MemberUpdate held) {
                 // read from the membership
               }
 
@@ -247,41 +250,63 @@
 
   @Test
   void nonsenseOfItselfIsDeniedAndWhatCannotBeDeniedIsPassedOver() {
-    List<Words> sent = new ArrayList<>();
+    List<Datagram> sent = new ArrayList<>();
     Membership m = membership(USUAL, sent);
-    News dead = new News(new Member(0, "10.0.0.0:7000", 0, 0), 5000, Standing.DEAD, 1);
-    m.heard(at(5), "10.0.0.1:7000", new Words(Words.Kind.PING, 1, 1, 0, List.of(dead)));
+    MemberUpdate dead =
+        new MemberUpdate(new Member(0, "10.0.0.0:7000", 0, 0), 5000, MemberState.DEAD, 1);
+    m.heard(at(5), "10.0.0.1:7000", new Datagram(Datagram.Kind.PING, 1, 1, 0, List.of(dead)));
     assertEquals(5001, m.incarnation());
-    News never =
-        new News(new Member(0, "10.0.0.0:7000", 0, 0), Long.MAX_VALUE / 2, Standing.DEAD, 1);
-    m.heard(at(6), "10.0.0.1:7000", new Words(Words.Kind.PING, 1, 2, 0, List.of(never)));
+    MemberUpdate never =
+        new MemberUpdate(
+            new Member(0, "10.0.0.0:7000", 0, 0), Long.MAX_VALUE / 2, MemberState.DEAD, 1);
+    m.heard(at(6), "10.0.0.1:7000", new Datagram(Datagram.Kind.PING, 1, 2, 0, List.of(never)));
     assertEquals(5001, m.incarnation());
-    m.heard(at(7), "10.0.0.9:7000", new Words(Words.Kind.PING, 0, 3, 0, List.of()));
+    m.heard(at(7), "10.0.0.9:7000", new Datagram(Datagram.Kind.PING, 0, 3, 0, List.of()));
     assertEquals(1, sent.stream().filter(w -> w == null).count(), "another goes by its number");
   }
 
   @Test
   void whoeverLeavesIsNotSuspectedAndComesBackByANewLife() {
-    List<Words> sent = new ArrayList<>();
+    List<Datagram> sent = new ArrayList<>();
     Membership m = membership(USUAL, sent);
     Member other = new Member(1, "10.0.0.1:7000", 0, 0);
     m.heard(
         at(5),
         other.address(),
-        new Words(Words.Kind.PING, 1, 1, 0, List.of(new News(other, 10, Standing.ALIVE, 1))));
+        new Datagram(
+            Datagram.Kind.PING,
+            1,
+            1,
+            0,
+            List.of(new MemberUpdate(other, 10, MemberState.ALIVE, 1))));
     m.heard(
         at(6),
         other.address(),
-        new Words(Words.Kind.PING, 1, 2, 0, List.of(new News(other, 10, Standing.LEFT, 1))));
+        new Datagram(
+            Datagram.Kind.PING,
+            1,
+            2,
+            0,
+            List.of(new MemberUpdate(other, 10, MemberState.LEFT, 1))));
     m.heard(
         at(7),
         "10.0.0.2:7000",
-        new Words(Words.Kind.PING, 2, 1, 0, List.of(new News(other, 10, Standing.SUSPECT, 2))));
-    assertEquals(Standing.LEFT, m.held().get(0).standing());
+        new Datagram(
+            Datagram.Kind.PING,
+            2,
+            1,
+            0,
+            List.of(new MemberUpdate(other, 10, MemberState.SUSPECT, 2))));
+    assertEquals(MemberState.LEFT, m.held().get(0).standing());
     m.heard(
         at(8),
         other.address(),
-        new Words(Words.Kind.PING, 1, 3, 0, List.of(new News(other, 11, Standing.ALIVE, 1))));
-    assertEquals(Standing.ALIVE, m.held().get(0).standing());
+        new Datagram(
+            Datagram.Kind.PING,
+            1,
+            3,
+            0,
+            List.of(new MemberUpdate(other, 11, MemberState.ALIVE, 1))));
+    assertEquals(MemberState.ALIVE, m.held().get(0).standing());
   }
 }
--- a/src/test/java/linengauge/members/MemberProcessesTest.java
+++ b/src/test/java/linengauge/membership/MemberProcessesTest.java
@@ -1,4 +1,4 @@
-package linengauge.members;
+package linengauge.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -17,7 +17,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import linengauge.cli.Main;
-import linengauge.members.udp.MembersNode;
+import linengauge.membership.udp.MembershipNode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -232,9 +232,11 @@
     Member named = new Member(0, "localhost:7000", 0, 0);
     assertThrows(
         IllegalArgumentException.class,
-        () -> new MembersNode(MembersTerms.USUAL, named, List.of(), new byte[15], n -> {}));
+        () ->
+            new MembershipNode(MembershipSettings.USUAL, named, List.of(), new byte[15], n -> {}));
     assertThrows(
         IllegalArgumentException.class,
-        () -> new MembersNode(MembersTerms.USUAL, named, List.of(), new byte[16], n -> {}));
+        () ->
+            new MembershipNode(MembershipSettings.USUAL, named, List.of(), new byte[16], n -> {}));
   }
 }
