--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import linengauge.Span;
-import linengauge.drill.CouncilProcess;
+import linengauge.drill.ConsensusProcess;
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
 import linengauge.drill.ExploreDrill;
@@ -332,8 +332,8 @@
       @CommandLine.Mixin Commands.LogForm log)
       throws IOException {
     log.apply();
-    return CouncilProcess.run(
-        new CouncilProcess.Start(
+    return ConsensusProcess.run(
+        new ConsensusProcess.Start(
             number,
             listen,
             voters,
--- a/src/main/java/linengauge/council/Decided.java
+++ b/src/main/java/linengauge/consensus/CommittedLog.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -7,14 +7,14 @@
  * What has been decided so far, in order, each decision once however often its author had to ask
  * for it. The same at voters and at whoever follows them.
  */
-public final class Decided {
+public final class CommittedLog {
   /** Bytes of a machine's state at the most. */
   public static final int MOST = 256 * 1024;
 
   /** Authors whose last number is kept; the one silent for longest goes. */
   static final int MOST_AUTHORS = 2048;
 
-  private final Machine machine;
+  private final StateMachine machine;
 
   /** The last number of each author, whoever spoke last at the end. Bounded, the first goes. */
   private final LinkedHashMap<Long, Long> authors = new LinkedHashMap<>();
@@ -22,7 +22,7 @@
   private long index;
   private Voters voters = Voters.NONE;
 
-  public Decided(Machine machine) {
+  public CommittedLog(StateMachine machine) {
     this.machine = machine;
   }
 
@@ -69,7 +69,7 @@
   }
 
   byte[] whole() {
-    Pack to = new Pack();
+    MessageWriter to = new MessageWriter();
     voters.write(to);
     to.num(authors.size());
     authors.forEach((a, n) -> to.num(a).num(n));
@@ -77,7 +77,7 @@
   }
 
   void restore(long at, byte[] whole) {
-    Unpack from = new Unpack(whole);
+    MessageReader from = new MessageReader(whole);
     Voters v = Voters.read(from);
     Map<Long, Long> all = new LinkedHashMap<>();
     for (int n = from.num(0, MOST_AUTHORS); n > 0; n--) {
--- a/src/main/java/linengauge/council/Entry.java
+++ b/src/main/java/linengauge/consensus/Entry.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.Arrays;
 
@@ -39,11 +39,11 @@
     return new Entry(t, kind, author, number, payload);
   }
 
-  void write(Pack to) {
+  void write(MessageWriter to) {
     to.num(term).num(kind.ordinal()).num(author).num(number).bytes(payload);
   }
 
-  static Entry read(Unpack from) {
+  static Entry read(MessageReader from) {
     return new Entry(from.num(), from.one(Kind.values()), from.num(), from.num(), from.bytes(MOST));
   }
 
--- a/src/main/java/linengauge/council/Log.java
+++ b/src/main/java/linengauge/consensus/Log.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/linengauge/council/Follower.java
+++ b/src/main/java/linengauge/consensus/LogFollower.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,16 +11,16 @@
  * since, has its own wishes decided, and knows how old its word is. It never goes back: what it
  * holds has a number, and only the next one follows.
  */
-public final class Follower {
+public final class LogFollower {
   /** What it acts through. */
   public interface Port {
     /** To that voter, at that address; to be lost if need be. */
-    void send(int voter, String address, Word word);
+    void send(int voter, String address, RaftMessage word);
   }
 
   /** A wish on its way; its end is a call on it, once. */
-  public interface Wish {
-    /** Decided, or given up on: then it may still be decided. */
+  public interface Proposal {
+    /** CommittedLog, or given up on: then it may still be decided. */
     void ended(boolean decided);
   }
 
@@ -40,12 +40,12 @@
 
   private static final class Open {
     private final Entry entry;
-    private final Wish wish;
+    private final Proposal wish;
     private final Moment until;
     private Moment askAt;
     private boolean unanswered;
 
-    private Open(Entry entry, Wish wish, Moment until, Moment askAt) {
+    private Open(Entry entry, Proposal wish, Moment until, Moment askAt) {
       this.entry = entry;
       this.wish = wish;
       this.until = until;
@@ -73,7 +73,7 @@
   private final Terms terms;
   private final int own;
   private final Port port;
-  private final Decided decided;
+  private final CommittedLog decided;
 
   /** Where the voters of the site file are, until the council itself names others. */
   private final TreeMap<Integer, String> first;
@@ -101,19 +101,19 @@
    * @param firstNumber of its wishes, higher than in any earlier life: the wall's clock in
    *     microseconds
    */
-  public Follower(
+  public LogFollower(
       Terms terms,
       int own,
       TreeMap<Integer, String> first,
       long firstNumber,
-      Machine machine,
+      StateMachine machine,
       Port port) {
     this.terms = terms;
     this.own = own;
     this.first = first;
     this.port = port;
     this.number = firstNumber;
-    this.decided = new Decided(machine);
+    this.decided = new CommittedLog(machine);
     this.turn = own;
   }
 
@@ -152,7 +152,7 @@
   }
 
   /** Wants something decided; false where too much waits. */
-  public boolean wants(Moment at, byte[] decision, Wish wish) {
+  public boolean wants(Moment at, byte[] decision, Proposal wish) {
     return wants(at, Entry.Kind.DECISION, decision, wish);
   }
 
@@ -160,11 +160,11 @@
    * Wants other voters. Whether they have come to be shows in {@link #voters}: the wish ends once
    * it is placed.
    */
-  public boolean wantsVoters(Moment at, Voters next, Wish wish) {
+  public boolean wantsVoters(Moment at, Voters next, Proposal wish) {
     return wants(at, Entry.Kind.VOTERS, next.bytes(), wish);
   }
 
-  private boolean wants(Moment at, Entry.Kind kind, byte[] payload, Wish wish) {
+  private boolean wants(Moment at, Entry.Kind kind, byte[] payload, Proposal wish) {
     now = at;
     if (wishes.size() >= MOST_WISHES) {
       return false;
@@ -212,7 +212,11 @@
     }
     if (!now.before(askAt)) {
       askAt = now.plus(terms.ask());
-      send(asked, Word.of(Word.Kind.FOLLOW, own, 0, 0).at(decided.index(), 0).round(++request));
+      send(
+          asked,
+          RaftMessage.of(RaftMessage.Kind.FOLLOW, own, 0, 0)
+              .at(decided.index(), 0)
+              .round(++request));
     }
     for (Open o : List.copyOf(wishes.values())) {
       if (!now.before(o.until)) {
@@ -227,7 +231,7 @@
       first.unanswered = true;
       first.askAt = now.plus(terms.silent());
       send(
-          Word.of(Word.Kind.PROPOSE, own, 0, 0)
+          RaftMessage.of(RaftMessage.Kind.PROPOSE, own, 0, 0)
               .round(first.entry.number())
               .with(List.of(first.entry)));
     }
@@ -239,13 +243,13 @@
         r.unanswered = true;
         r.askAt = now.plus(terms.silent());
         r.request = ++request;
-        send(Word.of(Word.Kind.READ, own, 0, 0).round(request));
+        send(RaftMessage.of(RaftMessage.Kind.READ, own, 0, 0).round(request));
       }
     }
   }
 
   /** To the leader, as far as it is known. */
-  private void send(Word w) {
+  private void send(RaftMessage w) {
     send(leader >= 0 ? leader : asked, w);
   }
 
@@ -259,7 +263,7 @@
     return all.get(Math.floorMod(turn++, all.size()));
   }
 
-  private void send(int voter, Word w) {
+  private void send(int voter, RaftMessage w) {
     Voters.Chair c = decided.voters().chairs().get(voter);
     String address = c == null ? first.get(voter) : c.address();
     if (address != null) {
@@ -267,7 +271,7 @@
     }
   }
 
-  public void heard(Moment at, Word w) {
+  public void heard(Moment at, RaftMessage w) {
     now = at;
     switch (w.kind()) {
       case FOLLOWED -> {
@@ -321,12 +325,12 @@
   }
 
   /** Takes whom it names as the leader; true where that is somebody else, to be asked at once. */
-  private boolean leads(Word w) {
+  private boolean leads(RaftMessage w) {
     leader = w.yes() ? w.from() : (int) Math.min(w.index(), 0xffff);
     return !w.yes() && leader >= 0 && leader != w.from() && hops++ < MOST_HOPS;
   }
 
-  private void fresh(Word w) {
+  private void fresh(RaftMessage w) {
     hops = 0;
     // Guards against a voter that answers and is itself cut off, or votes no more: another is
     // asked. It could hurt where the
@@ -340,7 +344,7 @@
   }
 
   /** More is there than one word held: it is asked for at once. */
-  private void came(Word w) {
+  private void came(RaftMessage w) {
     if (decided.index() < w.commit()) {
       askAt = now;
     }
--- a/src/main/java/linengauge/council/Unpack.java
+++ b/src/main/java/linengauge/consensus/MessageReader.java
@@ -1,17 +1,17 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /**
- * Reads what {@link Pack} laid out. All that does not fit is an IllegalArgumentException, before
- * anything of that size is made.
+ * Reads what {@link MessageWriter} laid out. All that does not fit is an IllegalArgumentException,
+ * before anything of that size is made.
  */
-public final class Unpack {
+public final class MessageReader {
   private final ByteBuffer from;
 
-  public Unpack(byte[] bytes) {
+  public MessageReader(byte[] bytes) {
     from = ByteBuffer.wrap(bytes);
   }
 
--- a/src/main/java/linengauge/council/Pack.java
+++ b/src/main/java/linengauge/consensus/MessageWriter.java
@@ -1,11 +1,11 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-/** Numbers, texts and bytes laid out one after another; {@link Unpack} reads them. */
-public final class Pack {
+/** Numbers, texts and bytes laid out one after another; {@link MessageReader} reads them. */
+public final class MessageWriter {
   private byte[] held = new byte[128];
   private int length;
 
@@ -18,27 +18,27 @@
     return at;
   }
 
-  public Pack num(long n) {
+  public MessageWriter num(long n) {
     more(Long.BYTES).putLong(n);
     return this;
   }
 
-  public Pack real(double d) {
+  public MessageWriter real(double d) {
     return num(Double.doubleToLongBits(d));
   }
 
-  public Pack flag(boolean f) {
+  public MessageWriter flag(boolean f) {
     more(1).put((byte) (f ? 1 : 0));
     return this;
   }
 
-  public Pack bytes(byte[] b) {
+  public MessageWriter bytes(byte[] b) {
     more(Integer.BYTES).putInt(b.length);
     more(b.length).put(b);
     return this;
   }
 
-  public Pack text(String t) {
+  public MessageWriter text(String t) {
     return bytes(t.getBytes(StandardCharsets.UTF_8));
   }
 
--- a/src/main/java/linengauge/council/Saved.java
+++ b/src/main/java/linengauge/consensus/PersistentState.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -9,10 +9,10 @@
  *
  * @param store made when the folder was, at random: whoever has lost the folder has lost the voice
  * @param voted whom it voted for in the term, or -1
- * @param baseIndex last entry that is part of `base`, the state as {@link Decided} has it; 0: none
- *     is
+ * @param baseIndex last entry that is part of `base`, the state as {@link CommittedLog} has it; 0:
+ *     none is
  */
-public record Saved(
+public record PersistentState(
     long store,
     long term,
     int voted,
@@ -30,20 +30,20 @@
    * The first of a new council's voter: all of them begin with the same voters, as the first
    * decision.
    */
-  public static Saved founding(long store, Voters voters, Machine empty) {
-    Decided d = new Decided(empty);
+  public static PersistentState founding(long store, Voters voters, StateMachine empty) {
+    CommittedLog d = new CommittedLog(empty);
     d.voters(voters);
-    return new Saved(store, 0, -1, 1, 0, d.whole(), List.of());
+    return new PersistentState(store, 0, -1, 1, 0, d.whole(), List.of());
   }
 
   /** One that knows nothing, to be brought up by those there are. */
-  public static Saved joining(long store, Machine empty) {
-    return new Saved(store, 0, -1, 0, 0, new Decided(empty).whole(), List.of());
+  public static PersistentState joining(long store, StateMachine empty) {
+    return new PersistentState(store, 0, -1, 0, 0, new CommittedLog(empty).whole(), List.of());
   }
 
   public byte[] bytes() {
-    Pack to =
-        new Pack()
+    MessageWriter to =
+        new MessageWriter()
             .num(store)
             .num(term)
             .num(voted)
@@ -56,8 +56,8 @@
   }
 
   /** Throws IllegalArgumentException at what cannot be read. */
-  public static Saved read(byte[] bytes) {
-    Unpack from = new Unpack(bytes);
+  public static PersistentState read(byte[] bytes) {
+    MessageReader from = new MessageReader(bytes);
     long store = from.num();
     long term = from.num();
     int voted = from.num(-1, 0xffff);
@@ -69,6 +69,6 @@
       entries.add(Entry.read(from));
     }
     from.end();
-    return new Saved(store, term, voted, baseIndex, baseTerm, base, List.copyOf(entries));
+    return new PersistentState(store, term, voted, baseIndex, baseTerm, base, List.copyOf(entries));
   }
 }
--- a/src/main/java/linengauge/council/Word.java
+++ b/src/main/java/linengauge/consensus/RaftMessage.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +13,7 @@
  * @param age for how long, in microseconds, no majority may have answered the leader that this goes
  *     back to
  */
-public record Word(
+public record RaftMessage(
     Kind kind,
     int from,
     long store,
@@ -52,39 +52,42 @@
     READABLE
   }
 
-  static Word of(Kind kind, int from, long store, long term) {
-    return new Word(kind, from, store, term, 0, 0, 0, 0, 0, false, List.of(), NOTHING);
+  static RaftMessage of(Kind kind, int from, long store, long term) {
+    return new RaftMessage(kind, from, store, term, 0, 0, 0, 0, 0, false, List.of(), NOTHING);
   }
 
-  Word at(long i, long t) {
-    return new Word(kind, from, store, term, i, t, commit, round, age, yes, entries, whole);
+  RaftMessage at(long i, long t) {
+    return new RaftMessage(kind, from, store, term, i, t, commit, round, age, yes, entries, whole);
   }
 
-  Word committed(long c, long a) {
-    return new Word(kind, from, store, term, index, indexTerm, c, round, a, yes, entries, whole);
+  RaftMessage committed(long c, long a) {
+    return new RaftMessage(
+        kind, from, store, term, index, indexTerm, c, round, a, yes, entries, whole);
   }
 
-  Word round(long r) {
-    return new Word(kind, from, store, term, index, indexTerm, commit, r, age, yes, entries, whole);
+  RaftMessage round(long r) {
+    return new RaftMessage(
+        kind, from, store, term, index, indexTerm, commit, r, age, yes, entries, whole);
   }
 
-  Word yes(boolean y) {
-    return new Word(
+  RaftMessage yes(boolean y) {
+    return new RaftMessage(
         kind, from, store, term, index, indexTerm, commit, round, age, y, entries, whole);
   }
 
-  Word with(List<Entry> e) {
-    return new Word(
+  RaftMessage with(List<Entry> e) {
+    return new RaftMessage(
         kind, from, store, term, index, indexTerm, commit, round, age, yes, List.copyOf(e), whole);
   }
 
-  Word whole(byte[] w) {
-    return new Word(kind, from, store, term, index, indexTerm, commit, round, age, yes, entries, w);
+  RaftMessage whole(byte[] w) {
+    return new RaftMessage(
+        kind, from, store, term, index, indexTerm, commit, round, age, yes, entries, w);
   }
 
   public byte[] bytes() {
-    Pack to =
-        new Pack()
+    MessageWriter to =
+        new MessageWriter()
             .num(kind.ordinal())
             .num(from)
             .num(store)
@@ -101,8 +104,8 @@
   }
 
   /** Throws IllegalArgumentException at what cannot be read. */
-  public static Word read(byte[] bytes) {
-    Unpack from = new Unpack(bytes);
+  public static RaftMessage read(byte[] bytes) {
+    MessageReader from = new MessageReader(bytes);
     Kind kind = from.one(Kind.values());
     int number = from.num(0, 0xffff);
     long[] n = new long[7];
@@ -117,8 +120,8 @@
     for (int left = from.num(0, MOST_ENTRIES); left > 0; left--) {
       entries.add(Entry.read(from));
     }
-    Word w =
-        new Word(
+    RaftMessage w =
+        new RaftMessage(
             kind,
             number,
             n[0],
--- a/src/main/java/linengauge/council/Voter.java
+++ b/src/main/java/linengauge/consensus/RaftNode.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -11,7 +11,7 @@
 import java.util.TreeSet;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.council.Entry.Kind;
+import linengauge.consensus.Entry.Kind;
 
 /**
  * One voter of the council: Raft (Ongaro and Ousterhout 2014, figure 2; Ongaro's thesis 2014,
@@ -19,17 +19,17 @@
  * time, hears words, and acts through {@link Port}. Each call ends in {@link #settle}, the one
  * place where anything leaves: not before all that it rests on lasts.
  */
-public class Voter {
+public class RaftNode {
   /** What it acts through. */
   public interface Port {
     /** Makes it last; comes back only once it does. */
-    void save(Saved saved) throws Unsaved;
+    void save(PersistentState saved) throws SaveFailedException;
 
     /** To another voter, to be lost if need be. */
-    void send(int to, Word word);
+    void send(int to, RaftMessage word);
 
     /** To whoever made that request. */
-    void answer(long asker, Word word);
+    void answer(long asker, RaftMessage word);
   }
 
   public enum Role {
@@ -61,15 +61,15 @@
   /** Somebody wants to know that all decided before now is known. */
   private record Read(long asker, long theirs, long index, long round) {}
 
-  private record Out(int to, long asker, Word word) {}
+  private record Out(int to, long asker, RaftMessage word) {}
 
   private static final int MOST_READS = 256;
   private static final int MOST_OPEN_BYTES = 512 * 1024;
 
-  private final CouncilTerms terms;
+  private final RaftSettings terms;
   private final int own;
   private final Port port;
-  private final Decided decided;
+  private final CommittedLog decided;
   private final long seed;
   /* What lasts. */
   private final long store;
@@ -107,7 +107,13 @@
    * @param seed of how long it waits before it wants to lead: one for each front, so that two
    *     seldom want it at once
    */
-  public Voter(CouncilTerms terms, int own, Saved saved, Machine machine, long seed, Port port) {
+  public RaftNode(
+      RaftSettings terms,
+      int own,
+      PersistentState saved,
+      StateMachine machine,
+      long seed,
+      Port port) {
     this.terms = terms;
     this.own = own;
     this.port = port;
@@ -117,7 +123,7 @@
     this.voted = saved.voted();
     this.log = new Log(saved.baseIndex(), saved.baseTerm(), saved.entries());
     this.base = saved.base();
-    this.decided = new Decided(machine);
+    this.decided = new CommittedLog(machine);
     decided.restore(saved.baseIndex(), base);
     this.baseVoters = decided.voters();
     this.voters = log.voters(baseVoters);
@@ -126,7 +132,7 @@
   }
 
   /** The same voter in another world, for an exploration; the machine is a fresh one. */
-  protected Voter(Voter o, Machine machine, Port port) {
+  protected RaftNode(RaftNode o, StateMachine machine, Port port) {
     this(o.terms, o.own, o.saved(), machine, o.seed, port);
     this.now = o.now;
     this.role = o.role;
@@ -186,7 +192,7 @@
     return voters;
   }
 
-  public Decided decided() {
+  public CommittedLog decided() {
     return decided;
   }
 
@@ -209,8 +215,8 @@
     return unsaved && saveAt.before(next) ? saveAt : next;
   }
 
-  private Saved saved() {
-    return new Saved(store, term, voted, log.base(), log.baseTerm(), base, log.all());
+  private PersistentState saved() {
+    return new PersistentState(store, term, voted, log.base(), log.baseTerm(), base, log.all());
   }
 
   /* ---- what happens ---- */
@@ -274,7 +280,7 @@
   }
 
   /** A word has come, proved to be of the fleet. */
-  public void heard(Moment at, Word w) {
+  public void heard(Moment at, RaftMessage w) {
     now = at;
     switch (w.kind()) {
       case WOULD_YOU -> would(w);
@@ -294,7 +300,7 @@
    * Somebody who does not vote asks: to follow, to have something decided, to know how far all is
    * decided.
    */
-  public void ask(Moment at, long asker, Word w) {
+  public void ask(Moment at, long asker, RaftMessage w) {
     now = at;
     switch (w.kind()) {
       case FOLLOW -> tell(asker, w);
@@ -302,7 +308,7 @@
         long placed = w.entries().size() == 1 ? asked(w.entries().get(0)) : -1;
         answer(
             asker,
-            word(Word.Kind.PLACED)
+            word(RaftMessage.Kind.PLACED)
                 .round(w.round())
                 .yes(placed > 0)
                 .at(placed > 0 ? placed : leader(), 0));
@@ -349,7 +355,7 @@
     if (!asksFirst() || voters.most(ayes::contains)) {
       campaign();
     } else {
-      toAll(word(Word.Kind.WOULD_YOU, term + 1).at(log.last(), log.lastTerm()));
+      toAll(word(RaftMessage.Kind.WOULD_YOU, term + 1).at(log.last(), log.lastTerm()));
     }
   }
 
@@ -368,13 +374,13 @@
     if (voters.most(ayes::contains)) {
       lead();
     } else {
-      toAll(word(Word.Kind.VOTE_FOR_ME).at(log.last(), log.lastTerm()));
+      toAll(word(RaftMessage.Kind.VOTE_FOR_ME).at(log.last(), log.lastTerm()));
     }
   }
 
-  private void would(Word w) {
+  private void would(RaftMessage w) {
     boolean yes = w.term() > term && upToDate(w) && !hearsLeader();
-    send(w.from(), word(Word.Kind.WOULD, yes ? w.term() : term).yes(yes));
+    send(w.from(), word(RaftMessage.Kind.WOULD, yes ? w.term() : term).yes(yes));
   }
 
   private boolean hearsLeader() {
@@ -382,12 +388,12 @@
   }
 
   /** Its log is as new as this one's (5.4.1). */
-  private boolean upToDate(Word w) {
+  private boolean upToDate(RaftMessage w) {
     return w.indexTerm() > log.lastTerm()
         || w.indexTerm() == log.lastTerm() && w.index() >= log.last();
   }
 
-  private void vote(Word w) {
+  private void vote(RaftMessage w) {
     if (w.term() > term) {
       adopt(w.term());
     }
@@ -398,10 +404,10 @@
       voted = w.from();
       electionAt = now.plus(patience());
     }
-    send(w.from(), word(Word.Kind.VOTED).yes(yes));
+    send(w.from(), word(RaftMessage.Kind.VOTED).yes(yes));
   }
 
-  private void told(Word w, Role as, long of) {
+  private void told(RaftMessage w, Role as, long of) {
     if (!w.yes() && w.term() > term) {
       adopt(w.term());
     } else if (w.yes() && role == as && w.term() == of && counts(w)) {
@@ -421,7 +427,7 @@
    * Guards against a voter whose folder was emptied: it has forgotten what it promised, and could
    * promise the opposite.
    */
-  protected boolean counts(Word w) {
+  protected boolean counts(RaftMessage w) {
     return voters.holds(w.from(), w.store());
   }
 
@@ -436,7 +442,7 @@
     if (role == Role.LEADER) {
       electionAt = now.plus(patience());
       for (Read r : reads) {
-        answer(r.asker, word(Word.Kind.READABLE).round(r.theirs).at(of, 0));
+        answer(r.asker, word(RaftMessage.Kind.READABLE).round(r.theirs).at(of, 0));
       }
       reads.clear();
       peers.clear();
@@ -502,14 +508,15 @@
 
   private void append(int to) {
     Peer p = peers.get(to);
-    Word w = word(Word.Kind.APPEND).committed(commit, ageOfMost().micros()).round(round);
+    RaftMessage w =
+        word(RaftMessage.Kind.APPEND).committed(commit, ageOfMost().micros()).round(round);
     if (p.next <= log.base()) {
       if (p.wholeAt.plus(terms.election()).before(now)) {
         p.wholeAt = now;
         send(
             to,
-            new Word(
-                Word.Kind.INSTALL,
+            new RaftMessage(
+                RaftMessage.Kind.INSTALL,
                 own,
                 store,
                 term,
@@ -529,7 +536,7 @@
     p.next += more.size();
   }
 
-  private void taken(Word w) {
+  private void taken(RaftMessage w) {
     if (w.term() > term) {
       adopt(w.term());
       return;
@@ -594,9 +601,9 @@
    * Never stale (thesis 6.4): a majority has to answer after it was asked, and an entry of its own
    * term be decided before.
    */
-  private void read(long asker, Word w) {
+  private void read(long asker, RaftMessage w) {
     if (role != Role.LEADER || firstOwn > commit || reads.size() >= MOST_READS) {
-      answer(asker, word(Word.Kind.READABLE).round(w.round()).at(leader(), 0));
+      answer(asker, word(RaftMessage.Kind.READABLE).round(w.round()).at(leader(), 0));
       return;
     }
     reads.add(new Read(asker, w.round(), commit, ++round));
@@ -624,16 +631,16 @@
       Read r = i.next();
       if (isFresh(r.round, most)) {
         i.remove();
-        answer(r.asker, word(Word.Kind.READABLE).round(r.theirs).at(r.index, 0).yes(true));
+        answer(r.asker, word(RaftMessage.Kind.READABLE).round(r.theirs).at(r.index, 0).yes(true));
       }
     }
   }
 
   /* ---- a follower's part ---- */
 
-  private void leads(Word w) {
+  private void leads(RaftMessage w) {
     if (w.term() < term) {
-      send(w.from(), word(Word.Kind.TAKEN));
+      send(w.from(), word(RaftMessage.Kind.TAKEN));
       return;
     }
     if (w.term() > term) {
@@ -646,7 +653,7 @@
     follow(w.from());
     heardLeaderAt = now;
     electionAt = now.plus(patience());
-    if (w.kind() == Word.Kind.INSTALL) {
+    if (w.kind() == RaftMessage.Kind.INSTALL) {
       install(w);
     } else {
       take(w);
@@ -656,7 +663,7 @@
     }
   }
 
-  private void take(Word w) {
+  private void take(RaftMessage w) {
     List<Entry> more = w.entries();
     long before = w.index();
     long upTo = before + more.size();
@@ -667,7 +674,9 @@
         != w.indexTerm()) { // 5.3: nothing is taken unless what is before it is the same
       send(
           w.from(),
-          word(Word.Kind.TAKEN).round(w.round()).at(before > log.last() ? log.last() : commit, 0));
+          word(RaftMessage.Kind.TAKEN)
+              .round(w.round())
+              .at(before > log.last() ? log.last() : commit, 0));
       return;
     }
     for (Entry e : more) {
@@ -687,14 +696,14 @@
     }
     voters = log.voters(baseVoters);
     commit = Math.max(commit, Math.min(w.commit(), upTo));
-    send(w.from(), word(Word.Kind.TAKEN).round(w.round()).yes(true).at(upTo, 0));
+    send(w.from(), word(RaftMessage.Kind.TAKEN).round(w.round()).yes(true).at(upTo, 0));
   }
 
   /**
    * 7, figure 13: an older state than what is decided here is passed over; what is held beyond a
    * newer one stays.
    */
-  private void install(Word w) {
+  private void install(RaftMessage w) {
     if (w.index() > commit) {
       decided.restore(w.index(), w.whole());
       base = w.whole();
@@ -704,19 +713,20 @@
       commit = w.index();
       unsaved = true;
     }
-    send(w.from(), word(Word.Kind.TAKEN).round(w.round()).yes(true).at(commit, 0));
+    send(w.from(), word(RaftMessage.Kind.TAKEN).round(w.round()).yes(true).at(commit, 0));
   }
 
   /* ---- those who follow ---- */
 
-  private void tell(long asker, Word w) {
+  private void tell(long asker, RaftMessage w) {
     Span age = role == Role.LEADER ? ageOfMost() : now.since(sureAt).orLess(Span.ofSeconds(3600));
-    Word told = word(Word.Kind.FOLLOWED).committed(commit, age.micros()).round(w.round());
+    RaftMessage told =
+        word(RaftMessage.Kind.FOLLOWED).committed(commit, age.micros()).round(w.round());
     if (w.index() < log.base()) {
       answer(
           asker,
-          new Word(
-              Word.Kind.REPLACED,
+          new RaftMessage(
+              RaftMessage.Kind.REPLACED,
               own,
               store,
               term,
@@ -776,7 +786,7 @@
       lasts();
       failures = 0;
       return true;
-    } catch (Unsaved e) {
+    } catch (SaveFailedException e) {
       failures++;
       saveAt = now.plus(terms.saveAgain());
       return false;
@@ -834,23 +844,23 @@
     }
   }
 
-  private Word word(Word.Kind kind) {
+  private RaftMessage word(RaftMessage.Kind kind) {
     return word(kind, term);
   }
 
-  private Word word(Word.Kind kind, long ofTerm) {
-    return Word.of(kind, own, store, ofTerm);
+  private RaftMessage word(RaftMessage.Kind kind, long ofTerm) {
+    return RaftMessage.of(kind, own, store, ofTerm);
   }
 
-  private void toAll(Word w) {
+  private void toAll(RaftMessage w) {
     voters.voting().stream().filter(n -> n != own).forEach(n -> send(n, w));
   }
 
-  private void send(int to, Word w) {
+  private void send(int to, RaftMessage w) {
     outbox.add(new Out(to, -1, w));
   }
 
-  private void answer(long asker, Word w) {
+  private void answer(long asker, RaftMessage w) {
     outbox.add(new Out(-1, asker, w));
   }
 
--- a/src/main/java/linengauge/council/CouncilTerms.java
+++ b/src/main/java/linengauge/consensus/RaftSettings.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import linengauge.Span;
 
@@ -13,22 +13,22 @@
  * @param mostOpen entries that wait for a majority, at the most
  * @param batch entries in one word, at the most
  */
-public record CouncilTerms(
+public record RaftSettings(
     Span beat, Span election, Span saveAgain, int compactAt, int mostOpen, int batch) {
-  public static final CouncilTerms USUAL =
-      new CouncilTerms(Span.ofMillis(100), Span.ofMillis(600), Span.ofMillis(250), 256, 256, 16);
+  public static final RaftSettings USUAL =
+      new RaftSettings(Span.ofMillis(100), Span.ofMillis(600), Span.ofMillis(250), 256, 256, 16);
 
-  public CouncilTerms {
-    if (compactAt + mostOpen + Word.MOST_ENTRIES > Saved.MOST_ENTRIES
-        || batch > Word.MOST_ENTRIES / 2) {
+  public RaftSettings {
+    if (compactAt + mostOpen + RaftMessage.MOST_ENTRIES > PersistentState.MOST_ENTRIES
+        || batch > RaftMessage.MOST_ENTRIES / 2) {
       throw new IllegalArgumentException("more entries than a store may hold");
     }
   }
 
   /** All spans in proportion to a beat. */
-  public CouncilTerms inBeats(Span of) {
+  public RaftSettings inBeats(Span of) {
     double by = of.seconds() / beat.seconds();
-    return new CouncilTerms(
+    return new RaftSettings(
         of, election.times(by), saveAgain.times(by), compactAt, mostOpen, batch);
   }
 }
--- a/src/main/java/linengauge/council/Unsaved.java
+++ b/src/main/java/linengauge/consensus/SaveFailedException.java
@@ -1,10 +1,10 @@
-package linengauge.council;
+package linengauge.consensus;
 
 /** It could not be made to last. Nothing that rests on it may be said. */
-public final class Unsaved extends Exception {
+public final class SaveFailedException extends Exception {
   private static final long serialVersionUID = 1L;
 
-  public Unsaved(String why, Throwable cause) {
+  public SaveFailedException(String why, Throwable cause) {
     super(why, cause);
   }
 }
--- a/src/main/java/linengauge/council/Voters.java
+++ b/src/main/java/linengauge/consensus/Voters.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -93,24 +93,24 @@
   }
 
   public byte[] bytes() {
-    Pack to = new Pack();
+    MessageWriter to = new MessageWriter();
     write(to);
     return to.done();
   }
 
-  void write(Pack to) {
+  void write(MessageWriter to) {
     to.num(chairs.size());
     chairs.forEach((n, c) -> to.num(n).num(c.store()).text(c.address()).flag(c.votes()));
   }
 
   public static Voters of(byte[] bytes) {
-    Unpack from = new Unpack(bytes);
+    MessageReader from = new MessageReader(bytes);
     Voters v = read(from);
     from.end();
     return v;
   }
 
-  static Voters read(Unpack from) {
+  static Voters read(MessageReader from) {
     SortedMap<Integer, Chair> all = new TreeMap<>();
     for (int n = from.num(0, MOST); n > 0; n--) {
       all.put(from.num(0, 0xffff), new Chair(from.num(), from.text(MOST_ADDRESS), from.flag()));
--- a/src/main/java/linengauge/council/explore/Chamber.java
+++ b/src/main/java/linengauge/consensus/explore/ClusterSimulation.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,22 +14,22 @@
 import java.util.TreeMap;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.council.CouncilTerms;
-import linengauge.council.Entry;
-import linengauge.council.Follower;
-import linengauge.council.Pack;
-import linengauge.council.Saved;
-import linengauge.council.Unsaved;
-import linengauge.council.Voter;
-import linengauge.council.Voters;
-import linengauge.council.Word;
+import linengauge.consensus.Entry;
+import linengauge.consensus.LogFollower;
+import linengauge.consensus.MessageWriter;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.RaftMessage;
+import linengauge.consensus.RaftNode;
+import linengauge.consensus.RaftSettings;
+import linengauge.consensus.SaveFailedException;
+import linengauge.consensus.Voters;
 
 /**
  * Voters and followers in virtual time, from a seed: each with a clock of its own that is off and
  * runs fast or slow, over ways that lose, hold up, reorder and double, with mishaps that meet them.
  * It judges by what each holds and was told, never by their reasons.
  */
-public final class Chamber {
+public final class ClusterSimulation {
   /**
    * What was broken, and the figures of the run.
    *
@@ -102,8 +102,8 @@
     /** One that stands still reads and steps when it goes on. */
     void run(Runnable deed) {
       Moment until = now;
-      for (Mishap m : mishaps) {
-        if (m.kind() == Mishap.Kind.FREEZE && party(m.a()) == number && m.isOn(now)) {
+      for (Fault m : mishaps) {
+        if (m.kind() == Fault.Kind.FREEZE && party(m.a()) == number && m.isOn(now)) {
           until = until.orLater(m.to());
         }
       }
@@ -132,13 +132,13 @@
     abstract void judge();
   }
 
-  private final class Seat extends Party implements Voter.Port {
-    private Voter voter;
-    private Saved disk;
+  private final class Seat extends Party implements RaftNode.Port {
+    private RaftNode voter;
+    private PersistentState disk;
     private Heap heap;
     private long judged;
 
-    private Seat(int number, Saved disk) {
+    private Seat(int number, PersistentState disk) {
       super(number);
       this.disk = disk;
     }
@@ -147,7 +147,7 @@
       life++;
       up = true;
       wakesAt = null;
-      heap = new Heap(Chamber.this::applied);
+      heap = new Heap(ClusterSimulation.this::applied);
       voter = maker.make(TERMS, number, disk, heap, number + 1, this);
       voter.start(clock());
       wake();
@@ -164,15 +164,15 @@
     }
 
     @Override
-    public void save(Saved saved) throws Unsaved {
-      if (on(Mishap.Kind.DISK_FULL, number)) {
-        throw new Unsaved("no place", null);
+    public void save(PersistentState saved) throws SaveFailedException {
+      if (on(Fault.Kind.DISK_FULL, number)) {
+        throw new SaveFailedException("no place", null);
       }
-      disk = Saved.read(saved.bytes());
+      disk = PersistentState.read(saved.bytes());
     }
 
     @Override
-    public void send(int to, Word word) {
+    public void send(int to, RaftMessage word) {
       if (to < seats.size()) {
         Seat s = seats.get(to);
         carry(this, s, word, w -> s.voter.heard(s.clock(), w));
@@ -180,16 +180,16 @@
     }
 
     @Override
-    public void answer(long asker, Word word) {
+    public void answer(long asker, RaftMessage word) {
       Front f = fronts.get((int) asker);
       carry(this, f, word, w -> f.follower.heard(f.clock(), w));
     }
 
     @Override
     void judge() {
-      if (voter.role() == Voter.Role.LEADER) {
-        for (Mishap m : mishaps) {
-          if (m.kind() == Mishap.Kind.DEAF && m.a() == number && m.isOn(now)) {
+      if (voter.role() == RaftNode.Role.LEADER) {
+        for (Fault m : mishaps) {
+          if (m.kind() == Fault.Kind.DEAF && m.a() == number && m.isOn(now)) {
             longestAlone = longestAlone.orMore(now.since(m.from()));
           }
         }
@@ -212,8 +212,8 @@
     }
   }
 
-  private final class Front extends Party implements Follower.Port {
-    private Follower follower;
+  private final class Front extends Party implements LogFollower.Port {
+    private LogFollower follower;
     private Heap heap;
     private long held;
     private int lives;
@@ -223,11 +223,11 @@
     }
 
     private void begin() {
-      heap = new Heap(Chamber.this::applied);
+      heap = new Heap(ClusterSimulation.this::applied);
       held = 0;
       TreeMap<Integer, String> first = new TreeMap<>();
       seats.forEach(s -> first.put(s.number, address(s.number)));
-      follower = new Follower(FOLLOWS, number, first, ++lives * 1_000_000L, heap, this);
+      follower = new LogFollower(FOLLOWS, number, first, ++lives * 1_000_000L, heap, this);
       follower.start(clock());
       wake();
     }
@@ -243,7 +243,7 @@
     }
 
     @Override
-    public void send(int voter, String address, Word word) {
+    public void send(int voter, String address, RaftMessage word) {
       Seat s = seats.get(voter);
       carry(this, s, word, w -> s.voter.ask(s.clock(), number - VOTERS_AT_MOST, w));
     }
@@ -261,11 +261,11 @@
 
   private static final int VOTERS_AT_MOST = 32;
   private static final int MOST_AT_ONCE = 10_000;
-  private static final CouncilTerms TERMS =
-      new CouncilTerms(Span.ofMillis(100), Span.ofMillis(600), Span.ofMillis(250), 24, 256, 16);
-  private static final Follower.Terms FOLLOWS = Follower.Terms.USUAL;
+  private static final RaftSettings TERMS =
+      new RaftSettings(Span.ofMillis(100), Span.ofMillis(600), Span.ofMillis(250), 24, 256, 16);
+  private static final LogFollower.Terms FOLLOWS = LogFollower.Terms.USUAL;
 
-  private final List<Mishap> mishaps;
+  private final List<Fault> mishaps;
   private final Maker maker;
   private final Span end;
   private final SplittableRandom chance;
@@ -294,8 +294,8 @@
   private Span longestAlone = Span.NONE;
   private int stores = 1000;
 
-  public Chamber(
-      long seed, int voters, int followers, List<Mishap> mishaps, Span end, Maker maker) {
+  public ClusterSimulation(
+      long seed, int voters, int followers, List<Fault> mishaps, Span end, Maker maker) {
     this.chance = new SplittableRandom(seed ^ 0x9e3779b9L);
     this.voters = voters;
     this.followers = followers;
@@ -321,35 +321,35 @@
     return a < voters ? a : VOTERS_AT_MOST + a - voters;
   }
 
-  private boolean on(Mishap.Kind kind, int a) {
+  private boolean on(Fault.Kind kind, int a) {
     return mishaps.stream().anyMatch(m -> m.kind() == kind && m.a() == a && m.isOn(now));
   }
 
   private interface Hears {
-    void hear(Word w);
+    void hear(RaftMessage w);
   }
 
-  private void carry(Party from, Party to, Word word, Hears then) {
+  private void carry(Party from, Party to, RaftMessage word, Hears then) {
     byte[] sent = word.bytes();
     words++;
     bytes += sent.length;
     boolean cut =
         from.number != to.number
-            && (on(Mishap.Kind.MUTE, from.number)
-                || on(Mishap.Kind.DEAF, to.number)
+            && (on(Fault.Kind.MUTE, from.number)
+                || on(Fault.Kind.DEAF, to.number)
                 || mishaps.stream()
                     .anyMatch(
                         m ->
-                            m.kind() == Mishap.Kind.CUT
+                            m.kind() == Fault.Kind.CUT
                                 && party(m.a()) == from.number
                                 && m.b() == to.number
                                 && m.isOn(now)));
-    boolean lossy = on(Mishap.Kind.LOSS, from.number) || on(Mishap.Kind.LOSS, to.number);
+    boolean lossy = on(Fault.Kind.LOSS, from.number) || on(Fault.Kind.LOSS, to.number);
     if (cut || lossy && chance.nextInt(10) < 3) {
       return;
     }
-    boolean late = on(Mishap.Kind.LATE, from.number) || on(Mishap.Kind.LATE, to.number);
-    boolean slow = on(Mishap.Kind.SLOW_DISK, from.number);
+    boolean late = on(Fault.Kind.LATE, from.number) || on(Fault.Kind.LATE, to.number);
+    boolean slow = on(Fault.Kind.SLOW_DISK, from.number);
     int copies = chance.nextInt(50) == 0 ? 2 : 1;
     for (int i = 0; i < copies; i++) {
       Span way = new Span(200 + chance.nextInt(late ? 900_000 : 3_000) + (slow ? 150_000 : 0));
@@ -357,7 +357,7 @@
           now.plus(way),
           () -> {
             if (to.up) {
-              Word read = Word.read(sent);
+              RaftMessage read = RaftMessage.read(sent);
               to.run(() -> then.hear(read));
             }
           });
@@ -390,14 +390,16 @@
       seats.add(
           new Seat(
               i,
-              i < voters ? Saved.founding(i, founding, new Heap()) : Saved.joining(i, new Heap())));
+              i < voters
+                  ? PersistentState.founding(i, founding, new Heap())
+                  : PersistentState.joining(i, new Heap())));
     }
     seats.forEach(Seat::begin);
     for (int i = 0; i < followers; i++) {
       fronts.add(new Front(VOTERS_AT_MOST + i));
     }
     fronts.forEach(Front::begin);
-    for (Mishap m : mishaps) {
+    for (Fault m : mishaps) {
       at(m.from(), () -> begins(m));
       at(m.to(), () -> ends(m));
     }
@@ -445,7 +447,7 @@
     Moment asked = now;
     f.follower.wants(
         f.clock(),
-        new Pack().num(value).done(),
+        new MessageWriter().num(value).done(),
         done -> {
           if (done) {
             toldDecided.add(value);
@@ -472,7 +474,7 @@
     }
   }
 
-  private void begins(Mishap m) {
+  private void begins(Fault m) {
     switch (m.kind()) {
       case CRASH -> {
         seats.get(m.a()).up = false;
@@ -480,7 +482,7 @@
       }
       case EMPTIED -> {
         Seat s = seats.get(m.a());
-        s.disk = Saved.joining(++stores, new Heap());
+        s.disk = PersistentState.joining(++stores, new Heap());
         s.judged = 0;
         s.begin();
       }
@@ -500,11 +502,11 @@
     }
   }
 
-  private void ends(Mishap m) {
+  private void ends(Fault m) {
     switch (m.kind()) {
       case CRASH -> {
         Seat s = seats.get(m.a());
-        if (!s.up && !on(Mishap.Kind.CRASH, m.a())) {
+        if (!s.up && !on(Fault.Kind.CRASH, m.a())) {
           s.begin();
         }
       }
@@ -539,7 +541,7 @@
 
   /** Long after the last trouble one leads, all know the same, and what is wanted is decided. */
   private void comeRound(long before) {
-    long leaders = seats.stream().filter(s -> s.voter.role() == Voter.Role.LEADER).count();
+    long leaders = seats.stream().filter(s -> s.voter.role() == RaftNode.Role.LEADER).count();
     if (leaders != 1) {
       broken.add(at() + leaders + " lead at the end");
     }
--- a/src/main/java/linengauge/council/explore/Explorer.java
+++ b/src/main/java/linengauge/consensus/explore/Explorer.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -40,14 +40,14 @@
     }
   }
 
-  private record Open(World world, Trail trail) {}
+  private record Open(ModelState world, Trail trail) {}
 
   private Explorer() {}
 
-  public static Outcome explore(Plan plan) {
+  public static Outcome explore(Schedule plan) {
     Set<Mark> met = new HashSet<>();
     ArrayDeque<Open> open = new ArrayDeque<>();
-    World first = new World(plan);
+    ModelState first = new ModelState(plan);
     String wrong = first.prelude();
     if (wrong != null) {
       return new Outcome(0, 0, true, new Found(wrong, plan.prelude()));
@@ -64,7 +64,7 @@
         return new Outcome(met.size(), depth, false, null);
       }
       for (String choice : o.world.choices()) {
-        World next = new World(o.world);
+        ModelState next = new ModelState(o.world);
         String broken = next.go(choice);
         Trail trail = new Trail(o.trail, choice, depth + 1);
         if (broken != null) {
@@ -89,7 +89,7 @@
     }
     String[] bytes = choice.substring(choice.indexOf('[') + 1, choice.length() - 1).split(", ");
     int kind = Integer.parseInt(bytes[7]);
-    return linengauge.council.Word.Kind.values()[kind]
+    return linengauge.consensus.RaftMessage.Kind.values()[kind]
         + " "
         + Integer.parseInt(bytes[15])
         + " to "
--- a/src/main/java/linengauge/council/explore/Mishap.java
+++ b/src/main/java/linengauge/consensus/explore/Fault.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -12,7 +12,7 @@
  * @param a the voter or follower that it meets, or the one that is not heard
  * @param b by whom, for what goes one way between two
  */
-public record Mishap(Kind kind, int a, int b, Moment from, Moment to) {
+public record Fault(Kind kind, int a, int b, Moment from, Moment to) {
   /** What can go wrong: with one, on the way from one to another, on all ways. */
   public enum Kind {
     CRASH,
@@ -31,9 +31,9 @@
   /**
    * @return so many, drawn from the seed, all of them over before the end
    */
-  public static List<Mishap> drawn(long seed, int voters, int followers, int many, Span end) {
+  public static List<Fault> drawn(long seed, int voters, int followers, int many, Span end) {
     SplittableRandom chance = new SplittableRandom(seed);
-    List<Mishap> all = new ArrayList<>();
+    List<Fault> all = new ArrayList<>();
     int emptied = 0;
     for (int i = 0; i < many; i++) {
       Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
@@ -45,7 +45,7 @@
       if ((kind == Kind.EMPTIED || kind == Kind.CHANGE) && emptied++ > 0) {
         kind = Kind.CRASH; // a voice lost while one is being replaced is beyond what three bear
       }
-      all.add(new Mishap(kind, a, b, from, to));
+      all.add(new Fault(kind, a, b, from, to));
     }
     return all;
   }
--- a/src/main/java/linengauge/council/explore/Heap.java
+++ b/src/main/java/linengauge/consensus/explore/Heap.java
@@ -1,13 +1,13 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.util.ArrayList;
 import java.util.List;
-import linengauge.council.Machine;
-import linengauge.council.Pack;
-import linengauge.council.Unpack;
+import linengauge.consensus.MessageReader;
+import linengauge.consensus.MessageWriter;
+import linengauge.consensus.StateMachine;
 
 /** The plainest machine: all decisions in order, as numbers. */
-final class Heap implements Machine {
+final class Heap implements StateMachine {
   private final List<Long> all = new ArrayList<>();
   private final Heard heard;
   private long before;
@@ -27,7 +27,7 @@
 
   @Override
   public void apply(long index, long author, byte[] decision) {
-    long value = new Unpack(decision).num();
+    long value = new MessageReader(decision).num();
     heard.applied(index, value);
     all.add(value);
     if (all.size() > 64) { // the oldest as one number, so that its state stays small
@@ -37,7 +37,7 @@
 
   @Override
   public byte[] whole() {
-    Pack to = new Pack().num(before).num(all.size());
+    MessageWriter to = new MessageWriter().num(before).num(all.size());
     all.forEach(to::num);
     return to.done();
   }
@@ -49,7 +49,7 @@
       before = 0;
       return;
     }
-    Unpack from = new Unpack(whole);
+    MessageReader from = new MessageReader(whole);
     before = from.num();
     for (int n = from.num(0, 64); n > 0; n--) {
       all.add(from.num());
--- a/src/main/java/linengauge/council/explore/World.java
+++ b/src/main/java/linengauge/consensus/explore/ModelState.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,13 +9,13 @@
 import java.util.TreeSet;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.council.CouncilTerms;
-import linengauge.council.Entry;
-import linengauge.council.Pack;
-import linengauge.council.Saved;
-import linengauge.council.Voter;
-import linengauge.council.Voters;
-import linengauge.council.Word;
+import linengauge.consensus.Entry;
+import linengauge.consensus.MessageWriter;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.RaftMessage;
+import linengauge.consensus.RaftNode;
+import linengauge.consensus.RaftSettings;
+import linengauge.consensus.Voters;
 
 /**
  * Some voters and what is on its way between them, copied before each choice. Each voter has a
@@ -23,22 +23,22 @@
  * because clocks would forbid it. Rules are judged from what voters hold and say, by this class
  * alone.
  */
-final class World {
+final class ModelState {
   /** On its way; whatever is never let arrive is lost. */
-  private record Message(int to, Word word, byte[] bytes) {
+  private record Message(int to, RaftMessage word, byte[] bytes) {
     String key() {
       return to + Arrays.toString(bytes);
     }
   }
 
-  private static final CouncilTerms TERMS =
-      new CouncilTerms(Span.ofMillis(100), Span.ofMillis(300), Span.ofMillis(100), 64, 64, 1);
+  private static final RaftSettings TERMS =
+      new RaftSettings(Span.ofMillis(100), Span.ofMillis(300), Span.ofMillis(100), 64, 64, 1);
   private static final long WISH = 7;
 
-  private final class Node implements Voter.Port {
+  private final class Node implements RaftNode.Port {
     private final int number;
-    private Voter voter;
-    private Saved disk;
+    private RaftNode voter;
+    private PersistentState disk;
     private Moment clock = new Moment(0);
 
     private Node(int number) {
@@ -46,16 +46,16 @@
     }
 
     @Override
-    public void save(Saved saved) {
+    public void save(PersistentState saved) {
       disk = saved;
     }
 
     @Override
-    public void send(int to, Word word) {
+    public void send(int to, RaftMessage word) {
       if (to < nodes.size()) {
         // Said at some age or other: that bears on nothing here.
-        Word w =
-            new Word(
+        RaftMessage w =
+            new RaftMessage(
                 word.kind(),
                 word.from(),
                 word.store(),
@@ -74,8 +74,8 @@
     }
 
     @Override
-    public void answer(long asker, Word word) {
-      if (word.kind() == Word.Kind.READABLE
+    public void answer(long asker, RaftMessage word) {
+      if (word.kind() == RaftMessage.Kind.READABLE
           && word.yes()
           && word.index() < readsFrom.get((int) word.round())) {
         broken =
@@ -90,7 +90,7 @@
     }
   }
 
-  private final Plan plan;
+  private final Schedule plan;
   private final List<Node> nodes = new ArrayList<>();
   private final SortedMap<String, Message> onTheWay = new TreeMap<>();
 
@@ -109,7 +109,7 @@
   private int changes;
   private String broken;
 
-  World(Plan plan) {
+  ModelState(Schedule plan) {
     this.plan = plan;
     SortedMap<Integer, Voters.Chair> chairs = new TreeMap<>();
     for (int i = 0; i < plan.voters(); i++) {
@@ -121,8 +121,8 @@
       nodes.add(n);
       n.disk =
           i < plan.voters()
-              ? Saved.founding(chair(i).store(), founding, new Heap())
-              : Saved.joining(chair(i).store(), new Heap());
+              ? PersistentState.founding(chair(i).store(), founding, new Heap())
+              : PersistentState.joining(chair(i).store(), new Heap());
       begin(n);
     }
   }
@@ -178,7 +178,7 @@
     return null;
   }
 
-  World(World o) {
+  ModelState(ModelState o) {
     this.plan = o.plan;
     for (Node n : o.nodes) {
       Node copy = new Node(n.number);
@@ -212,14 +212,14 @@
       }
       if (!bounded || faults < plan.faults()) {
         all.add("crashes " + n.number);
-        if (n.voter.role() == Voter.Role.LEADER) {
+        if (n.voter.role() == RaftNode.Role.LEADER) {
           all.add("stands still " + n.number);
         }
         if (!bounded || plan.emptied()) {
           all.add("emptied " + n.number);
         }
       }
-      if (n.voter.role() == Voter.Role.LEADER) {
+      if (n.voter.role() == RaftNode.Role.LEADER) {
         if (!bounded || wishes < plan.wishes()) {
           all.add("wish " + n.number);
         }
@@ -262,19 +262,22 @@
       }
       case "emptied" -> {
         faults++;
-        n.disk = Saved.joining(500 + faults, new Heap());
+        n.disk = PersistentState.joining(500 + faults, new Heap());
         begin(n);
         return null;
       }
       case "wish" -> {
         wishes++;
-        return acts(n, () -> n.voter.propose(n.clock, WISH, wishes, new Pack().num(wishes).done()));
+        return acts(
+            n,
+            () -> n.voter.propose(n.clock, WISH, wishes, new MessageWriter().num(wishes).done()));
       }
       case "read" -> {
         readsFrom.add((long) decided.size());
         int number = readsFrom.size() - 1;
-        Word w =
-            new Word(Word.Kind.READ, 9, 0, 0, 0, 0, 0, number, 0, false, List.of(), new byte[0]);
+        RaftMessage w =
+            new RaftMessage(
+                RaftMessage.Kind.READ, 9, 0, 0, 0, 0, 0, number, 0, false, List.of(), new byte[0]);
         return acts(n, () -> n.voter.ask(n.clock, 9, w));
       }
       case "without" -> {
@@ -309,8 +312,8 @@
    * before.
    */
   private String judge(Node n) {
-    Voter v = n.voter;
-    if (v.role() == Voter.Role.LEADER) {
+    RaftNode v = n.voter;
+    if (v.role() == RaftNode.Role.LEADER) {
       Integer other = led.putIfAbsent(v.term(), n.number);
       if (other != null && other != n.number) {
         return "two led term " + v.term() + ": " + other + " and " + n.number;
--- a/src/main/java/linengauge/council/explore/Plan.java
+++ b/src/main/java/linengauge/consensus/explore/Schedule.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.util.List;
 
@@ -15,7 +15,7 @@
  * @param prelude what has happened before, in the words of a schedule
  * @param states after which the exploration is given up as too large
  */
-public record Plan(
+public record Schedule(
     int voters,
     int depth,
     int wakes,
@@ -41,8 +41,8 @@
           "APPEND 0 to 1",
           "APPEND 0 to 2");
 
-  public Plan at(Maker other) {
-    return new Plan(
+  public Schedule at(Maker other) {
+    return new Schedule(
         voters, depth, wakes, faults, wishes, reads, changes, emptied, prelude, states, other);
   }
 }
--- a/src/main/java/linengauge/council/tcp/CouncilNode.java
+++ b/src/main/java/linengauge/consensus/tcp/ConsensusNode.java
@@ -1,4 +1,4 @@
-package linengauge.council.tcp;
+package linengauge.consensus.tcp;
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
@@ -21,14 +21,14 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.carry.Address;
-import linengauge.council.CouncilTerms;
-import linengauge.council.Follower;
-import linengauge.council.Machine;
-import linengauge.council.Saved;
-import linengauge.council.Unsaved;
-import linengauge.council.Voter;
-import linengauge.council.Voters;
-import linengauge.council.Word;
+import linengauge.consensus.LogFollower;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.RaftMessage;
+import linengauge.consensus.RaftNode;
+import linengauge.consensus.RaftSettings;
+import linengauge.consensus.SaveFailedException;
+import linengauge.consensus.StateMachine;
+import linengauge.consensus.Voters;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,12 +38,12 @@
  * Saving waits for the disk on this thread alone. Every connection, queue and wait has a bound;
  * what does not fit is lost, as words may be.
  */
-public final class CouncilNode implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger(CouncilNode.class);
+public final class ConsensusNode implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(ConsensusNode.class);
   private static final int MOST_CONNECTIONS = 512;
   private static final int MOST_UNPROVEN = 64;
   private static final int MOST_ADDRESSES = 64;
-  private static final int MOST_UNSENT = 2 * Word.MOST;
+  private static final int MOST_UNSENT = 2 * RaftMessage.MOST;
   private static final int MOST_DEEDS = 256;
   private static final int READ_BYTES = 64 * 1024;
   private static final Span PROVEN = Span.ofSeconds(2);
@@ -58,12 +58,12 @@
       String listen,
       TreeMap<Integer, String> voters,
       byte[] key,
-      CouncilTerms voting,
-      Follower.Terms following) {}
+      RaftSettings voting,
+      LogFollower.Terms following) {}
 
   /** How things stand, as of the last turn. */
   public record View(
-      Voter.Role role,
+      RaftNode.Role role,
       long term,
       int leader,
       long index,
@@ -104,7 +104,7 @@
       unsentBytes += b.remaining();
     }
 
-    private void send(Word w) {
+    private void send(RaftMessage w) {
       usedAt = now();
       byte[] body = w.bytes();
       if (unsentBytes + body.length > MOST_UNSENT) {
@@ -182,7 +182,7 @@
       }
       write();
       for (byte[] b : bodies) {
-        heard(this, Word.read(b));
+        heard(this, RaftMessage.read(b));
       }
     }
 
@@ -201,9 +201,9 @@
   }
 
   private final Settings settings;
-  private final CouncilStore store;
-  private final Voter voter;
-  private final Follower follower;
+  private final ConsensusStore store;
+  private final RaftNode voter;
+  private final LogFollower follower;
   private final BiConsumer<String, View> changed;
   private final SecureRandom random = new SecureRandom();
   private final Selector selector;
@@ -236,11 +236,11 @@
    * @param changed told on the node's thread where role, term, leader or voters have changed
    * @throws IOException where it cannot listen there
    */
-  public CouncilNode(
+  public ConsensusNode(
       Settings settings,
-      CouncilStore store,
-      Machine ofVoter,
-      Machine machine,
+      ConsensusStore store,
+      StateMachine ofVoter,
+      StateMachine machine,
       BiConsumer<String, View> changed)
       throws IOException {
     if (settings.key().length < 16) {
@@ -264,24 +264,24 @@
       throw new IOException(
           "the council cannot listen on " + settings.listen() + ": " + e.getMessage(), e);
     }
-    Saved saved = store == null ? null : store.first();
+    PersistentState saved = store == null ? null : store.first();
     voter =
         saved == null
             ? null
-            : new Voter(
+            : new RaftNode(
                 settings.voting(),
                 settings.number(),
                 saved,
                 ofVoter,
                 clock ^ settings.number(),
-                new Voter.Port() {
+                new RaftNode.Port() {
                   @Override
-                  public void save(Saved s) throws Unsaved {
+                  public void save(PersistentState s) throws SaveFailedException {
                     store.save(s);
                   }
 
                   @Override
-                  public void send(int to, Word word) {
+                  public void send(int to, RaftMessage word) {
                     Voters.Chair c = voter.voters().chairs().get(to);
                     String address =
                         settings.voters().getOrDefault(to, c == null ? null : c.address());
@@ -289,7 +289,7 @@
                   }
 
                   @Override
-                  public void answer(long asker, Word word) {
+                  public void answer(long asker, RaftMessage word) {
                     Link l = links.get(asker);
                     if (l != null) {
                       l.send(word);
@@ -299,7 +299,7 @@
     // An address of this front's own settings is the way from here; the council's own words name
     // those it does not know.
     follower =
-        new Follower(
+        new LogFollower(
             settings.following(),
             settings.number(),
             settings.voters(),
@@ -318,7 +318,7 @@
   }
 
   /** Has something decided; false where too much waits. The wish ends on the node's thread. */
-  public boolean wants(byte[] decision, Follower.Wish wish) {
+  public boolean wants(byte[] decision, LogFollower.Proposal wish) {
     return deed(
         () -> {
           if (!follower.wants(now(), decision, wish)) {
@@ -328,7 +328,7 @@
   }
 
   /** Wants other voters. */
-  public boolean wantsVoters(Voters next, Follower.Wish wish) {
+  public boolean wantsVoters(Voters next, LogFollower.Proposal wish) {
     return deed(
         () -> {
           if (!follower.wantsVoters(now(), next, wish)) {
@@ -455,7 +455,7 @@
     }
   }
 
-  private void call(String address, Word w) {
+  private void call(String address, RaftMessage w) {
     if (address == null) {
       return;
     }
@@ -486,7 +486,7 @@
     l.send(w);
   }
 
-  private void heard(Link by, Word w) {
+  private void heard(Link by, RaftMessage w) {
     if (by.called) {
       pause.clear();
     }
--- a/src/main/java/linengauge/council/tcp/CouncilStore.java
+++ b/src/main/java/linengauge/consensus/tcp/ConsensusStore.java
@@ -1,10 +1,10 @@
-package linengauge.council.tcp;
+package linengauge.consensus.tcp;
 
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import linengauge.council.Saved;
-import linengauge.council.Unsaved;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.SaveFailedException;
 import linengauge.memory.Snapshots;
 import linengauge.memory.disk.DiskFolder;
 
@@ -14,22 +14,22 @@
  * Such a folder is refused; its front has to be taken out of the council and brought up again with
  * another.
  */
-public final class CouncilStore implements AutoCloseable {
+public final class ConsensusStore implements AutoCloseable {
   private static final String NAME = "council";
   private static final int FORMAT = 1;
 
   private final DiskFolder folder;
   private final Snapshots generations;
-  private final Saved first;
+  private final PersistentState first;
 
   /**
    * @throws IOException that the folder cannot be used, in use by another, or holds what must not
    *     be trusted
    */
-  public CouncilStore(Path path) throws IOException {
+  public ConsensusStore(Path path) throws IOException {
     folder = new DiskFolder(path);
     try {
-      generations = new Snapshots(folder, NAME, FORMAT, Saved.MOST);
+      generations = new Snapshots(folder, NAME, FORMAT, PersistentState.MOST);
       first = read(path);
     } catch (IOException e) {
       folder.close();
@@ -37,7 +37,7 @@
     }
   }
 
-  private Saved read(Path path) throws IOException {
+  private PersistentState read(Path path) throws IOException {
     Snapshots.Read r = generations.read();
     switch (r.found()) {
       case NOTHING -> {
@@ -57,7 +57,7 @@
                   + " broken: what it promised is lost; this front cannot vote with this folder");
         }
         try {
-          return Saved.read(r.table());
+          return PersistentState.read(r.table());
         } catch (IllegalArgumentException e) {
           throw new IOException(
               path + ": a council's state that cannot be read: " + e.getMessage(), e);
@@ -69,15 +69,15 @@
   }
 
   /** What was there at the start; null where nothing was. */
-  public Saved first() {
+  public PersistentState first() {
     return first;
   }
 
-  public void save(Saved saved) throws Unsaved {
+  public void save(PersistentState saved) throws SaveFailedException {
     try {
       generations.save(saved.bytes());
     } catch (IOException e) {
-      throw new Unsaved(e.getMessage(), e);
+      throw new SaveFailedException(e.getMessage(), e);
     }
   }
 
--- a/src/main/java/linengauge/council/tcp/Frames.java
+++ b/src/main/java/linengauge/consensus/tcp/Frames.java
@@ -1,4 +1,4 @@
-package linengauge.council.tcp;
+package linengauge.consensus.tcp;
 
 import java.nio.ByteBuffer;
 import java.security.GeneralSecurityException;
@@ -8,7 +8,7 @@
 import java.util.List;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
-import linengauge.council.Word;
+import linengauge.consensus.RaftMessage;
 
 /**
  * What goes over one connection, both ways: a greeting with 16 random bytes, then frames of length,
@@ -25,7 +25,7 @@
   private static final int NONCE_BYTES = 16;
   private static final int GREETING_BYTES = 8 + NONCE_BYTES;
   private static final int MAC_BYTES = 16;
-  private static final int LONGEST = Word.MOST + 64 * 1024;
+  private static final int LONGEST = RaftMessage.MOST + 64 * 1024;
 
   private final Mac mac;
   private final byte[] own;
--- a/src/main/java/linengauge/drill/CouncilProcess.java
+++ b/src/main/java/linengauge/drill/ConsensusProcess.java
@@ -17,16 +17,16 @@
 import java.util.Map;
 import java.util.TreeMap;
 import linengauge.Span;
-import linengauge.council.CouncilTerms;
-import linengauge.council.Follower;
-import linengauge.council.Machine;
-import linengauge.council.Pack;
-import linengauge.council.Saved;
-import linengauge.council.Unpack;
-import linengauge.council.Unsaved;
-import linengauge.council.Voters;
-import linengauge.council.tcp.CouncilNode;
-import linengauge.council.tcp.CouncilStore;
+import linengauge.consensus.LogFollower;
+import linengauge.consensus.MessageReader;
+import linengauge.consensus.MessageWriter;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.RaftSettings;
+import linengauge.consensus.SaveFailedException;
+import linengauge.consensus.StateMachine;
+import linengauge.consensus.Voters;
+import linengauge.consensus.tcp.ConsensusNode;
+import linengauge.consensus.tcp.ConsensusStore;
 
 /**
  * One front's part in a council alone, as a process. Its input says what is wanted, a line each:
@@ -34,7 +34,7 @@
  * does. Its record tells each decision as it is applied, each change of how it stands, and what
  * came of each wish, with the wall's clock in milliseconds.
  */
-public final class CouncilProcess {
+public final class ConsensusProcess {
   /**
    * What it is started with; ways: where this process reaches voters, in place of their addresses.
    */
@@ -51,12 +51,12 @@
 
   private final BufferedWriter out;
 
-  private CouncilProcess(BufferedWriter out) {
+  private ConsensusProcess(BufferedWriter out) {
     this.out = out;
   }
 
   /** All texts that were decided, in order. */
-  private final class Texts implements Machine {
+  private final class Texts implements StateMachine {
     private final List<String> all = new ArrayList<>();
     private final boolean told;
 
@@ -75,7 +75,7 @@
 
     @Override
     public byte[] whole() {
-      Pack to = new Pack().num(all.size());
+      MessageWriter to = new MessageWriter().num(all.size());
       all.forEach(to::text);
       return to.done();
     }
@@ -84,7 +84,7 @@
     public void restore(byte[] whole) {
       all.clear();
       if (whole.length > 0) {
-        Unpack from = new Unpack(whole);
+        MessageReader from = new MessageReader(whole);
         for (int n = from.num(0, 100_000); n > 0; n--) {
           all.add(from.text(1024));
         }
@@ -101,33 +101,33 @@
   public static int run(Start s) throws IOException {
     byte[] key = Files.readAllBytes(s.keyFile());
     try (BufferedWriter out = Files.newBufferedWriter(s.record())) {
-      return new CouncilProcess(out).run(s, key);
+      return new ConsensusProcess(out).run(s, key);
     }
   }
 
   private int run(Start s, byte[] key) throws IOException {
-    CouncilStore store = null;
+    ConsensusStore store = null;
     try {
       store = s.store() == null ? null : open(s, key);
-    } catch (IOException | Unsaved e) {
+    } catch (IOException | SaveFailedException e) {
       System.err.println("council: " + e.getMessage());
       return 1;
     }
     TreeMap<Integer, String> ways = new TreeMap<>(s.voters());
     ways.putAll(s.ways());
-    CouncilTerms terms = CouncilTerms.USUAL.inBeats(s.beat());
-    double by = s.beat().seconds() / CouncilTerms.USUAL.beat().seconds();
-    Follower.Terms follows =
-        new Follower.Terms(
-            Follower.Terms.USUAL.ask().times(by),
-            Follower.Terms.USUAL.silent().times(by),
-            Follower.Terms.USUAL.wishes());
+    RaftSettings terms = RaftSettings.USUAL.inBeats(s.beat());
+    double by = s.beat().seconds() / RaftSettings.USUAL.beat().seconds();
+    LogFollower.Terms follows =
+        new LogFollower.Terms(
+            LogFollower.Terms.USUAL.ask().times(by),
+            LogFollower.Terms.USUAL.silent().times(by),
+            LogFollower.Terms.USUAL.wishes());
     if (store != null) {
       line("store", "\"number\":" + store.first().store());
     }
-    try (CouncilNode node =
-        new CouncilNode(
-            new CouncilNode.Settings(s.number(), s.listen(), ways, key, terms, follows),
+    try (ConsensusNode node =
+        new ConsensusNode(
+            new ConsensusNode.Settings(s.number(), s.listen(), ways, key, terms, follows),
             store,
             new Texts(false),
             new Texts(true),
@@ -152,7 +152,7 @@
     return 0;
   }
 
-  private void told(CouncilNode node, String[] w) {
+  private void told(ConsensusNode node, String[] w) {
     switch (w[0]) {
       case "want" ->
           node.wants(
@@ -176,8 +176,8 @@
     }
   }
 
-  private CouncilStore open(Start s, byte[] key) throws IOException, Unsaved {
-    CouncilStore store = new CouncilStore(s.store());
+  private ConsensusStore open(Start s, byte[] key) throws IOException, SaveFailedException {
+    ConsensusStore store = new ConsensusStore(s.store());
     if (store.first() != null) {
       return store;
     }
@@ -185,10 +185,11 @@
     s.voters().forEach((n, a) -> chairs.put(n, new Voters.Chair(founding(key, n), a, true)));
     store.save(
         s.founds()
-            ? Saved.founding(founding(key, s.number()), new Voters(chairs), new Texts(false))
-            : Saved.joining(new SecureRandom().nextLong() >>> 1, new Texts(false)));
+            ? PersistentState.founding(
+                founding(key, s.number()), new Voters(chairs), new Texts(false))
+            : PersistentState.joining(new SecureRandom().nextLong() >>> 1, new Texts(false)));
     store.close();
-    return new CouncilStore(s.store());
+    return new ConsensusStore(s.store());
   }
 
   /**
--- a/src/main/java/linengauge/zones/Row.java
+++ b/src/main/java/linengauge/zones/Row.java
@@ -1,7 +1,7 @@
 package linengauge.zones;
 
-import linengauge.council.Pack;
-import linengauge.council.Unpack;
+import linengauge.consensus.MessageReader;
+import linengauge.consensus.MessageWriter;
 
 /**
  * One place's row.
@@ -27,11 +27,11 @@
     }
   }
 
-  void write(Pack to) {
+  void write(MessageWriter to) {
     to.num(standing.ordinal()).real(stays).real(goes).num(relapses).text(order).num(since);
   }
 
-  static Row read(Unpack from) {
+  static Row read(MessageReader from) {
     return new Row(
         from.one(Standing.values()),
         from.real(),
--- a/src/main/java/linengauge/zones/ZoneTable.java
+++ b/src/main/java/linengauge/zones/ZoneTable.java
@@ -3,9 +3,9 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import linengauge.council.Machine;
-import linengauge.council.Pack;
-import linengauge.council.Unpack;
+import linengauge.consensus.MessageReader;
+import linengauge.consensus.MessageWriter;
+import linengauge.consensus.StateMachine;
 
 /**
  * The numbered table of places that decisions change: the same at every front after the same
@@ -13,7 +13,7 @@
  * that were thought of at once are one, and the second is thought of again. A row that an operator
  * holds changes by an operator's word alone.
  */
-public final class ZoneTable implements Machine {
+public final class ZoneTable implements StateMachine {
   /** Places at the most; one that no table names stands near. */
   public static final int MOST_PLACES = 256;
 
@@ -49,7 +49,7 @@
 
   /** All that changes at one moment, in one decision. */
   public static byte[] change(long from, Map<Integer, Row> rows) {
-    Pack to = new Pack().num(Kind.CHANGE.ordinal()).num(from).num(rows.size());
+    MessageWriter to = new MessageWriter().num(Kind.CHANGE.ordinal()).num(from).num(rows.size());
     new TreeMap<>(rows)
         .forEach(
             (place, row) -> {
@@ -64,7 +64,7 @@
     if (order.isBlank()) {
       throw new IllegalArgumentException("an order without its author");
     }
-    Pack to = new Pack().num(Kind.HOLD.ordinal()).num(place);
+    MessageWriter to = new MessageWriter().num(Kind.HOLD.ordinal()).num(place);
     new Row(standing, stays, goes, 0, order, 0).write(to);
     return to.done();
   }
@@ -74,13 +74,13 @@
    * there.
    */
   public static byte[] release(int place, String order) {
-    return new Pack().num(Kind.RELEASE.ordinal()).num(place).text(order).done();
+    return new MessageWriter().num(Kind.RELEASE.ordinal()).num(place).text(order).done();
   }
 
   @Override
   public void apply(long index, long author, byte[] decision) {
     try {
-      Unpack from = new Unpack(decision);
+      MessageReader from = new MessageReader(decision);
       switch (from.one(Kind.values())) {
         case CHANGE -> changed(from);
         case HOLD -> {
@@ -107,7 +107,7 @@
     }
   }
 
-  private void changed(Unpack from) {
+  private void changed(MessageReader from) {
     long base = from.num();
     SortedMap<Integer, Row> next = new TreeMap<>();
     for (int n = from.num(0, MOST_PLACES); n > 0; n--) {
@@ -149,7 +149,7 @@
 
   @Override
   public byte[] whole() {
-    Pack to = new Pack().num(number).num(rows.size());
+    MessageWriter to = new MessageWriter().num(number).num(rows.size());
     rows.forEach(
         (place, r) -> {
           to.num(place);
@@ -163,7 +163,7 @@
     rows.clear();
     number = 0;
     if (whole.length > 0) {
-      Unpack from = new Unpack(whole);
+      MessageReader from = new MessageReader(whole);
       number = from.num();
       for (int n = from.num(0, MOST_PLACES); n > 0; n--) {
         int place = from.num(0, MOST_PLACES - 1);
--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -32,8 +32,8 @@
     "linengauge.platform.keep",
     "linengauge.membership",
     "linengauge.membership.explore",
-    "linengauge.council",
-    "linengauge.council.explore",
+    "linengauge.consensus",
+    "linengauge.consensus.explore",
     "linengauge.zones"
   };
 
@@ -128,7 +128,7 @@
               "linengauge.memory..",
               "linengauge.work..",
               "linengauge.membership..",
-              "linengauge.council..",
+              "linengauge.consensus..",
               "linengauge.zones..",
               "com.fasterxml.jackson.databind..",
               "com.networknt..",
--- a/src/test/java/linengauge/council/CouncilProcessesTest.java
+++ b/src/test/java/linengauge/consensus/ConsensusProcessesTest.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -33,7 +33,7 @@
  * Three voters and two followers, each a process, with a link of its own from each to each voter;
  * judged by what their records say, all lives together, by code that shares nothing with theirs.
  */
-class CouncilProcessesTest {
+class ConsensusProcessesTest {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int VOTERS = 3;
   private static final int ALL = 5;
--- a/src/test/java/linengauge/council/VoterTest.java
+++ b/src/test/java/linengauge/consensus/RaftNodeTest.java
@@ -1,4 +1,4 @@
-package linengauge.council;
+package linengauge.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,13 +8,13 @@
 import java.util.TreeMap;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.council.Word.Kind;
+import linengauge.consensus.RaftMessage.Kind;
 import org.junit.jupiter.api.Test;
 
 /** One voter of three, told word by word what the others say. */
-class VoterTest {
-  private static final Machine NOTHING =
-      new Machine() {
+class RaftNodeTest {
+  private static final StateMachine NOTHING =
+      new StateMachine() {
         @Override
         public void apply(long index, long author, byte[] decision) {
           // only how many there are is looked at
@@ -31,35 +31,35 @@
         }
       };
 
-  private final List<Word> sent = new ArrayList<>();
-  private final List<Word> answers = new ArrayList<>();
+  private final List<RaftMessage> sent = new ArrayList<>();
+  private final List<RaftMessage> answers = new ArrayList<>();
   private final Voters three = founding();
-  private final Voter voter =
-      new Voter(
-          CouncilTerms.USUAL,
+  private final RaftNode voter =
+      new RaftNode(
+          RaftSettings.USUAL,
           0,
-          Saved.founding(100, three, NOTHING),
+          PersistentState.founding(100, three, NOTHING),
           NOTHING,
           1,
-          new Voter.Port() {
+          new RaftNode.Port() {
             @Override
-            public void save(Saved saved) {
+            public void save(PersistentState saved) {
               // lasts
             }
 
             @Override
-            public void send(int to, Word word) {
+            public void send(int to, RaftMessage word) {
               sent.add(word);
             }
 
             @Override
-            public void answer(long asker, Word word) {
+            public void answer(long asker, RaftMessage word) {
               answers.add(word);
             }
           });
   private Moment now = new Moment(0);
 
-  VoterTest() {
+  RaftNodeTest() {
     voter.start(now);
   }
 
@@ -71,8 +71,8 @@
     return new Voters(chairs);
   }
 
-  private static Word from(int number, Kind kind, long term) {
-    return Word.of(kind, number, 100 + number, term);
+  private static RaftMessage from(int number, Kind kind, long term) {
+    return RaftMessage.of(kind, number, 100 + number, term);
   }
 
   /**
@@ -92,7 +92,7 @@
     return new Entry(term, Entry.Kind.DECISION, 9, number, new byte[] {1});
   }
 
-  private Word last(List<Word> of) {
+  private RaftMessage last(List<RaftMessage> of) {
     return of.get(of.size() - 1);
   }
 
@@ -102,7 +102,7 @@
     voter.step(now);
     voter.heard(now, from(1, Kind.WOULD, 1).yes(true));
     voter.heard(now, from(1, Kind.VOTED, 1).yes(true));
-    assertEquals(Voter.Role.LEADER, voter.role());
+    assertEquals(RaftNode.Role.LEADER, voter.role());
     taken(1);
     taken(2);
   }
@@ -118,7 +118,7 @@
     Entry third = voter.entry(3);
     voter.heard(
         now,
-        new Word(
+        new RaftMessage(
             Kind.INSTALL,
             1,
             101,
@@ -130,7 +130,7 @@
             0,
             false,
             List.of(),
-            Saved.founding(5, three, NOTHING).base()));
+            PersistentState.founding(5, three, NOTHING).base()));
     assertEquals(4, voter.decided().index());
     assertEquals(4, voter.commit());
     assertEquals(third, voter.entry(3));
@@ -144,7 +144,7 @@
     assertEquals(4, voter.last());
     voter.heard(
         now,
-        new Word(
+        new RaftMessage(
             Kind.INSTALL,
             1,
             101,
@@ -156,7 +156,7 @@
             0,
             false,
             List.of(),
-            Saved.founding(5, three, NOTHING).base()));
+            PersistentState.founding(5, three, NOTHING).base()));
     assertEquals(3, voter.commit());
     assertEquals(decision(1, 2), voter.entry(4), "it said that it has it, and is counted for it");
   }
@@ -189,7 +189,7 @@
     while (voter.propose(now, 9, placed + 1, new byte[16]) > 0) {
       placed++;
     }
-    assertEquals(CouncilTerms.USUAL.mostOpen(), placed);
+    assertEquals(RaftSettings.USUAL.mostOpen(), placed);
     taken(1);
     assertTrue(voter.propose(now, 9, placed + 1, new byte[16]) > 0, "decided, they wait no longer");
   }
--- a/src/test/java/linengauge/council/explore/ChamberTest.java
+++ b/src/test/java/linengauge/consensus/explore/ClusterSimulationTest.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,24 +8,25 @@
 import java.util.List;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.council.explore.Lacking.Guard;
+import linengauge.consensus.explore.Lacking.Guard;
 import org.junit.jupiter.api.Test;
 
 /**
  * Voters and followers in virtual time, from seeds: crashed, frozen, cut off, late, with full and
  * emptied disks.
  */
-class ChamberTest {
+class ClusterSimulationTest {
   private static final Span END = Span.ofSeconds(20);
 
-  private static Chamber.Outcome play(long seed, int voters, List<Mishap> mishaps, Maker maker) {
-    return new Chamber(seed, voters, 4, mishaps, END, maker).play();
+  private static ClusterSimulation.Outcome play(
+      long seed, int voters, List<Fault> mishaps, Maker maker) {
+    return new ClusterSimulation(seed, voters, 4, mishaps, END, maker).play();
   }
 
   private static void holds(int first, int last, int voters, int many) {
     for (int seed = first; seed <= last; seed++) {
-      List<Mishap> mishaps = Mishap.drawn(seed, voters, 4, many, END);
-      Chamber.Outcome o = play(seed, voters, mishaps, Maker.REAL);
+      List<Fault> mishaps = Fault.drawn(seed, voters, 4, many, END);
+      ClusterSimulation.Outcome o = play(seed, voters, mishaps, Maker.REAL);
       assertEquals(
           List.of(),
           o.broken(),
@@ -34,10 +35,10 @@
   }
 
   /** With each trouble left out that is not needed for a rule to break. */
-  private static List<Mishap> shortest(long seed, int voters, List<Mishap> mishaps, Maker maker) {
-    List<Mishap> left = new ArrayList<>(mishaps);
-    for (Mishap m : mishaps) {
-      List<Mishap> less = new ArrayList<>(left);
+  private static List<Fault> shortest(long seed, int voters, List<Fault> mishaps, Maker maker) {
+    List<Fault> left = new ArrayList<>(mishaps);
+    for (Fault m : mishaps) {
+      List<Fault> less = new ArrayList<>(left);
       less.remove(m);
       if (!play(seed, voters, less, maker).broken().isEmpty()) {
         left = less;
@@ -46,8 +47,8 @@
     return left;
   }
 
-  private static Mishap mishap(Mishap.Kind kind, int a, int b, double from, double to) {
-    return new Mishap(kind, a, b, new Moment((long) (from * 1e6)), new Moment((long) (to * 1e6)));
+  private static Fault mishap(Fault.Kind kind, int a, int b, double from, double to) {
+    return new Fault(kind, a, b, new Moment((long) (from * 1e6)), new Moment((long) (to * 1e6)));
   }
 
   @Test
@@ -66,7 +67,7 @@
    */
   @Test
   void aLeaderThatIsCutOffLeadsNobody() {
-    Chamber.Outcome o = play(3, 3, leaderCutOff(), Maker.REAL);
+    ClusterSimulation.Outcome o = play(3, 3, leaderCutOff(), Maker.REAL);
     assertEquals(List.of(), o.broken());
     assertTrue(o.longestAlone().under(Span.ofSeconds(2)), o.toString());
     assertFalse(
@@ -76,10 +77,10 @@
   }
 
   /** Every voter mute in turn, so that whoever leads is too; it hears all the same. */
-  private static List<Mishap> leaderCutOff() {
-    List<Mishap> all = new ArrayList<>();
+  private static List<Fault> leaderCutOff() {
+    List<Fault> all = new ArrayList<>();
     for (int v = 0; v < 3; v++) {
-      all.add(mishap(Mishap.Kind.DEAF, v, 0, 4 + 5 * v, 8 + 5 * v));
+      all.add(mishap(Fault.Kind.DEAF, v, 0, 4 + 5 * v, 8 + 5 * v));
     }
     return all;
   }
@@ -91,8 +92,8 @@
     int without = 0;
     for (int seed = 1; seed <= 10; seed++) {
       for (int v = 0; v < 3; v++) {
-        List<Mishap> deaf =
-            List.of(mishap(Mishap.Kind.DEAF, v, 0, 5, 9), mishap(Mishap.Kind.DEAF, v, 0, 12, 16));
+        List<Fault> deaf =
+            List.of(mishap(Fault.Kind.DEAF, v, 0, 5, 9), mishap(Fault.Kind.DEAF, v, 0, 12, 16));
         real += play(seed, 3, deaf, Maker.REAL).elections();
         without += play(seed, 3, deaf, Lacking.maker(Guard.ASKS_FIRST)).elections();
       }
@@ -103,7 +104,7 @@
   /** The same seed plays the same. */
   @Test
   void theSameSeedPlaysTheSame() {
-    List<Mishap> mishaps = Mishap.drawn(7, 3, 4, 6, END);
+    List<Fault> mishaps = Fault.drawn(7, 3, 4, 6, END);
     assertEquals(play(7, 3, mishaps, Maker.REAL), play(7, 3, mishaps, Maker.REAL));
   }
 }
--- a/src/test/java/linengauge/council/explore/ExplorerTest.java
+++ b/src/test/java/linengauge/consensus/explore/ExplorerTest.java
@@ -1,4 +1,4 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -7,7 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import linengauge.council.explore.Lacking.Guard;
+import linengauge.consensus.explore.Lacking.Guard;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -23,7 +23,7 @@
    */
   private static final List<String> FIGURE_8 =
       plus(
-          Plan.LED,
+          Schedule.LED,
           "wish 0",
           "wakes 2",
           "VOTE_FOR_ME 2 to 1",
@@ -40,7 +40,7 @@
     return all;
   }
 
-  private static void holds(Plan plan) {
+  private static void holds(Schedule plan) {
     Explorer.Outcome o = Explorer.explore(plan);
     assertNull(o.found(), () -> o.found().toString());
     assertTrue(o.whole(), () -> "too many states: " + o);
@@ -48,7 +48,7 @@
   }
 
   /** Broken without the guard; and by the very schedule that breaks it nothing is with it. */
-  private static void needs(Guard guard, Plan plan, String rule) {
+  private static void needs(Guard guard, Schedule plan, String rule) {
     Explorer.Outcome o = Explorer.explore(plan.at(Lacking.maker(Guard.ASKS_FIRST, guard)));
     assertNotNull(o.found(), o::toString);
     assertTrue(
@@ -59,24 +59,24 @@
 
   @Test
   void fromTheBeginning() {
-    holds(new Plan(3, 8, 3, 1, 1, 1, 0, false, List.of(), 2_000_000, PLAIN));
+    holds(new Schedule(3, 8, 3, 1, 1, 1, 0, false, List.of(), 2_000_000, PLAIN));
   }
 
   @Test
   void withAskingFirst() {
-    holds(new Plan(3, 8, 3, 1, 0, 0, 0, false, List.of(), 2_000_000, Maker.REAL));
+    holds(new Schedule(3, 8, 3, 1, 0, 0, 0, false, List.of(), 2_000_000, Maker.REAL));
   }
 
   @Test
   void whileOneLeads() {
-    holds(new Plan(3, 5, 2, 1, 1, 1, 1, true, Plan.LED, 2_000_000, PLAIN));
+    holds(new Schedule(3, 5, 2, 1, 1, 1, 1, true, Schedule.LED, 2_000_000, PLAIN));
   }
 
   @Test
   void aVoteLastsBeforeItIsGiven() {
     needs(
         Guard.SAVES,
-        new Plan(3, 8, 2, 1, 0, 0, 0, false, List.of(), 2_000_000, PLAIN),
+        new Schedule(3, 8, 2, 1, 0, 0, 0, false, List.of(), 2_000_000, PLAIN),
         "two led term");
   }
 
@@ -84,7 +84,7 @@
   void whoHasLostItsFolderIsNotCounted() {
     needs(
         Guard.STORES,
-        new Plan(3, 8, 2, 1, 0, 0, 0, true, List.of(), 2_000_000, PLAIN),
+        new Schedule(3, 8, 2, 1, 0, 0, 0, true, List.of(), 2_000_000, PLAIN),
         "two led term");
   }
 
@@ -92,20 +92,23 @@
   void onlyEntriesOfTheOwnTermAreCounted() {
     needs(
         Guard.OWN_TERM,
-        new Plan(3, 7, 1, 0, 0, 0, 0, false, FIGURE_8, 2_000_000, PLAIN),
+        new Schedule(3, 7, 1, 0, 0, 0, 0, false, FIGURE_8, 2_000_000, PLAIN),
         "without entry 3");
   }
 
   @Test
   void aQuestionIsAnsweredAfterAMajorityWasAsked() {
-    needs(Guard.FRESH, new Plan(3, 7, 2, 0, 0, 1, 0, false, Plan.LED, 2_000_000, PLAIN), "stale");
+    needs(
+        Guard.FRESH,
+        new Schedule(3, 7, 2, 0, 0, 1, 0, false, Schedule.LED, 2_000_000, PLAIN),
+        "stale");
   }
 
   @Test
   void votersChangeOneStepAfterAnother() {
     needs(
         Guard.ONE_CHANGE,
-        new Plan(3, 6, 1, 0, 0, 0, 2, false, Plan.LED, 2_000_000, PLAIN),
+        new Schedule(3, 6, 1, 0, 0, 0, 2, false, Schedule.LED, 2_000_000, PLAIN),
         "without entry");
   }
 
@@ -150,8 +153,8 @@
 
   @Test
   void aStepWaitsForAnEntryOfTheOwnTerm() {
-    Plan bounds =
-        new Plan(
+    Schedule bounds =
+        new Schedule(
             4,
             0,
             9,
@@ -165,13 +168,13 @@
             Lacking.maker(Guard.ASKS_FIRST, Guard.OWN_DECIDED));
     assertEquals(
         "0 leads term 3 without entry 2, which was decided in term 2",
-        new World(bounds).play(TWO_STEPS_FROM_ONE_GROUND, true));
-    assertNull(new World(bounds.at(PLAIN)).play(TWO_STEPS_FROM_ONE_GROUND, false));
+        new ModelState(bounds).play(TWO_STEPS_FROM_ONE_GROUND, true));
+    assertNull(new ModelState(bounds.at(PLAIN)).play(TWO_STEPS_FROM_ONE_GROUND, false));
   }
 
   @Test
   void theWholeOfFigure8IsHarmless() {
-    Plan plan = new Plan(3, 1, 1, 0, 0, 0, 0, false, FIGURE_8, 10, PLAIN);
-    assertNull(new World(plan).prelude());
+    Schedule plan = new Schedule(3, 1, 1, 0, 0, 0, 0, false, FIGURE_8, 10, PLAIN);
+    assertNull(new ModelState(plan).prelude());
   }
 }
--- a/src/test/java/linengauge/council/explore/Lacking.java
+++ b/src/test/java/linengauge/consensus/explore/Lacking.java
@@ -1,16 +1,16 @@
-package linengauge.council.explore;
+package linengauge.consensus.explore;
 
 import java.util.EnumSet;
 import java.util.Set;
-import linengauge.council.CouncilTerms;
-import linengauge.council.Machine;
-import linengauge.council.Saved;
-import linengauge.council.Voter;
-import linengauge.council.Voters;
-import linengauge.council.Word;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.RaftMessage;
+import linengauge.consensus.RaftNode;
+import linengauge.consensus.RaftSettings;
+import linengauge.consensus.StateMachine;
+import linengauge.consensus.Voters;
 
 /** A voter with some of its guards taken out. */
-final class Lacking extends Voter {
+final class Lacking extends RaftNode {
   /** What can be taken out. */
   enum Guard {
     ASKS_FIRST,
@@ -27,17 +27,17 @@
 
   private Lacking(
       Set<Guard> out,
-      CouncilTerms terms,
+      RaftSettings terms,
       int own,
-      Saved saved,
-      Machine machine,
+      PersistentState saved,
+      StateMachine machine,
       long seed,
       Port port) {
     super(terms, own, saved, machine, seed, port);
     this.out = out;
   }
 
-  private Lacking(Set<Guard> out, Voter of, Machine machine, Port port) {
+  private Lacking(Set<Guard> out, RaftNode of, StateMachine machine, Port port) {
     super(of, machine, port);
     this.out = out;
   }
@@ -47,13 +47,18 @@
     out.addAll(Set.of(guards));
     return new Maker() {
       @Override
-      public Voter make(
-          CouncilTerms terms, int own, Saved saved, Machine machine, long seed, Port port) {
+      public RaftNode make(
+          RaftSettings terms,
+          int own,
+          PersistentState saved,
+          StateMachine machine,
+          long seed,
+          Port port) {
         return new Lacking(out, terms, own, saved, machine, seed, port);
       }
 
       @Override
-      public Voter copy(Voter of, Machine machine, Port port) {
+      public RaftNode copy(RaftNode of, StateMachine machine, Port port) {
         return new Lacking(out, of, machine, port);
       }
     };
@@ -74,7 +79,7 @@
   }
 
   @Override
-  protected boolean counts(Word w) {
+  protected boolean counts(RaftMessage w) {
     return out.contains(Guard.STORES) || super.counts(w);
   }
 
--- a/src/test/java/linengauge/council/tcp/FramesTest.java
+++ b/src/test/java/linengauge/consensus/tcp/FramesTest.java
@@ -1,4 +1,4 @@
-package linengauge.council.tcp;
+package linengauge.consensus.tcp;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
