--- a/src/main/java/linengauge/consensus/RaftNode.java
+++ b/src/main/java/linengauge/consensus/RaftNode.java
@@ -26,10 +26,10 @@
     void save(PersistentState saved) throws SaveFailedException;
 
     /** To another voter, to be lost if need be. */
-    void send(int to, RaftMessage word);
+    void send(int to, RaftMessage message);
 
     /** To whoever made that request. */
-    void answer(long asker, RaftMessage word);
+    void answer(long asker, RaftMessage message);
   }
 
   public enum Role {
@@ -45,7 +45,7 @@
     private long match;
     private Moment heardAt;
     private long round;
-    private Moment wholeAt = Moment.DISTANT_PAST;
+    private Moment snapshotSentAt = Moment.DISTANT_PAST;
 
     private Peer copy() {
       Peer p = new Peer();
@@ -53,15 +53,15 @@
       p.match = match;
       p.heardAt = heardAt;
       p.round = round;
-      p.wholeAt = wholeAt;
+      p.snapshotSentAt = snapshotSentAt;
       return p;
     }
   }
 
   /** Somebody wants to know that all decided before now is known. */
-  private record Read(long asker, long theirs, long index, long round) {}
+  private record Read(long asker, long requestId, long index, long round) {}
 
-  private record Out(int to, long asker, RaftMessage word) {}
+  private record Outgoing(int to, long asker, RaftMessage message) {}
 
   private static final int MOST_READS = 256;
   private static final int MOST_OPEN_BYTES = 512 * 1024;
@@ -72,36 +72,36 @@
   private final CommittedLog decided;
   private final long seed;
   /* What lasts. */
-  private final long store;
+  private final long storeId;
   private long term;
-  private int voted;
+  private int votedFor;
   private final Log log;
-  private byte[] base;
-  private Voters baseVoters;
+  private byte[] snapshot;
+  private Voters snapshotVoters;
   private boolean unsaved;
-  private long savedLast;
+  private long lastSaved;
   /* What does not. */
   private Moment now;
   private Role role = Role.FOLLOWER;
   private int leader = -1;
   private long commit;
   private Voters voters;
-  private Moment heardLeaderAt = Moment.DISTANT_PAST;
+  private Moment leaderHeardAt = Moment.DISTANT_PAST;
 
   /** The latest moment of which it knows that all decided until then is known here. */
-  private Moment sureAt = Moment.DISTANT_PAST;
+  private Moment currentUntil = Moment.DISTANT_PAST;
 
-  private Moment electionAt;
-  private Moment beatAt;
-  private Moment saveAt = Moment.DISTANT_PAST;
+  private Moment electionDeadline;
+  private Moment heartbeatAt;
+  private Moment nextSaveAt = Moment.DISTANT_PAST;
   private long failures;
-  private int campaigns;
-  private final TreeSet<Integer> ayes = new TreeSet<>();
+  private int electionAttempts;
+  private final TreeSet<Integer> votesGranted = new TreeSet<>();
   private final Map<Integer, Peer> peers = new TreeMap<>();
   private final List<Read> reads = new ArrayList<>();
   private long round;
-  private long firstOwn;
-  private final List<Out> outbox = new ArrayList<>();
+  private long firstOfTerm;
+  private final List<Outgoing> outbox = new ArrayList<>();
 
   /**
    * @param seed of how long it waits before it wants to lead: one for each front, so that two
@@ -118,17 +118,17 @@
     this.own = own;
     this.port = port;
     this.seed = seed;
-    this.store = saved.store();
+    this.storeId = saved.store();
     this.term = saved.term();
-    this.voted = saved.voted();
+    this.votedFor = saved.voted();
     this.log = new Log(saved.baseIndex(), saved.baseTerm(), saved.entries());
-    this.base = saved.base();
+    this.snapshot = saved.base();
     this.decided = new CommittedLog(machine);
-    decided.restore(saved.baseIndex(), base);
-    this.baseVoters = decided.voters();
-    this.voters = log.voters(baseVoters);
+    decided.restore(saved.baseIndex(), snapshot);
+    this.snapshotVoters = decided.voters();
+    this.voters = log.voters(snapshotVoters);
     this.commit = saved.baseIndex();
-    this.savedLast = log.last();
+    this.lastSaved = log.last();
   }
 
   /** The same voter in another world, for an exploration; the machine is a fresh one. */
@@ -137,27 +137,27 @@
     this.now = o.now;
     this.role = o.role;
     this.leader = o.leader;
-    this.heardLeaderAt = o.heardLeaderAt;
-    this.sureAt = o.sureAt;
-    this.electionAt = o.electionAt;
-    this.beatAt = o.beatAt;
-    this.saveAt = o.saveAt;
+    this.leaderHeardAt = o.leaderHeardAt;
+    this.currentUntil = o.currentUntil;
+    this.electionDeadline = o.electionDeadline;
+    this.heartbeatAt = o.heartbeatAt;
+    this.nextSaveAt = o.nextSaveAt;
     this.failures = o.failures;
-    this.campaigns = o.campaigns;
-    this.ayes.addAll(o.ayes);
+    this.electionAttempts = o.electionAttempts;
+    this.votesGranted.addAll(o.votesGranted);
     o.peers.forEach((n, p) -> peers.put(n, p.copy()));
     this.reads.addAll(o.reads);
     this.round = o.round;
-    this.firstOwn = o.firstOwn;
+    this.firstOfTerm = o.firstOfTerm;
     this.unsaved = o.unsaved;
-    this.savedLast = o.savedLast;
+    this.lastSaved = o.lastSaved;
     this.commit = o.commit;
-    apply();
+    applyCommitted();
   }
 
   public void start(Moment at) {
     now = at;
-    electionAt = at.plus(patience());
+    electionDeadline = at.plus(electionTimeout());
   }
 
   /* ---- what is known of it ---- */
@@ -211,12 +211,13 @@
 
   /** The moment at which it wants to be stepped, at the latest. */
   public Moment next() {
-    Moment next = role == Role.LEADER ? beatAt : electionAt;
-    return unsaved && saveAt.before(next) ? saveAt : next;
+    Moment next = role == Role.LEADER ? heartbeatAt : electionDeadline;
+    return unsaved && nextSaveAt.before(next) ? nextSaveAt : next;
   }
 
   private PersistentState saved() {
-    return new PersistentState(store, term, voted, log.base(), log.baseTerm(), base, log.all());
+    return new PersistentState(
+        storeId, term, votedFor, log.base(), log.baseTerm(), snapshot, log.all());
   }
 
   /* ---- what happens ---- */
@@ -224,13 +225,14 @@
   public void step(Moment at) {
     now = at;
     if (role == Role.LEADER) {
-      if (!mostHeard()) {
-        follow(-1); // thesis 6.2: cut off from most of them, or frozen meanwhile, it leads nobody
-      } else if (!now.before(beatAt)) {
-        beat();
+      if (!hasQuorumContact()) {
+        becomeFollower(
+            -1); // thesis 6.2: cut off from most of them, or frozen meanwhile, it leads nobody
+      } else if (!now.before(heartbeatAt)) {
+        sendHeartbeats();
       }
-    } else if (!now.before(electionAt)) {
-      wouldLead();
+    } else if (!now.before(electionDeadline)) {
+      startPreVote();
     }
     settle();
   }
@@ -243,7 +245,7 @@
    */
   public long propose(Moment at, long author, long number, byte[] payload) {
     now = at;
-    long placed = place(new Entry(term, Kind.DECISION, author, number, payload));
+    long placed = appendToLog(new Entry(term, Kind.DECISION, author, number, payload));
     settle();
     return placed;
   }
@@ -256,7 +258,8 @@
    */
   public long change(Moment at, Voters next) {
     now = at;
-    long placed = mayChange(next) ? place(new Entry(term, Kind.VOTERS, own, 0, next.bytes())) : -1;
+    long placed =
+        mayChange(next) ? appendToLog(new Entry(term, Kind.VOTERS, own, 0, next.bytes())) : -1;
     settle();
     return placed;
   }
@@ -268,27 +271,27 @@
   protected boolean mayChange(Voters next) {
     return next.isOneStepFrom(voters)
         && log.lastVotersIndex() <= commit
-        && ownIsDecided()
-        && next.most(n -> n == own || heardOf(n)); // or nothing could be decided ever after
+        && hasCommittedInOwnTerm()
+        && next.most(n -> n == own || hasHeardFrom(n)); // or nothing could be decided ever after
   }
 
   /**
    * An entry of the own term is decided: no other leader's step can come to be decided any more.
    */
-  protected boolean ownIsDecided() {
-    return firstOwn <= commit;
+  protected boolean hasCommittedInOwnTerm() {
+    return firstOfTerm <= commit;
   }
 
   /** A word has come, proved to be of the fleet. */
-  public void heard(Moment at, RaftMessage w) {
+  public void heard(Moment at, RaftMessage message) {
     now = at;
-    switch (w.kind()) {
-      case WOULD_YOU -> would(w);
-      case WOULD -> told(w, Role.WOULD_LEAD, term + 1);
-      case VOTE_FOR_ME -> vote(w);
-      case VOTED -> told(w, Role.CANDIDATE, term);
-      case APPEND, INSTALL -> leads(w);
-      case TAKEN -> taken(w);
+    switch (message.kind()) {
+      case WOULD_YOU -> onPreVoteRequest(message);
+      case WOULD -> onVoteReply(message, Role.WOULD_LEAD, term + 1);
+      case VOTE_FOR_ME -> onVoteRequest(message);
+      case VOTED -> onVoteReply(message, Role.CANDIDATE, term);
+      case APPEND, INSTALL -> onLeaderMessage(message);
+      case TAKEN -> onAppendReply(message);
       default -> {
         // whoever asks comes by ask()
       }
@@ -300,20 +303,20 @@
    * Somebody who does not vote asks: to follow, to have something decided, to know how far all is
    * decided.
    */
-  public void ask(Moment at, long asker, RaftMessage w) {
+  public void ask(Moment at, long asker, RaftMessage message) {
     now = at;
-    switch (w.kind()) {
-      case FOLLOW -> tell(asker, w);
+    switch (message.kind()) {
+      case FOLLOW -> onFollowRequest(asker, message);
       case PROPOSE -> {
-        long placed = w.entries().size() == 1 ? asked(w.entries().get(0)) : -1;
+        long placed = message.entries().size() == 1 ? onProposal(message.entries().get(0)) : -1;
         answer(
             asker,
-            word(RaftMessage.Kind.PLACED)
-                .round(w.round())
+            newMessage(RaftMessage.Kind.PLACED)
+                .round(message.round())
                 .yes(placed > 0)
                 .at(placed > 0 ? placed : leader(), 0));
       }
-      case READ -> read(asker, w);
+      case READ -> onReadRequest(asker, message);
       default -> {
         // nothing else is asked
       }
@@ -321,9 +324,9 @@
     settle();
   }
 
-  private long asked(Entry e) {
+  private long onProposal(Entry e) {
     return e.kind() == Kind.DECISION || e.kind() == Kind.VOTERS && mayChange(Voters.of(e.payload()))
-        ? place(e)
+        ? appendToLog(e)
         : -1;
   }
 
@@ -333,8 +336,8 @@
    * Between once and twice the least silence, another each time, the same for the same front, term
    * and try.
    */
-  private Span patience() {
-    var chance = new SplittableRandom(seed * 31 + term * 7919 + campaigns);
+  private Span electionTimeout() {
+    var chance = new SplittableRandom(seed * 31 + term * 7919 + electionAttempts);
     return new Span(terms.election().micros() + chance.nextLong(terms.election().micros()));
   }
 
@@ -342,83 +345,84 @@
    * Asks first whether it could win (thesis 9.6): one that was cut off comes back without a higher
    * term.
    */
-  private void wouldLead() {
-    campaigns++;
-    electionAt = now.plus(patience());
+  private void startPreVote() {
+    electionAttempts++;
+    electionDeadline = now.plus(electionTimeout());
     leader = -1;
-    if (!voters.votes(own) || !voters.holds(own, store)) {
+    if (!voters.votes(own) || !voters.holds(own, storeId)) {
       return;
     }
     role = Role.WOULD_LEAD;
-    ayes.clear();
-    ayes.add(own);
-    if (!asksFirst() || voters.most(ayes::contains)) {
-      campaign();
+    votesGranted.clear();
+    votesGranted.add(own);
+    if (!usesPreVote() || voters.most(votesGranted::contains)) {
+      startElection();
     } else {
-      toAll(word(RaftMessage.Kind.WOULD_YOU, term + 1).at(log.last(), log.lastTerm()));
+      sendToVoters(newMessage(RaftMessage.Kind.WOULD_YOU, term + 1).at(log.last(), log.lastTerm()));
     }
   }
 
-  protected boolean asksFirst() {
+  protected boolean usesPreVote() {
     return true;
   }
 
-  private void campaign() {
+  private void startElection() {
     role = Role.CANDIDATE;
     term++;
-    voted = own;
+    votedFor = own;
     unsaved = true;
-    ayes.clear();
-    ayes.add(own);
-    electionAt = now.plus(patience());
-    if (voters.most(ayes::contains)) {
-      lead();
+    votesGranted.clear();
+    votesGranted.add(own);
+    electionDeadline = now.plus(electionTimeout());
+    if (voters.most(votesGranted::contains)) {
+      becomeLeader();
     } else {
-      toAll(word(RaftMessage.Kind.VOTE_FOR_ME).at(log.last(), log.lastTerm()));
+      sendToVoters(newMessage(RaftMessage.Kind.VOTE_FOR_ME).at(log.last(), log.lastTerm()));
     }
   }
 
-  private void would(RaftMessage w) {
-    boolean yes = w.term() > term && upToDate(w) && !hearsLeader();
-    send(w.from(), word(RaftMessage.Kind.WOULD, yes ? w.term() : term).yes(yes));
+  private void onPreVoteRequest(RaftMessage message) {
+    boolean yes = message.term() > term && upToDate(message) && !hearsLeader();
+    send(message.from(), newMessage(RaftMessage.Kind.WOULD, yes ? message.term() : term).yes(yes));
   }
 
   private boolean hearsLeader() {
-    return role == Role.LEADER || now.since(heardLeaderAt).under(terms.election());
+    return role == Role.LEADER || now.since(leaderHeardAt).under(terms.election());
   }
 
   /** Its log is as new as this one's (5.4.1). */
-  private boolean upToDate(RaftMessage w) {
-    return w.indexTerm() > log.lastTerm()
-        || w.indexTerm() == log.lastTerm() && w.index() >= log.last();
+  private boolean upToDate(RaftMessage message) {
+    return message.indexTerm() > log.lastTerm()
+        || message.indexTerm() == log.lastTerm() && message.index() >= log.last();
   }
 
-  private void vote(RaftMessage w) {
-    if (w.term() > term) {
-      adopt(w.term());
+  private void onVoteRequest(RaftMessage message) {
+    if (message.term() > term) {
+      adoptTerm(message.term());
     }
-    boolean yes = w.term() == term && (voted < 0 || voted == w.from()) && upToDate(w);
+    boolean yes =
+        message.term() == term && (votedFor < 0 || votedFor == message.from()) && upToDate(message);
     if (yes) {
       role = Role.FOLLOWER; // whoever leads or asks in this term has voted for itself
-      unsaved |= voted != w.from();
-      voted = w.from();
-      electionAt = now.plus(patience());
+      unsaved |= votedFor != message.from();
+      votedFor = message.from();
+      electionDeadline = now.plus(electionTimeout());
     }
-    send(w.from(), word(RaftMessage.Kind.VOTED).yes(yes));
+    send(message.from(), newMessage(RaftMessage.Kind.VOTED).yes(yes));
   }
 
-  private void told(RaftMessage w, Role as, long of) {
-    if (!w.yes() && w.term() > term) {
-      adopt(w.term());
-    } else if (w.yes() && role == as && w.term() == of && counts(w)) {
-      ayes.add(w.from());
-      if (!voters.most(ayes::contains)) {
+  private void onVoteReply(RaftMessage message, Role as, long of) {
+    if (!message.yes() && message.term() > term) {
+      adoptTerm(message.term());
+    } else if (message.yes() && role == as && message.term() == of && isFromKnownStore(message)) {
+      votesGranted.add(message.from());
+      if (!voters.most(votesGranted::contains)) {
         return;
       }
       if (as == Role.WOULD_LEAD) {
-        campaign();
+        startElection();
       } else {
-        lead();
+        becomeLeader();
       }
     }
   }
@@ -427,22 +431,22 @@
    * Guards against a voter whose folder was emptied: it has forgotten what it promised, and could
    * promise the opposite.
    */
-  protected boolean counts(RaftMessage w) {
-    return voters.holds(w.from(), w.store());
+  protected boolean isFromKnownStore(RaftMessage message) {
+    return voters.holds(message.from(), message.store());
   }
 
-  private void adopt(long t) {
+  private void adoptTerm(long t) {
     term = t;
-    voted = -1;
+    votedFor = -1;
     unsaved = true;
-    follow(-1);
+    becomeFollower(-1);
   }
 
-  private void follow(int of) {
+  private void becomeFollower(int of) {
     if (role == Role.LEADER) {
-      electionAt = now.plus(patience());
+      electionDeadline = now.plus(electionTimeout());
       for (Read r : reads) {
-        answer(r.asker, word(RaftMessage.Kind.READABLE).round(r.theirs).at(of, 0));
+        answer(r.asker, newMessage(RaftMessage.Kind.READABLE).round(r.requestId).at(of, 0));
       }
       reads.clear();
       peers.clear();
@@ -451,19 +455,19 @@
     leader = of;
   }
 
-  private void lead() {
+  private void becomeLeader() {
     role = Role.LEADER;
     leader = own;
     peers.clear();
     round = 0;
-    peersOf(voters);
-    firstOwn = log.last() + 1;
+    trackPeers(voters);
+    firstOfTerm = log.last() + 1;
     log.add(Entry.blank(term));
     unsaved = true;
-    beat();
+    sendHeartbeats();
   }
 
-  private void peersOf(Voters all) {
+  private void trackPeers(Voters all) {
     peers.keySet().removeIf(n -> !all.chairs().containsKey(n));
     for (int n : all.chairs().keySet()) {
       if (n != own && !peers.containsKey(n)) {
@@ -477,21 +481,21 @@
 
   /* ---- a leader's words ---- */
 
-  private boolean mostHeard() {
-    return !checksMost() || voters.most(n -> n == own || heardOf(n));
+  private boolean hasQuorumContact() {
+    return !checksQuorum() || voters.most(n -> n == own || hasHeardFrom(n));
   }
 
-  private boolean heardOf(int n) {
+  private boolean hasHeardFrom(int n) {
     Peer p = peers.get(n);
     return p != null && now.since(p.heardAt).under(terms.election());
   }
 
-  protected boolean checksMost() {
+  protected boolean checksQuorum() {
     return true;
   }
 
   /** For how long at the most no majority may have answered this leader. */
-  private Span ageOfMost() {
+  private Span quorumContactAge() {
     List<Long> ages = new ArrayList<>();
     for (int n : voters.voting()) {
       Peer p = peers.get(n);
@@ -501,83 +505,85 @@
     return ages.isEmpty() ? Span.NONE : new Span(ages.get(ages.size() / 2));
   }
 
-  private void beat() {
-    beatAt = now.plus(terms.beat());
-    peers.keySet().forEach(this::append);
+  private void sendHeartbeats() {
+    heartbeatAt = now.plus(terms.beat());
+    peers.keySet().forEach(this::sendAppend);
   }
 
-  private void append(int to) {
+  private void sendAppend(int to) {
     Peer p = peers.get(to);
-    RaftMessage w =
-        word(RaftMessage.Kind.APPEND).committed(commit, ageOfMost().micros()).round(round);
+    RaftMessage message =
+        newMessage(RaftMessage.Kind.APPEND)
+            .committed(commit, quorumContactAge().micros())
+            .round(round);
     if (p.next <= log.base()) {
-      if (p.wholeAt.plus(terms.election()).before(now)) {
-        p.wholeAt = now;
+      if (p.snapshotSentAt.plus(terms.election()).before(now)) {
+        p.snapshotSentAt = now;
         send(
             to,
             new RaftMessage(
                 RaftMessage.Kind.INSTALL,
                 own,
-                store,
+                storeId,
                 term,
                 log.base(),
                 log.baseTerm(),
                 commit,
                 round,
-                w.age(),
+                message.age(),
                 false,
                 List.of(),
-                base));
+                snapshot));
       }
       return;
     }
     List<Entry> more = log.from(p.next, terms.batch());
-    send(to, w.at(p.next - 1, log.termAt(p.next - 1)).with(more));
+    send(to, message.at(p.next - 1, log.termAt(p.next - 1)).with(more));
     p.next += more.size();
   }
 
-  private void taken(RaftMessage w) {
-    if (w.term() > term) {
-      adopt(w.term());
+  private void onAppendReply(RaftMessage message) {
+    if (message.term() > term) {
+      adoptTerm(message.term());
       return;
     }
-    Peer p = peers.get(w.from());
-    if (role != Role.LEADER || w.term() != term || p == null || !counts(w)) {
+    Peer p = peers.get(message.from());
+    if (role != Role.LEADER || message.term() != term || p == null || !isFromKnownStore(message)) {
       return;
     }
     p.heardAt = now;
-    p.round = Math.max(p.round, w.round());
-    if (!w.yes()) {
-      p.next = Math.max(p.match, Math.min(w.index(), log.last())) + 1;
+    p.round = Math.max(p.round, message.round());
+    if (!message.yes()) {
+      p.next = Math.max(p.match, Math.min(message.index(), log.last())) + 1;
       // Guards against one that has less than it said it has (an old copy of its folder): it would
       // be asked, and say so, as
       // fast as words travel. It is asked again with the next beat, and never counted for what it
       // has lost.
-      if (w.index() >= p.match) {
-        append(w.from());
+      if (message.index() >= p.match) {
+        sendAppend(message.from());
       }
     } else {
-      p.match = Math.max(p.match, Math.min(w.index(), log.last()));
+      p.match = Math.max(p.match, Math.min(message.index(), log.last()));
       p.next = Math.max(p.next, p.match + 1);
       if (p.next <= log.last()) {
-        append(w.from());
+        sendAppend(message.from());
       }
-      promote(w.from(), p);
+      promoteCaughtUp(message.from(), p);
     }
   }
 
   /** One that is brought up votes from when it holds all (thesis 4.2.1). */
-  private void promote(int number, Peer p) {
+  private void promoteCaughtUp(int number, Peer p) {
     Voters.Chair c = voters.chairs().get(number);
     if (!c.votes() && p.match == log.last()) {
       Voters next = voters.with(number, new Voters.Chair(c.store(), c.address(), true));
       if (mayChange(next)) {
-        place(new Entry(term, Kind.VOTERS, own, 0, next.bytes()));
+        appendToLog(new Entry(term, Kind.VOTERS, own, 0, next.bytes()));
       }
     }
   }
 
-  private long place(Entry e) {
+  private long appendToLog(Entry e) {
     if (role != Role.LEADER
         || log.last() - commit >= terms.mostOpen()
         || log.bytesAfter(commit) > MOST_OPEN_BYTES) {
@@ -586,12 +592,12 @@
     log.add(e.inTerm(term));
     unsaved = true;
     if (e.kind() == Kind.VOTERS) {
-      voters = log.voters(baseVoters);
-      peersOf(voters);
+      voters = log.voters(snapshotVoters);
+      trackPeers(voters);
     }
     for (int n : peers.keySet()) {
       if (peers.get(n).next == log.last()) {
-        append(n);
+        sendAppend(n);
       }
     }
     return log.last();
@@ -601,13 +607,13 @@
    * Never stale (thesis 6.4): a majority has to answer after it was asked, and an entry of its own
    * term be decided before.
    */
-  private void read(long asker, RaftMessage w) {
-    if (role != Role.LEADER || firstOwn > commit || reads.size() >= MOST_READS) {
-      answer(asker, word(RaftMessage.Kind.READABLE).round(w.round()).at(leader(), 0));
+  private void onReadRequest(long asker, RaftMessage message) {
+    if (role != Role.LEADER || firstOfTerm > commit || reads.size() >= MOST_READS) {
+      answer(asker, newMessage(RaftMessage.Kind.READABLE).round(message.round()).at(leader(), 0));
       return;
     }
-    reads.add(new Read(asker, w.round(), commit, ++round));
-    beat();
+    reads.add(new Read(asker, message.round(), commit, ++round));
+    sendHeartbeats();
   }
 
   /** A majority has answered since. */
@@ -615,7 +621,7 @@
     return most >= asked;
   }
 
-  private long roundOfMost() {
+  private long quorumRound() {
     List<Long> rounds = new ArrayList<>();
     for (int n : voters.voting()) {
       Peer p = peers.get(n);
@@ -625,57 +631,59 @@
     return rounds.isEmpty() ? 0 : rounds.get((rounds.size() - 1) / 2);
   }
 
-  private void readable() {
-    long most = reads.isEmpty() ? 0 : roundOfMost();
+  private void answerReads() {
+    long most = reads.isEmpty() ? 0 : quorumRound();
     for (Iterator<Read> i = reads.iterator(); i.hasNext(); ) {
       Read r = i.next();
       if (isFresh(r.round, most)) {
         i.remove();
-        answer(r.asker, word(RaftMessage.Kind.READABLE).round(r.theirs).at(r.index, 0).yes(true));
+        answer(
+            r.asker,
+            newMessage(RaftMessage.Kind.READABLE).round(r.requestId).at(r.index, 0).yes(true));
       }
     }
   }
 
   /* ---- a follower's part ---- */
 
-  private void leads(RaftMessage w) {
-    if (w.term() < term) {
-      send(w.from(), word(RaftMessage.Kind.TAKEN));
+  private void onLeaderMessage(RaftMessage message) {
+    if (message.term() < term) {
+      send(message.from(), newMessage(RaftMessage.Kind.TAKEN));
       return;
     }
-    if (w.term() > term) {
-      adopt(w.term());
+    if (message.term() > term) {
+      adoptTerm(message.term());
     }
     if (role == Role.LEADER) {
       throw new IllegalStateException(
-          "two leaders of term " + term + ": " + own + " and " + w.from());
+          "two leaders of term " + term + ": " + own + " and " + message.from());
     }
-    follow(w.from());
-    heardLeaderAt = now;
-    electionAt = now.plus(patience());
-    if (w.kind() == RaftMessage.Kind.INSTALL) {
-      install(w);
+    becomeFollower(message.from());
+    leaderHeardAt = now;
+    electionDeadline = now.plus(electionTimeout());
+    if (message.kind() == RaftMessage.Kind.INSTALL) {
+      onInstallSnapshot(message);
     } else {
-      take(w);
+      onAppendEntries(message);
     }
-    if (commit >= w.commit()) {
-      sureAt = sureAt.orLater(now.minus(new Span(Math.max(0, w.age()))));
+    if (commit >= message.commit()) {
+      currentUntil = currentUntil.orLater(now.minus(new Span(Math.max(0, message.age()))));
     }
   }
 
-  private void take(RaftMessage w) {
-    List<Entry> more = w.entries();
-    long before = w.index();
+  private void onAppendEntries(RaftMessage message) {
+    List<Entry> more = message.entries();
+    long before = message.index();
     long upTo = before + more.size();
     if (before < log.base()) { // what is folded into the state is decided, and the same there
       more = more.subList((int) Math.min(more.size(), log.base() - before), more.size());
       before = log.base();
     } else if (log.termAt(before)
-        != w.indexTerm()) { // 5.3: nothing is taken unless what is before it is the same
+        != message.indexTerm()) { // 5.3: nothing is taken unless what is before it is the same
       send(
-          w.from(),
-          word(RaftMessage.Kind.TAKEN)
-              .round(w.round())
+          message.from(),
+          newMessage(RaftMessage.Kind.TAKEN)
+              .round(message.round())
               .at(before > log.last() ? log.last() : commit, 0));
       return;
     }
@@ -694,53 +702,62 @@
       log.add(e);
       unsaved = true;
     }
-    voters = log.voters(baseVoters);
-    commit = Math.max(commit, Math.min(w.commit(), upTo));
-    send(w.from(), word(RaftMessage.Kind.TAKEN).round(w.round()).yes(true).at(upTo, 0));
+    voters = log.voters(snapshotVoters);
+    commit = Math.max(commit, Math.min(message.commit(), upTo));
+    send(
+        message.from(),
+        newMessage(RaftMessage.Kind.TAKEN).round(message.round()).yes(true).at(upTo, 0));
   }
 
   /**
    * 7, figure 13: an older state than what is decided here is passed over; what is held beyond a
    * newer one stays.
    */
-  private void install(RaftMessage w) {
-    if (w.index() > commit) {
-      decided.restore(w.index(), w.whole());
-      base = w.whole();
-      baseVoters = decided.voters();
-      log.base(w.index(), w.indexTerm());
-      voters = log.voters(baseVoters);
-      commit = w.index();
+  private void onInstallSnapshot(RaftMessage message) {
+    if (message.index() > commit) {
+      decided.restore(message.index(), message.whole());
+      snapshot = message.whole();
+      snapshotVoters = decided.voters();
+      log.base(message.index(), message.indexTerm());
+      voters = log.voters(snapshotVoters);
+      commit = message.index();
       unsaved = true;
     }
-    send(w.from(), word(RaftMessage.Kind.TAKEN).round(w.round()).yes(true).at(commit, 0));
+    send(
+        message.from(),
+        newMessage(RaftMessage.Kind.TAKEN).round(message.round()).yes(true).at(commit, 0));
   }
 
   /* ---- those who follow ---- */
 
-  private void tell(long asker, RaftMessage w) {
-    Span age = role == Role.LEADER ? ageOfMost() : now.since(sureAt).orLess(Span.ofSeconds(3600));
-    RaftMessage told =
-        word(RaftMessage.Kind.FOLLOWED).committed(commit, age.micros()).round(w.round());
-    if (w.index() < log.base()) {
+  private void onFollowRequest(long asker, RaftMessage message) {
+    Span age =
+        role == Role.LEADER
+            ? quorumContactAge()
+            : now.since(currentUntil).orLess(Span.ofSeconds(3600));
+    RaftMessage reply =
+        newMessage(RaftMessage.Kind.FOLLOWED)
+            .committed(commit, age.micros())
+            .round(message.round());
+    if (message.index() < log.base()) {
       answer(
           asker,
           new RaftMessage(
               RaftMessage.Kind.REPLACED,
               own,
-              store,
+              storeId,
               term,
               log.base(),
               log.baseTerm(),
               commit,
-              w.round(),
+              message.round(),
               age.micros(),
               false,
               List.of(),
-              base));
+              snapshot));
     } else {
-      long most = Math.min(terms.batch(), Math.max(0, commit - w.index()));
-      answer(asker, told.at(w.index(), 0).with(log.from(w.index() + 1, (int) most)));
+      long most = Math.min(terms.batch(), Math.max(0, commit - message.index()));
+      answer(asker, reply.at(message.index(), 0).with(log.from(message.index() + 1, (int) most)));
     }
   }
 
@@ -750,24 +767,24 @@
     if (unsaved && !save()) {
       outbox.clear();
       if (role == Role.LEADER) {
-        follow(-1);
+        becomeFollower(-1);
         outbox.clear();
       }
       return;
     }
     if (role == Role.LEADER) {
-      count();
-      readable();
+      advanceCommit();
+      answerReads();
     }
-    apply();
+    applyCommitted();
     compact();
-    List<Out> out = List.copyOf(outbox);
+    List<Outgoing> out = List.copyOf(outbox);
     outbox.clear();
-    for (Out o : out) {
+    for (Outgoing o : out) {
       if (o.to >= 0) {
-        port.send(o.to, o.word);
+        port.send(o.to, o.message);
       } else {
-        port.answer(o.asker, o.word);
+        port.answer(o.asker, o.message);
       }
     }
   }
@@ -778,57 +795,57 @@
    * is not asked all the time.
    */
   protected boolean save() {
-    if (now.before(saveAt)) {
+    if (now.before(nextSaveAt)) {
       return false;
     }
     try {
       port.save(saved());
-      lasts();
+      markSaved();
       failures = 0;
       return true;
     } catch (SaveFailedException e) {
       failures++;
-      saveAt = now.plus(terms.saveAgain());
+      nextSaveAt = now.plus(terms.saveAgain());
       return false;
     }
   }
 
-  protected final void lasts() {
+  protected final void markSaved() {
     unsaved = false;
-    savedLast = log.last();
+    lastSaved = log.last();
   }
 
   /**
    * 5.4.2: of what a majority holds, only an entry of the own term is counted; those before it come
    * with it.
    */
-  private void count() {
+  private void advanceCommit() {
     List<Long> matches = new ArrayList<>();
     for (int n : voters.voting()) {
       Peer p = peers.get(n);
-      matches.add(n == own ? savedLast : p == null ? 0 : p.match);
+      matches.add(n == own ? lastSaved : p == null ? 0 : p.match);
     }
     if (matches.isEmpty()) {
       return;
     }
     matches.sort(null);
     long most = matches.get((matches.size() - 1) / 2);
-    if (most > commit && mayCount(log.termAt(most))) {
+    if (most > commit && mayCommit(log.termAt(most))) {
       commit = most;
       peers
           .keySet()
-          .forEach(this::append); // whoever follows hears of it now, not with the next beat
+          .forEach(this::sendAppend); // whoever follows hears of it now, not with the next beat
       if (log.lastVotersIndex() <= commit && !voters.votes(own)) {
-        follow(-1); // thesis 4.2.2: it led until it was decided that it goes
+        becomeFollower(-1); // thesis 4.2.2: it led until it was decided that it goes
       }
     }
   }
 
-  protected boolean mayCount(long ofTerm) {
+  protected boolean mayCommit(long ofTerm) {
     return ofTerm == term;
   }
 
-  private void apply() {
+  private void applyCommitted() {
     for (long i = decided.index() + 1; i <= commit; i++) {
       decided.apply(i, log.at(i));
     }
@@ -837,62 +854,70 @@
   private void compact() {
     if (decided.index() - log.base() > terms.compactAt()
         || log.bytesAfter(log.base()) - log.bytesAfter(decided.index()) > MOST_OPEN_BYTES) {
-      base = decided.whole();
-      baseVoters = decided.voters();
+      snapshot = decided.whole();
+      snapshotVoters = decided.voters();
       log.base(decided.index(), log.termAt(decided.index()));
       // Lasts with the next save: until then the store holds the same in longer form.
     }
   }
 
-  private RaftMessage word(RaftMessage.Kind kind) {
-    return word(kind, term);
+  private RaftMessage newMessage(RaftMessage.Kind kind) {
+    return newMessage(kind, term);
   }
 
-  private RaftMessage word(RaftMessage.Kind kind, long ofTerm) {
-    return RaftMessage.of(kind, own, store, ofTerm);
+  private RaftMessage newMessage(RaftMessage.Kind kind, long ofTerm) {
+    return RaftMessage.of(kind, own, storeId, ofTerm);
   }
 
-  private void toAll(RaftMessage w) {
-    voters.voting().stream().filter(n -> n != own).forEach(n -> send(n, w));
+  private void sendToVoters(RaftMessage message) {
+    voters.voting().stream().filter(n -> n != own).forEach(n -> send(n, message));
   }
 
-  private void send(int to, RaftMessage w) {
-    outbox.add(new Out(to, -1, w));
+  private void send(int to, RaftMessage message) {
+    outbox.add(new Outgoing(to, -1, message));
   }
 
-  private void answer(long asker, RaftMessage w) {
-    outbox.add(new Out(-1, asker, w));
+  private void answer(long asker, RaftMessage message) {
+    outbox.add(new Outgoing(-1, asker, message));
   }
 
   /** All on which anything to come depends, but for the time of day; for an exploration. */
   public List<Object> mark() {
     Map<Integer, List<Object>> others = new LinkedHashMap<>();
     peers.forEach(
-        (n, p) -> others.put(n, List.of(p.next, p.match, p.round, ago(p.heardAt), ago(p.wholeAt))));
+        (n, p) ->
+            others.put(
+                n,
+                List.of(
+                    p.next,
+                    p.match,
+                    p.round,
+                    boundedAge(p.heardAt),
+                    boundedAge(p.snapshotSentAt))));
     return List.of(
         term,
-        voted,
+        votedFor,
         log.base(),
         log.all(),
-        Arrays.hashCode(base),
+        Arrays.hashCode(snapshot),
         unsaved,
-        savedLast,
+        lastSaved,
         role,
         leader,
         commit,
-        campaigns,
-        ago(heardLeaderAt),
-        ago(sureAt),
-        role == Role.LEADER ? 0L : electionAt.since(now).micros(),
-        role == Role.LEADER ? beatAt.since(now).micros() : 0L,
-        List.copyOf(ayes),
+        electionAttempts,
+        boundedAge(leaderHeardAt),
+        boundedAge(currentUntil),
+        role == Role.LEADER ? 0L : electionDeadline.since(now).micros(),
+        role == Role.LEADER ? heartbeatAt.since(now).micros() : 0L,
+        List.copyOf(votesGranted),
         others,
         List.copyOf(reads),
         round,
-        firstOwn);
+        firstOfTerm);
   }
 
-  private long ago(Moment at) {
+  private long boundedAge(Moment at) {
     return Math.min(now.since(at).micros(), terms.election().times(4).micros());
   }
 }
--- a/src/test/java/linengauge/consensus/explore/Lacking.java
+++ b/src/test/java/linengauge/consensus/explore/Lacking.java
@@ -65,27 +65,27 @@
   }
 
   @Override
-  protected boolean asksFirst() {
+  protected boolean usesPreVote() {
     return !out.contains(Guard.ASKS_FIRST);
   }
 
   @Override
   protected boolean save() {
     if (out.contains(Guard.SAVES)) {
-      lasts();
+      markSaved();
       return true;
     }
     return super.save();
   }
 
   @Override
-  protected boolean counts(RaftMessage w) {
-    return out.contains(Guard.STORES) || super.counts(w);
+  protected boolean isFromKnownStore(RaftMessage message) {
+    return out.contains(Guard.STORES) || super.isFromKnownStore(message);
   }
 
   @Override
-  protected boolean mayCount(long ofTerm) {
-    return out.contains(Guard.OWN_TERM) || super.mayCount(ofTerm);
+  protected boolean mayCommit(long ofTerm) {
+    return out.contains(Guard.OWN_TERM) || super.mayCommit(ofTerm);
   }
 
   @Override
@@ -99,12 +99,12 @@
   }
 
   @Override
-  protected boolean ownIsDecided() {
-    return out.contains(Guard.OWN_DECIDED) || super.ownIsDecided();
+  protected boolean hasCommittedInOwnTerm() {
+    return out.contains(Guard.OWN_DECIDED) || super.hasCommittedInOwnTerm();
   }
 
   @Override
-  protected boolean checksMost() {
+  protected boolean checksQuorum() {
     return !out.contains(Guard.MOST);
   }
 }
