--- a/src/main/java/linengauge/membership/Datagram.java
+++ b/src/main/java/linengauge/membership/Datagram.java
@@ -14,7 +14,7 @@
  * @param about of ASK, whom to ping; of PULL and PAGE, the number from which on; of PAGE -1 where
  *     the whole has been told
  */
-public record Datagram(Kind kind, int from, int sequence, int about, List<MemberUpdate> news) {
+public record Datagram(Kind kind, int from, int sequence, int about, List<MemberUpdate> updates) {
   /** Bytes of a datagram at the most, without the carrier's trailer. */
   public static final int MOST = 1200;
 
@@ -46,14 +46,14 @@
   }
 
   public byte[] bytes() {
-    ByteBuffer b = ByteBuffer.allocate(HEAD + news.stream().mapToInt(Datagram::size).sum());
+    ByteBuffer b = ByteBuffer.allocate(HEAD + updates.stream().mapToInt(Datagram::size).sum());
     b.put(VERSION)
         .put((byte) kind.ordinal())
         .putInt(from)
         .putInt(sequence)
         .putInt(about)
-        .putShort((short) news.size());
-    for (MemberUpdate n : news) {
+        .putShort((short) updates.size());
+    for (MemberUpdate n : updates) {
       byte[] address = n.member().address().getBytes(StandardCharsets.UTF_8);
       b.putShort((short) n.member().number())
           .putShort((short) n.member().zone())
@@ -86,7 +86,7 @@
       int sequence = b.getInt();
       int about = b.getInt();
       int count = b.getShort() & 0xffff;
-      List<MemberUpdate> news = new ArrayList<>();
+      List<MemberUpdate> updates = new ArrayList<>();
       for (int i = 0; i < count; i++) {
         int number = b.getShort() & 0xffff;
         int zone = b.getShort() & 0xffff;
@@ -99,7 +99,7 @@
         if (address.length > MOST_TEXT || incarnation < 0) {
           throw new IllegalArgumentException("a member that cannot be");
         }
-        news.add(
+        updates.add(
             new MemberUpdate(
                 new Member(number, new String(address, StandardCharsets.UTF_8), zone, region),
                 incarnation,
@@ -109,7 +109,7 @@
       if (b.hasRemaining()) {
         throw new IllegalArgumentException("more than it says");
       }
-      return new Datagram(kind, from, sequence, about, List.copyOf(news));
+      return new Datagram(kind, from, sequence, about, List.copyOf(updates));
     } catch (BufferUnderflowException e) {
       throw new IllegalArgumentException("cut short", e);
     }
--- a/src/main/java/linengauge/membership/GossipQueue.java
+++ b/src/main/java/linengauge/membership/GossipQueue.java
@@ -12,39 +12,39 @@
  */
 final class GossipQueue {
   private static final class QueuedUpdate {
-    private final MemberUpdate news;
-    private int told;
+    private final MemberUpdate update;
+    private int timesSent;
 
-    private QueuedUpdate(MemberUpdate news) {
-      this.news = news;
+    private QueuedUpdate(MemberUpdate update) {
+      this.update = update;
     }
   }
 
-  private final Map<Integer, QueuedUpdate> rumours = new TreeMap<>();
+  private final Map<Integer, QueuedUpdate> queued = new TreeMap<>();
 
-  void add(MemberUpdate news) {
-    rumours.put(news.member().number(), new QueuedUpdate(news));
+  void add(MemberUpdate update) {
+    queued.put(update.member().number(), new QueuedUpdate(update));
   }
 
   int size() {
-    return rumours.size();
+    return queued.size();
   }
 
   /** What fits into so many bytes, each counted as told; those told so often leave. */
   List<MemberUpdate> take(int room, int times) {
-    List<QueuedUpdate> all = new ArrayList<>(rumours.values());
-    all.sort(Comparator.comparingInt(r -> r.told));
+    List<QueuedUpdate> all = new ArrayList<>(queued.values());
+    all.sort(Comparator.comparingInt(r -> r.timesSent));
     List<MemberUpdate> out = new ArrayList<>();
     int left = room;
     for (QueuedUpdate r : all) {
-      int size = Datagram.size(r.news);
+      int size = Datagram.size(r.update);
       if (size > left) {
         continue;
       }
       left -= size;
-      out.add(r.news);
-      if (++r.told >= times) {
-        rumours.remove(r.news.member().number());
+      out.add(r.update);
+      if (++r.timesSent >= times) {
+        queued.remove(r.update.member().number());
       }
     }
     return out;
--- a/src/main/java/linengauge/membership/Membership.java
+++ b/src/main/java/linengauge/membership/Membership.java
@@ -23,7 +23,7 @@
 public class Membership {
   /** What it acts through. */
   public interface Port {
-    void send(String address, Datagram words);
+    void send(String address, Datagram datagram);
 
     /** Another is held for something else than before. */
     void changed(MemberUpdate held);
@@ -50,7 +50,7 @@
   private static final long MOST_AHEAD = 1L << 40;
 
   private static final class Entry {
-    private MemberUpdate news;
+    private MemberUpdate update;
     private Suspicion suspicion;
     private Moment since;
   }
@@ -72,25 +72,26 @@
   }
 
   /** A ping made in another's place. */
-  private record Relay(String asker, int theirs, Moment nakAt, Moment goneAt, boolean told) {}
+  private record Relay(
+      String asker, int askerSequence, Moment nakAt, Moment goneAt, boolean nakSent) {}
 
   private final MembershipSettings terms;
   private final Member own;
   private final long firstIncarnation;
   private final List<String> seeds;
   private final Port port;
-  private final SplittableRandom chance;
+  private final SplittableRandom random;
   private final Map<Integer, Entry> others = new TreeMap<>();
-  private final GossipQueue rumours = new GossipQueue();
+  private final GossipQueue gossip = new GossipQueue();
   private final Map<Integer, Relay> relays = new TreeMap<>();
   private final LocalHealth health;
-  private final List<Integer> round = new ArrayList<>();
+  private final List<Integer> probeOrder = new ArrayList<>();
   private long incarnation;
   private int sequence;
   private boolean left;
   private Probe probe;
   private Moment periodAt;
-  private Moment regatherAt;
+  private Moment reconnectAt;
   private int answered;
   private int pages;
   private int pullFrom;
@@ -108,31 +109,35 @@
       long incarnation,
       List<String> seeds,
       Port port,
-      SplittableRandom chance) {
+      SplittableRandom random) {
     this.terms = terms;
     this.own = own;
     this.firstIncarnation = incarnation;
     this.incarnation = incarnation;
     this.seeds = seeds.stream().filter(s -> !s.equals(own.address())).toList();
     this.port = port;
-    this.chance = chance;
+    this.random = random;
     this.health = new LocalHealth(terms.healthMost());
   }
 
   public void start(Moment now) {
     periodAt = now;
-    regatherAt = now;
-    rumours.add(ownNews());
+    reconnectAt = now;
+    gossip.add(ownUpdate());
     step(now);
   }
 
   /** Tells some that it leaves; nothing more is sent of its own accord. */
   public void leave(Moment now) {
     left = true;
-    rumours.add(ownNews());
-    for (int number : someThere(terms.helpers(), -1)) {
+    gossip.add(ownUpdate());
+    for (int number : sampleAlive(terms.helpers(), -1)) {
       send(
-          Kind.PING, others.get(number).news.member().address(), ++sequence, 0, List.of(ownNews()));
+          Kind.PING,
+          others.get(number).update.member().address(),
+          ++sequence,
+          0,
+          List.of(ownUpdate()));
     }
   }
 
@@ -143,14 +148,14 @@
       next = earlier(next, probe.asksAt);
     }
     for (Relay r : relays.values()) {
-      next = earlier(next, r.told ? r.goneAt : r.nakAt);
+      next = earlier(next, r.nakSent ? r.goneAt : r.nakAt);
     }
     for (Entry e : others.values()) {
       if (e.suspicion != null) {
         next = earlier(next, e.suspicion.endsAt());
       }
     }
-    return earlier(next, regatherAt);
+    return earlier(next, reconnectAt);
   }
 
   private static Moment earlier(Moment a, Moment b) {
@@ -159,7 +164,7 @@
 
   /** All that is held of others, by number. */
   public List<MemberUpdate> held() {
-    return others.values().stream().map(e -> e.news).toList();
+    return others.values().stream().map(e -> e.update).toList();
   }
 
   public long incarnation() {
@@ -177,30 +182,31 @@
   }
 
   public void step(Moment now) {
-    awake(now);
+    checkStandstill(now);
     if (left) {
       periodAt = now.plus(terms.period());
-      regatherAt = periodAt;
+      reconnectAt = periodAt;
       return;
     }
     for (Entry e : List.copyOf(others.values())) {
       if (e.suspicion != null && !now.before(e.suspicion.endsAt())) {
-        hold(
+        accept(
             e,
-            new MemberUpdate(e.news.member(), e.news.incarnation(), MemberState.DEAD, own.number()),
+            new MemberUpdate(
+                e.update.member(), e.update.incarnation(), MemberState.DEAD, own.number()),
             now,
             true);
       }
     }
-    relay(now);
+    runRelays(now);
     if (probe != null && !probe.asked && !probe.answered && !now.before(probe.asksAt)) {
-      askOthers();
+      probeIndirectly();
     }
     if (!now.before(periodAt)) {
-      period(now);
+      startPeriod(now);
     }
-    if (!now.before(regatherAt)) {
-      regather(now);
+    if (!now.before(reconnectAt)) {
+      reconnect(now);
     }
   }
 
@@ -209,7 +215,7 @@
    * all of them begin anew, and it takes itself for slow. It could hurt where steps are late by
    * habit: deaths would be found late, as they should.
    */
-  private void awake(Moment now) {
+  private void checkStandstill(Moment now) {
     Span late = now.since(next());
     if (!stoodStill(late)) {
       return;
@@ -221,7 +227,7 @@
         .filter(e -> e.suspicion != null)
         .forEach(e -> e.suspicion.heldUp(late));
     periodAt = now;
-    regatherAt = now.orLater(regatherAt);
+    reconnectAt = now.orLater(reconnectAt);
   }
 
   /** A step that is so late. */
@@ -229,35 +235,36 @@
     return !late.under(terms.answer());
   }
 
-  private void period(Moment now) {
+  private void startPeriod(Moment now) {
     if (probe != null && !probe.answered) {
       health.worse(probe.owedNaks > 0 ? probe.owedNaks : 1);
       Entry e = others.get(probe.target);
-      if (e != null && e.news.standing().isThere()) {
-        suspected(e, own.number(), e.news.incarnation(), now);
+      if (e != null && e.update.standing().isThere()) {
+        suspect(e, own.number(), e.update.incarnation(), now);
       }
     }
     answered = 0;
     pages = 0;
     others
         .values()
-        .removeIf(e -> !e.news.standing().isThere() && terms.deadKept().under(now.since(e.since)));
+        .removeIf(
+            e -> !e.update.standing().isThere() && terms.deadKept().under(now.since(e.since)));
     periodAt = now.plus(health.lengthened(terms.period()));
     probe = null;
-    Entry target = nextOfRound();
+    Entry target = nextTarget();
     if (target != null) {
       probe =
           new Probe(
-              target.news.member().number(),
+              target.update.member().number(),
               ++sequence,
               now.plus(health.lengthened(terms.answer())));
       // Whom somebody suspects hears of it with the ping, and can deny it (Lifeguard, IV.C).
       send(
           Kind.PING,
-          target.news.member().address(),
+          target.update.member().address(),
           probe.sequence,
           0,
-          target.suspicion == null ? List.of() : List.of(target.news));
+          target.suspicion == null ? List.of() : List.of(target.update));
     }
   }
 
@@ -265,62 +272,62 @@
    * All there are, each once in a round, the rounds shuffled (SWIM, 4.3): whoever dies is pinged
    * within two rounds.
    */
-  private Entry nextOfRound() {
+  private Entry nextTarget() {
     for (boolean again : new boolean[] {true, false}) {
-      while (!round.isEmpty()) {
-        Entry e = others.get(round.remove(round.size() - 1));
-        if (e != null && e.news.standing().isThere()) {
+      while (!probeOrder.isEmpty()) {
+        Entry e = others.get(probeOrder.remove(probeOrder.size() - 1));
+        if (e != null && e.update.standing().isThere()) {
           return e;
         }
       }
       if (again) {
         others.values().stream()
-            .filter(e -> e.news.standing().isThere())
-            .forEach(e -> round.add(e.news.member().number()));
-        Collections.shuffle(round, new Random(chance.nextLong()));
+            .filter(e -> e.update.standing().isThere())
+            .forEach(e -> probeOrder.add(e.update.member().number()));
+        Collections.shuffle(probeOrder, new Random(random.nextLong()));
       }
     }
     return null;
   }
 
-  private void askOthers() {
+  private void probeIndirectly() {
     probe.asked = true;
     Entry e = others.get(probe.target);
     if (e == null) {
       return;
     }
-    for (int helper : someThere(terms.helpers(), probe.target)) {
+    for (int helper : sampleAlive(terms.helpers(), probe.target)) {
       send(
           Kind.ASK,
-          others.get(helper).news.member().address(),
+          others.get(helper).update.member().address(),
           probe.sequence,
           probe.target,
-          List.of(e.news));
+          List.of(e.update));
       probe.owedNaks++;
     }
   }
 
-  private List<Integer> someThere(int most, int but) {
+  private List<Integer> sampleAlive(int most, int but) {
     List<Integer> all = new ArrayList<>();
     others.forEach(
         (number, e) -> {
-          if (number != but && e.news.standing() == MemberState.ALIVE) {
+          if (number != but && e.update.standing() == MemberState.ALIVE) {
             all.add(number);
           }
         });
-    Collections.shuffle(all, new Random(chance.nextLong()));
+    Collections.shuffle(all, new Random(random.nextLong()));
     return all.subList(0, Math.min(most, all.size()));
   }
 
-  private void relay(Moment now) {
+  private void runRelays(Moment now) {
     for (Iterator<Map.Entry<Integer, Relay>> i = relays.entrySet().iterator(); i.hasNext(); ) {
       Map.Entry<Integer, Relay> at = i.next();
       Relay r = at.getValue();
       if (!now.before(r.goneAt)) {
         i.remove();
-      } else if (!r.told && !now.before(r.nakAt)) {
-        at.setValue(new Relay(r.asker, r.theirs, r.nakAt, r.goneAt, true));
-        send(Kind.NAK, r.asker, r.theirs, 0, List.of());
+      } else if (!r.nakSent && !now.before(r.nakAt)) {
+        at.setValue(new Relay(r.asker, r.askerSequence, r.nakAt, r.goneAt, true));
+        send(Kind.NAK, r.asker, r.askerSequence, 0, List.of());
       }
     }
   }
@@ -331,77 +338,77 @@
    * the other up: without it nobody would call across again. It could hurt where many are gone for
    * good: one datagram each such time, until they are forgotten.
    */
-  private void regather(Moment now) {
+  private void reconnect(Moment now) {
     if (!Span.NONE.under(terms.regather())) {
-      regatherAt = now.plus(terms.deadKept());
+      reconnectAt = now.plus(terms.deadKept());
       return;
     }
-    List<Integer> there = someThere(1, -1);
-    regatherAt = now.plus(there.isEmpty() ? terms.period() : terms.regather());
+    List<Integer> there = sampleAlive(1, -1);
+    reconnectAt = now.plus(there.isEmpty() ? terms.period() : terms.regather());
     List<String> away = new ArrayList<>();
     others.values().stream()
-        .filter(e -> e.news.standing() == MemberState.DEAD)
-        .forEach(e -> away.add(e.news.member().address()));
+        .filter(e -> e.update.standing() == MemberState.DEAD)
+        .forEach(e -> away.add(e.update.member().address()));
     seeds.stream()
-        .filter(s -> others.values().stream().noneMatch(e -> e.news.member().address().equals(s)))
+        .filter(s -> others.values().stream().noneMatch(e -> e.update.member().address().equals(s)))
         .forEach(away::add);
     if (!away.isEmpty()) {
-      String to = away.get(chance.nextInt(away.size()));
-      List<MemberUpdate> first = new ArrayList<>(List.of(ownNews()));
+      String to = away.get(random.nextInt(away.size()));
+      List<MemberUpdate> first = new ArrayList<>(List.of(ownUpdate()));
       others.values().stream()
-          .map(e -> e.news)
+          .map(e -> e.update)
           .filter(n -> n.member().address().equals(to))
           .forEach(first::add);
       send(Kind.PING, to, ++sequence, 0, first);
       if (there.isEmpty()) {
-        pull(to);
+        requestPage(to);
       }
     }
     if (!there.isEmpty()) {
-      pull(others.get(there.get(0)).news.member().address());
+      requestPage(others.get(there.get(0)).update.member().address());
     }
   }
 
-  private void pull(String from) {
+  private void requestPage(String from) {
     pulled = ++sequence;
-    send(Kind.PULL, from, pulled, pullFrom, List.of(ownNews()));
+    send(Kind.PULL, from, pulled, pullFrom, List.of(ownUpdate()));
   }
 
   /** A datagram has come, proved to be of the fleet, from that address. */
-  public void heard(Moment now, String address, Datagram w) {
-    awake(now);
-    if (w.from() == own.number()) {
+  public void heard(Moment now, String address, Datagram datagram) {
+    checkStandstill(now);
+    if (datagram.from() == own.number()) {
       if (!address.equals(own.address())) {
         port.clash(address);
       }
       return;
     }
-    boolean page = w.kind() == Kind.PAGE;
-    for (MemberUpdate n : w.news()) {
-      told(n, now, !page);
+    boolean page = datagram.kind() == Kind.PAGE;
+    for (MemberUpdate n : datagram.updates()) {
+      onUpdate(n, now, !page);
     }
-    switch (w.kind()) {
-      case PING -> answer(Kind.ACK, address, w.sequence(), 0, List.of());
-      case ACK -> acknowledged(w.sequence());
+    switch (datagram.kind()) {
+      case PING -> answer(Kind.ACK, address, datagram.sequence(), 0, List.of());
+      case ACK -> onAck(datagram.sequence());
       case NAK -> {
-        if (probe != null && probe.sequence == w.sequence() && probe.owedNaks > 0) {
+        if (probe != null && probe.sequence == datagram.sequence() && probe.owedNaks > 0) {
           probe.owedNaks--;
         }
       }
-      case ASK -> pingFor(address, w, now);
-      case PULL -> page(address, w);
+      case ASK -> probeFor(address, datagram, now);
+      case PULL -> sendPage(address, datagram);
       case PAGE -> {
-        if (w.sequence() == pulled) {
-          pullFrom = Math.max(0, w.about());
-          if (w.about() > 0) {
-            pull(address);
+        if (datagram.sequence() == pulled) {
+          pullFrom = Math.max(0, datagram.about());
+          if (datagram.about() > 0) {
+            requestPage(address);
           }
         }
       }
     }
   }
 
-  private void acknowledged(int seq) {
+  private void onAck(int seq) {
     if (probe != null && probe.sequence == seq) {
       if (!probe.answered) {
         health.better();
@@ -411,35 +418,36 @@
     }
     Relay r = relays.remove(seq);
     if (r != null) {
-      answer(Kind.ACK, r.asker, r.theirs, 0, List.of());
+      answer(Kind.ACK, r.asker, r.askerSequence, 0, List.of());
     }
   }
 
-  private void pingFor(String asker, Datagram w, Moment now) {
-    Entry e = others.get(w.about());
+  private void probeFor(String asker, Datagram datagram, Moment now) {
+    Entry e = others.get(datagram.about());
     if (e == null || relays.size() >= MOST_RELAYS) {
       return;
     }
     relays.put(
         ++sequence,
-        new Relay(asker, w.sequence(), now.plus(terms.answer()), now.plus(terms.period()), false));
+        new Relay(
+            asker, datagram.sequence(), now.plus(terms.answer()), now.plus(terms.period()), false));
     answer(
         Kind.PING,
-        e.news.member().address(),
+        e.update.member().address(),
         sequence,
         0,
-        e.suspicion == null ? List.of() : List.of(e.news));
+        e.suspicion == null ? List.of() : List.of(e.update));
   }
 
-  private void page(String asker, Datagram w) {
+  private void sendPage(String asker, Datagram datagram) {
     List<MemberUpdate> all = new ArrayList<>(held());
-    all.add(ownNews());
+    all.add(ownUpdate());
     all.sort((a, b) -> Integer.compare(a.member().number(), b.member().number()));
     List<MemberUpdate> out = new ArrayList<>();
     int room = Datagram.room();
     int next = -1;
     for (MemberUpdate n : all) {
-      if (n.member().number() < w.about()) {
+      if (n.member().number() < datagram.about()) {
         continue;
       }
       room -= Datagram.size(n);
@@ -450,7 +458,7 @@
       out.add(n);
     }
     if (pages++ < MOST_PAGES) {
-      port.send(asker, new Datagram(Kind.PAGE, own.number(), w.sequence(), next, out));
+      port.send(asker, new Datagram(Kind.PAGE, own.number(), datagram.sequence(), next, out));
     }
   }
 
@@ -464,9 +472,9 @@
 
   private void send(Kind kind, String to, int seq, int about, List<MemberUpdate> first) {
     int room = Datagram.room() - first.stream().mapToInt(Datagram::size).sum();
-    List<MemberUpdate> news = new ArrayList<>(first);
-    news.addAll(rumours.take(room, times()));
-    port.send(to, new Datagram(kind, own.number(), seq, about, news));
+    List<MemberUpdate> updates = new ArrayList<>(first);
+    updates.addAll(gossip.take(room, times()));
+    port.send(to, new Datagram(kind, own.number(), seq, about, updates));
   }
 
   private int times() {
@@ -475,17 +483,17 @@
             terms.retellings() * (Integer.SIZE - Integer.numberOfLeadingZeros(others.size() + 1)));
   }
 
-  private MemberUpdate ownNews() {
+  private MemberUpdate ownUpdate() {
     return new MemberUpdate(
         own, incarnation, left ? MemberState.LEFT : MemberState.ALIVE, own.number());
   }
 
-  private void told(MemberUpdate n, Moment now, boolean sendOn) {
+  private void onUpdate(MemberUpdate n, Moment now, boolean sendOn) {
     if (Math.abs(n.incarnation() - firstIncarnation) > MOST_AHEAD) {
       return;
     }
     if (n.member().number() == own.number()) {
-      ofThis(n);
+      onOwnUpdate(n);
       return;
     }
     Entry e = others.get(n.member().number());
@@ -500,19 +508,19 @@
       e = new Entry();
       e.since = now;
       others.put(n.member().number(), e);
-      hold(e, n, now, sendOn);
+      accept(e, n, now, sendOn);
     } else if (n.standing() == MemberState.DEAD
-        && e.news.standing().isThere()
-        && n.overrules(e.news)) {
-      dead(e, n, now);
-    } else if (n.overrules(e.news)) {
-      hold(e, n, now, sendOn);
+        && e.update.standing().isThere()
+        && n.overrules(e.update)) {
+      onDeath(e, n, now);
+    } else if (n.overrules(e.update)) {
+      accept(e, n, now, sendOn);
     } else if (n.standing() == MemberState.SUSPECT
-        && n.incarnation() == e.news.incarnation()
+        && n.incarnation() == e.update.incarnation()
         && e.suspicion != null
         && n.by() != own.number()
         && e.suspicion.confirmed(n.by())) {
-      rumours.add(n);
+      gossip.add(n);
     }
   }
 
@@ -522,16 +530,16 @@
    * suspicion was never heard here: a death is found later by one more wait, shortened by whoever
    * confirms it.
    */
-  private void dead(Entry e, MemberUpdate n, Moment now) {
+  private void onDeath(Entry e, MemberUpdate n, Moment now) {
     if (!doubts()) {
-      hold(e, n, now, true);
-    } else if (e.suspicion != null && e.news.incarnation() == n.incarnation()) {
+      accept(e, n, now, true);
+    } else if (e.suspicion != null && e.update.incarnation() == n.incarnation()) {
       e.suspicion.confirmed(n.by());
       if (!now.before(e.suspicion.endsAt())) {
-        hold(e, n, now, true);
+        accept(e, n, now, true);
       }
     } else {
-      suspected(e, n.by(), n.incarnation(), now);
+      suspect(e, n.by(), n.incarnation(), now);
     }
   }
 
@@ -540,26 +548,26 @@
     return true;
   }
 
-  private void suspected(Entry e, int by, long at, Moment now) {
-    if (e.suspicion != null && e.news.incarnation() == at) {
+  private void suspect(Entry e, int by, long at, Moment now) {
+    if (e.suspicion != null && e.update.incarnation() == at) {
       if (e.suspicion.confirmed(by)) {
-        rumours.add(new MemberUpdate(e.news.member(), at, MemberState.SUSPECT, by));
+        gossip.add(new MemberUpdate(e.update.member(), at, MemberState.SUSPECT, by));
       }
     } else {
-      hold(e, new MemberUpdate(e.news.member(), at, MemberState.SUSPECT, by), now, true);
+      accept(e, new MemberUpdate(e.update.member(), at, MemberState.SUSPECT, by), now, true);
     }
   }
 
-  private void hold(Entry e, MemberUpdate n, Moment now, boolean sendOn) {
+  private void accept(Entry e, MemberUpdate n, Moment now, boolean sendOn) {
     boolean other =
-        e.news == null
-            || e.news.standing() != n.standing()
-            || e.news.incarnation() != n.incarnation();
-    e.since = e.news == null || e.news.standing() != n.standing() ? now : e.since;
-    e.news = n;
+        e.update == null
+            || e.update.standing() != n.standing()
+            || e.update.incarnation() != n.incarnation();
+    e.since = e.update == null || e.update.standing() != n.standing() ? now : e.since;
+    e.update = n;
     e.suspicion = null;
     if (n.standing() == MemberState.SUSPECT) {
-      long there = others.values().stream().filter(o -> o.news.standing().isThere()).count() + 1;
+      long there = others.values().stream().filter(o -> o.update.standing().isThere()).count() + 1;
       Span least = terms.period().times(terms.suspicion() * Math.max(1, Math.log10(there)));
       int confirming = (int) Math.min(terms.confirmed(), Math.max(0, there - 3));
       e.suspicion =
@@ -567,7 +575,7 @@
               now, least, least.times(terms.longest()), confirming, n.by(), n.by() == own.number());
     }
     if (sendOn) {
-      rumours.add(n);
+      gossip.add(n);
     }
     if (other) {
       port.changed(n);
@@ -583,7 +591,7 @@
    * Somebody speaks of this front: what is not so it denies, by an incarnation that overrules it
    * (SWIM, 4.2).
    */
-  private void ofThis(MemberUpdate n) {
+  private void onOwnUpdate(MemberUpdate n) {
     boolean another =
         !n.member().address().equals(own.address()) && n.standing() == MemberState.ALIVE;
     if (another && n.incarnation() >= incarnation) {
@@ -596,7 +604,7 @@
         || n.incarnation() == incarnation && n.standing() != MemberState.ALIVE && !left) {
       incarnation = n.incarnation() + 1;
       health.worse(n.standing() == MemberState.SUSPECT || n.standing() == MemberState.DEAD ? 1 : 0);
-      rumours.add(ownNews());
+      gossip.add(ownUpdate());
     }
   }
 }
--- a/src/test/java/linengauge/membership/DatagramTest.java
+++ b/src/test/java/linengauge/membership/DatagramTest.java
@@ -50,7 +50,7 @@
         b[chance.nextInt(b.length)] = (byte) chance.nextInt(256);
       }
       try {
-        read += Datagram.read(b, b.length).news().size() <= 2 ? 1 : 0;
+        read += Datagram.read(b, b.length).updates().size() <= 2 ? 1 : 0;
       } catch (IllegalArgumentException e) {
         continue;
       }
