--- a/src/main/java/linengauge/membership/Membership.java
+++ b/src/main/java/linengauge/membership/Membership.java
@@ -1,24 +1,22 @@
 package linengauge.membership;
 
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
-import java.util.Random;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.membership.Datagram.Kind;
 
 /**
  * Who of the fleet is there, as one front holds it: SWIM's pings, indirect pings, suspicion and
- * news sent on with them (Das and others 2002), made aware of its own slowness (Lifeguard, Dadgar
- * and others 2017). It is told the time, has its next timer read by {@link #next}, and acts through
- * {@link Port}. Added to the papers, each at its place: a front that stood still takes its waits
- * anew; word of a death is a suspicion to whoever has not suspected; those gone are called on
+ * updates sent on with them (Das and others 2002), made aware of its own slowness (Lifeguard,
+ * Dadgar and others 2017). It is told the time, has its next timer read by {@link #next}, and acts
+ * through {@link Port}. Added to the papers, each at its place: a front that stood still takes its
+ * waits anew; word of a death is a suspicion to whoever has not suspected; those gone are called on
  * again.
+ *
+ * <p>Split by concern: {@link MemberTable} is what is held, {@link FailureDetector} pings, {@link
+ * UpdateHandler} weighs updates, {@link Dissemination} sends them on, {@link Reconnection} calls on
+ * those gone.
  */
 public class Membership {
   /** What it acts through. */
@@ -32,71 +30,15 @@
     void clash(String address);
   }
 
-  /**
-   * Sent because another asked, in one period: bounds what this front spends on a storm. Of
-   * answers, the first so many carry news and the others are bare: a front that many call at once,
-   * as a seed is when the fleet starts, is not there for those whom it leaves without one.
-   */
-  private static final int MOST_ANSWERS = 2048;
-
-  private static final int MOST_WITH_NEWS = 32;
-  private static final int MOST_PAGES = 32;
-  private static final int MOST_RELAYS = 64;
-
-  /**
-   * No front lives so many milliseconds: an incarnation further ahead is nonsense, and could not be
-   * denied.
-   */
-  private static final long MOST_AHEAD = 1L << 40;
-
-  private static final class Entry {
-    private MemberUpdate update;
-    private Suspicion suspicion;
-    private Moment since;
-  }
-
-  /** This front's own ping of one period. */
-  private static final class Probe {
-    private final int target;
-    private final int sequence;
-    private final Moment asksAt;
-    private boolean asked;
-    private boolean answered;
-    private int owedNaks;
-
-    private Probe(int target, int sequence, Moment asksAt) {
-      this.target = target;
-      this.sequence = sequence;
-      this.asksAt = asksAt;
-    }
-  }
-
-  /** A ping made in another's place. */
-  private record Relay(
-      String asker, int askerSequence, Moment nakAt, Moment goneAt, boolean nakSent) {}
-
-  private final MembershipSettings terms;
-  private final Member own;
-  private final long firstIncarnation;
-  private final List<String> seeds;
+  private final MembershipSettings settings;
+  private final OwnMember own;
   private final Port port;
-  private final SplittableRandom random;
-  private final Map<Integer, Entry> others = new TreeMap<>();
-  private final GossipQueue gossip = new GossipQueue();
-  private final Map<Integer, Relay> relays = new TreeMap<>();
   private final LocalHealth health;
-  private final List<Integer> probeOrder = new ArrayList<>();
-  private long incarnation;
-  private int sequence;
-  private boolean left;
-  private Probe probe;
-  private Moment periodAt;
-  private Moment reconnectAt;
-  private int answered;
-  private int pages;
-  private int pullFrom;
-  private int pulled;
-  private int refused;
+  private final MemberTable table;
+  private final Dissemination dissemination;
+  private final FailureDetector detector;
+  private final UpdateHandler updates;
+  private final Reconnection reconnection;
 
   /**
    * @param incarnation higher than in any earlier life of this front: the wall's clock in
@@ -104,76 +46,63 @@
    * @param seeds addresses to begin with, and to turn to when nobody is there
    */
   public Membership(
-      MembershipSettings terms,
+      MembershipSettings settings,
       Member own,
       long incarnation,
       List<String> seeds,
       Port port,
       SplittableRandom random) {
-    this.terms = terms;
-    this.own = own;
-    this.firstIncarnation = incarnation;
-    this.incarnation = incarnation;
-    this.seeds = seeds.stream().filter(s -> !s.equals(own.address())).toList();
+    this.settings = settings;
+    this.own = new OwnMember(own, incarnation);
     this.port = port;
-    this.random = random;
-    this.health = new LocalHealth(terms.healthMost());
+    this.health = new LocalHealth(settings.healthMost());
+    this.table = new MemberTable(settings.most(), random);
+    this.dissemination = new Dissemination(settings, own.number(), port, table);
+    this.detector = new FailureDetector(settings, table, dissemination, health, random);
+    this.updates = new UpdateHandler(this, settings, this.own, table, dissemination, health, port);
+    this.reconnection = new Reconnection(settings, this.own, seeds, table, dissemination, random);
   }
 
   public void start(Moment now) {
-    periodAt = now;
-    reconnectAt = now;
-    gossip.add(ownUpdate());
+    detector.setPeriodEnd(now);
+    reconnection.setNext(now);
+    dissemination.add(own.update());
     step(now);
   }
 
   /** Tells some that it leaves; nothing more is sent of its own accord. */
   public void leave(Moment now) {
-    left = true;
-    gossip.add(ownUpdate());
-    for (int number : sampleAlive(terms.helpers(), -1)) {
-      send(
-          Kind.PING,
-          others.get(number).update.member().address(),
-          ++sequence,
-          0,
-          List.of(ownUpdate()));
+    own.leave();
+    dissemination.add(own.update());
+    for (MemberEntry entry : table.sampleAlive(settings.helpers(), MemberTable.NOBODY)) {
+      int sequence = dissemination.nextSequence();
+      dissemination.send(Kind.PING, entry.address(), sequence, 0, List.of(own.update()));
     }
   }
 
   /** The moment at which it wants to be stepped, at the latest. */
   public Moment next() {
-    Moment next = periodAt;
-    if (probe != null && !probe.asked && !probe.answered) {
-      next = earlier(next, probe.asksAt);
-    }
-    for (Relay r : relays.values()) {
-      next = earlier(next, r.nakSent ? r.goneAt : r.nakAt);
-    }
-    for (Entry e : others.values()) {
-      if (e.suspicion != null) {
-        next = earlier(next, e.suspicion.endsAt());
+    Moment next = FailureDetector.earlier(detector.next(), reconnection.next());
+    for (MemberEntry entry : table.all()) {
+      if (entry.suspicion() != null) {
+        next = FailureDetector.earlier(next, entry.suspicion().endsAt());
       }
     }
-    return earlier(next, reconnectAt);
-  }
-
-  private static Moment earlier(Moment a, Moment b) {
-    return b.before(a) ? b : a;
+    return next;
   }
 
   /** All that is held of others, by number. */
   public List<MemberUpdate> held() {
-    return others.values().stream().map(e -> e.update).toList();
+    return table.updates();
   }
 
   public long incarnation() {
-    return incarnation;
+    return own.incarnation();
   }
 
   /** Members that were not taken in since there were too many. */
   public int refused() {
-    return refused;
+    return table.refused();
   }
 
   /** How slow this front takes itself to be, from 0. */
@@ -183,33 +112,34 @@
 
   public void step(Moment now) {
     checkStandstill(now);
-    if (left) {
-      periodAt = now.plus(terms.period());
-      reconnectAt = periodAt;
+    if (own.hasLeft()) {
+      Moment next = now.plus(settings.period());
+      detector.setPeriodEnd(next);
+      reconnection.setNext(next);
       return;
     }
-    for (Entry e : List.copyOf(others.values())) {
-      if (e.suspicion != null && !now.before(e.suspicion.endsAt())) {
-        accept(
-            e,
-            new MemberUpdate(
-                e.update.member(), e.update.incarnation(), MemberState.DEAD, own.number()),
-            now,
-            true);
-      }
-    }
-    runRelays(now);
-    if (probe != null && !probe.asked && !probe.answered && !now.before(probe.asksAt)) {
-      probeIndirectly();
-    }
-    if (!now.before(periodAt)) {
+    updates.endSuspicions(now);
+    detector.sendNaks(now);
+    detector.probeIndirectly(now);
+    if (detector.isPeriodOver(now)) {
       startPeriod(now);
     }
-    if (!now.before(reconnectAt)) {
-      reconnect(now);
+    if (!now.before(reconnection.next())) {
+      reconnection.step(now);
     }
   }
 
+  private void startPeriod(Moment now) {
+    MemberEntry silent = detector.endProbe();
+    if (silent != null) {
+      updates.suspect(silent, own.number(), silent.update().incarnation(), now);
+    }
+    dissemination.startPeriod();
+    reconnection.startPeriod();
+    table.forgetGone(now, settings.deadKept());
+    detector.startPeriod(now);
+  }
+
   /**
    * Guards against a front that was stopped and then acts on waits in which it could hear nobody:
    * all of them begin anew, and it takes itself for slow. It could hurt where steps are late by
@@ -221,157 +151,9 @@
       return;
     }
     health.worse(1);
-    probe = null;
-    relays.clear();
-    others.values().stream()
-        .filter(e -> e.suspicion != null)
-        .forEach(e -> e.suspicion.heldUp(late));
-    periodAt = now;
-    reconnectAt = now.orLater(reconnectAt);
-  }
-
-  /** A step that is so late. */
-  protected boolean stoodStill(Span late) {
-    return !late.under(terms.answer());
-  }
-
-  private void startPeriod(Moment now) {
-    if (probe != null && !probe.answered) {
-      health.worse(probe.owedNaks > 0 ? probe.owedNaks : 1);
-      Entry e = others.get(probe.target);
-      if (e != null && e.update.standing().isThere()) {
-        suspect(e, own.number(), e.update.incarnation(), now);
-      }
-    }
-    answered = 0;
-    pages = 0;
-    others
-        .values()
-        .removeIf(
-            e -> !e.update.standing().isThere() && terms.deadKept().under(now.since(e.since)));
-    periodAt = now.plus(health.lengthened(terms.period()));
-    probe = null;
-    Entry target = nextTarget();
-    if (target != null) {
-      probe =
-          new Probe(
-              target.update.member().number(),
-              ++sequence,
-              now.plus(health.lengthened(terms.answer())));
-      // Whom somebody suspects hears of it with the ping, and can deny it (Lifeguard, IV.C).
-      send(
-          Kind.PING,
-          target.update.member().address(),
-          probe.sequence,
-          0,
-          target.suspicion == null ? List.of() : List.of(target.update));
-    }
-  }
-
-  /**
-   * All there are, each once in a round, the rounds shuffled (SWIM, 4.3): whoever dies is pinged
-   * within two rounds.
-   */
-  private Entry nextTarget() {
-    for (boolean again : new boolean[] {true, false}) {
-      while (!probeOrder.isEmpty()) {
-        Entry e = others.get(probeOrder.remove(probeOrder.size() - 1));
-        if (e != null && e.update.standing().isThere()) {
-          return e;
-        }
-      }
-      if (again) {
-        others.values().stream()
-            .filter(e -> e.update.standing().isThere())
-            .forEach(e -> probeOrder.add(e.update.member().number()));
-        Collections.shuffle(probeOrder, new Random(random.nextLong()));
-      }
-    }
-    return null;
-  }
-
-  private void probeIndirectly() {
-    probe.asked = true;
-    Entry e = others.get(probe.target);
-    if (e == null) {
-      return;
-    }
-    for (int helper : sampleAlive(terms.helpers(), probe.target)) {
-      send(
-          Kind.ASK,
-          others.get(helper).update.member().address(),
-          probe.sequence,
-          probe.target,
-          List.of(e.update));
-      probe.owedNaks++;
-    }
-  }
-
-  private List<Integer> sampleAlive(int most, int but) {
-    List<Integer> all = new ArrayList<>();
-    others.forEach(
-        (number, e) -> {
-          if (number != but && e.update.standing() == MemberState.ALIVE) {
-            all.add(number);
-          }
-        });
-    Collections.shuffle(all, new Random(random.nextLong()));
-    return all.subList(0, Math.min(most, all.size()));
-  }
-
-  private void runRelays(Moment now) {
-    for (Iterator<Map.Entry<Integer, Relay>> i = relays.entrySet().iterator(); i.hasNext(); ) {
-      Map.Entry<Integer, Relay> at = i.next();
-      Relay r = at.getValue();
-      if (!now.before(r.goneAt)) {
-        i.remove();
-      } else if (!r.nakSent && !now.before(r.nakAt)) {
-        at.setValue(new Relay(r.asker, r.askerSequence, r.nakAt, r.goneAt, true));
-        send(Kind.NAK, r.asker, r.askerSequence, 0, List.of());
-      }
-    }
-  }
-
-  /**
-   * Calls on one that is gone or has never been heard, and asks one that is there for a page of
-   * what it holds. Guards against two halves of the fleet that were cut apart and have each given
-   * the other up: without it nobody would call across again. It could hurt where many are gone for
-   * good: one datagram each such time, until they are forgotten.
-   */
-  private void reconnect(Moment now) {
-    if (!Span.NONE.under(terms.regather())) {
-      reconnectAt = now.plus(terms.deadKept());
-      return;
-    }
-    List<Integer> there = sampleAlive(1, -1);
-    reconnectAt = now.plus(there.isEmpty() ? terms.period() : terms.regather());
-    List<String> away = new ArrayList<>();
-    others.values().stream()
-        .filter(e -> e.update.standing() == MemberState.DEAD)
-        .forEach(e -> away.add(e.update.member().address()));
-    seeds.stream()
-        .filter(s -> others.values().stream().noneMatch(e -> e.update.member().address().equals(s)))
-        .forEach(away::add);
-    if (!away.isEmpty()) {
-      String to = away.get(random.nextInt(away.size()));
-      List<MemberUpdate> first = new ArrayList<>(List.of(ownUpdate()));
-      others.values().stream()
-          .map(e -> e.update)
-          .filter(n -> n.member().address().equals(to))
-          .forEach(first::add);
-      send(Kind.PING, to, ++sequence, 0, first);
-      if (there.isEmpty()) {
-        requestPage(to);
-      }
-    }
-    if (!there.isEmpty()) {
-      requestPage(others.get(there.get(0)).update.member().address());
-    }
-  }
-
-  private void requestPage(String from) {
-    pulled = ++sequence;
-    send(Kind.PULL, from, pulled, pullFrom, List.of(ownUpdate()));
+    detector.restart(now);
+    table.holdUpSuspicions(late);
+    reconnection.setNext(now.orLater(reconnection.next()));
   }
 
   /** A datagram has come, proved to be of the fleet, from that address. */
@@ -383,164 +165,25 @@
       }
       return;
     }
-    boolean page = datagram.kind() == Kind.PAGE;
-    for (MemberUpdate n : datagram.updates()) {
-      onUpdate(n, now, !page);
+    boolean sendOn = datagram.kind() != Kind.PAGE;
+    for (MemberUpdate update : datagram.updates()) {
+      updates.onUpdate(update, now, sendOn);
     }
     switch (datagram.kind()) {
-      case PING -> answer(Kind.ACK, address, datagram.sequence(), 0, List.of());
-      case ACK -> onAck(datagram.sequence());
-      case NAK -> {
-        if (probe != null && probe.sequence == datagram.sequence() && probe.owedNaks > 0) {
-          probe.owedNaks--;
-        }
-      }
-      case ASK -> probeFor(address, datagram, now);
-      case PULL -> sendPage(address, datagram);
-      case PAGE -> {
-        if (datagram.sequence() == pulled) {
-          pullFrom = Math.max(0, datagram.about());
-          if (datagram.about() > 0) {
-            requestPage(address);
-          }
-        }
-      }
-    }
-  }
-
-  private void onAck(int seq) {
-    if (probe != null && probe.sequence == seq) {
-      if (!probe.answered) {
-        health.better();
-      }
-      probe.answered = true;
-      return;
-    }
-    Relay r = relays.remove(seq);
-    if (r != null) {
-      answer(Kind.ACK, r.asker, r.askerSequence, 0, List.of());
+      case PING -> dissemination.answer(Kind.ACK, address, datagram.sequence(), 0, List.of());
+      case ACK -> detector.onAck(datagram.sequence());
+      case NAK -> detector.onNak(datagram.sequence());
+      case ASK -> detector.onAsk(address, datagram, now);
+      case PULL -> reconnection.onPageRequest(address, datagram);
+      case PAGE -> reconnection.onPage(address, datagram);
     }
   }
 
-  private void probeFor(String asker, Datagram datagram, Moment now) {
-    Entry e = others.get(datagram.about());
-    if (e == null || relays.size() >= MOST_RELAYS) {
-      return;
-    }
-    relays.put(
-        ++sequence,
-        new Relay(
-            asker, datagram.sequence(), now.plus(terms.answer()), now.plus(terms.period()), false));
-    answer(
-        Kind.PING,
-        e.update.member().address(),
-        sequence,
-        0,
-        e.suspicion == null ? List.of() : List.of(e.update));
-  }
+  /* ---- guards; a test takes them out one by one ---- */
 
-  private void sendPage(String asker, Datagram datagram) {
-    List<MemberUpdate> all = new ArrayList<>(held());
-    all.add(ownUpdate());
-    all.sort((a, b) -> Integer.compare(a.member().number(), b.member().number()));
-    List<MemberUpdate> out = new ArrayList<>();
-    int room = Datagram.room();
-    int next = -1;
-    for (MemberUpdate n : all) {
-      if (n.member().number() < datagram.about()) {
-        continue;
-      }
-      room -= Datagram.size(n);
-      if (room < 0) {
-        next = n.member().number();
-        break;
-      }
-      out.add(n);
-    }
-    if (pages++ < MOST_PAGES) {
-      port.send(asker, new Datagram(Kind.PAGE, own.number(), datagram.sequence(), next, out));
-    }
-  }
-
-  private void answer(Kind kind, String to, int seq, int about, List<MemberUpdate> first) {
-    if (answered++ < MOST_WITH_NEWS) {
-      send(kind, to, seq, about, first);
-    } else if (answered <= MOST_ANSWERS) {
-      port.send(to, new Datagram(kind, own.number(), seq, about, first));
-    }
-  }
-
-  private void send(Kind kind, String to, int seq, int about, List<MemberUpdate> first) {
-    int room = Datagram.room() - first.stream().mapToInt(Datagram::size).sum();
-    List<MemberUpdate> updates = new ArrayList<>(first);
-    updates.addAll(gossip.take(room, times()));
-    port.send(to, new Datagram(kind, own.number(), seq, about, updates));
-  }
-
-  private int times() {
-    return (int)
-        Math.ceil(
-            terms.retellings() * (Integer.SIZE - Integer.numberOfLeadingZeros(others.size() + 1)));
-  }
-
-  private MemberUpdate ownUpdate() {
-    return new MemberUpdate(
-        own, incarnation, left ? MemberState.LEFT : MemberState.ALIVE, own.number());
-  }
-
-  private void onUpdate(MemberUpdate n, Moment now, boolean sendOn) {
-    if (Math.abs(n.incarnation() - firstIncarnation) > MOST_AHEAD) {
-      return;
-    }
-    if (n.member().number() == own.number()) {
-      onOwnUpdate(n);
-      return;
-    }
-    Entry e = others.get(n.member().number());
-    if (e == null) {
-      if (!n.standing().isThere()) {
-        return; // forgotten, or never known: nothing to give up
-      }
-      if (others.size() >= terms.most()) {
-        refused++;
-        return;
-      }
-      e = new Entry();
-      e.since = now;
-      others.put(n.member().number(), e);
-      accept(e, n, now, sendOn);
-    } else if (n.standing() == MemberState.DEAD
-        && e.update.standing().isThere()
-        && n.overrules(e.update)) {
-      onDeath(e, n, now);
-    } else if (n.overrules(e.update)) {
-      accept(e, n, now, sendOn);
-    } else if (n.standing() == MemberState.SUSPECT
-        && n.incarnation() == e.update.incarnation()
-        && e.suspicion != null
-        && n.by() != own.number()
-        && e.suspicion.confirmed(n.by())) {
-      gossip.add(n);
-    }
-  }
-
-  /**
-   * Word of a death. Guards against one sick front that gives up all others: whoever has not
-   * suspected the member yet only does so now, and the member can deny it. It could hurt where the
-   * suspicion was never heard here: a death is found later by one more wait, shortened by whoever
-   * confirms it.
-   */
-  private void onDeath(Entry e, MemberUpdate n, Moment now) {
-    if (!doubts()) {
-      accept(e, n, now, true);
-    } else if (e.suspicion != null && e.update.incarnation() == n.incarnation()) {
-      e.suspicion.confirmed(n.by());
-      if (!now.before(e.suspicion.endsAt())) {
-        accept(e, n, now, true);
-      }
-    } else {
-      suspect(e, n.by(), n.incarnation(), now);
-    }
+  /** A step that is so late. */
+  protected boolean stoodStill(Span late) {
+    return !late.under(settings.answer());
   }
 
   /** Whether a death that it has only heard of is a suspicion to it. */
@@ -548,63 +191,8 @@
     return true;
   }
 
-  private void suspect(Entry e, int by, long at, Moment now) {
-    if (e.suspicion != null && e.update.incarnation() == at) {
-      if (e.suspicion.confirmed(by)) {
-        gossip.add(new MemberUpdate(e.update.member(), at, MemberState.SUSPECT, by));
-      }
-    } else {
-      accept(e, new MemberUpdate(e.update.member(), at, MemberState.SUSPECT, by), now, true);
-    }
-  }
-
-  private void accept(Entry e, MemberUpdate n, Moment now, boolean sendOn) {
-    boolean other =
-        e.update == null
-            || e.update.standing() != n.standing()
-            || e.update.incarnation() != n.incarnation();
-    e.since = e.update == null || e.update.standing() != n.standing() ? now : e.since;
-    e.update = n;
-    e.suspicion = null;
-    if (n.standing() == MemberState.SUSPECT) {
-      long there = others.values().stream().filter(o -> o.update.standing().isThere()).count() + 1;
-      Span least = terms.period().times(terms.suspicion() * Math.max(1, Math.log10(there)));
-      int confirming = (int) Math.min(terms.confirmed(), Math.max(0, there - 3));
-      e.suspicion =
-          new Suspicion(
-              now, least, least.times(terms.longest()), confirming, n.by(), n.by() == own.number());
-    }
-    if (sendOn) {
-      gossip.add(n);
-    }
-    if (other) {
-      port.changed(n);
-    }
-  }
-
   /** Whether it speaks against what is not so. */
   protected boolean denies() {
     return true;
   }
-
-  /**
-   * Somebody speaks of this front: what is not so it denies, by an incarnation that overrules it
-   * (SWIM, 4.2).
-   */
-  private void onOwnUpdate(MemberUpdate n) {
-    boolean another =
-        !n.member().address().equals(own.address()) && n.standing() == MemberState.ALIVE;
-    if (another && n.incarnation() >= incarnation) {
-      port.clash(n.member().address());
-    }
-    if (!denies()) {
-      return;
-    }
-    if (n.incarnation() > incarnation
-        || n.incarnation() == incarnation && n.standing() != MemberState.ALIVE && !left) {
-      incarnation = n.incarnation() + 1;
-      health.worse(n.standing() == MemberState.SUSPECT || n.standing() == MemberState.DEAD ? 1 : 0);
-      gossip.add(ownUpdate());
-    }
-  }
 }
--- /dev/null
+++ b/src/main/java/linengauge/membership/UpdateHandler.java
@@ -0,0 +1,167 @@
+package linengauge.membership;
+
+import java.util.List;
+import linengauge.Moment;
+import linengauge.Span;
+
+/**
+ * What an update about a member changes in what is held of it: by incarnation and state (SWIM,
+ * 4.2), with suspicions that others confirm (Lifeguard, IV.B).
+ */
+final class UpdateHandler {
+  private final Membership membership;
+  private final MembershipSettings settings;
+  private final OwnMember own;
+  private final MemberTable table;
+  private final Dissemination dissemination;
+  private final LocalHealth health;
+  private final Membership.Port port;
+
+  UpdateHandler(
+      Membership membership,
+      MembershipSettings settings,
+      OwnMember own,
+      MemberTable table,
+      Dissemination dissemination,
+      LocalHealth health,
+      Membership.Port port) {
+    this.membership = membership;
+    this.settings = settings;
+    this.own = own;
+    this.table = table;
+    this.dissemination = dissemination;
+    this.health = health;
+    this.port = port;
+  }
+
+  /**
+   * @param sendOn whether it goes on to others by gossip; what came in a page does not
+   */
+  void onUpdate(MemberUpdate update, Moment now, boolean sendOn) {
+    if (!own.isPlausible(update)) {
+      return;
+    }
+    if (update.member().number() == own.number()) {
+      onOwnUpdate(update);
+      return;
+    }
+    MemberEntry entry = table.get(update.member().number());
+    if (entry == null) {
+      onNewMember(update, now, sendOn);
+    } else if (update.overrules(entry.update())) {
+      if (update.standing() == MemberState.DEAD && entry.isThere()) {
+        onDeath(entry, update, now);
+      } else {
+        accept(entry, update, now, sendOn);
+      }
+    } else if (confirmsSuspicion(entry, update)) {
+      dissemination.add(update);
+    }
+  }
+
+  private void onNewMember(MemberUpdate update, Moment now, boolean sendOn) {
+    if (!update.standing().isThere()) {
+      return; // forgotten, or never known: nothing to give up
+    }
+    MemberEntry entry = table.add(update.member().number(), now);
+    if (entry != null) {
+      accept(entry, update, now, sendOn);
+    }
+  }
+
+  private boolean confirmsSuspicion(MemberEntry entry, MemberUpdate update) {
+    return update.standing() == MemberState.SUSPECT
+        && update.incarnation() == entry.update().incarnation()
+        && entry.suspicion() != null
+        && update.by() != own.number()
+        && entry.suspicion().confirmed(update.by());
+  }
+
+  /**
+   * Word of a death. Guards against one sick front that gives up all others: whoever has not
+   * suspected the member yet only does so now, and the member can deny it. It could hurt where the
+   * suspicion was never heard here: a death is found later by one more wait, shortened by whoever
+   * confirms it.
+   */
+  private void onDeath(MemberEntry entry, MemberUpdate update, Moment now) {
+    boolean suspected =
+        entry.suspicion() != null && entry.update().incarnation() == update.incarnation();
+    if (!membership.doubts()) {
+      accept(entry, update, now, true);
+    } else if (suspected) {
+      entry.suspicion().confirmed(update.by());
+      if (!now.before(entry.suspicion().endsAt())) {
+        accept(entry, update, now, true);
+      }
+    } else {
+      suspect(entry, update.by(), update.incarnation(), now);
+    }
+  }
+
+  /** A front could not reach the member in that incarnation: it is suspected. */
+  void suspect(MemberEntry entry, int by, long incarnation, Moment now) {
+    MemberUpdate update =
+        new MemberUpdate(entry.update().member(), incarnation, MemberState.SUSPECT, by);
+    if (entry.suspicion() == null || entry.update().incarnation() != incarnation) {
+      accept(entry, update, now, true);
+    } else if (entry.suspicion().confirmed(by)) {
+      dissemination.add(update);
+    }
+  }
+
+  /** Gives up those whose suspicion has run out. */
+  void endSuspicions(Moment now) {
+    for (MemberEntry entry : List.copyOf(table.all())) {
+      if (entry.suspicion() != null && !now.before(entry.suspicion().endsAt())) {
+        MemberUpdate held = entry.update();
+        MemberUpdate dead =
+            new MemberUpdate(held.member(), held.incarnation(), MemberState.DEAD, own.number());
+        accept(entry, dead, now, true);
+      }
+    }
+  }
+
+  private void accept(MemberEntry entry, MemberUpdate update, Moment now, boolean sendOn) {
+    MemberUpdate before = entry.update();
+    entry.setUpdate(update, now);
+    if (update.standing() == MemberState.SUSPECT) {
+      entry.setSuspicion(newSuspicion(update, now));
+    }
+    if (sendOn) {
+      dissemination.add(update);
+    }
+    if (before == null
+        || before.standing() != update.standing()
+        || before.incarnation() != update.incarnation()) {
+      port.changed(update);
+    }
+  }
+
+  private Suspicion newSuspicion(MemberUpdate update, Moment now) {
+    long there = table.countThere() + 1;
+    double periods = settings.suspicion() * Math.max(1, Math.log10(there));
+    Span least = settings.period().times(periods);
+    Span most = least.times(settings.longest());
+    int confirming = (int) Math.min(settings.confirmed(), Math.max(0, there - 3));
+    boolean byThis = update.by() == own.number();
+    return new Suspicion(now, least, most, confirming, update.by(), byThis);
+  }
+
+  /**
+   * Somebody speaks of this front: what is not so it denies, by an incarnation that overrules it
+   * (SWIM, 4.2).
+   */
+  private void onOwnUpdate(MemberUpdate update) {
+    if (own.isClash(update)) {
+      port.clash(update.member().address());
+    }
+    if (!membership.denies() || !own.mustDeny(update)) {
+      return;
+    }
+    own.deny(update);
+    boolean heldForGone =
+        update.standing() == MemberState.SUSPECT || update.standing() == MemberState.DEAD;
+    health.worse(heldForGone ? 1 : 0);
+    dissemination.add(own.update());
+  }
+}
