--- a/src/main/java/linengauge/consensus/explore/ClusterSimulation.java
+++ b/src/main/java/linengauge/consensus/explore/ClusterSimulation.java
@@ -26,7 +26,7 @@
 
 /**
  * Voters and followers in virtual time, from a seed: each with a clock of its own that is off and
- * runs fast or slow, over ways that lose, hold up, reorder and double, with mishaps that meet them.
+ * runs fast or slow, over ways that lose, hold up, reorder and double, with faults that meet them.
  * It judges by what each holds and was told, never by their reasons.
  */
 public final class ClusterSimulation {
@@ -34,7 +34,7 @@
    * What was broken, and the figures of the run.
    *
    * @param elections leaders there were
-   * @param decidedAfter of wishes that were decided, how long it took
+   * @param decidedAfter of proposals that were decided, how long it took
    * @param longestAlone for how long a voter that hears nobody took itself for the leader
    */
   public record Outcome(
@@ -42,14 +42,14 @@
       int elections,
       long decided,
       List<Span> decidedAfter,
-      long words,
+      long messages,
       long bytes,
       int reads,
       Span longestAlone) {}
 
-  private record Due(Moment at, long number, Runnable deed) {}
+  private record Due(Moment at, long number, Runnable task) {}
 
-  private abstract class Party {
+  private abstract class SimulatedProcess {
     final int number;
 
     /** Its clock is so far off, and runs so much faster than it should. */
@@ -61,10 +61,10 @@
     int life;
     Moment wakesAt;
 
-    Party(int number) {
+    SimulatedProcess(int number) {
       this.number = number;
-      this.off = chance.nextLong(120_000_000L) - 60_000_000L; // a minute apart
-      this.fast = 0.98 + chance.nextInt(5) / 100.0;
+      this.off = random.nextLong(120_000_000L) - 60_000_000L; // a minute apart
+      this.fast = 0.98 + random.nextInt(5) / 100.0;
     }
 
     Moment clock() {
@@ -100,10 +100,10 @@
     }
 
     /** One that stands still reads and steps when it goes on. */
-    void run(Runnable deed) {
+    void run(Runnable task) {
       Moment until = now;
-      for (Fault m : mishaps) {
-        if (m.kind() == Fault.Kind.FREEZE && party(m.a()) == number && m.isOn(now)) {
+      for (Fault m : faults) {
+        if (m.kind() == Fault.Kind.FREEZE && processOf(m.a()) == number && m.isOn(now)) {
           until = until.orLater(m.to());
         }
       }
@@ -113,15 +113,15 @@
             until,
             () -> {
               if (mine == life) {
-                run(deed);
+                run(task);
               }
             });
         return;
       }
       try {
-        deed.run();
+        task.run();
       } catch (IllegalStateException e) {
-        broken.add(at() + number + ": " + e.getMessage());
+        broken.add(timestamp() + number + ": " + e.getMessage());
       }
       if (up) {
         judge();
@@ -132,13 +132,13 @@
     abstract void judge();
   }
 
-  private final class Seat extends Party implements RaftNode.Port {
+  private final class SimulatedVoter extends SimulatedProcess implements RaftNode.Port {
     private RaftNode voter;
     private PersistentState disk;
-    private Heap heap;
+    private NumberLog machine;
     private long judged;
 
-    private Seat(int number, PersistentState disk) {
+    private SimulatedVoter(int number, PersistentState disk) {
       super(number);
       this.disk = disk;
     }
@@ -147,8 +147,8 @@
       life++;
       up = true;
       wakesAt = null;
-      heap = new Heap(ClusterSimulation.this::applied);
-      voter = maker.make(TERMS, number, disk, heap, number + 1, this);
+      machine = new NumberLog(ClusterSimulation.this::applied);
+      voter = maker.make(SETTINGS, number, disk, machine, number + 1, this);
       voter.start(clock());
       wake();
     }
@@ -172,30 +172,31 @@
     }
 
     @Override
-    public void send(int to, RaftMessage word) {
-      if (to < seats.size()) {
-        Seat s = seats.get(to);
-        carry(this, s, word, w -> s.voter.heard(s.clock(), w));
+    public void send(int to, RaftMessage message) {
+      if (to < voterNodes.size()) {
+        SimulatedVoter s = voterNodes.get(to);
+        deliver(this, s, message, w -> s.voter.heard(s.clock(), w));
       }
     }
 
     @Override
-    public void answer(long asker, RaftMessage word) {
-      Front f = fronts.get((int) asker);
-      carry(this, f, word, w -> f.follower.heard(f.clock(), w));
+    public void answer(long asker, RaftMessage message) {
+      SimulatedFollower f = followerNodes.get((int) asker);
+      deliver(this, f, message, w -> f.follower.heard(f.clock(), w));
     }
 
     @Override
     void judge() {
       if (voter.role() == RaftNode.Role.LEADER) {
-        for (Fault m : mishaps) {
+        for (Fault m : faults) {
           if (m.kind() == Fault.Kind.DEAF && m.a() == number && m.isOn(now)) {
             longestAlone = longestAlone.orMore(now.since(m.from()));
           }
         }
-        Integer other = led.putIfAbsent(voter.term(), number);
+        Integer other = leaders.putIfAbsent(voter.term(), number);
         if (other != null && other != number) {
-          broken.add(at() + "two led term " + voter.term() + ": " + other + " and " + number);
+          broken.add(
+              timestamp() + "two led term " + voter.term() + ": " + other + " and " + number);
         }
       }
       for (long i = judged + 1; i <= voter.commit(); i++) {
@@ -203,31 +204,39 @@
         Entry before = e == null ? null : decided.putIfAbsent(i, e);
         if (before != null && !before.equals(e)) {
           broken.add(
-              at() + "entry " + i + " decided twice, at " + number + ": " + before + " and " + e);
+              timestamp()
+                  + "entry "
+                  + i
+                  + " decided twice, at "
+                  + number
+                  + ": "
+                  + before
+                  + " and "
+                  + e);
         }
         most = Math.max(most, i);
       }
       judged = voter.commit();
-      same(number, voter.decided().index(), heap);
+      checkSameState(number, voter.decided().index(), machine);
     }
   }
 
-  private final class Front extends Party implements LogFollower.Port {
+  private final class SimulatedFollower extends SimulatedProcess implements LogFollower.Port {
     private LogFollower follower;
-    private Heap heap;
+    private NumberLog machine;
     private long held;
     private int lives;
 
-    private Front(int number) {
+    private SimulatedFollower(int number) {
       super(number);
     }
 
     private void begin() {
-      heap = new Heap(ClusterSimulation.this::applied);
+      machine = new NumberLog(ClusterSimulation.this::applied);
       held = 0;
       TreeMap<Integer, String> first = new TreeMap<>();
-      seats.forEach(s -> first.put(s.number, address(s.number)));
-      follower = new LogFollower(FOLLOWS, number, first, ++lives * 1_000_000L, heap, this);
+      voterNodes.forEach(s -> first.put(s.number, address(s.number)));
+      follower = new LogFollower(FOLLOWS, number, first, ++lives * 1_000_000L, machine, this);
       follower.start(clock());
       wake();
     }
@@ -243,73 +252,79 @@
     }
 
     @Override
-    public void send(int voter, String address, RaftMessage word) {
-      Seat s = seats.get(voter);
-      carry(this, s, word, w -> s.voter.ask(s.clock(), number - VOTERS_AT_MOST, w));
+    public void send(int voter, String address, RaftMessage message) {
+      SimulatedVoter s = voterNodes.get(voter);
+      deliver(this, s, message, w -> s.voter.ask(s.clock(), number - VOTERS_AT_MOST, w));
     }
 
     @Override
     void judge() {
       if (follower.index() < held) {
         broken.add(
-            at() + "front " + number + " goes back from " + held + " to " + follower.index());
+            timestamp()
+                + "front "
+                + number
+                + " goes back from "
+                + held
+                + " to "
+                + follower.index());
       }
       held = follower.index();
-      same(number, held, heap);
+      checkSameState(number, held, machine);
     }
   }
 
   private static final int VOTERS_AT_MOST = 32;
   private static final int MOST_AT_ONCE = 10_000;
-  private static final RaftSettings TERMS =
+  private static final RaftSettings SETTINGS =
       new RaftSettings(Span.ofMillis(100), Span.ofMillis(600), Span.ofMillis(250), 24, 256, 16);
   private static final LogFollower.Terms FOLLOWS = LogFollower.Terms.USUAL;
 
-  private final List<Fault> mishaps;
+  private final List<Fault> faults;
   private final Maker maker;
   private final Span end;
-  private final SplittableRandom chance;
+  private final SplittableRandom random;
   private final int voters;
   private final int followers;
   private final PriorityQueue<Due> due =
       new PriorityQueue<>(
           (a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
-  private final List<Seat> seats = new ArrayList<>();
-  private final List<Front> fronts = new ArrayList<>();
+  private final List<SimulatedVoter> voterNodes = new ArrayList<>();
+  private final List<SimulatedFollower> followerNodes = new ArrayList<>();
   private final List<String> broken = new ArrayList<>();
-  private final Map<Long, Integer> led = new HashMap<>();
+  private final Map<Long, Integer> leaders = new HashMap<>();
   private final Map<Long, Entry> decided = new HashMap<>();
   private final Map<Long, Long> values = new HashMap<>();
   private final Map<Long, Integer> states = new HashMap<>();
-  private final Set<Long> toldDecided = new HashSet<>();
+  private final Set<Long> acknowledged = new HashSet<>();
   private final List<Span> decidedAfter = new ArrayList<>();
   private Moment now = new Moment(0);
   private int atOnce;
   private long number;
   private long most;
-  private long wished;
-  private long words;
+  private long lastProposed;
+  private long messages;
   private long bytes;
   private int reads;
   private Span longestAlone = Span.NONE;
   private int stores = 1000;
 
   public ClusterSimulation(
-      long seed, int voters, int followers, List<Fault> mishaps, Span end, Maker maker) {
-    this.chance = new SplittableRandom(seed ^ 0x9e3779b9L);
+      long seed, int voters, int followers, List<Fault> faults, Span end, Maker maker) {
+    this.random = new SplittableRandom(seed ^ 0x9e3779b9L);
     this.voters = voters;
     this.followers = followers;
-    this.mishaps = mishaps;
+    this.faults = faults;
     this.end = end;
     this.maker = maker;
   }
 
-  private String at() {
+  private String timestamp() {
     return String.format(java.util.Locale.ROOT, "%.3f s: ", now.micros() / 1e6);
   }
 
-  private void at(Moment when, Runnable deed) {
-    due.add(new Due(when, number++, deed));
+  private void at(Moment when, Runnable task) {
+    due.add(new Due(when, number++, task));
   }
 
   private static String address(int number) {
@@ -317,48 +332,49 @@
   }
 
   /** Those after the voters are followers. */
-  private int party(int a) {
+  private int processOf(int a) {
     return a < voters ? a : VOTERS_AT_MOST + a - voters;
   }
 
   private boolean on(Fault.Kind kind, int a) {
-    return mishaps.stream().anyMatch(m -> m.kind() == kind && m.a() == a && m.isOn(now));
+    return faults.stream().anyMatch(m -> m.kind() == kind && m.a() == a && m.isOn(now));
   }
 
-  private interface Hears {
-    void hear(RaftMessage w);
+  private interface Receiver {
+    void onMessage(RaftMessage w);
   }
 
-  private void carry(Party from, Party to, RaftMessage word, Hears then) {
-    byte[] sent = word.bytes();
-    words++;
+  private void deliver(
+      SimulatedProcess from, SimulatedProcess to, RaftMessage message, Receiver receiver) {
+    byte[] sent = message.bytes();
+    messages++;
     bytes += sent.length;
     boolean cut =
         from.number != to.number
             && (on(Fault.Kind.MUTE, from.number)
                 || on(Fault.Kind.DEAF, to.number)
-                || mishaps.stream()
+                || faults.stream()
                     .anyMatch(
                         m ->
                             m.kind() == Fault.Kind.CUT
-                                && party(m.a()) == from.number
+                                && processOf(m.a()) == from.number
                                 && m.b() == to.number
                                 && m.isOn(now)));
     boolean lossy = on(Fault.Kind.LOSS, from.number) || on(Fault.Kind.LOSS, to.number);
-    if (cut || lossy && chance.nextInt(10) < 3) {
+    if (cut || lossy && random.nextInt(10) < 3) {
       return;
     }
     boolean late = on(Fault.Kind.LATE, from.number) || on(Fault.Kind.LATE, to.number);
     boolean slow = on(Fault.Kind.SLOW_DISK, from.number);
-    int copies = chance.nextInt(50) == 0 ? 2 : 1;
+    int copies = random.nextInt(50) == 0 ? 2 : 1;
     for (int i = 0; i < copies; i++) {
-      Span way = new Span(200 + chance.nextInt(late ? 900_000 : 3_000) + (slow ? 150_000 : 0));
+      Span way = new Span(200 + random.nextInt(late ? 900_000 : 3_000) + (slow ? 150_000 : 0));
       at(
           now.plus(way),
           () -> {
             if (to.up) {
               RaftMessage read = RaftMessage.read(sent);
-              to.run(() -> then.hear(read));
+              to.run(() -> receiver.onMessage(read));
             }
           });
     }
@@ -367,16 +383,16 @@
   private void applied(long index, long value) {
     Long before = values.putIfAbsent(index, value);
     if (before != null && before != value) {
-      broken.add(at() + "decision " + index + " is " + before + " and " + value);
+      broken.add(timestamp() + "decision " + index + " is " + before + " and " + value);
     }
   }
 
   /** All that have decided as far hold the same. */
-  private void same(int by, long index, Heap heap) {
-    int sum = Arrays.hashCode(heap.whole());
+  private void checkSameState(int by, long index, NumberLog machine) {
+    int sum = Arrays.hashCode(machine.whole());
     Integer before = states.putIfAbsent(index, sum);
     if (before != null && before != sum) {
-      broken.add(at() + by + " holds another state after " + index + " decisions");
+      broken.add(timestamp() + by + " holds another state after " + index + " decisions");
     }
   }
 
@@ -387,74 +403,74 @@
     }
     Voters founding = new Voters(chairs);
     for (int i = 0; i <= voters; i++) { // one more that may come to vote
-      seats.add(
-          new Seat(
+      voterNodes.add(
+          new SimulatedVoter(
               i,
               i < voters
-                  ? PersistentState.founding(i, founding, new Heap())
-                  : PersistentState.joining(i, new Heap())));
+                  ? PersistentState.founding(i, founding, new NumberLog())
+                  : PersistentState.joining(i, new NumberLog())));
     }
-    seats.forEach(Seat::begin);
+    voterNodes.forEach(SimulatedVoter::begin);
     for (int i = 0; i < followers; i++) {
-      fronts.add(new Front(VOTERS_AT_MOST + i));
+      followerNodes.add(new SimulatedFollower(VOTERS_AT_MOST + i));
     }
-    fronts.forEach(Front::begin);
-    for (Fault m : mishaps) {
+    followerNodes.forEach(SimulatedFollower::begin);
+    for (Fault m : faults) {
       at(m.from(), () -> begins(m));
       at(m.to(), () -> ends(m));
     }
-    for (Front f : fronts) {
-      for (Moment t = new Moment(500_000 + chance.nextInt(500_000));
+    for (SimulatedFollower f : followerNodes) {
+      for (Moment t = new Moment(500_000 + random.nextInt(500_000));
           t.before(new Moment(end.micros()));
-          t = t.plus(new Span(300_000 + chance.nextInt(2_000_000)))) {
-        at(t, () -> f.run(() -> wish(f)));
+          t = t.plus(new Span(300_000 + random.nextInt(2_000_000)))) {
+        at(t, () -> f.run(() -> propose(f)));
       }
     }
     Moment over = new Moment(end.micros());
-    until(over.plus(Span.ofSeconds(8)));
-    long before = toldDecided.size();
-    Front last = fronts.get(0);
-    at(now, () -> last.run(() -> wish(last)));
-    until(now.plus(Span.ofSeconds(4)));
-    comeRound(before);
+    runUntil(over.plus(Span.ofSeconds(8)));
+    long before = acknowledged.size();
+    SimulatedFollower last = followerNodes.get(0);
+    at(now, () -> last.run(() -> propose(last)));
+    runUntil(now.plus(Span.ofSeconds(4)));
+    checkConverged(before);
     return new Outcome(
         List.copyOf(broken),
-        led.size(),
+        leaders.size(),
         most,
         List.copyOf(decidedAfter),
-        words,
+        messages,
         bytes,
         reads,
         longestAlone);
   }
 
-  private void until(Moment then) {
+  private void runUntil(Moment then) {
     while (!due.isEmpty() && due.peek().at.before(then) && broken.size() < 8) {
       Due d = due.poll();
       atOnce = d.at.equals(now) ? atOnce + 1 : 0;
       now = d.at;
       if (atOnce > MOST_AT_ONCE) {
-        broken.add(at() + "no end of things at one moment");
+        broken.add(timestamp() + "no end of things at one moment");
         return;
       }
-      d.deed.run();
+      d.task.run();
     }
     now = then;
   }
 
-  private void wish(Front f) {
-    long value = ++wished;
+  private void propose(SimulatedFollower f) {
+    long value = ++lastProposed;
     Moment asked = now;
     f.follower.wants(
         f.clock(),
         new MessageWriter().num(value).done(),
         done -> {
           if (done) {
-            toldDecided.add(value);
+            acknowledged.add(value);
             decidedAfter.add(now.since(asked));
           }
         });
-    if (chance.nextInt(3) == 0) {
+    if (random.nextInt(3) == 0) {
       long known = most;
       f.follower.whenSure(
           f.clock(),
@@ -462,7 +478,7 @@
             reads++;
             if (f.follower.index() < known) {
               broken.add(
-                  at()
+                  timestamp()
                       + f.number
                       + " is sure at "
                       + f.follower.index()
@@ -477,17 +493,17 @@
   private void begins(Fault m) {
     switch (m.kind()) {
       case CRASH -> {
-        seats.get(m.a()).up = false;
-        seats.get(m.a()).life++;
+        voterNodes.get(m.a()).up = false;
+        voterNodes.get(m.a()).life++;
       }
       case EMPTIED -> {
-        Seat s = seats.get(m.a());
-        s.disk = PersistentState.joining(++stores, new Heap());
+        SimulatedVoter s = voterNodes.get(m.a());
+        s.disk = PersistentState.joining(++stores, new NumberLog());
         s.judged = 0;
         s.begin();
       }
       case CHANGE -> {
-        Front f = fronts.get(m.b() % fronts.size());
+        SimulatedFollower f = followerNodes.get(m.b() % followerNodes.size());
         f.run(
             () -> {
               Voters v = f.follower.voters();
@@ -505,7 +521,7 @@
   private void ends(Fault m) {
     switch (m.kind()) {
       case CRASH -> {
-        Seat s = seats.get(m.a());
+        SimulatedVoter s = voterNodes.get(m.a());
         if (!s.up && !on(Fault.Kind.CRASH, m.a())) {
           s.begin();
         }
@@ -519,8 +535,8 @@
   }
 
   private void replaced(int place, int tries) {
-    Front f = fronts.get(place % fronts.size());
-    Seat s = seats.get(place);
+    SimulatedFollower f = followerNodes.get(place % followerNodes.size());
+    SimulatedVoter s = voterNodes.get(place);
     f.run(
         () -> {
           Voters v = f.follower.voters();
@@ -539,18 +555,18 @@
         });
   }
 
-  /** Long after the last trouble one leads, all know the same, and what is wanted is decided. */
-  private void comeRound(long before) {
-    long leaders = seats.stream().filter(s -> s.voter.role() == RaftNode.Role.LEADER).count();
+  /** Long after the last fault one leads, all know the same, and what is wanted is decided. */
+  private void checkConverged(long before) {
+    long leaders = voterNodes.stream().filter(s -> s.voter.role() == RaftNode.Role.LEADER).count();
     if (leaders != 1) {
-      broken.add(at() + leaders + " lead at the end");
+      broken.add(timestamp() + leaders + " lead at the end");
     }
-    if (toldDecided.size() <= before) {
-      broken.add(at() + "nothing is decided at the end");
+    if (acknowledged.size() <= before) {
+      broken.add(timestamp() + "nothing is decided at the end");
     }
-    for (Front f : fronts) {
+    for (SimulatedFollower f : followerNodes) {
       if (f.follower.index() < most) {
-        broken.add(at() + f.number + " knows " + f.follower.index() + " of " + most);
+        broken.add(timestamp() + f.number + " knows " + f.follower.index() + " of " + most);
       }
     }
     Map<Long, Integer> times = new TreeMap<>();
@@ -558,14 +574,14 @@
     times.forEach(
         (v, n) -> {
           if (n > 1) {
-            broken.add(at() + "wish " + v + " is decided " + n + " times");
+            broken.add(timestamp() + "propose " + v + " is decided " + n + " times");
           }
         });
-    for (long value : toldDecided) {
+    for (long value : acknowledged) {
       if (times.getOrDefault(value, 0) != 1) {
         broken.add(
-            at()
-                + "wish "
+            timestamp()
+                + "propose "
                 + value
                 + " was told decided, and is so "
                 + times.getOrDefault(value, 0)
--- a/src/main/java/linengauge/consensus/explore/Explorer.java
+++ b/src/main/java/linengauge/consensus/explore/Explorer.java
@@ -10,10 +10,10 @@
 import java.util.Set;
 
 /**
- * Plays every schedule up to a bound through real voters: which word arrives next, or never; whose
- * timer comes due; who crashes and begins again with what it had made to last, stands still, or has
- * its folder emptied; what is wanted of whoever takes itself for the leader. The shortest schedules
- * come first, so that the first one that breaks a rule is a shortest.
+ * Plays every schedule up to a bound through real voters: which message arrives next, or never;
+ * whose timer comes due; who crashes and begins again with what it had made to last, stands still,
+ * or has its folder emptied; what is wanted of whoever takes itself for the leader. The shortest
+ * schedules come first, so that the first one that breaks a rule is a shortest.
  */
 public final class Explorer {
   /** A broken rule with the schedule that leads to it. */
--- a/src/main/java/linengauge/consensus/explore/Fault.java
+++ b/src/main/java/linengauge/consensus/explore/Fault.java
@@ -7,7 +7,7 @@
 import linengauge.Span;
 
 /**
- * One trouble, from then to then.
+ * One fault, from then to then.
  *
  * @param a the voter or follower that it meets, or the one that is not heard
  * @param b by whom, for what goes one way between two
@@ -32,16 +32,16 @@
    * @return so many, drawn from the seed, all of them over before the end
    */
   public static List<Fault> drawn(long seed, int voters, int followers, int many, Span end) {
-    SplittableRandom chance = new SplittableRandom(seed);
+    SplittableRandom random = new SplittableRandom(seed);
     List<Fault> all = new ArrayList<>();
     int emptied = 0;
     for (int i = 0; i < many; i++) {
-      Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
-      int a = chance.nextInt(kind == Kind.FREEZE || kind == Kind.CUT ? voters + followers : voters);
-      int b = chance.nextInt(voters);
-      Moment from = new Moment(chance.nextLong(end.micros() * 3 / 4));
+      Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+      int a = random.nextInt(kind == Kind.FREEZE || kind == Kind.CUT ? voters + followers : voters);
+      int b = random.nextInt(voters);
+      Moment from = new Moment(random.nextLong(end.micros() * 3 / 4));
       long longest = kind == Kind.EMPTIED || kind == Kind.CHANGE ? 3_000_000 : end.micros() / 4;
-      Moment to = from.plus(new Span(50_000 + chance.nextLong(longest)));
+      Moment to = from.plus(new Span(50_000 + random.nextLong(longest)));
       if ((kind == Kind.EMPTIED || kind == Kind.CHANGE) && emptied++ > 0) {
         kind = Kind.CRASH; // a voice lost while one is being replaced is beyond what three bear
       }
--- a/src/main/java/linengauge/consensus/explore/ModelState.java
+++ b/src/main/java/linengauge/consensus/explore/ModelState.java
@@ -25,7 +25,7 @@
  */
 final class ModelState {
   /** On its way; whatever is never let arrive is lost. */
-  private record Message(int to, RaftMessage word, byte[] bytes) {
+  private record Message(int to, RaftMessage message, byte[] bytes) {
     String key() {
       return to + Arrays.toString(bytes);
     }
@@ -33,7 +33,7 @@
 
   private static final RaftSettings TERMS =
       new RaftSettings(Span.ofMillis(100), Span.ofMillis(300), Span.ofMillis(100), 64, 64, 1);
-  private static final long WISH = 7;
+  private static final long AUTHOR = 7;
 
   private final class Node implements RaftNode.Port {
     private final int number;
@@ -51,40 +51,40 @@
     }
 
     @Override
-    public void send(int to, RaftMessage word) {
+    public void send(int to, RaftMessage message) {
       if (to < nodes.size()) {
         // Said at some age or other: that bears on nothing here.
         RaftMessage w =
             new RaftMessage(
-                word.kind(),
-                word.from(),
-                word.store(),
-                word.term(),
-                word.index(),
-                word.indexTerm(),
-                word.commit(),
-                word.round(),
+                message.kind(),
+                message.from(),
+                message.store(),
+                message.term(),
+                message.index(),
+                message.indexTerm(),
+                message.commit(),
+                message.round(),
                 0,
-                word.yes(),
-                word.entries(),
-                word.whole());
+                message.yes(),
+                message.entries(),
+                message.whole());
         Message m = new Message(to, w, w.bytes());
         onTheWay.putIfAbsent(m.key(), m);
       }
     }
 
     @Override
-    public void answer(long asker, RaftMessage word) {
-      if (word.kind() == RaftMessage.Kind.READABLE
-          && word.yes()
-          && word.index() < readsFrom.get((int) word.round())) {
+    public void answer(long asker, RaftMessage message) {
+      if (message.kind() == RaftMessage.Kind.READABLE
+          && message.yes()
+          && message.index() < readsFrom.get((int) message.round())) {
         broken =
             "stale: "
                 + number
                 + " answers that all is known up to "
-                + word.index()
+                + message.index()
                 + ", and "
-                + readsFrom.get((int) word.round())
+                + readsFrom.get((int) message.round())
                 + " had been decided when it was asked";
       }
     }
@@ -105,7 +105,7 @@
 
   private int wakes;
   private int faults;
-  private int wishes;
+  private int proposals;
   private int changes;
   private String broken;
 
@@ -121,8 +121,8 @@
       nodes.add(n);
       n.disk =
           i < plan.voters()
-              ? PersistentState.founding(chair(i).store(), founding, new Heap())
-              : PersistentState.joining(chair(i).store(), new Heap());
+              ? PersistentState.founding(chair(i).store(), founding, new NumberLog())
+              : PersistentState.joining(chair(i).store(), new NumberLog());
       begin(n);
     }
   }
@@ -132,7 +132,7 @@
   }
 
   private void begin(Node n) {
-    n.voter = plan.maker().make(TERMS, n.number, n.disk, new Heap(), n.number, n);
+    n.voter = plan.maker().make(TERMS, n.number, n.disk, new NumberLog(), n.number, n);
     n.voter.start(n.clock);
   }
 
@@ -146,7 +146,7 @@
     }
     wakes = 0;
     faults = 0;
-    wishes = 0;
+    proposals = 0;
     return null;
   }
 
@@ -184,7 +184,7 @@
       Node copy = new Node(n.number);
       copy.disk = n.disk;
       copy.clock = n.clock;
-      copy.voter = plan.maker().copy(n.voter, new Heap(), copy);
+      copy.voter = plan.maker().copy(n.voter, new NumberLog(), copy);
       nodes.add(copy);
     }
     onTheWay.putAll(o.onTheWay);
@@ -194,7 +194,7 @@
     readsFrom.addAll(o.readsFrom);
     wakes = o.wakes;
     faults = o.faults;
-    wishes = o.wishes;
+    proposals = o.proposals;
     changes = o.changes;
   }
 
@@ -220,8 +220,8 @@
         }
       }
       if (n.voter.role() == RaftNode.Role.LEADER) {
-        if (!bounded || wishes < plan.wishes()) {
-          all.add("wish " + n.number);
+        if (!bounded || proposals < plan.proposals()) {
+          all.add("propose " + n.number);
         }
         if (!bounded || readsFrom.size() < plan.reads()) {
           all.add("read " + n.number);
@@ -241,7 +241,7 @@
     if (choice.startsWith("arrives ")) {
       Message m = onTheWay.remove(choice.substring("arrives ".length()));
       Node n = nodes.get(m.to);
-      return acts(n, () -> n.voter.heard(n.clock, m.word));
+      return acts(n, () -> n.voter.heard(n.clock, m.message));
     }
     Node n = nodes.get(Integer.parseInt(choice.substring(space + 1)));
     switch (choice.substring(0, space)) {
@@ -262,15 +262,17 @@
       }
       case "emptied" -> {
         faults++;
-        n.disk = PersistentState.joining(500 + faults, new Heap());
+        n.disk = PersistentState.joining(500 + faults, new NumberLog());
         begin(n);
         return null;
       }
-      case "wish" -> {
-        wishes++;
+      case "propose" -> {
+        proposals++;
         return acts(
             n,
-            () -> n.voter.propose(n.clock, WISH, wishes, new MessageWriter().num(wishes).done()));
+            () ->
+                n.voter.propose(
+                    n.clock, AUTHOR, proposals, new MessageWriter().num(proposals).done()));
       }
       case "read" -> {
         readsFrom.add((long) decided.size());
@@ -298,9 +300,9 @@
     }
   }
 
-  private String acts(Node n, Runnable deed) {
+  private String acts(Node n, Runnable task) {
     try {
-      deed.run();
+      task.run();
     } catch (IllegalStateException e) {
       return n.number + ": " + e.getMessage();
     }
@@ -364,7 +366,7 @@
     all.add(new ArrayList<>(decided));
     all.add(List.copyOf(decidedIn));
     all.add(List.copyOf(readsFrom));
-    all.add(List.of(wakes, faults, wishes, changes));
+    all.add(List.of(wakes, faults, proposals, changes));
     return all;
   }
 }
--- a/src/main/java/linengauge/consensus/explore/Heap.java
+++ b/src/main/java/linengauge/consensus/explore/NumberLog.java
@@ -7,28 +7,28 @@
 import linengauge.consensus.StateMachine;
 
 /** The plainest machine: all decisions in order, as numbers. */
-final class Heap implements StateMachine {
+final class NumberLog implements StateMachine {
   private final List<Long> all = new ArrayList<>();
-  private final Heard heard;
+  private final Listener listener;
   private long before;
 
   /** Told of each decision as it is applied. */
-  interface Heard {
+  interface Listener {
     void applied(long index, long value);
   }
 
-  Heap() {
+  NumberLog() {
     this((index, value) -> {});
   }
 
-  Heap(Heard heard) {
-    this.heard = heard;
+  NumberLog(Listener listener) {
+    this.listener = listener;
   }
 
   @Override
   public void apply(long index, long author, byte[] decision) {
     long value = new MessageReader(decision).num();
-    heard.applied(index, value);
+    listener.applied(index, value);
     all.add(value);
     if (all.size() > 64) { // the oldest as one number, so that its state stays small
       before = before * 31 + all.remove(0);
--- a/src/main/java/linengauge/consensus/explore/Schedule.java
+++ b/src/main/java/linengauge/consensus/explore/Schedule.java
@@ -9,7 +9,7 @@
  * @param depth things that happen, at the most
  * @param wakes how often a voter's own timer may be the next thing
  * @param faults crashes, stand-stills and emptied folders, at the most
- * @param wishes decisions that are wanted of whoever takes itself for the leader
+ * @param proposals decisions that are wanted of whoever takes itself for the leader
  * @param reads questions of how far all is decided
  * @param changes of voters that are wanted: one goes, a fourth comes
  * @param prelude what has happened before, in the words of a schedule
@@ -20,7 +20,7 @@
     int depth,
     int wakes,
     int faults,
-    int wishes,
+    int proposals,
     int reads,
     int changes,
     boolean emptied,
@@ -43,6 +43,6 @@
 
   public Schedule at(Maker other) {
     return new Schedule(
-        voters, depth, wakes, faults, wishes, reads, changes, emptied, prelude, states, other);
+        voters, depth, wakes, faults, proposals, reads, changes, emptied, prelude, states, other);
   }
 }
--- a/src/test/java/linengauge/consensus/explore/ClusterSimulationTest.java
+++ b/src/test/java/linengauge/consensus/explore/ClusterSimulationTest.java
@@ -19,25 +19,25 @@
   private static final Span END = Span.ofSeconds(20);
 
   private static ClusterSimulation.Outcome play(
-      long seed, int voters, List<Fault> mishaps, Maker maker) {
-    return new ClusterSimulation(seed, voters, 4, mishaps, END, maker).play();
+      long seed, int voters, List<Fault> faults, Maker maker) {
+    return new ClusterSimulation(seed, voters, 4, faults, END, maker).play();
   }
 
   private static void holds(int first, int last, int voters, int many) {
     for (int seed = first; seed <= last; seed++) {
-      List<Fault> mishaps = Fault.drawn(seed, voters, 4, many, END);
-      ClusterSimulation.Outcome o = play(seed, voters, mishaps, Maker.REAL);
+      List<Fault> faults = Fault.drawn(seed, voters, 4, many, END);
+      ClusterSimulation.Outcome o = play(seed, voters, faults, Maker.REAL);
       assertEquals(
           List.of(),
           o.broken(),
-          "seed " + seed + ", shortest: " + shortest(seed, voters, mishaps, Maker.REAL));
+          "seed " + seed + ", shortest: " + shortest(seed, voters, faults, Maker.REAL));
     }
   }
 
-  /** With each trouble left out that is not needed for a rule to break. */
-  private static List<Fault> shortest(long seed, int voters, List<Fault> mishaps, Maker maker) {
-    List<Fault> left = new ArrayList<>(mishaps);
-    for (Fault m : mishaps) {
+  /** With each fault left out that is not needed for a rule to break. */
+  private static List<Fault> shortest(long seed, int voters, List<Fault> faults, Maker maker) {
+    List<Fault> left = new ArrayList<>(faults);
+    for (Fault m : faults) {
       List<Fault> less = new ArrayList<>(left);
       less.remove(m);
       if (!play(seed, voters, less, maker).broken().isEmpty()) {
@@ -47,7 +47,7 @@
     return left;
   }
 
-  private static Fault mishap(Fault.Kind kind, int a, int b, double from, double to) {
+  private static Fault fault(Fault.Kind kind, int a, int b, double from, double to) {
     return new Fault(kind, a, b, new Moment((long) (from * 1e6)), new Moment((long) (to * 1e6)));
   }
 
@@ -80,7 +80,7 @@
   private static List<Fault> leaderCutOff() {
     List<Fault> all = new ArrayList<>();
     for (int v = 0; v < 3; v++) {
-      all.add(mishap(Fault.Kind.DEAF, v, 0, 4 + 5 * v, 8 + 5 * v));
+      all.add(fault(Fault.Kind.DEAF, v, 0, 4 + 5 * v, 8 + 5 * v));
     }
     return all;
   }
@@ -93,7 +93,7 @@
     for (int seed = 1; seed <= 10; seed++) {
       for (int v = 0; v < 3; v++) {
         List<Fault> deaf =
-            List.of(mishap(Fault.Kind.DEAF, v, 0, 5, 9), mishap(Fault.Kind.DEAF, v, 0, 12, 16));
+            List.of(fault(Fault.Kind.DEAF, v, 0, 5, 9), fault(Fault.Kind.DEAF, v, 0, 12, 16));
         real += play(seed, 3, deaf, Maker.REAL).elections();
         without += play(seed, 3, deaf, Lacking.maker(Guard.ASKS_FIRST)).elections();
       }
@@ -104,7 +104,7 @@
   /** The same seed plays the same. */
   @Test
   void theSameSeedPlaysTheSame() {
-    List<Fault> mishaps = Fault.drawn(7, 3, 4, 6, END);
-    assertEquals(play(7, 3, mishaps, Maker.REAL), play(7, 3, mishaps, Maker.REAL));
+    List<Fault> faults = Fault.drawn(7, 3, 4, 6, END);
+    assertEquals(play(7, 3, faults, Maker.REAL), play(7, 3, faults, Maker.REAL));
   }
 }
--- a/src/test/java/linengauge/consensus/explore/ExplorerTest.java
+++ b/src/test/java/linengauge/consensus/explore/ExplorerTest.java
@@ -24,7 +24,7 @@
   private static final List<String> FIGURE_8 =
       plus(
           Schedule.LED,
-          "wish 0",
+          "propose 0",
           "wakes 2",
           "VOTE_FOR_ME 2 to 1",
           "VOTED 1 to 2",
