ClusterSimulation is split: driver, judge, network, processes, faults; one event queue

The queue of tasks in virtual time, which stood here and in rehearsal.Clockwork, is linengauge.virtualtime.EventQueue, a core by ArchitectureTest.

--- a/src/main/java/linengauge/consensus/explore/ClusterSimulation.java
+++ b/src/main/java/linengauge/consensus/explore/ClusterSimulation.java
@@ -1,33 +1,23 @@
 package linengauge.consensus.explore;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.consensus.Entry;
-import linengauge.consensus.LogFollower;
 import linengauge.consensus.MessageWriter;
 import linengauge.consensus.PersistentState;
 import linengauge.consensus.RaftMessage;
-import linengauge.consensus.RaftNode;
 import linengauge.consensus.RaftSettings;
-import linengauge.consensus.SaveFailedException;
 import linengauge.consensus.Voters;
+import linengauge.virtualtime.EventQueue;
 
 /**
  * Voters and followers in virtual time, from a seed: each with a clock of its own that is off and
  * runs fast or slow, over ways that lose, hold up, reorder and double, with faults that meet them.
- * It judges by what each holds and was told, never by their reasons.
+ * This class makes things happen; {@link ClusterJudge} judges them.
  */
 public final class ClusterSimulation {
   /**
@@ -47,546 +37,255 @@
       int reads,
       Span longestAlone) {}
 
-  private record Due(Moment at, long number, Runnable task) {}
-
-  private abstract class SimulatedProcess {
-    final int number;
-
-    /** Its clock is so far off, and runs so much faster than it should. */
-    final long off;
-
-    final double fast;
-    final ArrayDeque<Runnable> unread = new ArrayDeque<>();
-    boolean up = true;
-    int life;
-    Moment wakesAt;
-
-    SimulatedProcess(int number) {
-      this.number = number;
-      this.off = random.nextLong(120_000_000L) - 60_000_000L; // a minute apart
-      this.fast = 0.98 + random.nextInt(5) / 100.0;
-    }
-
-    Moment clock() {
-      return new Moment((long) (now.micros() * fast) + off);
-    }
-
-    private Moment trueTime(Moment ofClock) {
-      return new Moment((long) Math.ceil((ofClock.micros() - off) / fast) + 1).orLater(now);
-    }
-
-    abstract Moment next();
-
-    abstract void step();
-
-    void wake() {
-      Moment at = trueTime(next());
-      if (wakesAt != null && !at.before(wakesAt)) {
-        return;
-      }
-      wakesAt = at;
-      int mine = life;
-      at(
-          at,
-          () -> {
-            if (up && mine == life && at.equals(wakesAt)) {
-              run(
-                  () -> {
-                    wakesAt = null;
-                    step();
-                  });
-            }
-          });
-    }
-
-    /** One that stands still reads and steps when it goes on. */
-    void run(Runnable task) {
-      Moment until = now;
-      for (Fault m : faults) {
-        if (m.kind() == Fault.Kind.FREEZE && processOf(m.a()) == number && m.isOn(now)) {
-          until = until.orLater(m.to());
-        }
-      }
-      int mine = life;
-      if (now.before(until)) {
-        at(
-            until,
-            () -> {
-              if (mine == life) {
-                run(task);
-              }
-            });
-        return;
-      }
-      try {
-        task.run();
-      } catch (IllegalStateException e) {
-        broken.add(timestamp() + number + ": " + e.getMessage());
-      }
-      if (up) {
-        judge();
-        wake();
-      }
-    }
-
-    abstract void judge();
-  }
-
-  private final class SimulatedVoter extends SimulatedProcess implements RaftNode.Port {
-    private RaftNode voter;
-    private PersistentState disk;
-    private NumberLog machine;
-    private long judged;
-
-    private SimulatedVoter(int number, PersistentState disk) {
-      super(number);
-      this.disk = disk;
-    }
-
-    private void begin() {
-      life++;
-      up = true;
-      wakesAt = null;
-      machine = new NumberLog(ClusterSimulation.this::applied);
-      voter = maker.make(SETTINGS, number, disk, machine, number + 1, this);
-      voter.start(clock());
-      wake();
-    }
-
-    @Override
-    Moment next() {
-      return voter.next();
-    }
-
-    @Override
-    void step() {
-      voter.step(clock());
-    }
-
-    @Override
-    public void save(PersistentState saved) throws SaveFailedException {
-      if (on(Fault.Kind.DISK_FULL, number)) {
-        throw new SaveFailedException("no place", null);
-      }
-      disk = PersistentState.read(saved.bytes());
-    }
-
-    @Override
-    public void send(int to, RaftMessage message) {
-      if (to < voterNodes.size()) {
-        SimulatedVoter s = voterNodes.get(to);
-        deliver(this, s, message, w -> s.voter.heard(s.clock(), w));
-      }
-    }
-
-    @Override
-    public void answer(long asker, RaftMessage message) {
-      SimulatedFollower f = followerNodes.get((int) asker);
-      deliver(this, f, message, w -> f.follower.heard(f.clock(), w));
-    }
-
-    @Override
-    void judge() {
-      if (voter.role() == RaftNode.Role.LEADER) {
-        for (Fault m : faults) {
-          if (m.kind() == Fault.Kind.DEAF && m.a() == number && m.isOn(now)) {
-            longestAlone = longestAlone.orMore(now.since(m.from()));
-          }
-        }
-        Integer other = leaders.putIfAbsent(voter.term(), number);
-        if (other != null && other != number) {
-          broken.add(
-              timestamp() + "two led term " + voter.term() + ": " + other + " and " + number);
-        }
-      }
-      for (long i = judged + 1; i <= voter.commit(); i++) {
-        Entry e = voter.entry(i);
-        Entry before = e == null ? null : decided.putIfAbsent(i, e);
-        if (before != null && !before.equals(e)) {
-          broken.add(
-              timestamp()
-                  + "entry "
-                  + i
-                  + " decided twice, at "
-                  + number
-                  + ": "
-                  + before
-                  + " and "
-                  + e);
-        }
-        most = Math.max(most, i);
-      }
-      judged = voter.commit();
-      checkSameState(number, voter.decided().index(), machine);
-    }
-  }
-
-  private final class SimulatedFollower extends SimulatedProcess implements LogFollower.Port {
-    private LogFollower follower;
-    private NumberLog machine;
-    private long held;
-    private int lives;
-
-    private SimulatedFollower(int number) {
-      super(number);
-    }
-
-    private void begin() {
-      machine = new NumberLog(ClusterSimulation.this::applied);
-      held = 0;
-      TreeMap<Integer, String> first = new TreeMap<>();
-      voterNodes.forEach(s -> first.put(s.number, address(s.number)));
-      follower = new LogFollower(FOLLOWS, number, first, ++lives * 1_000_000L, machine, this);
-      follower.start(clock());
-      wake();
-    }
-
-    @Override
-    Moment next() {
-      return follower.next();
-    }
-
-    @Override
-    void step() {
-      follower.step(clock());
-    }
-
-    @Override
-    public void send(int voter, String address, RaftMessage message) {
-      SimulatedVoter s = voterNodes.get(voter);
-      deliver(this, s, message, w -> s.voter.ask(s.clock(), number - VOTERS_AT_MOST, w));
-    }
-
-    @Override
-    void judge() {
-      if (follower.index() < held) {
-        broken.add(
-            timestamp()
-                + "front "
-                + number
-                + " goes back from "
-                + held
-                + " to "
-                + follower.index());
-      }
-      held = follower.index();
-      checkSameState(number, held, machine);
-    }
-  }
-
-  private static final int VOTERS_AT_MOST = 32;
   private static final int MOST_AT_ONCE = 10_000;
+  private static final int MOST_REPLACEMENT_TRIES = 40;
+  private static final Span REPLACEMENT_RETRY = Span.ofMillis(700);
+  private static final Span QUIET_BEFORE_LAST_PROPOSAL = Span.ofSeconds(8);
+  private static final Span QUIET_AFTER_LAST_PROPOSAL = Span.ofSeconds(4);
   private static final RaftSettings SETTINGS =
       new RaftSettings(Span.ofMillis(100), Span.ofMillis(600), Span.ofMillis(250), 24, 256, 16);
-  private static final LogFollower.Terms FOLLOWS = LogFollower.Terms.USUAL;
 
-  private final List<Fault> faults;
+  private final EventQueue time = new EventQueue(new Moment(0));
+  private final ClusterJudge judge = new ClusterJudge(time);
+  private final FaultPlan faults;
   private final Maker maker;
   private final Span end;
   private final SplittableRandom random;
-  private final int voters;
-  private final int followers;
-  private final PriorityQueue<Due> due =
-      new PriorityQueue<>(
-          (a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
-  private final List<SimulatedVoter> voterNodes = new ArrayList<>();
-  private final List<SimulatedFollower> followerNodes = new ArrayList<>();
-  private final List<String> broken = new ArrayList<>();
-  private final Map<Long, Integer> leaders = new HashMap<>();
-  private final Map<Long, Entry> decided = new HashMap<>();
-  private final Map<Long, Long> values = new HashMap<>();
-  private final Map<Long, Integer> states = new HashMap<>();
-  private final Set<Long> acknowledged = new HashSet<>();
+  private final SimulatedNetwork network;
+  private final int voterCount;
+  private final int followerCount;
+  private final List<SimulatedVoter> voters = new ArrayList<>();
+  private final List<SimulatedFollower> followers = new ArrayList<>();
   private final List<Span> decidedAfter = new ArrayList<>();
-  private Moment now = new Moment(0);
-  private int atOnce;
-  private long number;
-  private long most;
   private long lastProposed;
-  private long messages;
-  private long bytes;
   private int reads;
   private Span longestAlone = Span.NONE;
-  private int stores = 1000;
+  private int lastStore = 1000;
 
   public ClusterSimulation(
       long seed, int voters, int followers, List<Fault> faults, Span end, Maker maker) {
     this.random = new SplittableRandom(seed ^ 0x9e3779b9L);
-    this.voters = voters;
-    this.followers = followers;
-    this.faults = faults;
+    this.voterCount = voters;
+    this.followerCount = followers;
+    this.faults = new FaultPlan(faults, voters);
+    this.network = new SimulatedNetwork(time, this.faults, random);
     this.end = end;
     this.maker = maker;
   }
 
-  private String timestamp() {
-    return String.format(java.util.Locale.ROOT, "%.3f s: ", now.micros() / 1e6);
+  Moment now() {
+    return time.now();
   }
 
-  private void at(Moment when, Runnable task) {
-    due.add(new Due(when, number++, task));
+  void schedule(Moment at, Runnable task) {
+    time.schedule(at, task);
   }
 
-  private static String address(int number) {
-    return "10.0.0." + number + ":7";
+  FaultPlan faults() {
+    return faults;
   }
 
-  /** Those after the voters are followers. */
-  private int processOf(int a) {
-    return a < voters ? a : VOTERS_AT_MOST + a - voters;
+  ClusterJudge judge() {
+    return judge;
   }
 
-  private boolean on(Fault.Kind kind, int a) {
-    return faults.stream().anyMatch(m -> m.kind() == kind && m.a() == a && m.isOn(now));
+  /** Plays all of it; once. */
+  public Outcome play() {
+    beginVoters();
+    beginFollowers();
+    for (Fault fault : faults.all()) {
+      schedule(fault.from(), () -> beginFault(fault));
+      schedule(fault.to(), () -> endFault(fault));
+    }
+    followers.forEach(this::scheduleProposals);
+    runUntil(new Moment(end.micros()).plus(QUIET_BEFORE_LAST_PROPOSAL));
+    int acknowledgedBefore = judge.acknowledgedCount();
+    SimulatedFollower last = followers.get(0);
+    schedule(now(), () -> last.run(() -> propose(last)));
+    runUntil(now().plus(QUIET_AFTER_LAST_PROPOSAL));
+    checkConverged(acknowledgedBefore);
+    return new Outcome(
+        judge.broken(),
+        judge.elections(),
+        judge.lastCommitted(),
+        List.copyOf(decidedAfter),
+        network.messages(),
+        network.bytes(),
+        reads,
+        longestAlone);
   }
 
-  private interface Receiver {
-    void onMessage(RaftMessage w);
+  private void beginVoters() {
+    SortedMap<Integer, Voters.Chair> chairs = new TreeMap<>();
+    for (int i = 0; i < voterCount; i++) {
+      chairs.put(i, new Voters.Chair(i, address(i), true));
+    }
+    Voters founding = new Voters(chairs);
+    for (int i = 0; i <= voterCount; i++) { // one more that may come to vote
+      PersistentState disk =
+          i < voterCount
+              ? PersistentState.founding(i, founding, new NumberLog())
+              : PersistentState.joining(i, new NumberLog());
+      voters.add(new SimulatedVoter(this, i, random, SETTINGS, maker, disk));
+    }
+    voters.forEach(SimulatedVoter::begin);
   }
 
-  private void deliver(
-      SimulatedProcess from, SimulatedProcess to, RaftMessage message, Receiver receiver) {
-    byte[] sent = message.bytes();
-    messages++;
-    bytes += sent.length;
-    boolean cut =
-        from.number != to.number
-            && (on(Fault.Kind.MUTE, from.number)
-                || on(Fault.Kind.DEAF, to.number)
-                || faults.stream()
-                    .anyMatch(
-                        m ->
-                            m.kind() == Fault.Kind.CUT
-                                && processOf(m.a()) == from.number
-                                && m.b() == to.number
-                                && m.isOn(now)));
-    boolean lossy = on(Fault.Kind.LOSS, from.number) || on(Fault.Kind.LOSS, to.number);
-    if (cut || lossy && random.nextInt(10) < 3) {
-      return;
-    }
-    boolean late = on(Fault.Kind.LATE, from.number) || on(Fault.Kind.LATE, to.number);
-    boolean slow = on(Fault.Kind.SLOW_DISK, from.number);
-    int copies = random.nextInt(50) == 0 ? 2 : 1;
-    for (int i = 0; i < copies; i++) {
-      Span way = new Span(200 + random.nextInt(late ? 900_000 : 3_000) + (slow ? 150_000 : 0));
-      at(
-          now.plus(way),
-          () -> {
-            if (to.up) {
-              RaftMessage read = RaftMessage.read(sent);
-              to.run(() -> receiver.onMessage(read));
-            }
-          });
+  private void beginFollowers() {
+    SortedMap<Integer, String> addresses = new TreeMap<>();
+    voters.forEach(voter -> addresses.put(voter.number(), address(voter.number())));
+    for (int i = 0; i < followerCount; i++) {
+      followers.add(new SimulatedFollower(this, FaultPlan.FIRST_FOLLOWER + i, random));
     }
+    followers.forEach(follower -> follower.begin(addresses));
   }
 
-  private void applied(long index, long value) {
-    Long before = values.putIfAbsent(index, value);
-    if (before != null && before != value) {
-      broken.add(timestamp() + "decision " + index + " is " + before + " and " + value);
-    }
+  private static String address(int number) {
+    return "10.0.0." + number + ":7";
   }
 
-  /** All that have decided as far hold the same. */
-  private void checkSameState(int by, long index, NumberLog machine) {
-    int sum = Arrays.hashCode(machine.whole());
-    Integer before = states.putIfAbsent(index, sum);
-    if (before != null && before != sum) {
-      broken.add(timestamp() + by + " holds another state after " + index + " decisions");
+  private void runUntil(Moment then) {
+    int atOnce = 0;
+    while (time.nextAt() != null && time.nextAt().before(then) && !judge.isDone()) {
+      atOnce = time.nextAt().equals(now()) ? atOnce + 1 : 0;
+      if (atOnce > MOST_AT_ONCE) {
+        judge.report("no end of things at one moment");
+        return;
+      }
+      time.runNext();
     }
+    time.advanceTo(then);
   }
 
-  public Outcome play() {
-    SortedMap<Integer, Voters.Chair> chairs = new TreeMap<>();
-    for (int i = 0; i < voters; i++) {
-      chairs.put(i, new Voters.Chair(i, address(i), true));
-    }
-    Voters founding = new Voters(chairs);
-    for (int i = 0; i <= voters; i++) { // one more that may come to vote
-      voterNodes.add(
-          new SimulatedVoter(
-              i,
-              i < voters
-                  ? PersistentState.founding(i, founding, new NumberLog())
-                  : PersistentState.joining(i, new NumberLog())));
-    }
-    voterNodes.forEach(SimulatedVoter::begin);
-    for (int i = 0; i < followers; i++) {
-      followerNodes.add(new SimulatedFollower(VOTERS_AT_MOST + i));
-    }
-    followerNodes.forEach(SimulatedFollower::begin);
-    for (Fault m : faults) {
-      at(m.from(), () -> begins(m));
-      at(m.to(), () -> ends(m));
-    }
-    for (SimulatedFollower f : followerNodes) {
-      for (Moment t = new Moment(500_000 + random.nextInt(500_000));
-          t.before(new Moment(end.micros()));
-          t = t.plus(new Span(300_000 + random.nextInt(2_000_000)))) {
-        at(t, () -> f.run(() -> propose(f)));
-      }
+  /* ---- messages ---- */
+
+  void sendToVoter(SimulatedVoter from, int to, RaftMessage message) {
+    if (to < voters.size()) {
+      SimulatedVoter voter = voters.get(to);
+      network.deliver(from, voter, message, voter::receive);
     }
-    Moment over = new Moment(end.micros());
-    runUntil(over.plus(Span.ofSeconds(8)));
-    long before = acknowledged.size();
-    SimulatedFollower last = followerNodes.get(0);
-    at(now, () -> last.run(() -> propose(last)));
-    runUntil(now.plus(Span.ofSeconds(4)));
-    checkConverged(before);
-    return new Outcome(
-        List.copyOf(broken),
-        leaders.size(),
-        most,
-        List.copyOf(decidedAfter),
-        messages,
-        bytes,
-        reads,
-        longestAlone);
   }
 
-  private void runUntil(Moment then) {
-    while (!due.isEmpty() && due.peek().at.before(then) && broken.size() < 8) {
-      Due d = due.poll();
-      atOnce = d.at.equals(now) ? atOnce + 1 : 0;
-      now = d.at;
-      if (atOnce > MOST_AT_ONCE) {
-        broken.add(timestamp() + "no end of things at one moment");
-        return;
-      }
-      d.task.run();
+  void sendToFollower(SimulatedVoter from, int to, RaftMessage message) {
+    SimulatedFollower follower = followers.get(to);
+    network.deliver(from, follower, message, follower::receive);
+  }
+
+  void sendRequest(SimulatedFollower from, int to, RaftMessage message) {
+    SimulatedVoter voter = voters.get(to);
+    int asker = from.number() - FaultPlan.FIRST_FOLLOWER;
+    network.deliver(from, voter, message, m -> voter.receiveRequest(asker, m));
+  }
+
+  /** That voter takes itself for the leader. */
+  void onLeads(int number) {
+    longestAlone = longestAlone.orMore(faults.deafFor(number, now()));
+  }
+
+  /* ---- proposals and reads ---- */
+
+  private void scheduleProposals(SimulatedFollower follower) {
+    Moment over = new Moment(end.micros());
+    Moment at = new Moment(500_000 + random.nextInt(500_000));
+    while (at.before(over)) {
+      schedule(at, () -> follower.run(() -> propose(follower)));
+      at = at.plus(new Span(300_000 + random.nextInt(2_000_000)));
     }
-    now = then;
   }
 
-  private void propose(SimulatedFollower f) {
-    long value = ++lastProposed;
-    Moment asked = now;
-    f.follower.wants(
-        f.clock(),
+  private void propose(SimulatedFollower follower) {
+    lastProposed++;
+    long value = lastProposed;
+    Moment proposedAt = now();
+    follower.propose(
         new MessageWriter().num(value).done(),
         done -> {
           if (done) {
-            acknowledged.add(value);
-            decidedAfter.add(now.since(asked));
+            judge.onAcknowledged(value);
+            decidedAfter.add(now().since(proposedAt));
           }
         });
     if (random.nextInt(3) == 0) {
-      long known = most;
-      f.follower.whenSure(
-          f.clock(),
-          () -> {
-            reads++;
-            if (f.follower.index() < known) {
-              broken.add(
-                  timestamp()
-                      + f.number
-                      + " is sure at "
-                      + f.follower.index()
-                      + ", and "
-                      + known
-                      + " had been decided when it asked");
-            }
-          });
+      read(follower);
     }
   }
 
-  private void begins(Fault m) {
-    switch (m.kind()) {
-      case CRASH -> {
-        voterNodes.get(m.a()).up = false;
-        voterNodes.get(m.a()).life++;
-      }
+  private void read(SimulatedFollower follower) {
+    long committed = judge.lastCommitted();
+    follower.readThen(
+        () -> {
+          reads++;
+          judge.checkRead(follower.number(), follower.index(), committed);
+        });
+  }
+
+  /* ---- faults ---- */
+
+  private void beginFault(Fault fault) {
+    switch (fault.kind()) {
+      case CRASH -> voters.get(fault.a()).crash();
       case EMPTIED -> {
-        SimulatedVoter s = voterNodes.get(m.a());
-        s.disk = PersistentState.joining(++stores, new NumberLog());
-        s.judged = 0;
-        s.begin();
-      }
-      case CHANGE -> {
-        SimulatedFollower f = followerNodes.get(m.b() % followerNodes.size());
-        f.run(
-            () -> {
-              Voters v = f.follower.voters();
-              if (v.chairs().containsKey(m.a()) && v.voting().size() > 2) {
-                f.follower.wantsVoters(f.clock(), v.without(m.a()), d -> {});
-              }
-            });
+        lastStore++;
+        voters.get(fault.a()).beginWith(PersistentState.joining(lastStore, new NumberLog()));
       }
+      case CHANGE -> removeVoter(fault.a(), followers.get(fault.b() % followers.size()));
       default -> {
         // on while it lasts
       }
     }
   }
 
-  private void ends(Fault m) {
-    switch (m.kind()) {
+  private void removeVoter(int number, SimulatedFollower by) {
+    by.run(
+        () -> {
+          Voters held = by.voters();
+          if (held.chairs().containsKey(number) && held.voting().size() > 2) {
+            by.proposeVoters(held.without(number));
+          }
+        });
+  }
+
+  private void endFault(Fault fault) {
+    switch (fault.kind()) {
       case CRASH -> {
-        SimulatedVoter s = voterNodes.get(m.a());
-        if (!s.up && !on(Fault.Kind.CRASH, m.a())) {
-          s.begin();
+        SimulatedVoter voter = voters.get(fault.a());
+        if (!voter.isUp() && !faults.isOn(Fault.Kind.CRASH, fault.a(), now())) {
+          voter.begin();
         }
       }
-      // An operator brings the place back: first without it, then with the store that is there now.
-      case EMPTIED, CHANGE -> replaced(m.a(), 0);
+      case EMPTIED, CHANGE -> replace(fault.a(), 0);
       default -> {
         // over
       }
     }
   }
 
-  private void replaced(int place, int tries) {
-    SimulatedFollower f = followerNodes.get(place % followerNodes.size());
-    SimulatedVoter s = voterNodes.get(place);
-    f.run(
+  /** An operator brings the voter back: first without it, then with the store that is there now. */
+  private void replace(int number, int tries) {
+    SimulatedFollower by = followers.get(number % followers.size());
+    by.run(
         () -> {
-          Voters v = f.follower.voters();
-          Voters.Chair c = v.chairs().get(place);
-          if (c != null && c.votes() && c.store() == s.disk.store() || tries > 40) {
+          long store = voters.get(number).store();
+          Voters held = by.voters();
+          Voters.Chair chair = held.chairs().get(number);
+          boolean sameStore = chair != null && chair.store() == store;
+          if (sameStore && chair.votes() || tries > MOST_REPLACEMENT_TRIES) {
             return;
           }
-          Voters next =
-              c != null && c.store() != s.disk.store()
-                  ? v.without(place)
-                  : v.with(place, new Voters.Chair(s.disk.store(), address(place), false));
-          if (c == null || c.store() != s.disk.store()) {
-            f.follower.wantsVoters(f.clock(), next, d -> {});
+          if (chair == null) {
+            by.proposeVoters(held.with(number, new Voters.Chair(store, address(number), false)));
+          } else if (!sameStore) {
+            by.proposeVoters(held.without(number));
           }
-          at(now.plus(Span.ofMillis(700)), () -> replaced(place, tries + 1));
+          schedule(now().plus(REPLACEMENT_RETRY), () -> replace(number, tries + 1));
         });
   }
 
-  /** Long after the last fault one leads, all know the same, and what is wanted is decided. */
-  private void checkConverged(long before) {
-    long leaders = voterNodes.stream().filter(s -> s.voter.role() == RaftNode.Role.LEADER).count();
-    if (leaders != 1) {
-      broken.add(timestamp() + leaders + " lead at the end");
-    }
-    if (acknowledged.size() <= before) {
-      broken.add(timestamp() + "nothing is decided at the end");
-    }
-    for (SimulatedFollower f : followerNodes) {
-      if (f.follower.index() < most) {
-        broken.add(timestamp() + f.number + " knows " + f.follower.index() + " of " + most);
-      }
-    }
-    Map<Long, Integer> times = new TreeMap<>();
-    values.values().forEach(v -> times.merge(v, 1, Integer::sum));
-    times.forEach(
-        (v, n) -> {
-          if (n > 1) {
-            broken.add(timestamp() + "propose " + v + " is decided " + n + " times");
-          }
-        });
-    for (long value : acknowledged) {
-      if (times.getOrDefault(value, 0) != 1) {
-        broken.add(
-            timestamp()
-                + "propose "
-                + value
-                + " was told decided, and is so "
-                + times.getOrDefault(value, 0)
-                + " times");
-      }
-    }
+  /** Long after the last fault one leads, all know the same, and what is proposed is decided. */
+  private void checkConverged(int acknowledgedBefore) {
+    judge.checkOneLeads(voters.stream().filter(SimulatedVoter::leads).count());
+    judge.checkStillDecides(acknowledgedBefore);
+    followers.forEach(f -> judge.checkKnowsAll(f.number(), f.index()));
+    judge.checkDecidedOnce();
   }
 }
--- /dev/null
+++ b/src/main/java/linengauge/consensus/explore/FaultPlan.java
@@ -0,0 +1,72 @@
+package linengauge.consensus.explore;
+
+import java.util.List;
+import linengauge.Moment;
+import linengauge.Span;
+
+/** Which faults are on at a moment, and whom they meet. */
+final class FaultPlan {
+  /** Simulated followers are numbered from here; voters are fewer. */
+  static final int FIRST_FOLLOWER = 32;
+
+  private final List<Fault> faults;
+  private final int voters;
+
+  FaultPlan(List<Fault> faults, int voters) {
+    this.faults = List.copyOf(faults);
+    this.voters = voters;
+  }
+
+  List<Fault> all() {
+    return faults;
+  }
+
+  boolean isOn(Fault.Kind kind, int number, Moment now) {
+    return faults.stream().anyMatch(f -> f.kind() == kind && f.a() == number && f.isOn(now));
+  }
+
+  /** Nothing that one sends comes to the other. */
+  boolean isCut(int from, int to, Moment now) {
+    return from != to
+        && (isOn(Fault.Kind.MUTE, from, now)
+            || isOn(Fault.Kind.DEAF, to, now)
+            || isWayCut(from, to, now));
+  }
+
+  private boolean isWayCut(int from, int to, Moment now) {
+    return faults.stream()
+        .anyMatch(
+            f ->
+                f.kind() == Fault.Kind.CUT
+                    && processOf(f.a()) == from
+                    && f.b() == to
+                    && f.isOn(now));
+  }
+
+  /** Until when that process stands still; now where it does not. */
+  Moment frozenUntil(int number, Moment now) {
+    Moment until = now;
+    for (Fault fault : faults) {
+      if (fault.kind() == Fault.Kind.FREEZE && processOf(fault.a()) == number && fault.isOn(now)) {
+        until = until.orLater(fault.to());
+      }
+    }
+    return until;
+  }
+
+  /** For how long that voter has heard nobody. */
+  Span deafFor(int number, Moment now) {
+    Span longest = Span.NONE;
+    for (Fault fault : faults) {
+      if (fault.kind() == Fault.Kind.DEAF && fault.a() == number && fault.isOn(now)) {
+        longest = longest.orMore(now.since(fault.from()));
+      }
+    }
+    return longest;
+  }
+
+  /** Those after the voters are followers. */
+  private int processOf(int number) {
+    return number < voters ? number : FIRST_FOLLOWER + number - voters;
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/consensus/explore/SimulatedFollower.java
@@ -0,0 +1,88 @@
+package linengauge.consensus.explore;
+
+import java.util.SortedMap;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import linengauge.Moment;
+import linengauge.consensus.LogFollower;
+import linengauge.consensus.RaftMessage;
+import linengauge.consensus.Voters;
+
+/** A front of a simulated cluster that follows without a vote, and proposes. */
+final class SimulatedFollower extends SimulatedProcess implements LogFollower.Port {
+  private static final long NUMBERS_A_LIFE = 1_000_000L;
+
+  private LogFollower follower;
+  private NumberLog machine;
+  private long judgedIndex;
+  private int lives;
+
+  SimulatedFollower(ClusterSimulation cluster, int number, SplittableRandom random) {
+    super(cluster, number, random);
+  }
+
+  /** Begins with nothing but the addresses of voters. */
+  void begin(SortedMap<Integer, String> addresses) {
+    machine = new NumberLog(cluster().judge()::checkApplied);
+    judgedIndex = 0;
+    lives++;
+    follower =
+        new LogFollower(
+            LogFollower.Terms.USUAL,
+            number(),
+            new TreeMap<>(addresses),
+            lives * NUMBERS_A_LIFE,
+            machine,
+            this);
+    follower.start(clock());
+    wake();
+  }
+
+  long index() {
+    return follower.index();
+  }
+
+  Voters voters() {
+    return follower.voters();
+  }
+
+  void propose(byte[] payload, Consumer<Boolean> whenDone) {
+    follower.wants(clock(), payload, whenDone::accept);
+  }
+
+  void proposeVoters(Voters next) {
+    follower.wantsVoters(clock(), next, done -> {});
+  }
+
+  void readThen(Runnable whenSure) {
+    follower.whenSure(clock(), whenSure::run);
+  }
+
+  void receive(RaftMessage message) {
+    follower.heard(clock(), message);
+  }
+
+  @Override
+  Moment next() {
+    return follower.next();
+  }
+
+  @Override
+  void step() {
+    follower.step(clock());
+  }
+
+  @Override
+  public void send(int voter, String address, RaftMessage message) {
+    cluster().sendRequest(this, voter, message);
+  }
+
+  @Override
+  void judge() {
+    ClusterJudge judge = cluster().judge();
+    judge.checkNoStepBack(number(), judgedIndex, follower.index());
+    judgedIndex = follower.index();
+    judge.checkSameState(number(), judgedIndex, machine);
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/consensus/explore/SimulatedNetwork.java
@@ -0,0 +1,71 @@
+package linengauge.consensus.explore;
+
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import linengauge.Moment;
+import linengauge.Span;
+import linengauge.consensus.RaftMessage;
+import linengauge.virtualtime.EventQueue;
+
+/** Carries messages between simulated processes: loses, delays, reorders and doubles them. */
+final class SimulatedNetwork {
+  private static final int LEAST_MICROS = 200;
+  private static final int USUAL_MICROS = 3_000;
+  private static final int LATE_MICROS = 900_000;
+  private static final int SLOW_DISK_MICROS = 150_000;
+
+  private final EventQueue time;
+  private final FaultPlan faults;
+  private final SplittableRandom random;
+  private long messages;
+  private long bytes;
+
+  SimulatedNetwork(EventQueue time, FaultPlan faults, SplittableRandom random) {
+    this.time = time;
+    this.faults = faults;
+    this.random = random;
+  }
+
+  long messages() {
+    return messages;
+  }
+
+  long bytes() {
+    return bytes;
+  }
+
+  void deliver(
+      SimulatedProcess from,
+      SimulatedProcess to,
+      RaftMessage message,
+      Consumer<RaftMessage> receiver) {
+    byte[] sent = message.bytes();
+    messages++;
+    bytes += sent.length;
+    Moment now = time.now();
+    boolean lossy = isOnEither(Fault.Kind.LOSS, from, to);
+    if (faults.isCut(from.number(), to.number(), now) || lossy && random.nextInt(10) < 3) {
+      return;
+    }
+    boolean late = isOnEither(Fault.Kind.LATE, from, to);
+    boolean slowDisk = faults.isOn(Fault.Kind.SLOW_DISK, from.number(), now);
+    int copies = random.nextInt(50) == 0 ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      int way = LEAST_MICROS + random.nextInt(late ? LATE_MICROS : USUAL_MICROS);
+      Span delay = new Span(way + (slowDisk ? SLOW_DISK_MICROS : 0));
+      time.schedule(now.plus(delay), () -> arrive(to, sent, receiver));
+    }
+  }
+
+  private boolean isOnEither(Fault.Kind kind, SimulatedProcess from, SimulatedProcess to) {
+    Moment now = time.now();
+    return faults.isOn(kind, from.number(), now) || faults.isOn(kind, to.number(), now);
+  }
+
+  private static void arrive(SimulatedProcess to, byte[] sent, Consumer<RaftMessage> receiver) {
+    if (to.isUp()) {
+      RaftMessage message = RaftMessage.read(sent);
+      to.run(() -> receiver.accept(message));
+    }
+  }
+}
--- a/src/main/java/linengauge/rehearsal/Clockwork.java
+++ b/src/main/java/linengauge/rehearsal/Clockwork.java
@@ -1,46 +1,35 @@
 package linengauge.rehearsal;
 
-import java.util.PriorityQueue;
 import linengauge.Moment;
 import linengauge.Span;
+import linengauge.virtualtime.EventQueue;
 
-/**
- * Virtual time: steps run in the order of their moments, and in that of their coming where these
- * are the same.
- */
+/** The virtual time of a rehearsal. */
 public final class Clockwork {
-  private record Step(Moment at, long number, Runnable deed) {}
-
-  private final PriorityQueue<Step> steps =
-      new PriorityQueue<>(
-          (a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
-  private Moment now;
-  private long number;
+  private final EventQueue events;
 
   public Clockwork(Moment begin) {
-    this.now = begin;
+    this.events = new EventQueue(begin);
   }
 
   public Moment now() {
-    return now;
+    return events.now();
   }
 
   /** Runs it then; now where that has passed. */
-  public void at(Moment moment, Runnable deed) {
-    steps.add(new Step(moment.orLater(now), number++, deed));
+  public void at(Moment moment, Runnable task) {
+    events.schedule(moment, task);
   }
 
-  public void after(Span span, Runnable deed) {
-    at(now.plus(span), deed);
+  public void after(Span span, Runnable task) {
+    at(now().plus(span), task);
   }
 
   /** Runs everything up to that moment. */
   public void run(Moment until) {
-    while (!steps.isEmpty() && !until.before(steps.peek().at)) {
-      Step s = steps.poll();
-      now = s.at;
-      s.deed.run();
+    while (events.nextAt() != null && !until.before(events.nextAt())) {
+      events.runNext();
     }
-    now = until.orLater(now);
+    events.advanceTo(until);
   }
 }
--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -34,7 +34,8 @@
     "linengauge.membership.explore",
     "linengauge.consensus",
     "linengauge.consensus.explore",
-    "linengauge.zones"
+    "linengauge.zones",
+    "linengauge.virtualtime"
   };
 
   @ArchTest
