--- a/src/main/java/linengauge/drill/Grounds.java
+++ b/src/main/java/linengauge/drill/Grounds.java
@@ -25,6 +25,7 @@
 import linengauge.standin.BoxFleet;
 import linengauge.standin.BoxListService;
 import linengauge.standin.PlayerCrowd;
+import linengauge.standin.StandInBox;
 import linengauge.standin.Tap;
 import linengauge.standin.WordPost;
 
@@ -266,7 +267,7 @@
             int at = day.fleet().boxes() + 1 + 4 * i;
             opened.add(post.carry(Ports.HOST, ports.get(at + 3), ports.get(at + 2)));
           }
-          for (BoxFleet.Box b : fleet.boxes()) {
+          for (StandInBox b : fleet.boxes()) {
             list.set(b.place(), "small", "serving", 0);
           }
           return Future.all(opened);
--- a/src/main/java/linengauge/drill/Troubles.java
+++ b/src/main/java/linengauge/drill/Troubles.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import linengauge.standin.BoxFleet;
+import linengauge.standin.StandInBox;
 
 /**
  * Acts out the troubles of a day on the stand-ins and front processes, each drawn from the day's
@@ -20,7 +20,7 @@
   private final List<String> failures = new ArrayList<>();
 
   /** Boxes that a trouble has down or about to restart, so that two do not fight over one. */
-  private final java.util.Set<BoxFleet.Box> taken = new java.util.HashSet<>();
+  private final java.util.Set<StandInBox> taken = new java.util.HashSet<>();
 
   private double bursting = 1;
 
@@ -52,10 +52,10 @@
     grounds.vertx.setTimer(Math.max(1, Math.round(1000 * seconds)), x -> step.run());
   }
 
-  private List<BoxFleet.Box> some(double part) {
-    List<BoxFleet.Box> all = new ArrayList<>(grounds.fleet.boxes());
+  private List<StandInBox> some(double part) {
+    List<StandInBox> all = new ArrayList<>(grounds.fleet.boxes());
     all.removeIf(b -> taken.contains(b) || !b.isUp());
-    List<BoxFleet.Box> drawn = new ArrayList<>();
+    List<StandInBox> drawn = new ArrayList<>();
     long n = Math.max(1, Math.round(part * grounds.fleet.boxes().size()));
     while (drawn.size() < n && !all.isEmpty()) {
       drawn.add(all.remove(chance.nextInt(all.size())));
@@ -147,7 +147,7 @@
       case "list_break" -> grounds.list.breakFor((int) (1000 * t.forS()));
       case "list_gap" -> {
         grounds.list.skipOne();
-        BoxFleet.Box b = grounds.fleet.boxes().get(chance.nextInt(grounds.fleet.boxes().size()));
+        StandInBox b = grounds.fleet.boxes().get(chance.nextInt(grounds.fleet.boxes().size()));
         if (b.isUp() && !taken.contains(b)) {
           list(b, "serving", 0);
           list(b, "serving", 0.2);
@@ -169,15 +169,15 @@
 
   private void on(
       DayScript.Trouble t,
-      java.util.function.Consumer<BoxFleet.Box> begin,
-      java.util.function.Consumer<BoxFleet.Box> end) {
-    for (BoxFleet.Box b : some(t.part())) {
+      java.util.function.Consumer<StandInBox> begin,
+      java.util.function.Consumer<StandInBox> end) {
+    for (StandInBox b : some(t.part())) {
       begin.accept(b);
       later(t.forS(), () -> end.accept(b));
     }
   }
 
-  private void flicker(BoxFleet.Box b, DayScript.Trouble t, long until, boolean taking) {
+  private void flicker(StandInBox b, DayScript.Trouble t, long until, boolean taking) {
     boolean over = System.nanoTime() >= until;
     b.neighbourTakes(taking && !over ? t.size() : 0);
     if (!over) {
@@ -185,11 +185,11 @@
     }
   }
 
-  private void list(BoxFleet.Box b, String state, double after) {
+  private void list(StandInBox b, String state, double after) {
     later(after, () -> grounds.list.set(b.place(), "small", state, b.startedAtMillis()));
   }
 
-  private void comeBack(BoxFleet.Box b) {
+  private void comeBack(StandInBox b) {
     b.restart();
     later(
         0.2,
@@ -203,13 +203,13 @@
    * Boxes in turns of `size`: drained, closed after `extra` seconds, started cold and listed again.
    */
   private void deploy(DayScript.Trouble t) {
-    List<BoxFleet.Box> turn = some(t.part());
+    List<StandInBox> turn = some(t.part());
     taken.addAll(turn);
     int at = 0;
     int size = Math.max(1, (int) Math.round(t.size()));
     double pace = t.forS() / Math.max(1, (turn.size() + size - 1) / size);
     for (int i = 0; i < turn.size(); i += size) {
-      for (BoxFleet.Box b : turn.subList(i, Math.min(turn.size(), i + size))) {
+      for (StandInBox b : turn.subList(i, Math.min(turn.size(), i + size))) {
         later(
             at * pace,
             () -> {
--- /dev/null
+++ b/src/main/java/linengauge/standin/MediaRates.java
@@ -0,0 +1,24 @@
+package linengauge.standin;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** What titles truly take: each lies off what the ladder says. */
+final class MediaRates {
+  private final BoxFleet.Kind kind;
+  private final SplittableRandom random;
+  private final Map<String, Double> factorOfTitle = new LinkedHashMap<>();
+
+  MediaRates(BoxFleet.Kind kind, SplittableRandom random) {
+    this.kind = kind;
+    this.random = random;
+  }
+
+  /** In kB a second; a rung beyond the ladder counts as the nearest one. */
+  double rate(String title, String pack, int rung) {
+    double ofTitle = factorOfTitle.computeIfAbsent(title, t -> 0.85 + 0.3 * random.nextDouble());
+    int nearest = Math.max(0, Math.min(rung, kind.ladderKb().length - 1));
+    return kind.ladderKb()[nearest] * kind.rateFactors().getOrDefault(pack, 1.0) * ofTitle;
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/standin/SegmentSender.java
@@ -0,0 +1,86 @@
+package linengauge.standin;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Sends the segments of one stand-in box, as fast as its link's share lets it. */
+final class SegmentSender {
+  static final int TICK_MS = 100;
+
+  /** How much faster than it plays a segment is sent where the link gives all that is asked. */
+  private static final double AHEAD = 1.25;
+
+  /** A segment on its way; bytes go out with each tick. */
+  private static final class Sending {
+    private final RunningViewing viewing;
+    private final HttpServerResponse response;
+    private double left;
+    private double due;
+
+    private Sending(RunningViewing viewing, HttpServerResponse response, double bytes) {
+      this.viewing = viewing;
+      this.response = response;
+      this.left = bytes;
+    }
+  }
+
+  private final BoxViewings viewings;
+  private final List<Sending> sending = new ArrayList<>();
+
+  SegmentSender(BoxViewings viewings) {
+    this.viewings = viewings;
+  }
+
+  void send(RunningViewing viewing, HttpServerResponse response) {
+    long bytes = Math.round(viewing.kb() * 1000);
+    response
+        .putHeader("Content-Type", "video/mp2t")
+        .putHeader("Content-Length", Long.toString(bytes))
+        .putHeader("Rung", Integer.toString(viewing.rung()));
+    sending.add(new Sending(viewing, response, bytes));
+  }
+
+  boolean isSending(RunningViewing viewing) {
+    return sending.stream().anyMatch(s -> s.viewing == viewing);
+  }
+
+  void loseAll() {
+    sending.clear();
+  }
+
+  /** Sends what is due of all segments, at that share of their rates. */
+  void tick(double share) {
+    sending.removeIf(segment -> isOver(segment) || sendDue(segment, share));
+  }
+
+  private boolean isOver(Sending segment) {
+    if (segment.response.closed() || segment.response.ended()) {
+      return true;
+    }
+    if (!viewings.runs(segment.viewing.id())) {
+      segment.response.reset();
+      return true;
+    }
+    return false;
+  }
+
+  /** True once all of the segment is sent. */
+  private static boolean sendDue(Sending segment, double share) {
+    segment.due += segment.viewing.kb() * 1000 * share * AHEAD * TICK_MS / 1000;
+    if (segment.response.writeQueueFull()) {
+      segment.due = 0; // its reader is slower than the link
+      return false;
+    }
+    int bytes = (int) Math.min(segment.left, segment.due);
+    segment.due -= bytes;
+    segment.left -= bytes;
+    segment.response.write(Buffer.buffer(new byte[bytes]));
+    if (segment.left < 1) {
+      segment.response.end();
+      return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/standin/SetUpHandler.java
@@ -0,0 +1,229 @@
+package linengauge.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Sets viewings up on one stand-in box, or fails to, as its faults and its warmth would have it.
+ */
+final class SetUpHandler {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int FAILS_AFTER_MS = 2;
+
+  /** One request for a viewing. */
+  private static final class SetUp {
+    private final HttpServerRequest request;
+    private final String id;
+    private final int front;
+    private final int tuneIn;
+    private final String title;
+    private final String pack;
+    private final int rung;
+    private boolean answered;
+
+    private SetUp(HttpServerRequest request, String id, JsonNode ask) {
+      this.request = request;
+      this.id = id;
+      this.front = ask.path("front").asInt(-1);
+      this.tuneIn = ask.path("tuneIn").asInt();
+      this.title = ask.path("title").asText();
+      this.pack = ask.path("package").asText();
+      this.rung = ask.path("rung").asInt();
+    }
+  }
+
+  private final Vertx vertx;
+  private final StandInBox box;
+  private final BoxFleet.Kind kind;
+  private final BoxViewings viewings;
+  private final MediaRates rates;
+  private final SplittableRandom random;
+  private final Tap tap;
+
+  /** When set-ups came while the box was cold; those within the time that counts. */
+  private final List<Long> coldSetUps = new ArrayList<>();
+
+  SetUpHandler(
+      Vertx vertx,
+      StandInBox box,
+      BoxFleet.Kind kind,
+      BoxViewings viewings,
+      MediaRates rates,
+      SplittableRandom random,
+      Tap tap) {
+    this.vertx = vertx;
+    this.box = box;
+    this.kind = kind;
+    this.viewings = viewings;
+    this.rates = rates;
+    this.random = random;
+    this.tap = tap;
+  }
+
+  /** The box is started. */
+  void reset() {
+    coldSetUps.clear();
+  }
+
+  void handle(HttpServerRequest request, String id, Buffer body) {
+    JsonNode ask;
+    try {
+      ask = JSON.readTree(body.getBytes());
+    } catch (IOException e) {
+      box.answer(request, 400, "");
+      return;
+    }
+    SetUp setUp = new SetUp(request, id, ask);
+    sawRequest(setUp, ask.path("key").asText(null));
+    request.response().closeHandler(v -> onClosed(setUp));
+    if (box.faults().answersNothing() || fallsWhileCold()) {
+      return;
+    }
+    if (mustTurnAway(setUp)) {
+      turnAway(setUp);
+    } else {
+      begin(setUp);
+    }
+  }
+
+  private void onClosed(SetUp setUp) {
+    if (!setUp.answered) {
+      setUp.answered = true;
+      viewings.endSetUp(setUp.id, setUp.request);
+      tap.saw(
+          "set-up-broken", "box", box.place().id(), "viewing", setUp.id, "tuneIn", setUp.tuneIn);
+    }
+  }
+
+  private boolean mustTurnAway(SetUp setUp) {
+    return box.faults().draining
+        || viewings.streams() >= kind.streams()
+        || viewings.hasEnded(setUp.id, setUp.tuneIn)
+        || viewings.runs(setUp.id);
+  }
+
+  private void turnAway(SetUp setUp) {
+    setUp.answered = true;
+    sawAnswer(setUp, "turned-away");
+    setUp.request.response().putHeader("Never-Ran", "true");
+    box.answer(setUp.request, 503, "");
+  }
+
+  private void begin(SetUp setUp) {
+    boolean fails = random.nextDouble() < box.faults().failing;
+    long ms = fails ? FAILS_AFTER_MS : drawDuration();
+    viewings.beginSetUp(setUp.id, setUp.request);
+    int life = box.life();
+    vertx.setTimer(
+        ms,
+        t -> {
+          if (setUp.answered
+              || box.life() != life
+              || !viewings.endSetUp(setUp.id, setUp.request)
+              || box.faults().answersNothing()) {
+            return;
+          }
+          if (fails) {
+            fail(setUp);
+          } else {
+            run(setUp);
+          }
+        });
+  }
+
+  private long drawDuration() {
+    double usual = kind.setUpMs() * box.faults().slower;
+    return Math.max(1, Math.round(usual * (0.5 + random.nextDouble()) / box.warmth()));
+  }
+
+  private void fail(SetUp setUp) {
+    setUp.answered = true;
+    sawAnswer(setUp, "error");
+    box.answer(setUp.request, 500, "");
+  }
+
+  private void run(SetUp setUp) {
+    double kb = rates.rate(setUp.title, setUp.pack, setUp.rung);
+    RunningViewing viewing = new RunningViewing(setUp.id, setUp.title, setUp.pack, setUp.rung, kb);
+    viewings.start(viewing);
+    if (random.nextDouble() < box.faults().answersLost) {
+      sawAnswer(setUp, "swallowed");
+      if (box.faults().resets) {
+        setUp.request.connection().close();
+      }
+      return; // it runs, and nobody hears of it
+    }
+    setUp.answered = true;
+    sawAnswer(setUp, "plays");
+    setUp.request.response().putHeader("Content-Type", "application/vnd.apple.mpegurl");
+    box.answer(setUp.request, 201, playlist(viewing));
+    if (kind.loadInAnswers()) {
+      box.tellLinkLoad(setUp.front, 0);
+    }
+  }
+
+  private String playlist(RunningViewing viewing) {
+    return box.faults().badPlaylists
+        ? StandInPlaylists.broken()
+        : StandInPlaylists.multivariant(viewing, rates, kind.ladderKb().length);
+  }
+
+  /** A cold box that is pushed falls over and stays down. */
+  private boolean fallsWhileCold() {
+    long now = System.currentTimeMillis();
+    if (!box.isCold(now)) {
+      return false;
+    }
+    coldSetUps.removeIf(at -> at < now - kind.fallAfterMs());
+    coldSetUps.add(now);
+    double pace = kind.streams() * 1000.0 / kind.coldMs() * box.warmth();
+    double most = Math.max(1, kind.fallMultiple() * pace * kind.fallAfterMs() / 1000);
+    if (coldSetUps.size() <= most) {
+      return false;
+    }
+    tap.saw("box-fell", "box", box.place().id());
+    box.vanish();
+    return true;
+  }
+
+  private void sawRequest(SetUp setUp, String key) {
+    tap.saw(
+        "set-up",
+        "box",
+        box.place().id(),
+        "viewing",
+        setUp.id,
+        "front",
+        setUp.front,
+        "tuneIn",
+        setUp.tuneIn,
+        "title",
+        setUp.title,
+        "package",
+        setUp.pack,
+        "rung",
+        setUp.rung,
+        "key",
+        key);
+  }
+
+  private void sawAnswer(SetUp setUp, String how) {
+    tap.saw(
+        "set-up-answered",
+        "box",
+        box.place().id(),
+        "viewing",
+        setUp.id,
+        "tuneIn",
+        setUp.tuneIn,
+        "how",
+        how);
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/standin/StandInBox.java
@@ -0,0 +1,360 @@
+package linengauge.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * One stand-in media box (docs/protocol/box.md): its listener, its lives, and what it answers to
+ * fronts and viewers. Its faults are set from outside, on the fleet's loop.
+ */
+public final class StandInBox {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String VIEWINGS = "/viewings/";
+  private static final long MOST_AGE_MS = 999_999_999L;
+
+  /** Below it a share is told as short. */
+  private static final double SHORT_SHARE = 0.98;
+
+  private final Vertx vertx;
+  private final BoxFleet fleet;
+  private final BoxFleet.Kind kind;
+  private final int number;
+  private final BoxFleet.Place place;
+  private final Links links;
+  private final MediaRates rates;
+  private final SplittableRandom random;
+  private final Tap tap;
+  private final BoxFaults faults = new BoxFaults();
+  private final BoxViewings viewings;
+  private final SetUpHandler setUps;
+  private final SegmentSender segments;
+  private final NoteStreams notes;
+  private final Set<HttpConnection> connections = new LinkedHashSet<>();
+  private HttpServer server;
+  private long startedAt = Long.MIN_VALUE / 2;
+  private int life = 1;
+  private boolean up;
+  private double lastShare = 1;
+
+  StandInBox(BoxFleet fleet, int number, BoxFleet.Place place) {
+    this.fleet = fleet;
+    this.vertx = fleet.vertx();
+    this.kind = fleet.kind();
+    this.number = number;
+    this.place = place;
+    this.links = fleet.links();
+    this.rates = fleet.rates();
+    this.random = fleet.random();
+    this.tap = fleet.tap();
+    this.viewings = new BoxViewings(number, links);
+    this.setUps = new SetUpHandler(vertx, this, kind, viewings, rates, random, tap);
+    this.segments = new SegmentSender(viewings);
+    this.notes = new NoteStreams(vertx, this);
+  }
+
+  public BoxFleet.Place place() {
+    return place;
+  }
+
+  public boolean isUp() {
+    return up;
+  }
+
+  /** Epoch milliseconds of a cold start; 0: long ago. */
+  public long startedAtMillis() {
+    return startedAt < 0 ? 0 : startedAt;
+  }
+
+  BoxFaults faults() {
+    return faults;
+  }
+
+  /** Counts its starts: what was begun in an earlier life comes to nothing. */
+  int life() {
+    return life;
+  }
+
+  int runningCount() {
+    return viewings.runningCount();
+  }
+
+  Future<?> listen(boolean cold) {
+    server =
+        vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true));
+    server.connectionHandler(
+        connection -> {
+          connections.add(connection);
+          connection.closeHandler(v -> connections.remove(connection));
+        });
+    server.invalidRequestHandler(request -> request.connection().close());
+    server.requestHandler(this::handle);
+    return server.listen(place.port(), place.host()).onSuccess(v -> onListening(cold));
+  }
+
+  private void onListening(boolean cold) {
+    up = true;
+    faults.draining = false;
+    faults.silent = false;
+    setUps.reset();
+    startedAt = cold ? System.currentTimeMillis() : startedAt;
+    tap.saw("box-started", "box", place.id(), "cold", cold, "streams", kind.streams());
+  }
+
+  /* ---- faults ---- */
+
+  /** Set-ups fail with this chance. */
+  public void failing(double part) {
+    faults.failing = part;
+  }
+
+  /**
+   * Set-ups run, but their answers are lost with this chance: in silence, or with the connection.
+   */
+  public void answersLost(double part, boolean byReset) {
+    faults.answersLost = part;
+    faults.resets = byReset;
+  }
+
+  /** Takes work and answers nothing. */
+  public void hung(boolean on) {
+    faults.hung = on;
+  }
+
+  /** Set-ups take so many times as long. */
+  public void slower(double times) {
+    faults.slower = times;
+  }
+
+  public void badPlaylists(boolean on) {
+    faults.badPlaylists = on;
+  }
+
+  public void draining(boolean on) {
+    faults.draining = on;
+  }
+
+  public void linkGives(double part) {
+    links.linkGives(number, part);
+  }
+
+  public void neighbourTakes(double part) {
+    links.neighbourTakes(number, part);
+  }
+
+  /** The machine is gone without a word: its sockets stay open, and nothing is answered. */
+  public void vanish() {
+    faults.silent = true;
+    loseAll();
+  }
+
+  /** The process is gone: its sockets close, connections are refused. */
+  public Future<?> close() {
+    up = false;
+    loseAll();
+    for (HttpConnection connection : List.copyOf(connections)) {
+      connection.close();
+    }
+    return server.close();
+  }
+
+  /** Started anew, cold. */
+  public void restart() {
+    life++;
+    Future<?> down = up ? close() : Future.succeededFuture();
+    down.onComplete(v -> listen(true));
+  }
+
+  private void loseAll() {
+    tap.saw("box-lost", "box", place.id());
+    viewings.loseAll();
+    notes.loseAll();
+    segments.loseAll();
+  }
+
+  /* ---- requests ---- */
+
+  private void handle(HttpServerRequest request) {
+    String path = request.path() == null ? "" : request.path();
+    request.response().exceptionHandler(e -> {});
+    String rest = path.startsWith(VIEWINGS) ? path.substring(VIEWINGS.length()) : null;
+    if (rest != null && request.method() == HttpMethod.PUT) {
+      request.body().onSuccess(body -> setUps.handle(request, rest, body));
+    } else if (rest != null && request.method() == HttpMethod.PATCH) {
+      request.body().onSuccess(body -> changeRung(request, rest, body));
+    } else if (rest != null && request.method() == HttpMethod.DELETE) {
+      end(request, rest);
+    } else if (!faults.answersNothing()) {
+      handleRead(request, path, rest);
+    }
+  }
+
+  private void handleRead(HttpServerRequest request, String path, String rest) {
+    if (path.equals("/load")) {
+      answer(request, 200, "");
+    } else if (path.equals("/notes")) {
+      notes.open(request);
+    } else if (rest != null) {
+      sendMedia(request, rest);
+    } else {
+      answer(request, 404, "");
+    }
+  }
+
+  void answer(HttpServerRequest request, int status, String text) {
+    if (!request.response().ended() && !request.response().closed()) {
+      request
+          .response()
+          .setStatusCode(status)
+          .putHeader("Load", load())
+          .putHeader("Box-Life", Integer.toString(life))
+          .putHeader("Box-Age-Ms", Long.toString(ageMs()))
+          .end(text);
+    }
+  }
+
+  private String load() {
+    double noise = 0.96 + 0.08 * random.nextDouble();
+    String link = String.format(Locale.ROOT, "link=%.3f", links.linkLoad(number) * noise);
+    String uplink =
+        kind.tellsUplink()
+            ? String.format(Locale.ROOT, "; uplink=%.3f", links.uplinkLoad(number) * noise)
+            : "";
+    return link + uplink + "; streams=" + viewings.streams();
+  }
+
+  long ageMs() {
+    return Math.min(MOST_AGE_MS, System.currentTimeMillis() - Math.max(0, startedAt));
+  }
+
+  boolean isCold(long nowMillis) {
+    return nowMillis - startedAt < kind.coldMs();
+  }
+
+  /** What part of its capacity it has: it rises from its start until it is warm. */
+  double warmth() {
+    long age = System.currentTimeMillis() - startedAt;
+    return age >= kind.coldMs()
+        ? 1
+        : kind.startCapacity() + (1 - kind.startCapacity()) * age / kind.coldMs();
+  }
+
+  private void changeRung(HttpServerRequest request, String id, Buffer body) {
+    RunningViewing viewing = viewings.get(id);
+    int rung = readRung(body);
+    tap.saw("rung", "box", place.id(), "viewing", id, "rung", rung);
+    if (faults.answersNothing()) {
+      return;
+    }
+    if (viewing == null) {
+      answer(request, 404, "");
+    } else if (rung < 0 || rung >= kind.ladderKb().length) {
+      answer(request, 400, "");
+    } else {
+      viewings.change(viewing, rung, rates.rate(viewing.title(), viewing.pack(), rung));
+      answer(request, 200, "");
+    }
+  }
+
+  /** -1 where it cannot be read. */
+  private static int readRung(Buffer body) {
+    try {
+      return JSON.readTree(body.getBytes()).path("rung").asInt(-1);
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  private void end(HttpServerRequest request, String id) {
+    tap.saw("ended", "box", place.id(), "viewing", id, "why", "asked");
+    if (faults.answersNothing()) {
+      return;
+    }
+    String tuneIn = request.getParam("tuneIn");
+    viewings.markEnded(id, tuneIn == null ? Integer.MAX_VALUE : Integer.parseInt(tuneIn));
+    RunningViewing viewing = viewings.get(id);
+    if (viewing != null) {
+      viewings.stop(viewing);
+    }
+    answer(request, viewing == null ? 404 : 204, "");
+  }
+
+  private void sendMedia(HttpServerRequest request, String rest) {
+    int slash = rest.indexOf('/');
+    RunningViewing viewing = slash < 0 ? null : viewings.get(rest.substring(0, slash));
+    if (viewing == null) {
+      answer(request, 410, "");
+      return;
+    }
+    viewing.markAsked();
+    String file = rest.substring(slash + 1);
+    if (file.equals("media.m3u8")) {
+      answer(request, 200, StandInPlaylists.media());
+    } else if (file.matches("segments/[0-9]{1,3}\\.ts")) {
+      segments.send(viewing, request.response());
+    } else {
+      answer(request, 404, "");
+    }
+  }
+
+  /* ---- time ---- */
+
+  void tick() {
+    if (!faults.answersNothing()) {
+      segments.tick(links.share(number));
+    }
+  }
+
+  void everySecond() {
+    if (faults.answersNothing() || !up) {
+      return;
+    }
+    long now = System.currentTimeMillis();
+    endLeases(now);
+    tellNotes(now);
+  }
+
+  private void endLeases(long now) {
+    for (RunningViewing viewing : viewings.all()) {
+      if (!segments.isSending(viewing) && now - viewing.askedAt() > kind.leaseMs()) {
+        tap.saw("ended", "box", place.id(), "viewing", viewing.id(), "why", "lease");
+        viewings.markEnded(viewing.id(), Integer.MAX_VALUE);
+        viewings.stop(viewing);
+      }
+    }
+  }
+
+  private void tellNotes(long now) {
+    double share = 0.5 * lastShare + 0.5 * links.share(number);
+    boolean tellsShare = share < SHORT_SHARE || lastShare < SHORT_SHARE;
+    lastShare = share;
+    int tellSeconds = Math.max(1, kind.tellMs() / 1000);
+    boolean tellsLoad = kind.tellMs() > 0 && (now / 1000 + number) % tellSeconds == 0;
+    int delayMs = kind.seeMs() + fleet.extraNoteMs();
+    String note =
+        tellsShare ? String.format(Locale.ROOT, "{\"share\":%.3f}", Math.min(1, share)) : "";
+    for (int front : notes.fronts()) {
+      notes.send(front, note, delayMs);
+      if (tellsLoad) {
+        tellLinkLoad(front, delayMs);
+      }
+    }
+  }
+
+  void tellLinkLoad(int front, int delayMs) {
+    notes.send(
+        front, String.format(Locale.ROOT, "{\"link\":%.3f}", links.linkLoad(number)), delayMs);
+  }
+}
