FrontProgram is split: desk loop, control listener, pairing, members, datagrams, keys

No change of behaviour. FrontSocketsTest, SlowSocketsTest, SharedAddressTest, MembersTest, RulesTest and ArchitectureTest pass.

--- /dev/null
+++ b/src/main/java/linengauge/front/KeyFile.java
@@ -0,0 +1,33 @@
+package linengauge.front;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Keys that fronts share, each in a file of its own. */
+final class KeyFile {
+  /** A key that can be guessed is none. */
+  private static final int SHORTEST_KEY = 16;
+
+  private KeyFile() {}
+
+  /**
+   * The key that the file holds, without white space round it.
+   *
+   * @param named the site file's name for the file, to say what is wrong
+   */
+  static byte[] read(String file, String named) throws IOException {
+    String text;
+    try {
+      text = new String(Files.readAllBytes(Path.of(file)), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new IOException(named + " cannot be read: " + e.getMessage(), e);
+    }
+    byte[] key = text.strip().getBytes(StandardCharsets.UTF_8);
+    if (key.length < SHORTEST_KEY) {
+      throw new IOException(named + " holds a key of fewer than " + SHORTEST_KEY + " bytes");
+    }
+    return key;
+  }
+}
