--- a/src/main/java/linengauge/drill/DayScript.java
+++ b/src/main/java/linengauge/drill/DayScript.java
@@ -44,8 +44,13 @@
       int tellMs,
       boolean loadInAnswers) {}
 
+  /**
+   * The fronts under test: how many, their loops, the viewings of each, and how long they may stop
+   * for.
+   */
   public record Fronts(int count, int loops, int viewings, int stopMs) {}
 
+  /** A package that viewers ask for: its share of them, what it is worth, and their patience. */
   public record Wanted(
       String name,
       double share,
@@ -86,6 +91,7 @@
     }
   }
 
+  /** The box list: how late it tells. */
   public record ListPlan(int lateMs) {}
 
   /**
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -55,10 +55,15 @@
     }
   }
 
+  /**
+   * This front: its number in the fleet, its building, and where it listens; words may be absent.
+   */
   public record Front(int number, String building, String viewers, String control, String words) {}
 
+  /** All fronts: how many, where each hears datagrams, and how many a second of one are read. */
   public record Fronts(int count, Map<String, String> words, int wordsPerSecond) {}
 
+  /** One rung of the ladder: its rate, and what a second of it is worth. */
   public record Rung(double kb, double value) {}
 
   /** rateFactor, rungs, seats and payment may be absent: 1, the whole ladder, 0, false. */
@@ -72,8 +77,10 @@
       Integer seats,
       Boolean paidAtSetUp) {}
 
+  /** A kind of box: how many streams it takes. */
   public record Kind(String name, int streams) {}
 
+  /** The boxes and the links that they share, in kB a second. */
   public record Fleet(
       int cells,
       int racks,
@@ -83,6 +90,7 @@
       double uplinkKb,
       int shareLatenessMs) {}
 
+  /** How boxes warm up, fall and drain, and how many further tune-ins are free. */
   public record Rules(
       int coldMs,
       double startCapacity,
@@ -93,6 +101,7 @@
       double furtherShare,
       int furtherMs) {}
 
+  /** What the operators permit a front, and what it costs. */
   public record Permits(
       int tuneIns,
       boolean messages,
@@ -102,13 +111,17 @@
       double crossingPrice,
       int longestAdviceMs) {}
 
+  /** A title that is held by so many cells in a row, from the first on. */
   public record Held(String name, int first, int inRow) {}
 
+  /** Which cells hold which titles; anywhere: titles that are not named may be asked for too. */
   public record Titles(boolean anywhere, List<Held> cells) {}
 
+  /** The service that tells of boxes, and how a front follows it. */
   public record BoxList(
       String address, int retryFirstMs, int retryMostMs, int silenceMs, int lineBytes) {}
 
+  /** The listeners for viewers: their bounds, each connection's and all of them together. */
   public record Viewers(
       int loops,
       int connections,
@@ -147,8 +160,10 @@
       int letGoLeast,
       double letGoPerMover) {}
 
+  /** The listener for operators, with bounds of its own. */
   public record Control(int connections, int idleMs, int requestLineBytes, int headerBytes) {}
 
+  /** Calls to boxes: connections, waits, tries, and how much is read. */
   public record Boxes(
       int connectMs,
       int connections,
@@ -171,6 +186,7 @@
       int notesLingerMs,
       int noteBytes) {}
 
+  /** What the desk holds and how long it waits, at the most. */
   public record DeskBounds(
       int viewings,
       int idleMs,
@@ -256,6 +272,7 @@
   public record Members(
       String listen, List<String> seeds, String keyFile, int region, int periodMs) {}
 
+  /** How long what plays may go on once the front is told to stop. */
   public record Stop(int playingMs) {}
 
   /** What the module is told at its start. */
--- a/src/test/java/linengauge/membership/MemberProcessesTest.java
+++ b/src/test/java/linengauge/membership/MemberProcessesTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -213,7 +214,7 @@
         byte[] b = new byte[chance.nextInt(1, 1500)];
         chance.nextBytes(b);
         if (b.length > 6 && i % 2 == 0) {
-          b[2] = b[3] = b[4] = 0; // a number that could be
+          Arrays.fill(b, 2, 5, (byte) 0); // a number that could be
         }
         noise.send(
             new DatagramPacket(
--- a/src/test/java/linengauge/zones/ZonesTest.java
+++ b/src/test/java/linengauge/zones/ZonesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -164,7 +165,7 @@
 
   @Test
   void aZoneThatIsFullTakesNothingIn() {
-    asked[0] = asked[1] = asked[2] = 900;
+    Arrays.fill(asked, 0, 3, 900);
     pass(5, lost());
     pass(3, lost(3));
     assertEquals(Standing.GIVEN_UP, table.row(3).standing());
