--- a/src/main/java/linengauge/consensus/LogFollower.java
+++ b/src/main/java/linengauge/consensus/LogFollower.java
@@ -8,17 +8,17 @@
 
 /**
  * One front that follows the council without a vote: asks one voter for what has been decided
- * since, has its own wishes decided, and knows how old its word is. It never goes back: what it
+ * since, has its own proposals decided, and knows how old its word is. It never goes back: what it
  * holds has a number, and only the next one follows.
  */
 public final class LogFollower {
   /** What it acts through. */
   public interface Port {
     /** To that voter, at that address; to be lost if need be. */
-    void send(int voter, String address, RaftMessage word);
+    void send(int voter, String address, RaftMessage message);
   }
 
-  /** A wish on its way; its end is a call on it, once. */
+  /** A proposal on its way; its end is a call on it, once. */
   public interface Proposal {
     /** CommittedLog, or given up on: then it may still be decided. */
     void ended(boolean decided);
@@ -33,42 +33,42 @@
         new Terms(Span.ofMillis(200), Span.ofMillis(700), Span.ofSeconds(10));
   }
 
-  private static final int MOST_WISHES = 64;
+  private static final int MOST_WAITING = 64;
 
   /** Two that each name the other are not asked in turn without a pause. */
   private static final int MOST_HOPS = 3;
 
-  private static final class Open {
+  private static final class PendingProposal {
     private final Entry entry;
-    private final Proposal wish;
+    private final Proposal proposal;
     private final Moment until;
     private Moment askAt;
     private boolean unanswered;
 
-    private Open(Entry entry, Proposal wish, Moment until, Moment askAt) {
+    private PendingProposal(Entry entry, Proposal proposal, Moment until, Moment askAt) {
       this.entry = entry;
-      this.wish = wish;
+      this.proposal = proposal;
       this.until = until;
       this.askAt = askAt;
     }
   }
 
   /** Somebody waits to know that all decided before it asked is known here. */
-  private static final class Reader {
+  private static final class PendingRead {
     private final Runnable then;
     private final Moment until;
     private long request;
     private Moment askAt;
     private boolean unanswered;
 
-    private Reader(Runnable then, Moment until, Moment askAt) {
+    private PendingRead(Runnable then, Moment until, Moment askAt) {
       this.then = then;
       this.until = until;
       this.askAt = askAt;
     }
   }
 
-  private record Ready(long index, Reader reader) {}
+  private record ReadyRead(long index, PendingRead reader) {}
 
   private final Terms terms;
   private final int own;
@@ -76,52 +76,52 @@
   private final CommittedLog decided;
 
   /** Where the voters of the site file are, until the council itself names others. */
-  private final TreeMap<Integer, String> first;
+  private final TreeMap<Integer, String> firstAddresses;
 
-  private final TreeMap<Long, Open> wishes = new TreeMap<>();
-  private final List<Reader> readers = new ArrayList<>();
+  private final TreeMap<Long, PendingProposal> proposals = new TreeMap<>();
+  private final List<PendingRead> reads = new ArrayList<>();
 
   /**
    * Told how far to wait, in no order; each leaves as that far is known, or as its time is over.
    */
-  private final List<Ready> readable = new ArrayList<>();
+  private final List<ReadyRead> readyReads = new ArrayList<>();
 
   private Moment now;
   private Moment askAt;
-  private Moment heardAt;
+  private Moment freshAt;
   private Moment sureAt = Moment.DISTANT_PAST;
-  private int asked;
-  private int turn;
+  private int askedVoter;
+  private int nextTurn;
   private int leader = -1;
   private int hops;
   private long request;
   private long number;
 
   /**
-   * @param firstNumber of its wishes, higher than in any earlier life: the wall's clock in
+   * @param firstNumber of its proposals, higher than in any earlier life: the wall's clock in
    *     microseconds
    */
   public LogFollower(
       Terms terms,
       int own,
-      TreeMap<Integer, String> first,
+      TreeMap<Integer, String> firstAddresses,
       long firstNumber,
       StateMachine machine,
       Port port) {
     this.terms = terms;
     this.own = own;
-    this.first = first;
+    this.firstAddresses = firstAddresses;
     this.port = port;
     this.number = firstNumber;
     this.decided = new CommittedLog(machine);
-    this.turn = own;
+    this.nextTurn = own;
   }
 
   public void start(Moment at) {
     now = at;
     askAt = at;
-    heardAt = at;
-    asked = nextVoter();
+    freshAt = at;
+    askedVoter = nextVoter();
     step(at);
   }
 
@@ -139,7 +139,7 @@
 
   /** The voter that it asks, or -1. */
   public int asks() {
-    return asked;
+    return askedVoter;
   }
 
   /** Who leads the council, as it was last told; -1. */
@@ -152,26 +152,27 @@
   }
 
   /** Wants something decided; false where too much waits. */
-  public boolean wants(Moment at, byte[] decision, Proposal wish) {
-    return wants(at, Entry.Kind.DECISION, decision, wish);
+  public boolean wants(Moment at, byte[] decision, Proposal proposal) {
+    return propose(at, Entry.Kind.DECISION, decision, proposal);
   }
 
   /**
-   * Wants other voters. Whether they have come to be shows in {@link #voters}: the wish ends once
-   * it is placed.
+   * Wants other voters. Whether they have come to be shows in {@link #voters}: the proposal ends
+   * once it is placed.
    */
-  public boolean wantsVoters(Moment at, Voters next, Proposal wish) {
-    return wants(at, Entry.Kind.VOTERS, next.bytes(), wish);
+  public boolean wantsVoters(Moment at, Voters next, Proposal proposal) {
+    return propose(at, Entry.Kind.VOTERS, next.bytes(), proposal);
   }
 
-  private boolean wants(Moment at, Entry.Kind kind, byte[] payload, Proposal wish) {
+  private boolean propose(Moment at, Entry.Kind kind, byte[] payload, Proposal proposal) {
     now = at;
-    if (wishes.size() >= MOST_WISHES) {
+    if (proposals.size() >= MOST_WAITING) {
       return false;
     }
-    Open o =
-        new Open(new Entry(0, kind, own, number++, payload), wish, now.plus(terms.wishes()), now);
-    wishes.put(o.entry.number(), o);
+    PendingProposal o =
+        new PendingProposal(
+            new Entry(0, kind, own, number++, payload), proposal, now.plus(terms.wishes()), now);
+    proposals.put(o.entry.number(), o);
     step(at);
     return true;
   }
@@ -182,10 +183,10 @@
    */
   public boolean whenSure(Moment at, Runnable then) {
     now = at;
-    if (readers.size() + readable.size() >= MOST_WISHES) {
+    if (reads.size() + readyReads.size() >= MOST_WAITING) {
       return false;
     }
-    readers.add(new Reader(then, now.plus(terms.wishes()), now));
+    reads.add(new PendingRead(then, now.plus(terms.wishes()), now));
     step(at);
     return true;
   }
@@ -193,11 +194,11 @@
   /** The moment at which it wants to be stepped, at the latest. */
   public Moment next() {
     Moment next = askAt;
-    if (!wishes.isEmpty()) {
-      Open o = wishes.firstEntry().getValue();
+    if (!proposals.isEmpty()) {
+      PendingProposal o = proposals.firstEntry().getValue();
       next = o.askAt.before(next) ? o.askAt : next;
     }
-    for (Reader r : readers) {
+    for (PendingRead r : reads) {
       next = r.askAt.before(next) ? r.askAt : next;
     }
     return next;
@@ -205,39 +206,39 @@
 
   public void step(Moment at) {
     now = at;
-    if (!now.before(heardAt.plus(terms.silent()))) {
-      asked = nextVoter();
-      heardAt = now;
+    if (!now.before(freshAt.plus(terms.silent()))) {
+      askedVoter = nextVoter();
+      freshAt = now;
       askAt = now;
     }
     if (!now.before(askAt)) {
       askAt = now.plus(terms.ask());
       send(
-          asked,
+          askedVoter,
           RaftMessage.of(RaftMessage.Kind.FOLLOW, own, 0, 0)
               .at(decided.index(), 0)
               .round(++request));
     }
-    for (Open o : List.copyOf(wishes.values())) {
+    for (PendingProposal o : List.copyOf(proposals.values())) {
       if (!now.before(o.until)) {
-        ended(o, false);
+        end(o, false);
       }
     }
     // One at a time: a later one that is decided first would have the earlier one passed over as an
     // old one.
-    Open first = wishes.isEmpty() ? null : wishes.firstEntry().getValue();
-    if (first != null && !now.before(first.askAt)) {
-      leader = first.unanswered ? -1 : leader; // it may be gone: whoever is followed knows better
-      first.unanswered = true;
-      first.askAt = now.plus(terms.silent());
+    PendingProposal oldest = proposals.isEmpty() ? null : proposals.firstEntry().getValue();
+    if (oldest != null && !now.before(oldest.askAt)) {
+      leader = oldest.unanswered ? -1 : leader; // it may be gone: whoever is followed knows better
+      oldest.unanswered = true;
+      oldest.askAt = now.plus(terms.silent());
       send(
           RaftMessage.of(RaftMessage.Kind.PROPOSE, own, 0, 0)
-              .round(first.entry.number())
-              .with(List.of(first.entry)));
+              .round(oldest.entry.number())
+              .with(List.of(oldest.entry)));
     }
-    readers.removeIf(r -> !now.before(r.until));
-    readable.removeIf(r -> !now.before(r.reader().until));
-    for (Reader r : readers) {
+    reads.removeIf(r -> !now.before(r.until));
+    readyReads.removeIf(r -> !now.before(r.reader().until));
+    for (PendingRead r : reads) {
       if (!now.before(r.askAt)) {
         leader = r.unanswered ? -1 : leader;
         r.unanswered = true;
@@ -249,73 +250,75 @@
   }
 
   /** To the leader, as far as it is known. */
-  private void send(RaftMessage w) {
-    send(leader >= 0 ? leader : asked, w);
+  private void send(RaftMessage message) {
+    send(leader >= 0 ? leader : askedVoter, message);
   }
 
   private int nextVoter() {
     List<Integer> all =
         new ArrayList<>(
-            decided.voters().chairs().isEmpty() ? first.keySet() : decided.voters().voting());
+            decided.voters().chairs().isEmpty()
+                ? firstAddresses.keySet()
+                : decided.voters().voting());
     if (all.isEmpty()) {
       return -1;
     }
-    return all.get(Math.floorMod(turn++, all.size()));
+    return all.get(Math.floorMod(nextTurn++, all.size()));
   }
 
-  private void send(int voter, RaftMessage w) {
+  private void send(int voter, RaftMessage message) {
     Voters.Chair c = decided.voters().chairs().get(voter);
-    String address = c == null ? first.get(voter) : c.address();
+    String address = c == null ? firstAddresses.get(voter) : c.address();
     if (address != null) {
-      port.send(voter, address, w);
+      port.send(voter, address, message);
     }
   }
 
-  public void heard(Moment at, RaftMessage w) {
+  public void heard(Moment at, RaftMessage message) {
     now = at;
-    switch (w.kind()) {
+    switch (message.kind()) {
       case FOLLOWED -> {
-        long i = w.index();
-        for (Entry e : w.entries()) {
+        long i = message.index();
+        for (Entry e : message.entries()) {
           if (++i == decided.index() + 1) {
             decided.apply(i, e);
           }
         }
-        fresh(w);
-        came(w);
+        noteFreshness(message);
+        onProgress(message);
       }
       case REPLACED -> {
-        if (w.index() > decided.index()) {
-          decided.restore(w.index(), w.whole());
+        if (message.index() > decided.index()) {
+          decided.restore(message.index(), message.whole());
         }
-        fresh(w);
-        came(w);
+        noteFreshness(message);
+        onProgress(message);
       }
       case PLACED -> {
-        Open o = wishes.get(w.round());
-        boolean elsewhere = leads(w);
-        if (o != null && w.yes() && o.entry.kind() == Entry.Kind.DECISION) {
+        PendingProposal o = proposals.get(message.round());
+        boolean elsewhere = learnLeader(message);
+        if (o != null && message.yes() && o.entry.kind() == Entry.Kind.DECISION) {
           o.unanswered = false;
-        } else if (o != null && w.yes()) {
-          ended(o, true);
-        } else if (o != null && !w.yes()) {
+        } else if (o != null && message.yes()) {
+          end(o, true);
+        } else if (o != null && !message.yes()) {
           o.unanswered = false;
           o.askAt = elsewhere ? now : now.plus(terms.ask());
         }
       }
       case READABLE -> {
-        boolean elsewhere = leads(w);
-        for (Reader r : List.copyOf(readers)) {
-          if (r.request == w.round() && w.yes()) {
-            readers.remove(r);
-            readable.add(new Ready(w.index(), r));
+        boolean elsewhere = learnLeader(message);
+        for (PendingRead r : List.copyOf(reads)) {
+          if (r.request == message.round() && message.yes()) {
+            reads.remove(r);
+            readyReads.add(new ReadyRead(message.index(), r));
             askAt = now;
-          } else if (r.request == w.round()) {
+          } else if (r.request == message.round()) {
             r.unanswered = false;
             r.askAt = elsewhere ? now : now.plus(terms.ask());
           }
         }
-        sure();
+        runReadyReads();
       }
       default -> {
         // nothing else is told to whoever follows
@@ -325,48 +328,49 @@
   }
 
   /** Takes whom it names as the leader; true where that is somebody else, to be asked at once. */
-  private boolean leads(RaftMessage w) {
-    leader = w.yes() ? w.from() : (int) Math.min(w.index(), 0xffff);
-    return !w.yes() && leader >= 0 && leader != w.from() && hops++ < MOST_HOPS;
+  private boolean learnLeader(RaftMessage message) {
+    leader = message.yes() ? message.from() : (int) Math.min(message.index(), 0xffff);
+    return !message.yes() && leader >= 0 && leader != message.from() && hops++ < MOST_HOPS;
   }
 
-  private void fresh(RaftMessage w) {
+  private void noteFreshness(RaftMessage message) {
     hops = 0;
     // Guards against a voter that answers and is itself cut off, or votes no more: another is
     // asked. It could hurt where the
     // council has no majority: then one after another is asked, each for as long.
-    heardAt = w.age() < terms.silent().times(2).micros() ? now : heardAt;
-    if (decided.index() >= w.commit()) {
+    freshAt = message.age() < terms.silent().times(2).micros() ? now : freshAt;
+    if (decided.index() >= message.commit()) {
       sureAt =
           sureAt.orLater(
-              now.minus(new Span(Math.max(0, Math.min(w.age(), Span.ofSeconds(3600).micros())))));
+              now.minus(
+                  new Span(Math.max(0, Math.min(message.age(), Span.ofSeconds(3600).micros())))));
     }
   }
 
-  /** More is there than one word held: it is asked for at once. */
-  private void came(RaftMessage w) {
-    if (decided.index() < w.commit()) {
+  /** More is there than one message held: it is asked for at once. */
+  private void onProgress(RaftMessage message) {
+    if (decided.index() < message.commit()) {
       askAt = now;
     }
-    for (Open o : List.copyOf(wishes.values())) {
+    for (PendingProposal o : List.copyOf(proposals.values())) {
       if (o.entry.number() <= decided.lastOf(own) && o.entry.kind() == Entry.Kind.DECISION) {
-        ended(o, true);
+        end(o, true);
       }
     }
-    sure();
+    runReadyReads();
   }
 
-  private void sure() {
-    for (Ready r : List.copyOf(readable)) {
+  private void runReadyReads() {
+    for (ReadyRead r : List.copyOf(readyReads)) {
       if (r.index() <= decided.index()) {
-        readable.remove(r);
+        readyReads.remove(r);
         r.reader().then.run();
       }
     }
   }
 
-  private void ended(Open o, boolean done) {
-    wishes.remove(o.entry.number());
-    o.wish.ended(done);
+  private void end(PendingProposal o, boolean done) {
+    proposals.remove(o.entry.number());
+    o.proposal.ended(done);
   }
 }
