--- a/src/main/java/linengauge/consensus/LogFollower.java
+++ b/src/main/java/linengauge/consensus/LogFollower.java
@@ -68,7 +68,7 @@
     }
   }
 
-  private record ReadyRead(long index, PendingRead reader) {}
+  private record ReadyRead(long index, PendingRead read) {}
 
   private final Terms terms;
   private final int own;
@@ -206,6 +206,20 @@
 
   public void step(Moment at) {
     now = at;
+    follow();
+    for (PendingProposal pending : List.copyOf(proposals.values())) {
+      if (!now.before(pending.until)) {
+        end(pending, false);
+      }
+    }
+    sendOldestProposal();
+    reads.removeIf(read -> !now.before(read.until));
+    readyReads.removeIf(ready -> !now.before(ready.read().until));
+    sendReads();
+  }
+
+  /** Asks one voter for what has been decided since; another where that one is silent. */
+  private void follow() {
     if (!now.before(freshAt.plus(terms.silent()))) {
       askedVoter = nextVoter();
       freshAt = now;
@@ -213,44 +227,47 @@
     }
     if (!now.before(askAt)) {
       askAt = now.plus(terms.ask());
+      request++;
       send(
           askedVoter,
-          RaftMessage.of(RaftMessage.Kind.FOLLOW, own, 0, 0)
-              .at(decided.index(), 0)
-              .round(++request));
-    }
-    for (PendingProposal o : List.copyOf(proposals.values())) {
-      if (!now.before(o.until)) {
-        end(o, false);
-      }
+          RaftMessage.of(RaftMessage.Kind.FOLLOW, own, 0, 0).at(decided.index(), 0).round(request));
     }
-    // One at a time: a later one that is decided first would have the earlier one passed over as an
-    // old one.
+  }
+
+  /**
+   * One at a time: a later one that is decided first would have the earlier one passed over as an
+   * old one.
+   */
+  private void sendOldestProposal() {
     PendingProposal oldest = proposals.isEmpty() ? null : proposals.firstEntry().getValue();
-    if (oldest != null && !now.before(oldest.askAt)) {
-      leader = oldest.unanswered ? -1 : leader; // it may be gone: whoever is followed knows better
-      oldest.unanswered = true;
-      oldest.askAt = now.plus(terms.silent());
-      send(
-          RaftMessage.of(RaftMessage.Kind.PROPOSE, own, 0, 0)
-              .round(oldest.entry.number())
-              .with(List.of(oldest.entry)));
+    if (oldest == null || now.before(oldest.askAt)) {
+      return;
     }
-    reads.removeIf(r -> !now.before(r.until));
-    readyReads.removeIf(r -> !now.before(r.reader().until));
-    for (PendingRead r : reads) {
-      if (!now.before(r.askAt)) {
-        leader = r.unanswered ? -1 : leader;
-        r.unanswered = true;
-        r.askAt = now.plus(terms.silent());
-        r.request = ++request;
-        send(RaftMessage.of(RaftMessage.Kind.READ, own, 0, 0).round(request));
+    leader = oldest.unanswered ? -1 : leader; // it may be gone: whoever is followed knows better
+    oldest.unanswered = true;
+    oldest.askAt = now.plus(terms.silent());
+    sendToLeader(
+        RaftMessage.of(RaftMessage.Kind.PROPOSE, own, 0, 0)
+            .round(oldest.entry.number())
+            .with(List.of(oldest.entry)));
+  }
+
+  private void sendReads() {
+    for (PendingRead read : reads) {
+      if (now.before(read.askAt)) {
+        continue;
       }
+      leader = read.unanswered ? -1 : leader;
+      read.unanswered = true;
+      read.askAt = now.plus(terms.silent());
+      request++;
+      read.request = request;
+      sendToLeader(RaftMessage.of(RaftMessage.Kind.READ, own, 0, 0).round(request));
     }
   }
 
   /** To the leader, as far as it is known. */
-  private void send(RaftMessage message) {
+  private void sendToLeader(RaftMessage message) {
     send(leader >= 0 ? leader : askedVoter, message);
   }
 
@@ -274,52 +291,14 @@
     }
   }
 
+  /** A voter has answered. */
   public void heard(Moment at, RaftMessage message) {
     now = at;
     switch (message.kind()) {
-      case FOLLOWED -> {
-        long i = message.index();
-        for (Entry e : message.entries()) {
-          if (++i == decided.index() + 1) {
-            decided.apply(i, e);
-          }
-        }
-        noteFreshness(message);
-        onProgress(message);
-      }
-      case REPLACED -> {
-        if (message.index() > decided.index()) {
-          decided.restore(message.index(), message.whole());
-        }
-        noteFreshness(message);
-        onProgress(message);
-      }
-      case PLACED -> {
-        PendingProposal o = proposals.get(message.round());
-        boolean elsewhere = learnLeader(message);
-        if (o != null && message.yes() && o.entry.kind() == Entry.Kind.DECISION) {
-          o.unanswered = false;
-        } else if (o != null && message.yes()) {
-          end(o, true);
-        } else if (o != null && !message.yes()) {
-          o.unanswered = false;
-          o.askAt = elsewhere ? now : now.plus(terms.ask());
-        }
-      }
-      case READABLE -> {
-        boolean elsewhere = learnLeader(message);
-        for (PendingRead r : List.copyOf(reads)) {
-          if (r.request == message.round() && message.yes()) {
-            reads.remove(r);
-            readyReads.add(new ReadyRead(message.index(), r));
-            askAt = now;
-          } else if (r.request == message.round()) {
-            r.unanswered = false;
-            r.askAt = elsewhere ? now : now.plus(terms.ask());
-          }
-        }
-        runReadyReads();
-      }
+      case FOLLOWED -> onEntries(message);
+      case REPLACED -> onSnapshot(message);
+      case PLACED -> onPlaced(message);
+      case READABLE -> onReadable(message);
       default -> {
         // nothing else is told to whoever follows
       }
@@ -327,6 +306,67 @@
     step(at);
   }
 
+  private void onEntries(RaftMessage message) {
+    long index = message.index();
+    for (Entry entry : message.entries()) {
+      index++;
+      if (index == decided.index() + 1) {
+        decided.apply(index, entry);
+      }
+    }
+    noteFreshness(message);
+    onProgress(message);
+  }
+
+  private void onSnapshot(RaftMessage message) {
+    if (message.index() > decided.index()) {
+      decided.restore(message.index(), message.whole());
+    }
+    noteFreshness(message);
+    onProgress(message);
+  }
+
+  /** Its proposal was placed in the leader's log, or refused. */
+  private void onPlaced(RaftMessage message) {
+    boolean elsewhere = learnLeader(message);
+    PendingProposal pending = proposals.get(message.round());
+    if (pending == null) {
+      return;
+    }
+    if (message.yes() && pending.entry.kind() == Entry.Kind.VOTERS) {
+      end(pending, true);
+      return;
+    }
+    pending.unanswered = false;
+    if (!message.yes()) {
+      pending.askAt = retryAt(elsewhere);
+    }
+  }
+
+  /** Its question how far all is decided was answered, or refused. */
+  private void onReadable(RaftMessage message) {
+    boolean elsewhere = learnLeader(message);
+    for (PendingRead read : List.copyOf(reads)) {
+      if (read.request != message.round()) {
+        continue;
+      }
+      if (message.yes()) {
+        reads.remove(read);
+        readyReads.add(new ReadyRead(message.index(), read));
+        askAt = now;
+      } else {
+        read.unanswered = false;
+        read.askAt = retryAt(elsewhere);
+      }
+    }
+    runReadyReads();
+  }
+
+  /** Refused: asked again at once where another leads, or else with the next question. */
+  private Moment retryAt(boolean elsewhere) {
+    return elsewhere ? now : now.plus(terms.ask());
+  }
+
   /** Takes whom it names as the leader; true where that is somebody else, to be asked at once. */
   private boolean learnLeader(RaftMessage message) {
     leader = message.yes() ? message.from() : (int) Math.min(message.index(), 0xffff);
@@ -336,8 +376,8 @@
   private void noteFreshness(RaftMessage message) {
     hops = 0;
     // Guards against a voter that answers and is itself cut off, or votes no more: another is
-    // asked. It could hurt where the
-    // council has no majority: then one after another is asked, each for as long.
+    // asked. It could hurt where the council has no majority: then one after another is asked, each
+    // for as long.
     freshAt = message.age() < terms.silent().times(2).micros() ? now : freshAt;
     if (decided.index() >= message.commit()) {
       sureAt =
@@ -364,7 +404,7 @@
     for (ReadyRead r : List.copyOf(readyReads)) {
       if (r.index() <= decided.index()) {
         readyReads.remove(r);
-        r.reader().then.run();
+        r.read().then.run();
       }
     }
   }
