--- a/src/main/java/linengauge/consensus/tcp/ConsensusNode.java
+++ b/src/main/java/linengauge/consensus/tcp/ConsensusNode.java
@@ -40,28 +40,70 @@
  */
 public final class ConsensusNode implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(ConsensusNode.class);
-  private static final int MOST_CONNECTIONS = 512;
-  private static final int MOST_UNPROVEN = 64;
+
+  /** One in so many connections may be of a side that has not shown the key yet. */
+  private static final int PROVEN_FOR_UNPROVEN = 8;
+
+  private static final int ACCEPTED_AT_ONCE = 64;
   private static final int MOST_ADDRESSES = 64;
   private static final int MOST_UNSENT = 2 * RaftMessage.MOST;
   private static final int MOST_DEEDS = 256;
   private static final int READ_BYTES = 64 * 1024;
   private static final Span PROVEN = Span.ofSeconds(2);
+
+  /** Between two looks at all connections: with hundreds of them, not with each turn. */
+  private static final Span TIDY = Span.ofMillis(100);
+
   private static final Span IDLE = Span.ofSeconds(30);
   private static final Span AGAIN = Span.ofMillis(100);
   private static final Span AGAIN_AT_MOST = Span.ofSeconds(1);
   private static final long LONGEST_WAIT_MS = 1000;
 
-  /** What it is told at its start. */
+  /**
+   * What it is told at its start.
+   *
+   * @param listen null: it takes no connections, as a front that follows only
+   * @param mostFollowers connections at the most. Guards against a storm of connections that fills
+   *     memory and descriptors. It hurts where more fronts follow one voter than it says: with
+   *     fronts in the thousands it has to hold all that are left to the voters that remain. An
+   *     eighth of it may be of sides that have not shown the key yet.
+   */
   public record Settings(
       int number,
       String listen,
       TreeMap<Integer, String> voters,
       byte[] key,
       RaftSettings voting,
-      LogFollower.Terms following) {}
+      LogFollower.Terms following,
+      int mostFollowers) {
+    /** Fit for some hundreds of fronts. */
+    public static final int USUAL_FOLLOWERS = 512;
+
+    /** With the usual bound of connections. */
+    public Settings(
+        int number,
+        String listen,
+        TreeMap<Integer, String> voters,
+        byte[] key,
+        RaftSettings voting,
+        LogFollower.Terms following) {
+      this(number, listen, voters, key, voting, following, USUAL_FOLLOWERS);
+    }
+
+    private int mostUnproven() {
+      return Math.max(1, mostFollowers / PROVEN_FOR_UNPROVEN);
+    }
+  }
 
-  /** How things stand, as of the last turn. */
+  /** Bytes of its connections so far, frames and greetings included, headers of TCP and IP not. */
+  public record Traffic(long sentBytes, long receivedBytes) {}
+
+  /**
+   * How things stand, as of the last turn.
+   *
+   * @param age how old its word was at that time
+   * @param at when that was, on the clock of System.nanoTime
+   */
   public record View(
       RaftNode.Role role,
       long term,
@@ -70,7 +112,8 @@
       Span age,
       Voters voters,
       long strangers,
-      long unsaved) {}
+      long unsaved,
+      Moment at) {}
 
   private final class Link {
     private final SocketChannel channel;
@@ -123,6 +166,7 @@
       try {
         while (!unsent.isEmpty() && channel.isConnected()) {
           int wrote = channel.write(unsent.peek());
+          sentBytes += wrote;
           unsentBytes -= wrote;
           if (unsent.peek().hasRemaining()) {
             break;
@@ -170,6 +214,7 @@
         close();
         return;
       }
+      receivedBytes += in.position();
       usedAt = now();
       boolean wasGreeted = frames.isGreeted();
       List<byte[]> bodies = frames.read(Arrays.copyOf(in.array(), in.position()));
@@ -224,6 +269,10 @@
   private long nextAsker;
   private long strangers;
   private String told = "";
+  private Moment tidyAt = Moment.DISTANT_PAST;
+  private long sentBytes;
+  private long receivedBytes;
+  private volatile Traffic traffic = new Traffic(0, 0);
   private volatile boolean closing;
   private volatile View view;
 
@@ -252,18 +301,7 @@
     this.changed = changed;
     long clock = System.currentTimeMillis() * 1000;
     selector = Selector.open();
-    server = ServerSocketChannel.open();
-    try {
-      server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-      server.bind(Address.inNumbers(settings.listen()));
-      server.configureBlocking(false);
-      server.register(selector, SelectionKey.OP_ACCEPT);
-    } catch (IOException e) {
-      server.close();
-      selector.close();
-      throw new IOException(
-          "the council cannot listen on " + settings.listen() + ": " + e.getMessage(), e);
-    }
+    server = settings.listen() == null ? null : listening();
     PersistentState saved = store == null ? null : store.first();
     voter =
         saved == null
@@ -309,6 +347,22 @@
     thread.setDaemon(true);
   }
 
+  private ServerSocketChannel listening() throws IOException {
+    ServerSocketChannel channel = ServerSocketChannel.open();
+    try {
+      channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+      channel.bind(Address.inNumbers(settings.listen()), settings.mostUnproven());
+      channel.configureBlocking(false);
+      channel.register(selector, SelectionKey.OP_ACCEPT);
+      return channel;
+    } catch (IOException e) {
+      channel.close();
+      selector.close();
+      throw new IOException(
+          "the council cannot listen on " + settings.listen() + ": " + e.getMessage(), e);
+    }
+  }
+
   public void start() {
     thread.start();
   }
@@ -317,6 +371,10 @@
     return view;
   }
 
+  public Traffic traffic() {
+    return traffic;
+  }
+
   /** Has something decided; false where too much waits. The wish ends on the node's thread. */
   public boolean wants(byte[] decision, LogFollower.Proposal wish) {
     return deed(
@@ -379,7 +437,9 @@
     } finally {
       List.copyOf(links.values()).forEach(Link::close);
       try {
-        server.close();
+        if (server != null) {
+          server.close();
+        }
         selector.close();
         if (store != null) {
           store.close();
@@ -402,7 +462,7 @@
     }
     for (SelectionKey k : List.copyOf(selector.selectedKeys())) {
       if (k.channel() == server) {
-        accept();
+        acceptAll();
       } else if (k.isValid()) {
         ((Link) k.attachment()).ready();
       }
@@ -418,21 +478,27 @@
     if (!t.before(follower.next())) {
       follower.step(t);
     }
-    tidy(t);
+    if (!t.before(tidyAt)) {
+      tidyAt = t.plus(TIDY);
+      tidy(t);
+    }
     show(t);
   }
 
-  private void accept() throws IOException {
-    SocketChannel c = server.accept();
-    if (c == null) {
-      return;
-    }
+  private void acceptAll() throws IOException {
     long unproven = links.values().stream().filter(l -> !l.called && !l.frames.isProven()).count();
-    if (links.size() >= MOST_CONNECTIONS || unproven >= MOST_UNPROVEN) {
-      c.close();
-      return;
+    for (int i = 0; i < ACCEPTED_AT_ONCE; i++) {
+      SocketChannel c = server.accept();
+      if (c == null) {
+        return;
+      }
+      if (links.size() >= settings.mostFollowers() || unproven >= settings.mostUnproven()) {
+        c.close();
+      } else {
+        add(new Link(c, false));
+        unproven++;
+      }
     }
-    add(new Link(c, false));
   }
 
   private void add(Link l) throws IOException {
@@ -507,6 +573,7 @@
 
   private void show(Moment t) {
     boolean votes = voter != null;
+    traffic = new Traffic(sentBytes, receivedBytes);
     view =
         new View(
             votes ? voter.role() : null,
@@ -516,7 +583,8 @@
             t.since(follower.sureAt()),
             follower.voters(),
             strangers,
-            votes ? voter.failures() : 0);
+            votes ? voter.failures() : 0,
+            t);
     String s = view.role() + " " + view.term() + " " + view.leader() + " " + view.voters().voting();
     if (!s.equals(told)) {
       told = s;
--- a/src/main/java/linengauge/membership/udp/MembershipNode.java
+++ b/src/main/java/linengauge/membership/udp/MembershipNode.java
@@ -1,67 +1,82 @@
 package linengauge.membership.udp;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.DatagramChannel;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.Selector;
-import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import linengauge.Moment;
-import linengauge.carry.Address;
 import linengauge.membership.Datagram;
 import linengauge.membership.Member;
 import linengauge.membership.MemberUpdate;
 import linengauge.membership.Membership;
 import linengauge.membership.MembershipSettings;
-import linengauge.vrrp.BadPacket;
-import linengauge.vrrp.Drop;
-import linengauge.vrrp.NodeAddress;
-import linengauge.vrrp.Seal;
+import linengauge.udp.DatagramLoop;
+import linengauge.udp.SealedChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * One front's members over UDP, on a thread of their own. A datagram ends with the keyed trailer of
- * {@link Seal}, by the sender's number; whatever has no key, an old number or no sense is dropped
- * and counted. Between two looks at the timers it reads a bounded number of datagrams.
+ * One front's members over UDP, on a thread of their own or on a loop that it shares with others.
+ * Datagrams go through a {@link SealedChannel}.
  */
 public final class MembershipNode implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(MembershipNode.class);
-  private static final int AT_ONCE = 64;
-  private static final int NUMBER_BYTES = 4;
 
-  /** Where a datagram says who sends it. */
-  private static final int FROM = 2;
+  /** Version 1, and where a datagram says who sends it. */
+  private static final SealedChannel.Form FORM = new SealedChannel.Form(1, 2, 4, Datagram.MOST);
 
-  private static final long LONGEST_WAIT_MS = 1000;
-
-  /** What was dropped, by cause. */
+  /** What was dropped, by cause; another version is unreadable. */
   public record Drops(long strangers, long replayed, long unreadable) {}
 
-  private final Member own;
-  private final Seal seal;
+  private final DatagramLoop ownLoop;
+  private final DatagramLoop loop;
+  private final SealedChannel channel;
   private final Membership members;
-  private final Selector selector;
-  private final DatagramChannel channel;
-  private final Thread thread = new Thread(this::run, "members");
-  private final CountDownLatch ended = new CountDownLatch(1);
-  private final ByteBuffer in = ByteBuffer.allocate(Datagram.MOST + Seal.BYTES + 1);
-  private long strangers;
-  private long replayed;
-  private long unreadable;
+  private final Served part = new Served();
   private boolean clashed;
-  private volatile boolean closing;
-  private volatile Drops drops = new Drops(0, 0, 0);
+  private boolean stale;
+  private volatile boolean started;
   private volatile List<MemberUpdate> held = List.of();
 
+  /** The members as the loop serves them. */
+  private final class Served implements DatagramLoop.Part {
+    @Override
+    public SealedChannel channel() {
+      return channel;
+    }
+
+    @Override
+    public void start(Moment now) {
+      members.start(now);
+    }
+
+    @Override
+    public void heard(Moment now, String address, byte[] bytes, int length) {
+      members.heard(now, address, Datagram.read(bytes, length));
+      if (stale) {
+        publish();
+      }
+    }
+
+    @Override
+    public void step(Moment now) {
+      members.step(now);
+      publish();
+    }
+
+    @Override
+    public Moment next() {
+      return members.next();
+    }
+
+    @Override
+    public void end(Moment now) {
+      members.leave(now);
+    }
+  }
+
   /**
-   * Binds at once and starts with {@link #start}.
+   * Binds at once and starts with {@link #start}, on a thread of its own.
    *
    * @param own its address is where it listens and where the others reach it, as host:port with the
    *     host in numbers
@@ -76,57 +91,62 @@
       byte[] key,
       Consumer<MemberUpdate> changed)
       throws IOException {
-    if (key.length < 16) {
-      throw new IllegalArgumentException("a key of 16 bytes at least, not " + key.length);
-    }
-    this.own = own;
+    this(terms, own, seeds, key, changed, null);
+  }
+
+  /**
+   * The same on a loop that serves others as well.
+   *
+   * @param shared null: a thread of its own
+   */
+  public MembershipNode(
+      MembershipSettings terms,
+      Member own,
+      List<String> seeds,
+      byte[] key,
+      Consumer<MemberUpdate> changed,
+      DatagramLoop shared)
+      throws IOException {
+    channel = new SealedChannel(FORM, own.address(), own.number(), key);
+    ownLoop = shared == null ? new DatagramLoop("members") : null;
+    loop = shared == null ? ownLoop : shared;
     long clock = System.currentTimeMillis();
-    this.seal = new Seal(key, clock * 1000);
-    this.members =
+    members =
         new Membership(
             terms,
             own,
             clock,
             seeds,
-            new Membership.Port() {
-              @Override
-              public void send(String address, Datagram words) {
-                sendTo(address, words);
-              }
-
-              @Override
-              public void changed(MemberUpdate news) {
-                changed.accept(news);
-              }
-
-              @Override
-              public void clash(String address) {
-                if (!clashed) {
-                  clashed = true;
-                  LOG.error(
-                      "members: another front goes by this one's number {} at {}",
-                      own.number(),
-                      address);
-                }
-              }
-            },
+            port(own, changed),
             new SplittableRandom(clock ^ own.number()));
-    selector = Selector.open();
-    channel = DatagramChannel.open();
-    try {
-      channel.bind(Address.inNumbers(own.address()));
-      channel.configureBlocking(false);
-      channel.register(selector, SelectionKey.OP_READ);
-    } catch (IOException e) {
-      channel.close();
-      selector.close();
-      throw new IOException("members cannot listen on " + own.address() + ": " + e.getMessage(), e);
-    }
-    thread.setDaemon(true);
+  }
+
+  private Membership.Port port(Member own, Consumer<MemberUpdate> changed) {
+    return new Membership.Port() {
+      @Override
+      public void send(String address, Datagram words) {
+        channel.send(address, words.bytes());
+      }
+
+      @Override
+      public void changed(MemberUpdate news) {
+        stale = true;
+        changed.accept(news);
+      }
+
+      @Override
+      public void clash(String address) {
+        if (!clashed) {
+          clashed = true;
+          LOG.error(
+              "members: another front goes by this one's number {} at {}", own.number(), address);
+        }
+      }
+    };
   }
 
   public void start() {
-    thread.start();
+    started = loop.add(part);
   }
 
   /** All that is held of the others, as of the last turn. */
@@ -135,115 +155,38 @@
   }
 
   public Drops drops() {
-    return drops;
+    SealedChannel.Drops all = channel.drops();
+    return new Drops(all.strangers(), all.replayed(), all.unreadable() + all.otherVersions());
+  }
+
+  /** What goes over its socket, and for trials what is lost there on purpose. */
+  public SealedChannel channel() {
+    return channel;
   }
 
   /** Tells some that it leaves, and ends; does not wait for it. */
   public void leave() {
-    closing = true;
-    selector.wakeup();
+    loop.remove(part);
   }
 
   /** {@link #leave}, waited for, a second at most. */
   @Override
   public void close() {
-    leave();
     try {
-      if (thread.isAlive() && !ended.await(1, TimeUnit.SECONDS)) {
+      if (started && !loop.removeAndWait(part)) {
         LOG.warn("members: still at work");
       }
+      if (ownLoop != null) {
+        ownLoop.close();
+      }
       channel.close();
-      selector.close();
     } catch (IOException e) {
       LOG.warn("members", e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
-  private static Moment now() {
-    return new Moment(System.nanoTime() / 1000);
-  }
-
-  private void run() {
-    try {
-      members.start(now());
-      while (!closing) {
-        turn();
-      }
-      members.leave(now());
-    } catch (IOException | RuntimeException e) {
-      if (!closing) {
-        LOG.error("members have failed: this front goes on alone", e);
-      }
-    } finally {
-      ended.countDown();
-    }
-  }
-
-  private void turn() throws IOException {
-    long wait = Math.min(LONGEST_WAIT_MS, (members.next().since(now()).micros() + 999) / 1000);
-    if (wait > 0) {
-      selector.select(wait);
-    } else {
-      selector.selectNow();
-    }
-    selector.selectedKeys().clear();
-    for (int i = 0; i < AT_ONCE && read(); i++) {
-      continue;
-    }
-    members.step(now());
+  private void publish() {
     held = members.held();
-    drops = new Drops(strangers, replayed, unreadable);
-  }
-
-  /** Reads one datagram; false where none is there. */
-  private boolean read() {
-    in.clear();
-    InetSocketAddress sender;
-    try {
-      sender = (InetSocketAddress) channel.receive(in);
-    } catch (IOException refused) {
-      return true; // one that is not there: the system says so of an earlier datagram
-    }
-    if (sender == null) {
-      return false;
-    }
-    byte[] bytes = Arrays.copyOf(in.array(), in.position());
-    try {
-      if (bytes.length < FROM + NUMBER_BYTES) {
-        throw new IllegalArgumentException("cut short");
-      }
-      int from = ByteBuffer.wrap(bytes).getInt(FROM);
-      if (from < 0 || from > 0xffff) {
-        throw new IllegalArgumentException("a number out of bounds");
-      }
-      int length = seal.open(bytes, bytes.length, sealedBy(from));
-      members.heard(
-          now(),
-          sender.getAddress().getHostAddress() + ":" + sender.getPort(),
-          Datagram.read(bytes, length));
-    } catch (BadPacket e) {
-      strangers += e.cause() == Drop.SEAL ? 1 : 0;
-      replayed += e.cause() == Drop.REPLAYED ? 1 : 0;
-    } catch (IllegalArgumentException e) {
-      unreadable++;
-    }
-    return true;
-  }
-
-  /** Who seals, as the trailer takes it: the number, in the form of an address. */
-  private static NodeAddress sealedBy(int number) {
-    return new NodeAddress(ByteBuffer.allocate(NUMBER_BYTES).putInt(number).array());
-  }
-
-  private void sendTo(String address, Datagram words) {
-    try {
-      channel.send(
-          ByteBuffer.wrap(seal.seal(words.bytes(), sealedBy(own.number()))),
-          Address.inNumbers(address));
-    } catch (IOException | IllegalArgumentException e) {
-      LOG.debug("members: not sent to {}: {}", address, e.getMessage()); // as lost; pings find out
-    }
+    stale = false;
   }
 }
--- a/src/main/java/linengauge/vrrp/Seal.java
+++ b/src/main/java/linengauge/vrrp/Seal.java
@@ -4,7 +4,7 @@
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -21,6 +21,9 @@
   private static final int NUMBER_BYTES = 8;
   private static final int MAC_BYTES = 16;
 
+  /** Senders whose numbers are remembered. */
+  public static final int MOST_SENDERS = 8192;
+
   /** What the trailer takes. */
   public static final int BYTES = NUMBER_BYTES + MAC_BYTES;
 
@@ -50,8 +53,18 @@
 
   private final Mac mac;
 
-  /** The numbers heard of each sender; bounded, as only named partners are heard. */
-  private final Map<NodeAddress, Heard> heard = new HashMap<>();
+  /**
+   * The numbers heard of each sender; whoever was silent for longest is forgotten first. Guards
+   * against a holder of the key that goes by ever more names and fills the memory. It could hurt
+   * where more senders than that are there: an old datagram of a forgotten one would be taken once.
+   */
+  private final Map<NodeAddress, Heard> heard =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<NodeAddress, Heard> eldest) {
+          return size() > MOST_SENDERS;
+        }
+      };
 
   private long number;
 
@@ -103,6 +116,11 @@
     return packet;
   }
 
+  /** How many senders' numbers are remembered. */
+  int senders() {
+    return heard.size();
+  }
+
   private byte[] macOf(byte[] bytes, int length, NodeAddress from) {
     mac.update(bytes, 0, length);
     return Arrays.copyOf(mac.doFinal(from.bytes()), MAC_BYTES);
