--- a/src/main/java/linengauge/lease/LeaseMessage.java
+++ b/src/main/java/linengauge/lease/LeaseMessage.java
@@ -14,9 +14,12 @@
    *
    * @param sequence repeated by the acknowledgement
    * @param version of the directory that the front holds; 0: nothing
+   * @param begun the directory's version when the front's view was begun from nothing: what had
+   *     departed by then it never held
    * @param leaving the last word of this life
    */
-  record Heartbeat(Member member, long incarnation, int sequence, long version, boolean leaving)
+  record Heartbeat(
+      Member member, long incarnation, int sequence, long version, long begun, boolean leaving)
       implements LeaseMessage {
     @Override
     public int from() {
@@ -51,6 +54,7 @@
       int from,
       int sequence,
       long incarnation,
+      long listed,
       Registration registration,
       Span remaining,
       Span age,
@@ -67,10 +71,20 @@
    * not fit one datagram.
    *
    * @param round number of the exchange at the sender; all parts of one exchange share it
-   * @param confirmed the last complete round of the receiver's that the sender has taken in
+   * @param confirmed the last complete round of the receiver's that the sender has taken in; 0:
+   *     none
+   * @param confirmedBefore the rounds before it that were taken in too: bit 0 is the one just
+   *     before
    * @param parts how many parts the round has
    * @param heard numbers of the fronts whose listed life was heard since the round before
    */
-  record Evidence(int from, long round, long confirmed, int part, int parts, List<Integer> heard)
+  record Evidence(
+      int from,
+      long round,
+      long confirmed,
+      long confirmedBefore,
+      int part,
+      int parts,
+      List<Integer> heard)
       implements LeaseMessage {}
 }
