--- a/src/main/java/linengauge/lease/Layout.java
+++ b/src/main/java/linengauge/lease/Layout.java
@@ -34,7 +34,7 @@
   private static final int NUMERIC = 0;
 
   private static final int NUMERIC_BYTES = 6;
-  private static final String NUMERIC_FORM = "\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}";
+  private static final int MOST_NUMERIC_TEXT = "255.255.255.255:65535".length();
 
   private Layout() {}
 
@@ -158,15 +158,30 @@
 
   /** The six bytes of an address that is read back as exactly this text; else null. */
   private static byte[] numeric(String address) {
-    if (!address.matches(NUMERIC_FORM)) {
+    if (address.length() > MOST_NUMERIC_TEXT) {
       return null;
     }
+    int[] parts = new int[Integer.BYTES + 1];
+    int part = 0;
+    for (int i = 0; i < address.length(); i++) {
+      char c = address.charAt(i);
+      if (c >= '0' && c <= '9') {
+        parts[part] = parts[part] * 10 + c - '0';
+      } else if (part < Integer.BYTES && c == (part < Integer.BYTES - 1 ? '.' : ':')) {
+        part++;
+      } else {
+        return null;
+      }
+    }
+    return asNumeric(address, parts);
+  }
+
+  private static byte[] asNumeric(String address, int[] parts) {
     ByteBuffer bytes = ByteBuffer.allocate(NUMERIC_BYTES);
-    String[] parts = address.split("[.:]");
     for (int i = 0; i < Integer.BYTES; i++) {
-      bytes.put((byte) Integer.parseInt(parts[i]));
+      bytes.put((byte) parts[i]);
     }
-    bytes.putShort((short) Integer.parseInt(parts[Integer.BYTES])).flip();
+    bytes.putShort((short) parts[Integer.BYTES]).flip();
     return readNumeric(bytes.duplicate()).equals(address) ? bytes.array() : null;
   }
 }
--- a/src/main/java/linengauge/lease/LeaseCodec.java
+++ b/src/main/java/linengauge/lease/LeaseCodec.java
@@ -19,9 +19,15 @@
   private static final int ACKNOWLEDGEMENT = 1;
   private static final int EVIDENCE = 2;
 
+  /** Bytes of a heartbeat beside the member. */
+  private static final int HEARTBEAT_REST = 1 + 1 + 6 + 4 + 6 + 6 + 1;
+
+  /** Bytes of the longest heartbeat. */
+  static final int MOST_HEARTBEAT = HEARTBEAT_REST + Layout.MOST_MEMBER;
+
   private static final int ACKNOWLEDGEMENT_HEAD =
       1 + 1 + 2 + 4 + 6 + 6 + 1 + 4 + 4 + 6 + 6 + 1 + 8 + 8 + 1;
-  private static final int EVIDENCE_HEAD = 1 + 1 + 2 + 6 + 6 + 8 + 1 + 1 + 2 + 2;
+  private static final int EVIDENCE_HEAD = 1 + 1 + 2 + 6 + 6 + 8 + 6 + 1 + 1 + 2 + 2;
 
   /** Room for entries in one acknowledgement. */
   public static final int ENTRIES_ROOM = MOST - ACKNOWLEDGEMENT_HEAD;
@@ -44,7 +50,16 @@
 
   /** Bytes that the message takes. */
   public static int size(LeaseMessage message) {
-    return write(message).length;
+    if (message instanceof LeaseMessage.Heartbeat heartbeat) {
+      return HEARTBEAT_REST + Layout.size(heartbeat.member());
+    }
+    if (message instanceof LeaseMessage.Acknowledgement acknowledgement) {
+      int entries = acknowledgement.entries().stream().mapToInt(Layout::size).sum();
+      return ACKNOWLEDGEMENT_HEAD + entries;
+    }
+    List<Integer> heard = ((LeaseMessage.Evidence) message).heard();
+    int spread = heard.isEmpty() ? -1 : heard.get(heard.size() - 1) - heard.get(0);
+    return EVIDENCE_HEAD + Math.floorDiv(spread, Byte.SIZE) + 1;
   }
 
   /** Ascending numbers split so that each part fits one datagram; one empty part where none. */
@@ -119,6 +134,7 @@
     Layout.writeLong(to, message.round());
     Layout.writeLong(to, message.confirmed());
     to.putLong(message.confirmedBefore());
+    Layout.writeLong(to, message.directoryVersion());
     to.put((byte) Layout.within(message.part(), 0, message.parts() - 1, "part"));
     to.put((byte) Layout.within(message.parts(), 1, MOST_PARTS, "count of parts"));
     int first = message.heard().isEmpty() ? 0 : message.heard().get(0);
@@ -197,13 +213,14 @@
     long round = Layout.readLong(from);
     long confirmed = Layout.readLong(from);
     long confirmedBefore = from.getLong();
+    long directoryVersion = Layout.readLong(from);
     int part = from.get() & 0xff;
     int parts = from.get() & 0xff;
     if (part >= parts) {
       throw new IllegalArgumentException("part " + part + " of " + parts);
     }
     return new LeaseMessage.Evidence(
-        sender, round, confirmed, confirmedBefore, part, parts, readHeard(from));
+        sender, round, confirmed, confirmedBefore, directoryVersion, part, parts, readHeard(from));
   }
 
   private static List<Integer> readHeard(ByteBuffer from) {
--- a/src/main/java/linengauge/lease/LeaseMessage.java
+++ b/src/main/java/linengauge/lease/LeaseMessage.java
@@ -75,6 +75,8 @@
    *     none
    * @param confirmedBefore the rounds before it that were taken in too: bit 0 is the one just
    *     before
+   * @param directoryVersion of the sender's copy as the round ended: the lives heard are those that
+   *     it lists
    * @param parts how many parts the round has
    * @param heard numbers of the fronts whose listed life was heard since the round before
    */
@@ -83,6 +85,7 @@
       long round,
       long confirmed,
       long confirmedBefore,
+      long directoryVersion,
       int part,
       int parts,
       List<Integer> heard)
--- a/src/main/java/linengauge/lease/MemberDirectory.java
+++ b/src/main/java/linengauge/lease/MemberDirectory.java
@@ -15,6 +15,9 @@
   /** No control machine has come to lead yet. */
   public static final int NOBODY = -1;
 
+  /** A piece of what changed, and the version that a copy holds once it has taken it. */
+  record Page(List<DirectoryEntry> entries, long upTo) {}
+
   private final LeaseSettings settings;
   private final TreeMap<Integer, DirectoryEntry> byNumber = new TreeMap<>();
   private final TreeMap<Long, DirectoryEntry> byVersion = new TreeMap<>();
@@ -58,6 +61,11 @@
     return head.term();
   }
 
+  /** Copies of a version below it miss a departure that is not kept any more. */
+  long floor() {
+    return head.floor();
+  }
+
   /** What is listed under that number, or null. */
   public DirectoryEntry entry(int number) {
     return byNumber.get(number);
@@ -84,30 +92,30 @@
 
   /** What changed after that version, in order of version, as far as so many bytes hold it. */
   public List<DirectoryEntry> since(long version, int mostBytes) {
-    return since(version, 0, mostBytes);
+    return page(version, 0, mostBytes).entries();
   }
 
   /**
    * The same for a view begun from nothing at a version: it never held what had departed by then,
    * so that is left out.
    */
-  public List<DirectoryEntry> since(long version, long begun, int mostBytes) {
+  Page page(long version, long begun, int mostBytes) {
     List<DirectoryEntry> page = new ArrayList<>();
     long neverHeld = version == 0 ? head.version() : begun;
+    long upTo = head.version();
     int left = mostBytes;
     for (DirectoryEntry entry : byVersion.tailMap(version, false).values()) {
-      boolean needless =
-          entry.state() != DirectoryEntry.State.PRESENT && entry.version() <= neverHeld;
-      if (needless) {
+      if (!isPresent(entry) && entry.version() <= neverHeld) {
         continue;
       }
       left -= LeaseCodec.size(entry);
       if (left < 0) {
+        upTo = page.isEmpty() ? version : page.get(page.size() - 1).version();
         break;
       }
       page.add(entry);
     }
-    return page;
+    return new Page(List.copyOf(page), upTo);
   }
 
   /** Whether entries above that version were dropped: a copy of that version misses a departure. */
--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -32,6 +32,7 @@
     "linengauge.platform.keep",
     "linengauge.membership",
     "linengauge.membership.explore",
+    "linengauge.lease",
     "linengauge.consensus",
     "linengauge.consensus.explore",
     "linengauge.zones"
@@ -128,6 +129,7 @@
               "linengauge.memory..",
               "linengauge.work..",
               "linengauge.membership..",
+              "linengauge.lease..",
               "linengauge.consensus..",
               "linengauge.zones..",
               "com.fasterxml.jackson.databind..",
