--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -8,16 +8,19 @@
 import java.util.concurrent.Callable;
 import linengauge.Span;
 import linengauge.drill.ConsensusProcess;
+import linengauge.drill.ControlProcess;
 import linengauge.drill.DayDrill;
 import linengauge.drill.DayScript;
 import linengauge.drill.ExploreDrill;
 import linengauge.drill.FailoverDrill;
 import linengauge.drill.Importer;
+import linengauge.drill.LeaseProcess;
 import linengauge.drill.MemberProcess;
 import linengauge.drill.RelayDrill;
 import linengauge.drill.Report;
 import linengauge.drill.SlowDrill;
 import linengauge.drill.TryOut;
+import linengauge.lease.ControlMachine;
 import linengauge.membership.Member;
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
@@ -345,6 +348,130 @@
             Span.ofMillis(beat)));
   }
 
+  /** One control machine as a front or another control machine reaches it: REGION@HOST:PORT. */
+  private static List<ControlMachine> machines(Map<Integer, String> told) {
+    return told.entrySet().stream()
+        .map(
+            e -> {
+              String[] at = e.getValue().split("@", 2);
+              return new ControlMachine(e.getKey(), Integer.parseInt(at[0]), at[1]);
+            })
+        .sorted(java.util.Comparator.comparingInt(ControlMachine::number))
+        .toList();
+  }
+
+  @Command(
+      name = "lease-member",
+      hidden = true,
+      description = "One front's membership alone, by lease, gossip or both; ends with its input.")
+  int leaseMember(@CommandLine.Mixin LeaseOptions options, @CommandLine.Mixin Commands.LogForm log)
+      throws IOException, InterruptedException {
+    log.apply();
+    String at = options.at == null ? options.gossipAt : options.at;
+    LeaseProcess.run(
+        new LeaseProcess.Start(
+            new Member(options.number, at, options.zone, options.region),
+            options.at,
+            machines(options.machines == null ? Map.of() : options.machines),
+            options.gossipAt,
+            options.seeds == null ? List.of() : options.seeds,
+            options.key,
+            options.record,
+            Span.ofMillis(options.heartbeatMs)));
+    return 0;
+  }
+
+  /** What a front's membership is started with. */
+  static final class LeaseOptions {
+    @Option(names = "--number", required = true)
+    int number;
+
+    @Option(names = "--at")
+    String at;
+
+    @Option(names = "--gossip-at")
+    String gossipAt;
+
+    @Option(names = "--zone")
+    int zone;
+
+    @Option(names = "--region")
+    int region;
+
+    @Option(names = "--machine")
+    Map<Integer, String> machines;
+
+    @Option(names = "--seed")
+    List<String> seeds;
+
+    @Option(names = "--key-file", required = true)
+    Path key;
+
+    @Option(names = "--record", required = true)
+    Path record;
+
+    @Option(names = "--heartbeat-ms", defaultValue = "1000")
+    long heartbeatMs;
+  }
+
+  @Command(
+      name = "control",
+      hidden = true,
+      description = "One control machine alone; ends with its input.")
+  int control(@CommandLine.Mixin ControlOptions options, @CommandLine.Mixin Commands.LogForm log)
+      throws IOException {
+    log.apply();
+    return ControlProcess.run(
+        new ControlProcess.Start(
+            options.number,
+            options.listen,
+            machines(options.machines),
+            options.logListen,
+            options.voters,
+            options.ways == null ? Map.of() : options.ways,
+            options.store,
+            options.key,
+            options.record),
+        Span.ofMillis(options.heartbeatMs),
+        Span.ofMillis(options.beatMs));
+  }
+
+  /** What a control machine is started with. */
+  static final class ControlOptions {
+    @Option(names = "--number", required = true)
+    int number;
+
+    @Option(names = "--listen", required = true)
+    String listen;
+
+    @Option(names = "--machine", required = true)
+    Map<Integer, String> machines;
+
+    @Option(names = "--log-listen", required = true)
+    String logListen;
+
+    @Option(names = "--voter", required = true)
+    Map<Integer, String> voters;
+
+    @Option(names = "--way")
+    Map<Integer, String> ways;
+
+    @Option(names = "--store")
+    Path store;
+
+    @Option(names = "--key-file", required = true)
+    Path key;
+
+    @Option(names = "--record", required = true)
+    Path record;
+
+    @Option(names = "--heartbeat-ms", defaultValue = "1000")
+    long heartbeatMs;
+
+    @Option(names = "--beat-ms", defaultValue = "100")
+    long beatMs;
+  }
+
   @Command(
       name = "judge",
       mixinStandardHelpOptions = true,
--- a/src/main/java/linengauge/drill/ConsensusProcess.java
+++ b/src/main/java/linengauge/drill/ConsensusProcess.java
@@ -5,13 +5,9 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +16,6 @@
 import linengauge.consensus.LogFollower;
 import linengauge.consensus.MessageReader;
 import linengauge.consensus.MessageWriter;
-import linengauge.consensus.PersistentState;
 import linengauge.consensus.RaftSettings;
 import linengauge.consensus.SaveFailedException;
 import linengauge.consensus.StateMachine;
@@ -177,34 +172,7 @@
   }
 
   private ConsensusStore open(Start s, byte[] key) throws IOException, SaveFailedException {
-    ConsensusStore store = new ConsensusStore(s.store());
-    if (store.first() != null) {
-      return store;
-    }
-    TreeMap<Integer, Voters.Chair> chairs = new TreeMap<>();
-    s.voters().forEach((n, a) -> chairs.put(n, new Voters.Chair(founding(key, n), a, true)));
-    store.save(
-        s.founds()
-            ? PersistentState.founding(
-                founding(key, s.number()), new Voters(chairs), new Texts(false))
-            : PersistentState.joining(new SecureRandom().nextLong() >>> 1, new Texts(false)));
-    store.close();
-    return new ConsensusStore(s.store());
-  }
-
-  /**
-   * The founding voters' stores have numbers that all of them know; whoever comes later has one at
-   * random.
-   */
-  private static long founding(byte[] key, int number) {
-    try {
-      MessageDigest sum = MessageDigest.getInstance("SHA-256");
-      sum.update(key);
-      sum.update(("founding " + number).getBytes(StandardCharsets.UTF_8));
-      return ByteBuffer.wrap(sum.digest()).getLong() >>> 1;
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e);
-    }
+    return FoundingStore.open(s.store(), key, s.number(), s.voters(), s.founds(), new Texts(false));
   }
 
   private void line(String what, String rest) {
--- /dev/null
+++ b/src/main/java/linengauge/drill/FoundingStore.java
@@ -0,0 +1,65 @@
+package linengauge.drill;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
+import java.util.Map;
+import java.util.TreeMap;
+import linengauge.consensus.PersistentState;
+import linengauge.consensus.SaveFailedException;
+import linengauge.consensus.StateMachine;
+import linengauge.consensus.Voters;
+import linengauge.consensus.tcp.ConsensusStore;
+
+/** A voter's store for trials: opened, or made where there is none yet. */
+public final class FoundingStore {
+  private FoundingStore() {}
+
+  /**
+   * Opens it.
+   *
+   * @param voters the founding ones, by number
+   * @param founds where there is no store yet, it is a founding voter's; else one of a voter that
+   *     has yet to be taken in
+   */
+  public static ConsensusStore open(
+      Path folder,
+      byte[] key,
+      int number,
+      Map<Integer, String> voters,
+      boolean founds,
+      StateMachine machine)
+      throws IOException, SaveFailedException {
+    ConsensusStore store = new ConsensusStore(folder);
+    if (store.first() != null) {
+      return store;
+    }
+    TreeMap<Integer, Voters.Chair> chairs = new TreeMap<>();
+    voters.forEach((n, a) -> chairs.put(n, new Voters.Chair(founding(key, n), a, true)));
+    store.save(
+        founds
+            ? PersistentState.founding(founding(key, number), new Voters(chairs), machine)
+            : PersistentState.joining(new SecureRandom().nextLong() >>> 1, machine));
+    store.close();
+    return new ConsensusStore(folder);
+  }
+
+  /**
+   * The founding voters' stores have numbers that all of them know; whoever comes later has one at
+   * random.
+   */
+  private static long founding(byte[] key, int number) {
+    try {
+      MessageDigest sum = MessageDigest.getInstance("SHA-256");
+      sum.update(key);
+      sum.update(("founding " + number).getBytes(StandardCharsets.UTF_8));
+      return ByteBuffer.wrap(sum.digest()).getLong() >>> 1;
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/lease/udp/package-info.java
@@ -0,0 +1,2 @@
+/** Membership by lease over UDP: the carrier of fronts and of control machines. */
+package linengauge.lease.udp;
--- a/src/test/java/linengauge/platform/ServeProcessesTest.java
+++ b/src/test/java/linengauge/platform/ServeProcessesTest.java
@@ -249,6 +249,13 @@
     assertTrue(
         packages.containsAll(List.of("linengauge", "linengauge.platform", "linengauge.session")),
         packages.toString());
+    // Membership by lease, the log and what measures them are off in `serve`: not one class of
+    // them.
+    for (String off : List.of("membership", "lease", "consensus", "scale", "udp")) {
+      assertTrue(
+          packages.stream().noneMatch(name -> (name + ".").startsWith("linengauge." + off + ".")),
+          off + " in " + packages);
+    }
     packages.removeAll(
         List.of(
             "linengauge",
