Hollow fronts: hundreds of a front's control parts in a process, over real sockets

HollowFleet.run plays a plan: control machines as processes, the fronts of one or both memberships in processes of their own; a quiet phase, then events (restart, kill, freeze, cut one or both ways, of fronts, regions, the leading control machine). Each process says four times a second what it used, sent and received, and while an event is looked at what its fronts hold.

--- a/src/main/java/linengauge/cli/Drills.java
+++ b/src/main/java/linengauge/cli/Drills.java
@@ -25,6 +25,7 @@
 import linengauge.rules.BadRecord;
 import linengauge.rules.Judge;
 import linengauge.rules.Verdict;
+import linengauge.scale.hollow.HollowChild;
 import linengauge.site.BadSite;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -436,6 +437,20 @@
         Span.ofMillis(options.beatMs));
   }
 
+  @Command(name = "hollow-fronts", hidden = true, description = "A process of hollow fronts.")
+  int hollowFronts(@Parameters Path spec, @CommandLine.Mixin Commands.LogForm log)
+      throws IOException {
+    log.apply();
+    return HollowChild.run(spec, false);
+  }
+
+  @Command(name = "hollow-control", hidden = true, description = "Their control machine.")
+  int hollowControl(@Parameters Path spec, @CommandLine.Mixin Commands.LogForm log)
+      throws IOException {
+    log.apply();
+    return HollowChild.run(spec, true);
+  }
+
   /** What a control machine is started with. */
   static final class ControlOptions {
     @Option(names = "--number", required = true)
--- a/src/main/java/linengauge/lease/udp/LeaseNode.java
+++ b/src/main/java/linengauge/lease/udp/LeaseNode.java
@@ -149,9 +149,9 @@
     return silent;
   }
 
-  /** Ends without a word, as a front that is killed. */
+  /** Ends without a word, as a front that is killed; waited for, a second at most. */
   public void stop() {
-    loop.remove(part);
+    loop.removeAndWait(part);
     closeOwnLoop();
   }
 
--- a/src/main/java/linengauge/membership/udp/MembershipNode.java
+++ b/src/main/java/linengauge/membership/udp/MembershipNode.java
@@ -35,6 +35,7 @@
   private final Served part = new Served();
   private boolean clashed;
   private boolean stale;
+  private volatile boolean silently;
   private volatile boolean started;
   private volatile List<MemberUpdate> held = List.of();
 
@@ -71,7 +72,9 @@
 
     @Override
     public void end(Moment now) {
-      members.leave(now);
+      if (!silently) {
+        members.leave(now);
+      }
     }
   }
 
@@ -169,6 +172,12 @@
     loop.remove(part);
   }
 
+  /** Ends without a word, as a front that is killed; waited for, a second at most. */
+  public void stop() {
+    silently = true;
+    close();
+  }
+
   /** {@link #leave}, waited for, a second at most. */
   @Override
   public void close() {
--- a/src/main/java/linengauge/scale/hollow/HollowFigures.java
+++ b/src/main/java/linengauge/scale/hollow/HollowFigures.java
@@ -18,8 +18,9 @@
    * One phase: the start of all, the quiet time, or an event and what followed.
    *
    * @param seconds how long it was measured
-   * @param allKnowSeconds from the event until every front that lives held all that live and nobody
-   *     else; -1: not within the phase
+   * @param allKnowSeconds from the event, or the end of one that lasts, until every front that
+   *     lives held all that live, in their present lives, and nobody else, to the sample (a quarter
+   *     of a second); by gossip lives are not told apart; -1: not within the phase
    * @param fronts of whom the rates are
    * @param wronglyGone numbers of fronts that were given up by anybody though nothing ailed them
    * @param controlMachines empty for gossip
@@ -52,6 +53,8 @@
    *     included
    * @param heapKb its share of the heap used after a collection; -1: not measured in this phase
    * @param residentKb its share of the process's resident memory at the end of the phase
+   * @param followerBytes of one front that follows the log as well: TCP payload, sent and received,
+   *     a second; 0 where none does
    */
   public record FrontLoad(
       Rate sentBytes,
@@ -62,7 +65,32 @@
       double highestFrontWireBytes,
       Rate processorMillis,
       double heapKb,
-      double residentKb) {}
+      double residentKb,
+      double followerBytes) {
+    /** Of a fleet in which no front follows the log. */
+    public FrontLoad(
+        Rate sentBytes,
+        Rate receivedBytes,
+        Rate sentDatagrams,
+        Rate receivedDatagrams,
+        Rate wireBytes,
+        double highestFrontWireBytes,
+        Rate processorMillis,
+        double heapKb,
+        double residentKb) {
+      this(
+          sentBytes,
+          receivedBytes,
+          sentDatagrams,
+          receivedDatagrams,
+          wireBytes,
+          highestFrontWireBytes,
+          processorMillis,
+          heapKb,
+          residentKb,
+          0);
+    }
+  }
 
   /**
    * What one control machine costs, a second.
