--- a/src/main/java/linengauge/udp/DatagramLoop.java
+++ b/src/main/java/linengauge/udp/DatagramLoop.java
@@ -248,6 +248,7 @@
     }
     try {
       part.channel().close();
+      selector.selectNow(); // only now does the system have the port back
     } catch (IOException e) {
       LOG.warn("{}", thread.getName(), e);
     }
