--- a/src/main/java/linengauge/lease/ChangeBatcher.java
+++ b/src/main/java/linengauge/lease/ChangeBatcher.java
@@ -16,7 +16,7 @@
  */
 final class ChangeBatcher {
   /** Bytes of a decision at the most, below what the log takes. */
-  private static final int MOST_BYTES = 12 * 1024;
+  static final int MOST_BYTES = 12 * 1024;
 
   /** Leases after which a proposal that has not ended is given up. */
   private static final int LEASES_OUTSTANDING = 3;
@@ -122,14 +122,13 @@
 
   private List<DirectoryChange> compose(Collection<DirectoryChange> ofLeader, int most) {
     List<DirectoryChange> batch = new ArrayList<>();
-    int room = Math.min(most, MOST_BYTES / DirectoryCodec.MOST_CHANGE);
     for (DirectoryChange change : ofLeader) {
-      if (batch.size() < room) {
+      if (batch.size() < most) {
         batch.add(change);
       }
     }
     for (Wanted one : wanted.values()) {
-      if (batch.size() < room) {
+      if (batch.size() < most) {
         batch.add(one.change());
       }
     }
--- a/src/main/java/linengauge/lease/ControlMachineChoice.java
+++ b/src/main/java/linengauge/lease/ControlMachineChoice.java
@@ -25,6 +25,7 @@
   private final SplittableRandom chance;
   private int current;
   private int failures;
+  private int movesInVain;
   private int probed;
   private Moment probeAt;
 
@@ -52,12 +53,19 @@
     return order.get(current);
   }
 
-  int failures() {
-    return failures;
+  /**
+   * Whether the machine has failed often enough: twice, or once where the one before failed just
+   * now too, until all were tried. Guards against a lease that runs out while one dead machine
+   * after another is tried. Hurts little: some heartbeats more where none answers.
+   */
+  boolean hasFailed() {
+    boolean hurries = movesInVain > 0 && movesInVain < order.size();
+    return failures >= (hurries ? 1 : MOST_FAILURES);
   }
 
   void answeredWell() {
     failures = 0;
+    movesInVain = 0;
   }
 
   void failed() {
@@ -71,6 +79,7 @@
   void next(Moment now) {
     current = (current + 1) % order.size();
     failures = 0;
+    movesInVain++;
     scheduleProbe(now);
   }
 
@@ -101,7 +110,7 @@
   /** A machine that was tried answered well: it is the one from here on. */
   void returnTo(ControlMachine machine, Moment now) {
     current = order.indexOf(machine);
-    failures = 0;
+    answeredWell();
     scheduleProbe(now);
   }
 }
--- a/src/main/java/linengauge/lease/EvidenceExchange.java
+++ b/src/main/java/linengauge/lease/EvidenceExchange.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import linengauge.Moment;
 import linengauge.Span;
 
@@ -22,12 +23,24 @@
 
   private static final int MOST_ROUNDS = 64;
 
+  /** Rounds back from which one that was not confirmed in time is told again. */
+  private static final int RETOLD_FROM = 2;
+
+  private static final int RETOLD_TO = 4;
+
   private record Heard(long incarnation, Moment at) {}
 
   private record Round(long number, Map<Integer, Heard> heard) {}
 
   private static final class Peer {
     private final TakenRounds taken = new TakenRounds();
+
+    /** Own rounds that were told with each of the last ones. */
+    private final TreeMap<Long, List<Long>> toldWith = new TreeMap<>();
+
+    /** Own rounds that it has confirmed. */
+    private final TreeSet<Long> confirmed = new TreeSet<>();
+
     private Moment lastAt;
     private Moment runSince;
   }
@@ -36,7 +49,7 @@
   private final Span period;
   private final int mostRounds;
   private final Map<Integer, Peer> peers = new TreeMap<>();
-  private final ArrayDeque<Round> unconfirmed = new ArrayDeque<>();
+  private final ArrayDeque<Round> rounds = new ArrayDeque<>();
   private TreeMap<Integer, Heard> heard = new TreeMap<>();
   private long round;
 
@@ -55,46 +68,68 @@
     heard.put(number, new Heard(incarnation, now));
   }
 
-  /** Ends a round; gives back the numbers of it that the others are to be told, in parts. */
-  List<List<Integer>> endRound(MemberDirectory directory) {
+  /** Ends a round. */
+  void endRound() {
     round++;
-    heard.entrySet().removeIf(one -> !isListed(directory, one.getKey(), one.getValue()));
-    unconfirmed.add(new Round(round, heard));
-    if (unconfirmed.size() > mostRounds) {
-      unconfirmed.poll();
+    rounds.add(new Round(round, heard));
+    if (rounds.size() > mostRounds) {
+      rounds.poll();
     }
-    List<List<Integer>> parts = LeaseCodec.split(new ArrayList<>(heard.keySet()));
     heard = new TreeMap<>();
-    return parts;
-  }
-
-  private static boolean isListed(MemberDirectory directory, int number, Heard life) {
-    DirectoryEntry entry = directory.entry(number);
-    return entry != null
-        && entry.state() == DirectoryEntry.State.PRESENT
-        && entry.incarnation() == life.incarnation();
   }
 
   /**
-   * The datagrams of the round that ended last, for one other control machine.
+   * The datagrams of the round that ended last, for one other control machine. What that one did
+   * not confirm in time is told once more: guards against a front that is let go for some lost
+   * datagrams. Hurts whoever is waited for: a front that truly fell silent just then is heard of
+   * later by as many rounds.
    *
-   * @param version of the directory as the round ended
    * @param confirms whether the receiver's own rounds are confirmed
    */
-  List<LeaseMessage.Evidence> toldTo(
-      int machine, long version, List<List<Integer>> parts, boolean confirms) {
-    TakenRounds taken = peers.get(machine).taken;
-    long last = confirms ? taken.last() : 0;
-    long before = confirms ? taken.before() : 0;
+  List<LeaseMessage.Evidence> toldTo(int machine, MemberDirectory directory, boolean confirms) {
+    Peer peer = peers.get(machine);
+    long last = confirms ? peer.taken.last() : 0;
+    long before = confirms ? peer.taken.before() : 0;
+    List<List<Integer>> parts = LeaseCodec.split(numbersFor(peer, directory));
     List<LeaseMessage.Evidence> told = new ArrayList<>();
     for (int part = 0; part < parts.size(); part++) {
       told.add(
           new LeaseMessage.Evidence(
-              own, round, last, before, version, part, parts.size(), parts.get(part)));
+              own, round, last, before, directory.version(), part, parts.size(), parts.get(part)));
     }
     return told;
   }
 
+  private List<Integer> numbersFor(Peer peer, MemberDirectory directory) {
+    TreeSet<Integer> numbers = new TreeSet<>();
+    List<Long> told = new ArrayList<>();
+    for (Round one : rounds) {
+      long back = round - one.number();
+      boolean overdue =
+          back >= RETOLD_FROM && back <= RETOLD_TO && !peer.confirmed.contains(one.number());
+      if (back == 0 || overdue) {
+        told.add(one.number());
+        one.heard()
+            .forEach(
+                (number, life) -> {
+                  if (isListed(directory, number, life)) {
+                    numbers.add(number);
+                  }
+                });
+      }
+    }
+    peer.toldWith.put(round, told);
+    peer.toldWith.headMap(round - mostRounds).clear();
+    return new ArrayList<>(numbers);
+  }
+
+  private static boolean isListed(MemberDirectory directory, int number, Heard life) {
+    DirectoryEntry entry = directory.entry(number);
+    return entry != null
+        && entry.state() == DirectoryEntry.State.PRESENT
+        && entry.incarnation() == life.incarnation();
+  }
+
   boolean knows(int machine) {
     return peers.containsKey(machine);
   }
@@ -102,24 +137,41 @@
   /** Another control machine's evidence came. */
   void take(LeaseMessage.Evidence evidence, boolean withheld, Moment now) {
     Peer peer = peers.get(evidence.from());
-    Span gap = period.times(MOST_GAP);
-    if (peer.lastAt == null || gap.under(now.since(peer.lastAt))) {
+    if (silentFor(evidence.from(), longestGap(), now)) {
       peer.runSince = now;
     }
     peer.lastAt = now;
     peer.taken.part(evidence, withheld);
   }
 
-  /** Enters into the table what the leader confirms of the own rounds. */
-  void confirmed(LeaseMessage.Evidence confirmation, LeaseTable table) {
-    for (Round one : unconfirmed) {
-      if (TakenRounds.covers(confirmation, one.number())) {
+  /** Notes which of the own rounds another control machine confirms. */
+  void confirmed(LeaseMessage.Evidence confirmation) {
+    Peer peer = peers.get(confirmation.from());
+    peer.toldWith.forEach(
+        (number, told) -> {
+          if (TakenRounds.covers(confirmation, number)) {
+            peer.confirmed.addAll(told);
+          }
+        });
+    peer.confirmed.headSet(round - mostRounds).clear();
+  }
+
+  /** Enters into the table what that one, the leader, has confirmed of the own rounds. */
+  void enter(int leader, LeaseTable table) {
+    Peer peer = peers.get(leader);
+    for (Round one : rounds) {
+      if (peer.confirmed.contains(one.number())) {
         one.heard()
             .forEach((number, life) -> table.confirmed(number, life.incarnation(), life.at()));
       }
     }
   }
 
+  /** The longest gap in an unbroken run of evidence. */
+  Span longestGap() {
+    return period.times(MOST_GAP);
+  }
+
   /** Whether nothing came from it for so long. */
   boolean silentFor(int machine, Span span, Moment now) {
     Peer peer = peers.get(machine);
@@ -131,7 +183,7 @@
     Peer peer = peers.get(machine);
     return peer != null
         && peer.lastAt != null
-        && !silentFor(machine, period.times(MOST_GAP), now)
+        && !silentFor(machine, longestGap(), now)
         && !now.since(peer.runSince).under(span);
   }
 }
--- a/src/main/java/linengauge/lease/LeaseAgent.java
+++ b/src/main/java/linengauge/lease/LeaseAgent.java
@@ -221,7 +221,7 @@
   /** A heartbeat without an answer, or with one that is of no use. */
   private void failed(Moment now) {
     choice.failed();
-    if (failsOver(choice.failures())) {
+    if (failsOver()) {
       choice.next(now);
       failovers++;
       graceFrom = now;
@@ -233,8 +233,8 @@
    * Guards against a control machine that is gone, or cut off from the leader. Hurts where no
    * control machine has a majority: fronts then go from one to the next, at their usual rate.
    */
-  protected boolean failsOver(int failures) {
-    return failures >= ControlMachineChoice.MOST_FAILURES;
+  protected boolean failsOver() {
+    return choice.hasFailed();
   }
 
   /** A datagram came; all but acknowledgements of own heartbeats are passed over. */
--- a/src/main/java/linengauge/lease/RegionWatch.java
+++ b/src/main/java/linengauge/lease/RegionWatch.java
@@ -1,8 +1,10 @@
 package linengauge.lease;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import linengauge.Moment;
 import linengauge.Span;
 
@@ -33,6 +35,7 @@
   private final List<ControlMachine> all;
   private final EvidenceExchange exchange;
   private final Map<Integer, Count> counts = new HashMap<>();
+  private final Set<Integer> mostlySilent = new HashSet<>();
   private final Map<Integer, Moment> reachableSince = new HashMap<>();
   private long unreachable;
 
@@ -41,8 +44,7 @@
     this.settings = settings;
     this.all = all;
     this.exchange = exchange;
-    this.ownRegion =
-        all.stream().filter(machine -> machine.number() == own).findFirst().orElseThrow().region();
+    this.ownRegion = regionOf(own);
   }
 
   /** Counts who is silent now. */
@@ -56,6 +58,37 @@
             entry.member().region(), NONE.plus(silent), (count, one) -> count.plus(silent));
       }
     }
+    counts.forEach((region, count) -> noteSilence(region, count.mostSilent(), now));
+  }
+
+  /**
+   * Guards against letting single members go whose heartbeats come a moment after those of their
+   * region. Hurts whoever truly fell silent: its lease is taken anew.
+   */
+  private void noteSilence(int region, boolean silent, Moment now) {
+    if (silent) {
+      mostlySilent.add(region);
+    } else if (mostlySilent.remove(region)) {
+      reachableSince.put(region, now);
+    }
+  }
+
+  /** Whether neither that control machine nor another of its region has been heard lately. */
+  boolean isSilent(int machine, Moment now) {
+    return allSilent(machinesOf(regionOf(machine)), exchange.longestGap(), now);
+  }
+
+  /** The first control machine of a region that was silent is heard again: see noteSilence. */
+  void cameBack(int machine, Moment now) {
+    reachableSince.put(regionOf(machine), now);
+  }
+
+  private int regionOf(int machine) {
+    return all.stream().filter(one -> one.number() == machine).findFirst().orElseThrow().region();
+  }
+
+  private boolean allSilent(List<ControlMachine> machines, Span span, Moment now) {
+    return machines.stream().allMatch(machine -> exchange.silentFor(machine.number(), span, now));
   }
 
   /** Whether a member's silence is to be taken for its region's. */
@@ -69,9 +102,7 @@
       return count.members() >= LEAST_MEMBERS && count.mostSilent();
     }
     Span half = settings.lease().times(0.5);
-    boolean allSilent =
-        machines.stream().allMatch(machine -> exchange.silentFor(machine.number(), half, now));
-    return allSilent && count.mostSilent();
+    return allSilent(machines, half, now) && count.mostSilent();
   }
 
   /** Whether a region that could not be reached can again. */
--- a/src/main/java/linengauge/lease/Registrar.java
+++ b/src/main/java/linengauge/lease/Registrar.java
@@ -282,7 +282,7 @@
     }
     table.heardHere(entry, now);
     exchange.heardHere(number, entry.incarnation(), now);
-    if (leads() && isFresh() && !batcher.isExpiring(number)) {
+    if (leads() && isFresh() && !isWithheld(number)) {
       table.confirmed(number, entry.incarnation(), now);
     }
     Span elapsed = now.since(leaseFrom(table.of(entry, now)));
@@ -354,30 +354,34 @@
       if (sameLife) {
         table.heardElsewhere(entry, now);
       }
-      withheld |= !sameLife || batcher.isExpiring(number);
+      withheld |= !sameLife || isWithheld(number);
+    }
+    boolean cameBack = regions.isSilent(told.from(), now);
+    exchange.take(told, withheld, now);
+    exchange.confirmed(told);
+    if (cameBack) {
+      regions.cameBack(told.from(), now);
     }
-    exchange.take(told, withheld && withholds(), now);
     boolean ofLeader = told.from() == directory.leader();
     if (ofLeader && isFresh()) {
-      exchange.confirmed(told, table);
+      exchange.enter(told.from(), table);
     }
   }
 
   /**
-   * Guards against confirming the lease of a life whose expiry is on its way, or that another has
-   * followed. Hurts the other fronts of that round: their leases are confirmed with the next.
+   * Guards against confirming the lease of a life whose expiry is on its way. Hurts the other
+   * fronts of that round: their leases are confirmed with the next.
    */
-  protected boolean withholds() {
-    return true;
+  protected boolean isWithheld(int number) {
+    return batcher.isExpiring(number);
   }
 
   private void exchangeEvidence() {
     followDirectory();
-    List<List<Integer>> parts = exchange.endRound(directory);
+    exchange.endRound();
+    boolean confirms = isFresh() && (directory.leader() != own || leads());
     for (ControlMachine machine : others) {
-      boolean confirms = isFresh() && (directory.leader() != own || leads());
-      for (LeaseMessage.Evidence told :
-          exchange.toldTo(machine.number(), directory.version(), parts, confirms)) {
+      for (LeaseMessage.Evidence told : exchange.toldTo(machine.number(), directory, confirms)) {
         evidence++;
         port.send(machine.address(), told);
       }
@@ -406,7 +410,7 @@
    * Guards against a decision that the log would not take. Hurts a large change by some batches.
    */
   protected int mostChanges() {
-    return settings.mostBatch();
+    return Math.min(settings.mostBatch(), ChangeBatcher.MOST_BYTES / DirectoryCodec.MOST_CHANGE);
   }
 
   private List<DirectoryChange> ofLeader() {
--- a/src/test/java/linengauge/lease/LeaseWorld.java
+++ b/src/test/java/linengauge/lease/LeaseWorld.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.membership.Member;
@@ -231,13 +232,16 @@
   /** What is lost: sender and message. */
   BiPredicate<Node, LeaseMessage> lost = (from, message) -> false;
 
+  /** What becomes of a message on its way. */
+  UnaryOperator<LeaseMessage> tamper = message -> message;
+
   int leader;
   long time = 1_000_000;
   long bytesToFronts;
   double doubled;
   long jitter;
   private final Map<String, Node> nodes = new HashMap<>();
-  private final List<byte[]> log = new ArrayList<>();
+  final List<byte[]> log = new ArrayList<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) ->
@@ -307,7 +311,7 @@
           receiver,
           () -> {
             if (receiver.up) {
-              byte[] bytes = LeaseCodec.write(message);
+              byte[] bytes = LeaseCodec.write(tamper.apply(message));
               receiver.heard(from.address, LeaseCodec.read(bytes, bytes.length));
             }
           });
--- a/src/test/java/linengauge/lease/MemberDirectoryTest.java
+++ b/src/test/java/linengauge/lease/MemberDirectoryTest.java
@@ -12,7 +12,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-import linengauge.Span;
 import linengauge.consensus.CommittedLog;
 import linengauge.lease.DirectoryEntry.State;
 import linengauge.membership.Member;
@@ -25,20 +24,6 @@
 
   private final MemberDirectory directory = new MemberDirectory(LeaseSettings.USUAL);
 
-  private static LeaseSettings mostMembers(int most) {
-    return new LeaseSettings(
-        Span.ofMillis(1000),
-        Span.ofMillis(700),
-        Span.ofSeconds(6),
-        0.01,
-        Span.ofMillis(500),
-        Span.ofMillis(200),
-        Span.ofSeconds(2),
-        4096,
-        most,
-        128);
-  }
-
   private static DirectoryChange registered(int number, long incarnation) {
     return new DirectoryChange.Registered(new Member(number, ADDRESS, 1, 1), incarnation);
   }
@@ -193,7 +178,7 @@
   /** The room is bounded; what was dropped is known, so that nobody misses a departure for ever. */
   @Test
   void theOldestDepartedAreDroppedFirstAndNoMoreThanTheBoundAreTaken() {
-    MemberDirectory small = new MemberDirectory(mostMembers(4));
+    MemberDirectory small = new MemberDirectory(Cases.mostMembers(4));
     apply(small, registered(1, 1), registered(2, 1), registered(3, 1), registered(4, 1));
     apply(small, left(2, 1), left(1, 1)); // versions 5 and 6
     assertFalse(small.resets(4));
@@ -225,12 +210,12 @@
 
   @Test
   void aCopyRestoredFromTheWholeIsTheSame() {
-    MemberDirectory small = new MemberDirectory(mostMembers(4));
+    MemberDirectory small = new MemberDirectory(Cases.mostMembers(4));
     apply(small, registered(1, 1), registered(2, 1), registered(3, 1), registered(4, 1));
     apply(small, left(2, 1), left(1, 1), registered(5, 1));
     apply(small, new DirectoryChange.RegionReachable(2, false));
     apply(small, new DirectoryChange.Leads(3, 44, 1));
-    MemberDirectory copy = new MemberDirectory(mostMembers(4));
+    MemberDirectory copy = new MemberDirectory(Cases.mostMembers(4));
     apply(copy, registered(9, 9));
 
     copy.restore(small.whole());
@@ -248,7 +233,7 @@
   @Test
   void theDigestIsThatOfTheEntriesHoweverTheyCame() {
     SplittableRandom chance = new SplittableRandom(3);
-    MemberDirectory small = new MemberDirectory(mostMembers(30));
+    MemberDirectory small = new MemberDirectory(Cases.mostMembers(30));
     for (int i = 0; i < 2_000; i++) {
       int number = chance.nextInt(60);
       DirectoryEntry entry = small.entry(number);
@@ -256,7 +241,7 @@
       apply(
           small,
           chance.nextBoolean() ? registered(number, incarnation) : left(number, incarnation));
-      MemberDirectory copy = new MemberDirectory(mostMembers(30));
+      MemberDirectory copy = new MemberDirectory(Cases.mostMembers(30));
       copy.restore(small.whole());
       assertEquals(copy.digest(), small.digest());
       assertEquals(copy.presentCount(), small.presentCount());
