--- a/src/main/java/linengauge/membership/explore/FleetSimulation.java
+++ b/src/main/java/linengauge/membership/explore/FleetSimulation.java
@@ -60,6 +60,9 @@
     private int bytes;
     private long second;
 
+    /** The incarnation of each other that this life holds. */
+    private final Map<Integer, Long> seen = new HashMap<>();
+
     private Front(int number) {
       this.number = number;
       this.member = new Member(number, "10.0.0." + number + ":7000", number % schedule.zones(), 0);
@@ -70,6 +73,7 @@
       up = true;
       wakesAt = null;
       unread.clear();
+      seen.clear();
       core =
           maker.make(
               terms,
@@ -155,6 +159,7 @@
         broken.add(at() + number + " sends " + sent.length + " bytes");
       }
       datagrams++;
+      traffic.sent(now, number, sent.length);
       if (second != now.micros() / 1_000_000) {
         second = now.micros() / 1_000_000;
         bytes = 0;
@@ -176,6 +181,7 @@
             () -> {
               Front f = fronts.get(to);
               if (f.up) {
+                traffic.received(now, to, sent.length);
                 int mine = f.life;
                 Datagram read = Datagram.read(sent, sent.length);
                 f.run(
@@ -192,14 +198,11 @@
 
     @Override
     public void changed(MemberUpdate held) {
-      long[] before =
-          seen.computeIfAbsent(
-              number + "/" + life + "/" + held.member().number(), k -> new long[] {Long.MIN_VALUE});
-      if (held.incarnation() < before[0]) {
+      Long before = seen.put(held.member().number(), held.incarnation());
+      if (before != null && held.incarnation() < before) {
         broken.add(
             at() + number + " holds an older life of " + held.member().number() + " after a newer");
       }
-      before[0] = held.incarnation();
       if (held.standing() == MemberState.SUSPECT
           && held.by() == number
           && !troubled(held.member().number())) {
@@ -232,8 +235,8 @@
   private final List<Front> fronts = new ArrayList<>();
   private final List<String> broken = new ArrayList<>();
   private final List<Span> foundAfter = new ArrayList<>();
-  private final Map<String, long[]> seen = new HashMap<>();
   private final Map<Integer, Moment> killedAt = new HashMap<>();
+  private final TrafficMeter traffic;
   private Moment now = new Moment(0);
   private long number;
   private long datagrams;
@@ -249,6 +252,12 @@
     this.terms = terms;
     this.schedule = schedule;
     this.chance = new SplittableRandom(schedule.seed() ^ 0x5bd1e995L);
+    this.traffic = new TrafficMeter(schedule.fronts());
+  }
+
+  /** What each front sent and received, by second. */
+  public TrafficMeter traffic() {
+    return traffic;
   }
 
   private String at() {
--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -34,6 +34,7 @@
     "linengauge.membership.explore",
     "linengauge.consensus",
     "linengauge.consensus.explore",
+    "linengauge.lease.explore",
     "linengauge.zones"
   };
 
