--- a/src/main/java/linengauge/membership/explore/GossipMeasurement.java
+++ b/src/main/java/linengauge/membership/explore/GossipMeasurement.java
@@ -60,15 +60,16 @@
     DetectionFigures found = DetectionFigures.of(fronts - 1, outcome.foundAfter());
     TrafficMeter traffic = fleet.traffic();
     return List.of(
-        figures("START", traffic.figures(0, START_END), none, 0),
-        figures("QUIET", traffic.figures(START_END, QUIET_END), none, 0),
-        figures("FRONT_KILLED", traffic.figures(QUIET_END, DEATH_END), found, 1));
+        figures("START", traffic.figures(0, START_END), none),
+        figures("QUIET", traffic.figures(START_END, QUIET_END), none),
+        figures("FRONT_KILLED", traffic.figures(QUIET_END, DEATH_END), found));
   }
 
   private SimulationFigures figures(
-      String event, TrafficFigures traffic, DetectionFigures detection, int failures) {
+      String event, TrafficFigures traffic, DetectionFigures ends) {
+    DetectionFigures none = DetectionFigures.of(0, List.of());
     return new SimulationFigures(
-        Mechanism.GOSSIP, event, fronts, seed, traffic, detection, null, 0, failures, 0);
+        Mechanism.GOSSIP, event, fronts, seed, traffic, ends, none, none, null, 0);
   }
 
   private static Moment at(int second) {
