--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -36,7 +36,8 @@
     "linengauge.consensus",
     "linengauge.consensus.explore",
     "linengauge.zones",
-    "linengauge.virtualtime"
+    "linengauge.virtualtime",
+    "linengauge.lease.explore"
   };
 
   @ArchTest
