--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -34,7 +34,8 @@
     "linengauge.membership.explore",
     "linengauge.consensus",
     "linengauge.consensus.explore",
-    "linengauge.zones"
+    "linengauge.zones",
+    "linengauge.scale.fit"
   };
 
   @ArchTest
@@ -130,6 +131,8 @@
               "linengauge.membership..",
               "linengauge.consensus..",
               "linengauge.zones..",
+              "linengauge.scale..",
+              "org.apache.commons..",
               "com.fasterxml.jackson.databind..",
               "com.networknt..",
               "picocli..",
