--- /dev/null
+++ b/src/main/java/linengauge/scale/fronts/ClientSocket.java
@@ -0,0 +1,56 @@
+package linengauge.scale.fronts;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import linengauge.standin.PlatformViewers;
+
+/**
+ * One connection of a viewer without a thread of its own, so that thousands of them cost the rig
+ * little; it reads only when asked to.
+ */
+final class ClientSocket implements AutoCloseable {
+  static final int PLAYS = 9;
+  static final int OVER = 12;
+  static final int TEST_PASSED = 53;
+  private static final int PATIENCE_MS = 5000;
+
+  private final Socket socket = new Socket();
+  private final DataInputStream in;
+
+  ClientSocket(int port) throws IOException {
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), PATIENCE_MS);
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(PATIENCE_MS);
+    in = new DataInputStream(socket.getInputStream());
+  }
+
+  void send(byte[] message) throws IOException {
+    socket.getOutputStream().write(message);
+  }
+
+  /** Reads one message and returns its type; throws where none comes within the patience. */
+  int readType() throws IOException {
+    byte[] message = new byte[in.readUnsignedShort()];
+    in.readFully(message);
+    return ByteBuffer.wrap(message).get() & 0xff;
+  }
+
+  /** Asks for a test, and whether it was passed. */
+  boolean passesTest() {
+    try {
+      send(PlatformViewers.message(52, 1, 61, new byte[] {0}));
+      return readType() == TEST_PASSED;
+    } catch (IOException e) {
+      return false; // closed, or no answer in time
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/scale/fronts/ProcessUsage.java
@@ -0,0 +1,47 @@
+package linengauge.scale.fronts;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * What a process uses, as Linux tells it.
+ *
+ * @param processorSeconds user and system time since its start
+ * @param residentBytes memory of it that is in the machine's
+ * @param descriptors files and sockets that it holds open
+ */
+record ProcessUsage(double processorSeconds, long residentBytes, int descriptors) {
+  /** Ticks of /proc/PID/stat in a second: the kernel's USER_HZ, 100 on every platform of ours. */
+  private static final double TICKS_A_SECOND = 100;
+
+  private static final int USER_TICKS = 11;
+  private static final int SYSTEM_TICKS = 12;
+
+  static ProcessUsage of(long pid) throws IOException {
+    Path process = Path.of("/proc", Long.toString(pid));
+    String stat = Files.readString(process.resolve("stat"));
+    String status = Files.readString(process.resolve("status"));
+    try (var descriptors = Files.list(process.resolve("fd"))) {
+      return new ProcessUsage(
+          processorSeconds(stat), residentBytes(status), (int) descriptors.count());
+    }
+  }
+
+  /** Of the line of /proc/PID/stat; a process's name may hold blanks and brackets. */
+  static double processorSeconds(String stat) {
+    String[] afterName = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    long ticks = Long.parseLong(afterName[USER_TICKS]) + Long.parseLong(afterName[SYSTEM_TICKS]);
+    return ticks / TICKS_A_SECOND;
+  }
+
+  /** Of the lines of /proc/PID/status. */
+  static long residentBytes(String status) {
+    for (String line : status.split("\n")) {
+      if (line.startsWith("VmRSS:")) {
+        return Long.parseLong(line.replaceAll("\\D", "")) * 1024;
+      }
+    }
+    throw new IllegalArgumentException("no VmRSS: the process has ended");
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/scale/fronts/ServeProcess.java
@@ -0,0 +1,101 @@
+package linengauge.scale.fronts;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import linengauge.standin.PlatformViewers;
+
+/**
+ * One front as a process, started by the operators' run line.
+ *
+ * <p>It runs under a shell that waits for the end of its standard input and then kills the front:
+ * the input ends when this process does, however that comes about, so no front is left behind.
+ */
+final class ServeProcess implements AutoCloseable {
+  private static final String GUARD =
+      "PROXY_CONFIG=\"$1\" sh -c \"$2\" </dev/null >>\"$3\" 2>&1 & echo $!; read -r end;"
+          + " kill -KILL $!; wait $!";
+
+  private static final int READY_TRIES = 3000;
+  private static final int READY_EACH_MS = 10;
+  private static final int ANSWER_MS = 2000;
+  private static final int TEST_PASSED = 53;
+
+  private final Process guard;
+  private final long pid;
+  private final int port;
+
+  /**
+   * Starts it.
+   *
+   * @param run the shell line that starts a front, ending in an exec
+   * @param root the folder to start it in
+   */
+  ServeProcess(String run, Path root, Path configuration, Path log, int port) throws IOException {
+    this.port = port;
+    guard =
+        new ProcessBuilder(
+                "sh", "-c", GUARD, "guard", configuration.toString(), run, log.toString())
+            .directory(root.toFile())
+            .redirectError(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    var output =
+        new BufferedReader(
+            new InputStreamReader(guard.getInputStream(), StandardCharsets.US_ASCII));
+    pid = Long.parseLong(output.readLine());
+  }
+
+  long pid() {
+    return pid;
+  }
+
+  int port() {
+    return port;
+  }
+
+  /** Waits until it passes a test, as the platform's own viewers ask for one. */
+  void awaitReady() throws IOException, InterruptedException {
+    for (int i = 0; i < READY_TRIES && isAlive(); i++) {
+      if (passesTest()) {
+        return;
+      }
+      Thread.sleep(READY_EACH_MS);
+    }
+    throw new IOException("the front did not come up on port " + port);
+  }
+
+  private boolean passesTest() throws InterruptedException {
+    try (var viewers = new PlatformViewers(port)) {
+      viewers.test();
+      PlatformViewers.Said said = viewers.next(ANSWER_MS);
+      return said != null && said.type() == TEST_PASSED;
+    } catch (IOException e) {
+      return false; // not listening yet
+    }
+  }
+
+  boolean isAlive() {
+    return ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false);
+  }
+
+  ProcessUsage usage() throws IOException {
+    return ProcessUsage.of(pid);
+  }
+
+  /** Kills it, and waits until it is gone. */
+  @Override
+  public void close() throws IOException {
+    guard.getOutputStream().close();
+    try {
+      if (!guard.waitFor(10, TimeUnit.SECONDS)) {
+        guard.destroyForcibly();
+      }
+    } catch (InterruptedException e) {
+      guard.destroyForcibly();
+      Thread.currentThread().interrupt();
+    }
+  }
+}
