--- a/src/main/java/linengauge/cli/Commands.java
+++ b/src/main/java/linengauge/cli/Commands.java
@@ -23,6 +23,7 @@
       Commands.Front.class,
       Commands.SiteCommand.class,
       Drills.class,
+      ScaleCommands.class,
       Commands.Serve.class,
       Commands.Wire.class
     })
@@ -31,6 +32,7 @@
 
   static int run(String[] args) {
     CommandLine line = new CommandLine(new Commands());
+    line.setCaseInsensitiveEnumValuesAllowed(true);
     line.setExecutionExceptionHandler(
         (e, l, r) -> {
           System.err.println("linengauge: " + (e.getMessage() == null ? e : e.getMessage()));
--- /dev/null
+++ b/src/main/java/linengauge/cli/ScaleCommands.java
@@ -0,0 +1,198 @@
+package linengauge.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.LongStream;
+import linengauge.scale.BadScaleResult;
+import linengauge.scale.FleetSimulator;
+import linengauge.scale.GossipSimulator;
+import linengauge.scale.MachineLimits;
+import linengauge.scale.Measurement;
+import linengauge.scale.PageTables;
+import linengauge.scale.ScaleRecorder;
+import linengauge.scale.ScaleResult;
+import linengauge.scale.ScaleResult.Completeness;
+import linengauge.scale.ScaleResult.Kind;
+import linengauge.scale.ScaleResult.Machine;
+import linengauge.scale.ScaleResultFile;
+import linengauge.scale.ScaleTables;
+import linengauge.scale.SimulationSweep;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * What each role costs against size: measured, fitted, and printed as the capacity page's tables.
+ */
+@Command(
+    name = "scale",
+    mixinStandardHelpOptions = true,
+    description = "What each role costs against size: measured, fitted, printed as tables.",
+    subcommands = {
+      ScaleCommands.Simulate.class,
+      ScaleFronts.class,
+      ScaleCommands.Fit.class,
+      ScaleCommands.Tables.class
+    })
+final class ScaleCommands implements Callable<Integer> {
+  @Spec private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    spec.commandLine().usage(System.err);
+    return 2;
+  }
+
+  /** Refused before the start: wrong use, or more than the machine bears. */
+  static void refuse(CommandSpec spec, List<String> reasons) {
+    if (!reasons.isEmpty()) {
+      throw new ParameterException(
+          spec.commandLine(), String.join(System.lineSeparator(), reasons));
+    }
+  }
+
+  /** A result without measurements yet; the command as it was given. */
+  static ScaleResult heading(
+      CommandSpec spec, List<Long> seeds, int runs, Kind kind, String subject, String sizeUnit) {
+    List<String> given = new ArrayList<>(spec.root().commandLine().getParseResult().originalArgs());
+    given.add(0, "linengauge");
+    return new ScaleResult(
+        ScaleResult.VERSION,
+        String.join(" ", given),
+        seeds,
+        runs,
+        LocalDate.now(ZoneOffset.UTC).toString(),
+        Machine.here(),
+        kind,
+        Completeness.PARTIAL,
+        subject,
+        sizeUnit,
+        List.<Measurement>of());
+  }
+
+  @Command(
+      name = "simulate",
+      mixinStandardHelpOptions = true,
+      description = "A fleet's membership in virtual time, from seeds, at several sizes.")
+  static final class Simulate implements Callable<Integer> {
+    @Spec private CommandSpec spec;
+
+    @Option(names = "--mechanism", required = true, description = "gossip or lease")
+    private String mechanism;
+
+    @Option(
+        names = "--sizes",
+        split = ",",
+        required = true,
+        paramLabel = "FRONTS",
+        description = "how many fronts, for example 60,220,440,900")
+    private List<Integer> sizes;
+
+    @Option(
+        names = "--seeds",
+        defaultValue = "3",
+        paramLabel = "N",
+        description = "seeds from 1 to N for each size (default: 3)")
+    private int seeds;
+
+    @Option(
+        names = "--event",
+        defaultValue = SimulationSweep.ALL,
+        description = "measure this event alone (default: all)")
+    private String event;
+
+    @Option(names = "--out", required = true, paramLabel = "FILE.json", description = "the result")
+    private Path out;
+
+    @Override
+    public Integer call() throws IOException {
+      var simulator = simulator();
+      if (seeds < 1) {
+        refuse(spec, List.of("--seeds should be 1 or more"));
+      }
+      List<Long> all = LongStream.rangeClosed(1, seeds).boxed().toList();
+      var sweep = new SimulationSweep(simulator, sizes, all, event);
+      refuse(spec, sweep.refusals(MachineLimits.here()));
+      var recorder =
+          new ScaleRecorder(out, heading(spec, all, seeds, Kind.SIMULATED, mechanism, "fronts"));
+      sweep.run(recorder);
+      recorder.complete();
+      return 0;
+    }
+
+    private FleetSimulator simulator() {
+      if (!mechanism.equals(PageTables.GOSSIP)) {
+        refuse(spec, List.of("no mechanism '" + mechanism + "'"));
+      }
+      return new GossipSimulator();
+    }
+  }
+
+  @Command(
+      name = "fit",
+      mixinStandardHelpOptions = true,
+      description = "Lines, logarithms and squares through the measured figures, with residuals.")
+  static final class Fit implements Callable<Integer> {
+    @Parameters(arity = "1..*", paramLabel = "FILE.json")
+    private List<Path> files;
+
+    @Override
+    public Integer call() {
+      List<ScaleResult> results = new ArrayList<>();
+      try {
+        for (Path file : files) {
+          results.add(ScaleResultFile.read(file));
+        }
+      } catch (BadScaleResult e) {
+        System.err.println("linengauge: " + e.getMessage());
+        return 2;
+      }
+      System.out.print(ScaleTables.fits(results));
+      return 0;
+    }
+  }
+
+  @Command(
+      name = "tables",
+      mixinStandardHelpOptions = true,
+      description = "Print the page's tables from the results, or check that they are these.")
+  static final class Tables implements Callable<Integer> {
+    @Option(names = "--page", defaultValue = "docs/CAPACITY.md", paramLabel = "FILE.md")
+    private Path page;
+
+    @Option(names = "--results", defaultValue = "docs/measurements/scale", paramLabel = "FOLDER")
+    private Path results;
+
+    @Option(names = "--check", description = "write nothing; exit 1 where page and results differ")
+    private boolean check;
+
+    @Override
+    public Integer call() throws IOException {
+      try {
+        String old = Files.readString(page);
+        String printed = PageTables.printed(old, ScaleResultFile.readAll(results));
+        if (printed.equals(old)) {
+          return 0;
+        }
+        if (check) {
+          System.err.println("linengauge: " + page + " and the results in " + results + " differ");
+          return 1;
+        }
+        Files.writeString(page, printed);
+        return 0;
+      } catch (BadScaleResult | PageTables.BadPage | java.nio.file.NoSuchFileException e) {
+        System.err.println("linengauge: " + page + ": " + e.getMessage());
+        return 2;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/linengauge/scale/SimulationSweep.java
@@ -0,0 +1,84 @@
+package linengauge.scale;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import linengauge.membership.explore.SimulationFigures;
+import linengauge.scale.Measurement.Statistic;
+
+/** Plays a simulated fleet at each size with each seed. */
+public final class SimulationSweep {
+  /** Any event: all that the simulator has. */
+  public static final String ALL = "all";
+
+  private static final double NANOS = 1e9;
+
+  private final FleetSimulator simulator;
+  private final List<Integer> sizes;
+  private final List<Long> seeds;
+  private final String event;
+  private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+
+  public SimulationSweep(
+      FleetSimulator simulator, List<Integer> sizes, List<Long> seeds, String event) {
+    this.simulator = simulator;
+    this.sizes = sizes;
+    this.seeds = seeds;
+    this.event = event;
+  }
+
+  /** A line for each reason for which it cannot be run here. */
+  public List<String> refusals(MachineLimits limits) {
+    List<String> reasons = new ArrayList<>();
+    for (int size : sizes) {
+      if (size < 2 || size > simulator.mostFronts()) {
+        reasons.add(size + " fronts: from 2 to " + simulator.mostFronts() + " can be played");
+        continue;
+      }
+      long heap = simulator.heapBytes(size);
+      for (String reason : limits.passedBy(new MachineLimits.Wanted(heap, heap, 0, 0))) {
+        reasons.add(size + " fronts: " + reason);
+      }
+    }
+    if (!event.equals(ALL) && !simulator.events().contains(event)) {
+      reasons.add("no event '" + event + "'; there are " + simulator.events());
+    }
+    return reasons;
+  }
+
+  /** Plays all; each size is recorded once its seeds are through. */
+  public void run(ScaleRecorder recorder) throws IOException {
+    for (int size : sizes) {
+      List<SimulationFigures> figures = new ArrayList<>();
+      List<Double> processor = new ArrayList<>();
+      for (long seed : seeds) {
+        long before = threads.getCurrentThreadCpuTime();
+        List<SimulationFigures> run = simulator.play(size, seed, event);
+        processor.add(processorPercent(size, run, threads.getCurrentThreadCpuTime() - before));
+        figures.addAll(run.stream().filter(this::isAskedFor).toList());
+      }
+      List<Measurement> measured = new ArrayList<>(SimulatedMeasurements.of(figures));
+      measured.add(
+          new Measurement(
+              PageTables.FRONT,
+              "whole run",
+              size,
+              "processor time, the simulation's own included",
+              "% of a core",
+              Statistic.MEAN,
+              processor));
+      recorder.add(measured);
+    }
+  }
+
+  private boolean isAskedFor(SimulationFigures figures) {
+    return event.equals(ALL) || SimulatedMeasurements.eventName(figures.event()).equals(event);
+  }
+
+  private static double processorPercent(int fronts, List<SimulationFigures> run, long nanos) {
+    int seconds = run.stream().mapToInt(figures -> figures.traffic().toSecond()).max().orElse(1);
+    return 100 * (nanos / NANOS) / fronts / seconds;
+  }
+}
