--- a/src/main/java/linengauge/scale/FleetSimulator.java
+++ b/src/main/java/linengauge/scale/FleetSimulator.java
@@ -8,6 +8,9 @@
   /** What the events are called; one of them may be asked for alone. */
   List<String> events();
 
+  /** The smallest fleet that it plays. */
+  int leastFronts();
+
   /** The largest fleet that it plays. */
   int mostFronts();
 
--- a/src/main/java/linengauge/scale/GossipSimulator.java
+++ b/src/main/java/linengauge/scale/GossipSimulator.java
@@ -7,6 +7,7 @@
 
 /** Membership by gossip, with the usual settings but for the bound on members. */
 public final class GossipSimulator implements FleetSimulator {
+  private static final int LEAST_FRONTS = 8;
   private static final int MOST_FRONTS = 4000;
   private static final int MOST_MEMBERS = 4096;
 
@@ -20,6 +21,11 @@
     return List.of("start", "quiet", "front killed");
   }
 
+  @Override
+  public int leastFronts() {
+    return LEAST_FRONTS;
+  }
+
   @Override
   public int mostFronts() {
     return MOST_FRONTS;
--- a/src/main/java/linengauge/scale/SimulationSweep.java
+++ b/src/main/java/linengauge/scale/SimulationSweep.java
@@ -33,8 +33,11 @@
   public List<String> refusals(MachineLimits limits) {
     List<String> reasons = new ArrayList<>();
     for (int size : sizes) {
-      if (size < 2 || size > simulator.mostFronts()) {
-        reasons.add(size + " fronts: from 2 to " + simulator.mostFronts() + " can be played");
+      if (size < simulator.leastFronts() || size > simulator.mostFronts()) {
+        reasons.add(
+            String.format(
+                "%d fronts: from %d to %d can be played",
+                size, simulator.leastFronts(), simulator.mostFronts()));
         continue;
       }
       long heap = simulator.heapBytes(size);
--- a/src/main/java/linengauge/scale/fronts/FrontLoads.java
+++ b/src/main/java/linengauge/scale/fronts/FrontLoads.java
@@ -23,6 +23,8 @@
   private static final int SETTLE_MS = 3000;
   private static final int LEFT_MS = 5000;
   private static final int LINES = 20;
+  private static final int WARM_UP = 1000;
+  private static final int FIRST_WARM_UP = 10_000_000;
   private static final int ENDED_BY_VIEWER = 31;
   private static final int ENDED_BY_BOX = 16;
   private static final double MEGABYTE = 1 << 20;
@@ -152,11 +154,7 @@
         int delivered = 0;
         for (int id = 1; id <= viewings; id++) {
           awaitTurn(began, id, rate);
-          int box = stage.boxOf(id);
-          if (box >= 0) {
-            stage.boxes().get(box).end(FrontStage.tag(id), ENDED_BY_BOX);
-            delivered += answer(clients.get(id % LINES)) == ClientSocket.OVER ? 1 : 0;
-          }
+          delivered += endByBox(stage, id, clients.get(id % LINES)) ? 1 : 0;
         }
         Map<String, Double> figures = used(stage, before, began);
         figures.put(ANSWERED, (double) delivered);
@@ -202,14 +200,32 @@
     }
   }
 
+  /** Connections for many viewings each, to a front that has played some: its code is compiled. */
   private static List<ClientSocket> lines(FrontStage stage) throws IOException {
     List<ClientSocket> clients = new ArrayList<>();
     for (int i = 0; i < LINES; i++) {
       clients.add(new ClientSocket(stage.port()));
     }
+    for (int id = FIRST_WARM_UP; id < FIRST_WARM_UP + WARM_UP; id++) {
+      ClientSocket client = clients.get(id % LINES);
+      client.send(PlatformViewers.setUp(id, "lesson", LEFT_MS, ""));
+      answer(client);
+      endByBox(stage, id, client);
+    }
     return clients;
   }
 
+  /** A box ends a viewing; whether its viewer is told. */
+  private static boolean endByBox(FrontStage stage, long id, ClientSocket client)
+      throws IOException {
+    int box = stage.boxOf(id);
+    if (box < 0) {
+      return false;
+    }
+    stage.boxes().get(box).end(FrontStage.tag(id), ENDED_BY_BOX);
+    return answer(client) == ClientSocket.OVER;
+  }
+
   private static void awaitTurn(long began, int turn, int rate) throws InterruptedException {
     long at = began + (long) (turn * NANOS / rate);
     long wait = at - System.nanoTime();
--- a/src/main/java/linengauge/scale/fronts/RealFronts.java
+++ b/src/main/java/linengauge/scale/fronts/RealFronts.java
@@ -12,7 +12,7 @@
 
 /** Measures a real front under each load at each size, one front at a time. */
 public final class RealFronts {
-  /** Asked from time to time whether to go on. */
+  /** Told what is measured next. */
   public interface Progress {
     void at(String load, int size, int run);
   }
