--- a/src/main/java/linengauge/cli/ScaleCommands.java
+++ b/src/main/java/linengauge/cli/ScaleCommands.java
@@ -62,7 +62,7 @@
 
   /** A result without measurements yet; the command as it was given. */
   static ScaleResult heading(
-      CommandSpec spec, List<Long> seeds, int runs, Kind kind, String subject, String sizeUnit) {
+      CommandSpec spec, List<Long> seeds, int runs, Kind kind, String sizeUnit) {
     List<String> given = new ArrayList<>(spec.root().commandLine().getParseResult().originalArgs());
     given.add(0, "linengauge");
     return new ScaleResult(
@@ -74,7 +74,6 @@
         Machine.here(),
         kind,
         Completeness.PARTIAL,
-        subject,
         sizeUnit,
         List.<Measurement>of());
   }
@@ -106,9 +105,9 @@
 
     @Option(
         names = "--event",
-        defaultValue = SimulationSweep.ALL,
-        description = "measure this event alone (default: all)")
-    private String event;
+        split = ",",
+        description = "measure these events alone, as quiet,start (default: all)")
+    private List<String> events = new ArrayList<>();
 
     @Option(names = "--out", required = true, paramLabel = "FILE.json", description = "the result")
     private Path out;
@@ -120,10 +119,9 @@
         refuse(spec, List.of("--seeds should be 1 or more"));
       }
       List<Long> all = LongStream.rangeClosed(1, seeds).boxed().toList();
-      var sweep = new SimulationSweep(simulator, sizes, all, event);
+      var sweep = new SimulationSweep(simulator, sizes, all, events);
       refuse(spec, sweep.refusals(MachineLimits.here()));
-      var recorder =
-          new ScaleRecorder(out, heading(spec, all, seeds, Kind.SIMULATED, mechanism, "fronts"));
+      var recorder = new ScaleRecorder(out, heading(spec, all, seeds, Kind.SIMULATED, "fronts"));
       sweep.run(recorder);
       recorder.complete();
       return 0;
--- a/src/main/java/linengauge/cli/ScaleFronts.java
+++ b/src/main/java/linengauge/cli/ScaleFronts.java
@@ -9,7 +9,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import linengauge.scale.MachineLimits;
-import linengauge.scale.PageTables;
 import linengauge.scale.ScaleRecorder;
 import linengauge.scale.ScaleResult.Kind;
 import linengauge.scale.fronts.FrontPlan;
@@ -93,9 +92,7 @@
             plan, (event, size, run) -> System.err.println(event + ", " + size + ", run " + run));
     var recorder =
         new ScaleRecorder(
-            out,
-            ScaleCommands.heading(
-                spec, List.of(), runs, Kind.REAL_SOCKETS, PageTables.SERVE, load.sizeUnit));
+            out, ScaleCommands.heading(spec, List.of(), runs, Kind.REAL_SOCKETS, load.sizeUnit));
     if (load == Load.CONNECTIONS) {
       fronts.connections(recorder);
     } else {
--- a/src/main/java/linengauge/membership/explore/GossipMeasurement.java
+++ b/src/main/java/linengauge/membership/explore/GossipMeasurement.java
@@ -65,8 +65,7 @@
         figures("FRONT_KILLED", traffic.figures(QUIET_END, DEATH_END), found));
   }
 
-  private SimulationFigures figures(
-      String event, TrafficFigures traffic, DetectionFigures ends) {
+  private SimulationFigures figures(String event, TrafficFigures traffic, DetectionFigures ends) {
     DetectionFigures none = DetectionFigures.of(0, List.of());
     return new SimulationFigures(
         Mechanism.GOSSIP, event, fronts, seed, traffic, ends, none, none, null, 0);
--- a/src/main/java/linengauge/scale/FigureTable.java
+++ b/src/main/java/linengauge/scale/FigureTable.java
@@ -43,7 +43,7 @@
   private void add(ScaleResult result, Measurement measured) {
     Row row =
         new Row(
-            sources.size(), result.subject(), measured.role(), measured.event(), measured.size());
+            sources.size(), measured.subject(), measured.role(), measured.event(), measured.size());
     Column column = new Column(measured.quantity(), measured.unit(), measured.statistic());
     columns.add(column);
     rows.computeIfAbsent(row, r -> new LinkedHashMap<>()).put(column, measured);
--- a/src/main/java/linengauge/scale/FitTable.java
+++ b/src/main/java/linengauge/scale/FitTable.java
@@ -31,7 +31,8 @@
             List.of("figure", "unit", "sizes", "fit", "largest residual", "at", "gives", "how"));
     int rows = 0;
     for (Series series : Series.of(results)) {
-      if (series.sizes() >= Extrapolation.FEWEST_SIZES && !allZero(series)) {
+      boolean count = series.name().statistic() == Measurement.Statistic.TOTAL;
+      if (!count && series.sizes() >= Extrapolation.FEWEST_SIZES && !allZero(series)) {
         table.row(row(series));
         rows++;
       }
--- a/src/main/java/linengauge/scale/FleetSimulator.java
+++ b/src/main/java/linengauge/scale/FleetSimulator.java
@@ -5,7 +5,17 @@
 
 /** Plays a fleet in virtual time. */
 public interface FleetSimulator {
-  /** What the events are called; one of them may be asked for alone. */
+  /**
+   * What was played.
+   *
+   * @param virtualSeconds that all runs took together
+   */
+  record Played(List<SimulationFigures> figures, int virtualSeconds) {}
+
+  /** What was played, as measurements name it. */
+  String subject();
+
+  /** Names of the events that it can measure. */
   List<String> events();
 
   /** The smallest fleet that it plays. */
@@ -17,6 +27,6 @@
   /** Heap that a fleet of this size takes at the most, in bytes. */
   long heapBytes(int fronts);
 
-  /** Plays one run: the figures of each event of which this is one. */
-  List<SimulationFigures> play(int fronts, long seed, String event);
+  /** Plays these events; figures of others that come with them may be among what is returned. */
+  Played play(int fronts, long seed, List<String> events);
 }
--- a/src/main/java/linengauge/scale/GossipSimulator.java
+++ b/src/main/java/linengauge/scale/GossipSimulator.java
@@ -16,6 +16,11 @@
 
   private static final long BYTES_AT_LEAST = 200 << 20;
 
+  @Override
+  public String subject() {
+    return PageTables.GOSSIP;
+  }
+
   @Override
   public List<String> events() {
     return List.of("start", "quiet", "front killed");
@@ -38,7 +43,10 @@
 
   /** One run holds all its events. */
   @Override
-  public List<SimulationFigures> play(int fronts, long seed, String event) {
-    return new GossipMeasurement(MembershipSettings.USUAL, fronts, seed, MOST_MEMBERS).play();
+  public Played play(int fronts, long seed, List<String> events) {
+    var run = new GossipMeasurement(MembershipSettings.USUAL, fronts, seed, MOST_MEMBERS);
+    List<SimulationFigures> figures = run.play();
+    int end = figures.stream().mapToInt(f -> f.traffic().toSecond()).max().orElseThrow();
+    return new Played(figures, end);
   }
 }
--- a/src/main/java/linengauge/scale/Measurement.java
+++ b/src/main/java/linengauge/scale/Measurement.java
@@ -5,6 +5,7 @@
 /**
  * One quantity that was measured at one size, with one value for each run.
  *
+ * @param subject what was measured: "gossip", "lease", "serve"
  * @param role whose cost it is: "front", "control machine", "detection"
  * @param event what happened meanwhile: "quiet", "start", "zone lost"
  * @param size what the cost is set against; see {@link ScaleResult#sizeUnit}
@@ -13,6 +14,7 @@
  * @param values one for each run, in the order of the result's seeds
  */
 public record Measurement(
+    String subject,
     String role,
     String event,
     int size,
--- a/src/main/java/linengauge/scale/PageTables.java
+++ b/src/main/java/linengauge/scale/PageTables.java
@@ -93,8 +93,8 @@
       case "membership-detection" -> (result, m) -> simulated(result) && m.role().equals(DETECTION);
       case "control-machines" ->
           (result, m) -> simulated(result) && m.role().equals(CONTROL_MACHINE);
-      case "hollow-fronts" -> (result, m) -> !simulated(result) && !result.subject().equals(SERVE);
-      case "real-fronts" -> (result, m) -> result.subject().equals(SERVE);
+      case "hollow-fronts" -> (result, m) -> !simulated(result) && !m.subject().equals(SERVE);
+      case "real-fronts" -> (result, m) -> m.subject().equals(SERVE);
       default -> throw new IllegalArgumentException(table);
     };
   }
@@ -105,7 +105,7 @@
 
   private static boolean quietFront(ScaleResult result, Measurement m, String mechanism) {
     return simulated(result)
-        && result.subject().equals(mechanism)
+        && m.subject().equals(mechanism)
         && m.role().equals(FRONT)
         && m.event().equals(QUIET);
   }
--- a/src/main/java/linengauge/scale/ScaleResult.java
+++ b/src/main/java/linengauge/scale/ScaleResult.java
@@ -11,7 +11,6 @@
  * @param seeds of the runs; empty where chance has no seed
  * @param runs how often each size was measured
  * @param date of the run, as 2026-12-02
- * @param subject what was measured: "gossip", "lease", "serve"
  * @param sizeUnit what sizes count: "fronts", "connections"
  */
 public record ScaleResult(
@@ -23,7 +22,6 @@
     Machine machine,
     Kind kind,
     Completeness completeness,
-    String subject,
     String sizeUnit,
     List<Measurement> measurements) {
   /** The version of the form that this program writes and reads. */
@@ -75,6 +73,6 @@
   /** The same with other measurements. */
   public ScaleResult with(Completeness reached, List<Measurement> measured) {
     return new ScaleResult(
-        version, command, seeds, runs, date, machine, kind, reached, subject, sizeUnit, measured);
+        version, command, seeds, runs, date, machine, kind, reached, sizeUnit, measured);
   }
 }
--- a/src/main/java/linengauge/scale/Series.java
+++ b/src/main/java/linengauge/scale/Series.java
@@ -48,7 +48,7 @@
 
   private static Name name(ScaleResult result, Measurement measured) {
     return new Name(
-        result.subject(),
+        measured.subject(),
         result.kind(),
         result.sizeUnit(),
         measured.role(),
--- a/src/main/java/linengauge/scale/SimulatedMeasurements.java
+++ b/src/main/java/linengauge/scale/SimulatedMeasurements.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
-import linengauge.Span;
 import linengauge.membership.explore.DetectionFigures;
 import linengauge.membership.explore.SimulationFigures;
 import linengauge.membership.explore.TrafficFigures;
@@ -18,16 +17,15 @@
   private static final String DATAGRAMS_A_SECOND = "1/s";
   private static final String SECONDS = "s";
 
-  /** Of control machines, to share what all of them sent over changes and failures. */
-  public static final int CONTROL_MACHINES = 6;
-
   private final List<SimulationFigures> runs;
+  private final String subject;
   private final int size;
   private final String event;
   private final List<Measurement> measured = new ArrayList<>();
 
   private SimulatedMeasurements(List<SimulationFigures> runs) {
     this.runs = runs;
+    this.subject = runs.get(0).mechanism().name().toLowerCase(Locale.ROOT);
     this.size = runs.get(0).fronts();
     this.event = eventName(runs.get(0).event());
   }
@@ -53,9 +51,10 @@
     if (runs.stream().allMatch(run -> run.control() != null)) {
       control();
     }
-    if (runs.stream().anyMatch(run -> run.detection().expected() > 0)) {
-      detection();
-    }
+    detection("end", SimulationFigures::ends);
+    detection("leaving", SimulationFigures::leavings);
+    detection("beginning", SimulationFigures::beginnings);
+    add(PageTables.DETECTION, "rules broken", "", Statistic.TOTAL, SimulationFigures::broken);
     return measured;
   }
 
@@ -80,47 +79,38 @@
 
   private void control() {
     String role = PageTables.CONTROL_MACHINE;
-    traffic(role, SimulationFigures::control);
-    if (runs.stream().allMatch(run -> run.changes() > 0)) {
-      add(
-          role,
-          "bytes of all, by change of the directory",
-          "B",
-          Statistic.MEAN,
-          run -> run.controlBytesAChange(CONTROL_MACHINES));
-    }
-    if (runs.stream().allMatch(run -> run.failures() > 0)) {
-      add(
-          role,
-          "bytes of all, by failed front",
-          "B",
-          Statistic.MEAN,
-          run -> run.controlBytesAFailure(CONTROL_MACHINES));
-    }
-  }
-
-  private void detection() {
-    String known = "known after";
-    seconds(known, Statistic.MEAN, DetectionFigures::mean);
-    seconds(known, Statistic.P99, DetectionFigures::p99);
-    seconds(known, Statistic.MAXIMUM, DetectionFigures::last);
-    String role = PageTables.DETECTION;
-    add(role, "to be known", "pairs", Statistic.TOTAL, run -> run.detection().expected());
-    add(role, "known", "pairs", Statistic.TOTAL, run -> run.detection().known());
-    add(role, "rules broken", "", Statistic.TOTAL, SimulationFigures::broken);
+    traffic(role, run -> run.control().traffic());
+    bytes(role, "bytes of the log", Statistic.MEAN, run -> run.control().log().meanTotal());
+    bytes(
+        role,
+        "bytes of the log",
+        Statistic.WORST_TEN_SECONDS,
+        run -> run.control().log().worstTotalOfAll());
+    add(role, "changes", "", Statistic.TOTAL, run -> run.control().versions());
+    add(role, "failed fronts", "", Statistic.TOTAL, run -> run.control().failures());
+    add(role, "expired lives", "", Statistic.TOTAL, run -> run.control().expiries());
   }
 
-  private interface Delay {
-    Span of(DetectionFigures detection);
+  private interface Detection {
+    DetectionFigures of(SimulationFigures run);
   }
 
-  private void seconds(String quantity, Statistic statistic, Delay delay) {
+  /** How soon all fronts knew of changes of one kind; nothing where there was none. */
+  private void detection(String change, Detection detection) {
+    if (runs.stream().noneMatch(run -> detection.of(run).expected() > 0)) {
+      return;
+    }
+    String known = change + " known after";
+    String role = PageTables.DETECTION;
+    add(role, known, SECONDS, Statistic.MEAN, run -> detection.of(run).mean().seconds());
+    add(role, known, SECONDS, Statistic.P99, run -> detection.of(run).p99().seconds());
+    add(role, known, SECONDS, Statistic.MAXIMUM, run -> detection.of(run).last().seconds());
     add(
-        PageTables.DETECTION,
-        quantity,
-        SECONDS,
-        statistic,
-        run -> delay.of(run.detection()).seconds());
+        role,
+        change + " not known by",
+        "pairs",
+        Statistic.TOTAL,
+        run -> detection.of(run).expected() - detection.of(run).known());
   }
 
   private void bytes(
@@ -138,6 +128,6 @@
       Statistic statistic,
       ToDoubleFunction<SimulationFigures> value) {
     List<Double> values = runs.stream().map(run -> value.applyAsDouble(run)).toList();
-    measured.add(new Measurement(role, event, size, quantity, unit, statistic, values));
+    measured.add(new Measurement(subject, role, event, size, quantity, unit, statistic, values));
   }
 }
--- a/src/main/java/linengauge/scale/SimulationSweep.java
+++ b/src/main/java/linengauge/scale/SimulationSweep.java
@@ -10,23 +10,20 @@
 
 /** Plays a simulated fleet at each size with each seed. */
 public final class SimulationSweep {
-  /** Any event: all that the simulator has. */
-  public static final String ALL = "all";
-
   private static final double NANOS = 1e9;
 
   private final FleetSimulator simulator;
   private final List<Integer> sizes;
   private final List<Long> seeds;
-  private final String event;
+  private final List<String> events;
   private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
 
   public SimulationSweep(
-      FleetSimulator simulator, List<Integer> sizes, List<Long> seeds, String event) {
+      FleetSimulator simulator, List<Integer> sizes, List<Long> seeds, List<String> events) {
     this.simulator = simulator;
     this.sizes = sizes;
     this.seeds = seeds;
-    this.event = event;
+    this.events = events.isEmpty() ? simulator.events() : List.copyOf(events);
   }
 
   /** A line for each reason for which it cannot be run here. */
@@ -45,8 +42,10 @@
         reasons.add(size + " fronts: " + reason);
       }
     }
-    if (!event.equals(ALL) && !simulator.events().contains(event)) {
-      reasons.add("no event '" + event + "'; there are " + simulator.events());
+    for (String event : events) {
+      if (!simulator.events().contains(event)) {
+        reasons.add("no event '" + event + "'; there are " + simulator.events());
+      }
     }
     return reasons;
   }
@@ -58,13 +57,15 @@
       List<Double> processor = new ArrayList<>();
       for (long seed : seeds) {
         long before = threads.getCurrentThreadCpuTime();
-        List<SimulationFigures> run = simulator.play(size, seed, event);
-        processor.add(processorPercent(size, run, threads.getCurrentThreadCpuTime() - before));
-        figures.addAll(run.stream().filter(this::isAskedFor).toList());
+        FleetSimulator.Played run = simulator.play(size, seed, events);
+        double used = (threads.getCurrentThreadCpuTime() - before) / NANOS;
+        processor.add(100 * used / size / run.virtualSeconds());
+        figures.addAll(run.figures().stream().filter(this::isAskedFor).toList());
       }
       List<Measurement> measured = new ArrayList<>(SimulatedMeasurements.of(figures));
       measured.add(
           new Measurement(
+              simulator.subject(),
               PageTables.FRONT,
               "whole run",
               size,
@@ -77,11 +78,6 @@
   }
 
   private boolean isAskedFor(SimulationFigures figures) {
-    return event.equals(ALL) || SimulatedMeasurements.eventName(figures.event()).equals(event);
-  }
-
-  private static double processorPercent(int fronts, List<SimulationFigures> run, long nanos) {
-    int seconds = run.stream().mapToInt(figures -> figures.traffic().toSecond()).max().orElse(1);
-    return 100 * (nanos / NANOS) / fronts / seconds;
+    return events.contains(SimulatedMeasurements.eventName(figures.event()));
   }
 }
--- a/src/main/java/linengauge/scale/fronts/RealFronts.java
+++ b/src/main/java/linengauge/scale/fronts/RealFronts.java
@@ -77,7 +77,14 @@
         (name, values) ->
             measured.add(
                 new Measurement(
-                    PageTables.FRONT, event, size, name, UNITS.get(name), Statistic.MEAN, values)));
+                    PageTables.SERVE,
+                    PageTables.FRONT,
+                    event,
+                    size,
+                    name,
+                    UNITS.get(name),
+                    Statistic.MEAN,
+                    values)));
     return measured;
   }
 }
--- a/src/test/java/linengauge/scale/Results.java
+++ b/src/test/java/linengauge/scale/Results.java
@@ -12,6 +12,7 @@
 
   static Measurement bytes(int size, double... values) {
     return new Measurement(
+        PageTables.GOSSIP,
         PageTables.FRONT,
         PageTables.QUIET,
         size,
@@ -31,7 +32,6 @@
         new Machine(8, 24000, "17"),
         Kind.SIMULATED,
         reached,
-        PageTables.GOSSIP,
         "fronts",
         List.of(measured));
   }
--- a/src/test/java/linengauge/scale/ScaleResultFileTest.java
+++ b/src/test/java/linengauge/scale/ScaleResultFileTest.java
@@ -57,7 +57,7 @@
     assertRefused("", "no version");
     assertRefused(whole.substring(0, whole.length() / 2), "damaged");
     assertRefused(whole + "{}", "damaged");
-    assertRefused(replaced("\"subject\"", "\"topic\""), "damaged");
+    assertRefused(replaced("\"sizeUnit\"", "\"topic\""), "damaged");
     assertRefused(replaced("\"MEAN\"", "\"MEDIAN\""), "damaged");
     assertRefused(replaced("\"runs\" : 2", "\"runs\" : null"), "damaged");
     assertRefused(replaced("[ 120.0, 120.0 ]", "[ ]"), "damaged");
