--- a/src/main/java/linengauge/cli/ScaleCommands.java
+++ b/src/main/java/linengauge/cli/ScaleCommands.java
@@ -39,6 +39,7 @@
     description = "What each role costs against size: measured, fitted, printed as tables.",
     subcommands = {
       ScaleCommands.Simulate.class,
+      ScaleHollow.class,
       ScaleFronts.class,
       ScaleCommands.Fit.class,
       ScaleCommands.Tables.class
--- a/src/main/java/linengauge/scale/Measurement.java
+++ b/src/main/java/linengauge/scale/Measurement.java
@@ -29,6 +29,10 @@
     WORST_TEN_SECONDS("worst 10 s"),
     /** The highest of any one front's ten seconds. */
     WORST_FRONT_TEN_SECONDS("worst 10 s of one front"),
+    /** The mean over fronts in the sample in which it was the highest. */
+    WORST_SAMPLE("worst sample"),
+    /** The highest of any one front in one sample. */
+    WORST_FRONT_SAMPLE("worst sample of one front"),
     P99("p99"),
     MAXIMUM("most"),
     TOTAL("total");
