--- /dev/null
+++ b/src/main/java/linengauge/lease/explore/Deaths.java
@@ -0,0 +1,211 @@
+package linengauge.lease.explore;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+import linengauge.Moment;
+import linengauge.Span;
+import linengauge.lease.DirectoryEntry;
+import linengauge.membership.explore.DetectionFigures;
+
+/**
+ * Who has learned of each life that began, ended or left, and how long after. An end without a word
+ * has to be known everywhere within a bound.
+ */
+final class Deaths {
+  /** After the control machines' last fault it may take so long until one leads again. */
+  private static final Span ELECTION = Span.ofSeconds(6);
+
+  /**
+   * Beyond a lease: until the next exchange of evidence, the decision, its way to each control
+   * machine, and the next heartbeat of each front.
+   */
+  private static final Span SPREADING = Span.ofSeconds(4);
+
+  /** A life that ended. */
+  private static final class Death {
+    private final int number;
+    private final long incarnation;
+    private final Moment at;
+    private final boolean left;
+    private final BitSet known = new BitSet();
+
+    private Death(int number, long incarnation, Moment at, boolean left) {
+      this.number = number;
+      this.incarnation = incarnation;
+      this.at = at;
+      this.left = left;
+    }
+  }
+
+  private final LeaseSimulation simulation;
+  private final Judge judge;
+  private final Map<Integer, Death> open = new HashMap<>();
+  private final Moment[] beganAt;
+  private final DelayHistogram ends = new DelayHistogram();
+  private final DelayHistogram leavings = new DelayHistogram();
+  private final DelayHistogram beginnings = new DelayHistogram();
+  private int expectedEnds;
+  private int expectedLeavings;
+  private int expectedBeginnings;
+  private int failures;
+
+  Deaths(LeaseSimulation simulation, Judge judge) {
+    this.simulation = simulation;
+    this.judge = judge;
+    this.beganAt = new Moment[Topology.front(simulation.schedule().fronts())];
+  }
+
+  int failures() {
+    return failures;
+  }
+
+  /** How soon an end without a word was known. */
+  DetectionFigures ends() {
+    return ends.figures(expectedEnds);
+  }
+
+  /** How soon it was known that a front left. */
+  DetectionFigures leavings() {
+    return leavings.figures(expectedLeavings);
+  }
+
+  /** How soon it was known that a life began. */
+  DetectionFigures beginnings() {
+    return beginnings.figures(expectedBeginnings);
+  }
+
+  /** Forgets what was measured until now. */
+  void measureFromNow() {
+    ends.clear();
+    leavings.clear();
+    beginnings.clear();
+    expectedEnds = 0;
+    expectedLeavings = 0;
+    expectedBeginnings = 0;
+    failures = 0;
+  }
+
+  /**
+   * A life of the front begins.
+   *
+   * @param fresh the front holds nothing, and has to learn of all others as well
+   */
+  void begins(SimulatedFront front, boolean fresh) {
+    for (SimulatedFront other : simulation.fronts()) {
+      boolean learns = other.isUp() && other != front;
+      expectedBeginnings += learns ? 1 : 0;
+      expectedBeginnings += learns && fresh ? 1 : 0;
+    }
+    beganAt[front.number] = simulation.events().now();
+  }
+
+  void leaves(SimulatedFront front) {
+    open(front, true);
+  }
+
+  void ended(SimulatedFront front) {
+    Death before = open.get(front.number);
+    boolean said = before != null && before.incarnation == front.agent().incarnation();
+    if (!said) {
+      open(front, false);
+    }
+    beganAt[front.number] = null;
+    for (Death death : open.values()) {
+      if (!death.known.get(front.number)) {
+        expected(death, -1); // it needs to learn no more
+        death.known.set(front.number);
+      }
+    }
+  }
+
+  private void expected(Death death, int more) {
+    expectedEnds += death.left ? 0 : more;
+    expectedLeavings += death.left ? more : 0;
+  }
+
+  private void open(SimulatedFront front, boolean left) {
+    Moment now = simulation.events().now();
+    Death death = new Death(front.number, front.agent().incarnation(), now, left);
+    failures += left ? 0 : 1;
+    for (SimulatedFront other : simulation.fronts()) {
+      boolean learns = other.isUp() && other != front;
+      if (learns) {
+        expected(death, 1);
+      } else {
+        death.known.set(other.number);
+      }
+    }
+    open.put(front.number, death);
+    later(death, bound());
+  }
+
+  private Span bound() {
+    return simulation.settings().lease().plus(SPREADING);
+  }
+
+  /** The bound counts from the last fault of the control machines or of ways. */
+  private void later(Death death, Span after) {
+    simulation.events().at(simulation.events().now().plus(after), () -> due(death));
+  }
+
+  private void due(Death death) {
+    if (open.get(death.number) != death) {
+      return;
+    }
+    if (simulation.conditions().isRegionCut(Topology.region(death.number))) {
+      later(death, bound()); // the others cannot tell it from the whole region's silence
+      return;
+    }
+    Moment now = simulation.events().now();
+    Moment disturbed = simulation.conditions().lastControlChange();
+    boolean quiet = disturbed.before(death.at.minus(bound()));
+    Span longest = quiet ? bound() : simulation.settings().takeover().plus(ELECTION).plus(bound());
+    Moment latest = (quiet ? death.at : disturbed.orLater(death.at)).plus(longest);
+    if (now.before(latest)) {
+      later(death, latest.since(now));
+      return;
+    }
+    for (SimulatedFront front : simulation.fronts()) {
+      if (mustKnow(front, death) && holds(front, death)) {
+        judge.broken(
+            front.number + " does not know by now that " + death.number + " ended at " + death.at);
+      }
+    }
+    open.remove(death.number);
+  }
+
+  private boolean mustKnow(SimulatedFront front, Death death) {
+    boolean isCut = simulation.conditions().isRegionCut(Topology.region(front.number));
+    return front.isUp() && !isCut && !death.known.get(front.number) && !judge.ailed(front);
+  }
+
+  private static boolean holds(SimulatedFront front, Death death) {
+    DirectoryEntry entry = front.agent().view().entry(death.number);
+    return entry != null && entry.incarnation() == death.incarnation;
+  }
+
+  void learned(SimulatedFront front, DirectoryEntry entry) {
+    int number = entry.member().number();
+    boolean present = entry.state() == DirectoryEntry.State.PRESENT;
+    Moment now = simulation.events().now();
+    Death death = open.get(number);
+    if (death != null
+        && !death.known.get(front.number)
+        && (entry.incarnation() > death.incarnation
+            || entry.incarnation() == death.incarnation && !present)) {
+      death.known.set(front.number);
+      (death.left ? leavings : ends).add(now.since(death.at));
+    }
+    SimulatedFront subject = simulation.front(number);
+    boolean begun =
+        present
+            && subject != front
+            && beganAt[number] != null
+            && subject.agent().incarnation() == entry.incarnation()
+            && beganAt[front.number] != null;
+    if (begun) {
+      beginnings.add(now.since(beganAt[number].orLater(beganAt[front.number])));
+    }
+  }
+}
