--- a/src/main/java/linengauge/cli/ScaleCommands.java
+++ b/src/main/java/linengauge/cli/ScaleCommands.java
@@ -12,6 +12,7 @@
 import linengauge.scale.BadScaleResult;
 import linengauge.scale.FleetSimulator;
 import linengauge.scale.GossipSimulator;
+import linengauge.scale.LeaseSimulator;
 import linengauge.scale.MachineLimits;
 import linengauge.scale.Measurement;
 import linengauge.scale.PageTables;
@@ -129,10 +130,14 @@
     }
 
     private FleetSimulator simulator() {
-      if (!mechanism.equals(PageTables.GOSSIP)) {
-        refuse(spec, List.of("no mechanism '" + mechanism + "'"));
+      List<FleetSimulator> simulators = List.of(new GossipSimulator(), new LeaseSimulator());
+      for (FleetSimulator simulator : simulators) {
+        if (simulator.subject().equals(mechanism)) {
+          return simulator;
+        }
       }
-      return new GossipSimulator();
+      throw new ParameterException(
+          spec.commandLine(), "no mechanism '" + mechanism + "'; there are gossip and lease");
     }
   }
 
--- a/src/main/java/linengauge/lease/explore/EventQueue.java
+++ b/src/main/java/linengauge/lease/explore/EventQueue.java
@@ -3,7 +3,9 @@
 import java.util.PriorityQueue;
 import linengauge.Moment;
 
-/** What is to happen in virtual time, in order; of one moment, in the order in which it was added. */
+/**
+ * What is to happen in virtual time, in order; of one moment, in the order in which it was added.
+ */
 final class EventQueue {
   private record Event(Moment at, long number, Runnable deed) implements Comparable<Event> {
     @Override
--- a/src/main/java/linengauge/lease/explore/Fault.java
+++ b/src/main/java/linengauge/lease/explore/Fault.java
@@ -4,8 +4,8 @@
 import linengauge.Moment;
 
 /**
- * One fault, from a moment to another. Parties are numbered as in {@link Topology}: control machines
- * first, then fronts.
+ * One fault, from a moment to another. Parties are numbered as in {@link Topology}: control
+ * machines first, then fronts.
  *
  * @param party whom it befalls; of REGION_CUT, the region
  * @param other of CUT, the party that does not hear it; else 0
--- a/src/main/java/linengauge/lease/explore/Maker.java
+++ b/src/main/java/linengauge/lease/explore/Maker.java
@@ -9,7 +9,9 @@
 import linengauge.lease.Registrar;
 import linengauge.membership.Member;
 
-/** Makes the cores that a simulation plays; another one leaves a guard out, to see what it guards. */
+/**
+ * Makes the cores that a simulation plays; another one leaves a guard out, to see what it guards.
+ */
 public interface Maker {
   /** The cores as they are. */
   Maker USUAL = new Maker() {};
