--- a/src/main/java/linengauge/scale/FigureTable.java
+++ b/src/main/java/linengauge/scale/FigureTable.java
@@ -38,6 +38,23 @@
         chosen.forEach(measured -> add(result, measured));
       }
     }
+    keepLargest();
+  }
+
+  /** Of the many simulated events the largest size alone: all of them would be too many rows. */
+  private void keepLargest() {
+    Map<List<String>, Integer> largest = new LinkedHashMap<>();
+    rows.keySet().forEach(row -> largest.merge(sameEvent(row), row.size(), Math::max));
+    rows.keySet().removeIf(row -> !showsAllSizes(row) && row.size() < largest.get(sameEvent(row)));
+  }
+
+  private boolean showsAllSizes(Row row) {
+    return sources.get(row.source() - 1).kind() != ScaleResult.Kind.SIMULATED
+        || PageTables.PLAIN_EVENTS.contains(row.event());
+  }
+
+  private static List<String> sameEvent(Row row) {
+    return List.of(row.subject(), row.role(), row.event());
   }
 
   private void add(ScaleResult result, Measurement measured) {
@@ -61,7 +78,10 @@
     rows.forEach((row, figures) -> table.row(cells(row, figures)));
     StringBuilder text = new StringBuilder(table.text()).append("\n");
     for (int i = 0; i < sources.size(); i++) {
-      text.append(source(i + 1, sources.get(i))).append("\n");
+      int number = i + 1;
+      if (rows.keySet().stream().anyMatch(row -> row.source() == number)) {
+        text.append(source(number, sources.get(i))).append("\n");
+      }
     }
     return text.toString();
   }
--- a/src/main/java/linengauge/scale/FitTable.java
+++ b/src/main/java/linengauge/scale/FitTable.java
@@ -31,8 +31,7 @@
             List.of("figure", "unit", "sizes", "fit", "largest residual", "at", "gives", "how"));
     int rows = 0;
     for (Series series : Series.of(results)) {
-      boolean count = series.name().statistic() == Measurement.Statistic.TOTAL;
-      if (!count && series.sizes() >= Extrapolation.FEWEST_SIZES && !allZero(series)) {
+      if (series.sizes() >= Extrapolation.FEWEST_SIZES && isShown(series)) {
         table.row(row(series));
         rows++;
       }
@@ -40,6 +39,13 @@
     return rows == 0 ? "Not measured.\n" : table.text();
   }
 
+  private static boolean isShown(Series series) {
+    boolean plain =
+        series.name().kind() != ScaleResult.Kind.SIMULATED
+            || PageTables.PLAIN_EVENTS.contains(series.name().event());
+    return plain && series.name().statistic() != Measurement.Statistic.TOTAL && !allZero(series);
+  }
+
   private static boolean allZero(Series series) {
     return series.points().stream().allMatch(point -> point.value() == 0);
   }
--- a/src/main/java/linengauge/scale/PageTables.java
+++ b/src/main/java/linengauge/scale/PageTables.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -34,6 +35,9 @@
   public static final String LEASE = "lease";
   public static final String SERVE = "serve";
 
+  /** Events that are shown at all sizes and fitted on the page; `scale fit` shows all. */
+  static final Set<String> PLAIN_EVENTS = Set.of(QUIET, "start", "front killed", "whole run");
+
   private static final Pattern TABLE =
       Pattern.compile("<!-- table: (\\S+) -->\n(.*?)<!-- end -->", Pattern.DOTALL);
   private static final Pattern BEGIN = Pattern.compile("<!-- table: ");
--- a/src/main/java/linengauge/scale/ScaleResult.java
+++ b/src/main/java/linengauge/scale/ScaleResult.java
@@ -52,7 +52,11 @@
     PARTIAL
   }
 
-  /** The machine that it ran on. */
+  /**
+   * The machine that it ran on.
+   *
+   * @param cores that the measuring process may use
+   */
   public record Machine(int cores, long memoryMb, String java) {
     /** This one. */
     public static Machine here() {
--- a/src/test/java/linengauge/scale/PageTablesTest.java
+++ b/src/test/java/linengauge/scale/PageTablesTest.java
@@ -83,6 +83,21 @@
     assertTrue(page.contains("<!-- table: fits -->\nNot measured.\n<!-- end -->"), page);
   }
 
+  @Test
+  void ofEventsOtherThanThePlainOnesTheLargestSizeStandsAlone() throws Exception {
+    ScaleResult zones =
+        Results.gossip(
+            Completeness.COMPLETE,
+            Results.bytes("zone lost", 60, 1),
+            Results.bytes("zone lost", 220, 2),
+            Results.bytes("start", 60, 3));
+    String empty = "<!-- table: membership-events -->\n<!-- end -->\n";
+    String page = PageTables.printed(empty, List.of(zones));
+    assertFalse(page.contains("| zone lost | 60 fronts |"), page);
+    assertTrue(page.contains("| zone lost | 220 fronts | 2 | 1 |"), page);
+    assertTrue(page.contains("| start | 60 fronts | 3 | 1 |"), page);
+  }
+
   @Test
   void aLineThatDoesNotHoldGivesNoFigureAtTheTarget() throws Exception {
     ScaleResult wild =
--- a/src/test/java/linengauge/scale/Results.java
+++ b/src/test/java/linengauge/scale/Results.java
@@ -11,10 +11,14 @@
   private Results() {}
 
   static Measurement bytes(int size, double... values) {
+    return bytes(PageTables.QUIET, size, values);
+  }
+
+  static Measurement bytes(String event, int size, double... values) {
     return new Measurement(
         PageTables.GOSSIP,
         PageTables.FRONT,
-        PageTables.QUIET,
+        event,
         size,
         "bytes sent",
         "B/s",
