--- a/src/main/java/linengauge/cli/Commands.java
+++ b/src/main/java/linengauge/cli/Commands.java
@@ -23,6 +23,7 @@
       Commands.Front.class,
       Commands.SiteCommand.class,
       Drills.class,
+      ControlCommand.class,
       ScaleCommands.class,
       Commands.Serve.class,
       Commands.Wire.class
--- a/src/main/java/linengauge/drill/LeaseProcess.java
+++ b/src/main/java/linengauge/drill/LeaseProcess.java
@@ -57,19 +57,7 @@
 
   /** The usual settings, all spans in proportion to that heartbeat. */
   public static LeaseSettings settings(Span heartbeat) {
-    LeaseSettings usual = LeaseSettings.USUAL;
-    double by = heartbeat.seconds() / usual.heartbeat().seconds();
-    return new LeaseSettings(
-        heartbeat,
-        usual.answer().times(by),
-        usual.lease().times(by),
-        usual.drift(),
-        usual.evidence().times(by),
-        usual.batch().times(by),
-        usual.takeover().times(by),
-        (int) (usual.mostBytesASecond() / by),
-        usual.mostMembers(),
-        usual.mostBatch());
+    return LeaseSettings.USUAL.withHeartbeat(heartbeat);
   }
 
   /** Runs until the input ends or says something. */
--- a/src/main/java/linengauge/front/FrontProgram.java
+++ b/src/main/java/linengauge/front/FrontProgram.java
@@ -90,6 +90,7 @@
   private Chores chores;
   private VrrpPairing vrrp;
   private FleetMembers members;
+  private FleetLease lease;
 
   /** What the pairing asks for on its own thread. */
   private volatile int servingBoxes;
@@ -169,6 +170,7 @@
     try {
       vrrp = new VrrpPairing(site, lease -> doors.forEach(d -> d.gaveUp(lease)), this::isUnwell);
       members = new FleetMembers(site);
+      lease = new FleetLease(site);
     } catch (IOException e) {
       return Future.failedFuture(e.getMessage());
     }
@@ -238,6 +240,7 @@
       ready = true;
       vrrp.start();
       members.start();
+      lease.start();
       LOG.info("ready {}", StructuredArguments.kv("boxes", core.boxes().size()));
     }
   }
@@ -270,7 +273,14 @@
   /* ---- its state, for operators ---- */
 
   private void answerState(HttpServerRequest request) {
-    request.response().putHeader("Content-Type", "application/json").end(state().encode() + "\n");
+    lease.state(leaseState -> onDesk(() -> answerState(request, leaseState)));
+  }
+
+  private void answerState(HttpServerRequest request, JsonObject leaseState) {
+    request
+        .response()
+        .putHeader("Content-Type", "application/json")
+        .end(state().put("lease", leaseState).encode() + "\n");
   }
 
   private JsonObject state() {
@@ -337,6 +347,7 @@
     stopping = true;
     vrrp.close(); // partners take over while what plays here goes on at the front's own address
     members.close(); // nobody has to find out that it is gone
+    lease.leave();
     onDesk(
         () -> {
           LOG.info("stopping {}", StructuredArguments.kv("held", core.viewings()));
@@ -428,6 +439,7 @@
     ready = false;
     vrrp.leave();
     members.leave();
+    lease.leave();
     desk.afterwards(FAILED_CLOSES_AFTER, () -> closeLoops("the core failed: " + cause));
   }
 }
--- a/src/main/java/linengauge/lease/LeaseSettings.java
+++ b/src/main/java/linengauge/lease/LeaseSettings.java
@@ -42,4 +42,20 @@
           4096,
           4096,
           128);
+
+  /** The same with another heartbeat, and all other spans in proportion. */
+  public LeaseSettings withHeartbeat(Span each) {
+    double scale = each.seconds() / heartbeat.seconds();
+    return new LeaseSettings(
+        each,
+        answer.times(scale),
+        lease.times(scale),
+        drift,
+        evidence.times(scale),
+        batch.times(scale),
+        takeover.times(scale),
+        (int) (mostBytesASecond / scale),
+        mostMembers,
+        mostBatch);
+  }
 }
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -39,6 +39,7 @@
     Work work,
     Vrrp vrrp,
     Members members,
+    Lease lease,
     Stop stop) {
 
   /** A host and a port. */
@@ -272,6 +273,18 @@
   public record Members(
       String listen, List<String> seeds, String keyFile, int region, int periodMs) {}
 
+  /**
+   * Membership by lease; without control machines this front takes no part.
+   *
+   * @param listen UDP, in numbers, where control machines answer this front
+   * @param region of this front; its zone is its building
+   */
+  public record Lease(
+      String listen, String keyFile, int region, int heartbeatMs, List<ControlMachine> control) {}
+
+  /** A machine that keeps leases. */
+  public record ControlMachine(int number, int region, String address) {}
+
   /** How long what plays may go on once the front is told to stop. */
   public record Stop(int playingMs) {}
 
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -157,6 +157,33 @@
     }
   }
 
+  private void lease(Site s) {
+    Site.Lease lease = s.lease();
+    if (lease.control().isEmpty()) {
+      wants(lease.listen() == null, "lease.control", "needed where there is lease.listen");
+      return;
+    }
+    wants(lease.listen() != null, "lease.listen", "needed where there are control machines");
+    if (lease.listen() != null) {
+      inNumbers(lease.listen(), "lease.listen");
+    }
+    wants(
+        lease.keyFile() != null,
+        "lease.keyFile",
+        "needed: whoever could speak for any front could end its lease");
+    Set<Integer> numbers = new HashSet<>();
+    for (int i = 0; i < lease.control().size(); i++) {
+      Site.ControlMachine machine = lease.control().get(i);
+      String path = "lease.control[" + i + "]";
+      inNumbers(machine.address(), path + ".address");
+      wants(
+          machine.number() >= s.fronts().count(),
+          path + ".number",
+          "is a front's: must be fronts.count or more");
+      wants(numbers.add(machine.number()), path + ".number", "stands twice");
+    }
+  }
+
   /** The others are told it as it stands here, and nobody looks names up while others wait. */
   private void inNumbers(String address, String path) {
     address(address, path);
@@ -174,6 +201,7 @@
         "must be under work.windowMs: viewers come first");
     wants(w.firstPauseMs() <= w.mostPauseMs(), "work.firstPauseMs", "is over work.mostPauseMs");
     members(s);
+    lease(s);
     Site.Vrrp v = s.vrrp();
     if (v.routers().isEmpty()) {
       return;
