--- a/src/main/java/linengauge/consensus/RaftMessage.java
+++ b/src/main/java/linengauge/consensus/RaftMessage.java
@@ -85,6 +85,11 @@
         kind, from, store, term, index, indexTerm, commit, round, age, yes, entries, w);
   }
 
+  /** The same without the age, for whoever compares messages. */
+  public RaftMessage withoutAge() {
+    return committed(commit, 0);
+  }
+
   public byte[] bytes() {
     MessageWriter to =
         new MessageWriter()
--- a/src/main/java/linengauge/consensus/explore/ModelState.java
+++ b/src/main/java/linengauge/consensus/explore/ModelState.java
@@ -3,13 +3,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import linengauge.Moment;
 import linengauge.Span;
-import linengauge.consensus.Entry;
 import linengauge.consensus.MessageWriter;
 import linengauge.consensus.PersistentState;
 import linengauge.consensus.RaftMessage;
@@ -20,8 +18,7 @@
 /**
  * Some voters and what is on its way between them, copied before each choice. Each voter has a
  * clock of its own, which moves only as its timers are let come due: no order of things is left out
- * because clocks would forbid it. Rules are judged from what voters hold and say, by this class
- * alone.
+ * because clocks would forbid it. {@link ModelJudge} judges what they hold and say.
  */
 final class ModelState {
   /** On its way; whatever is never let arrive is lost. */
@@ -31,9 +28,11 @@
     }
   }
 
-  private static final RaftSettings TERMS =
+  private static final RaftSettings SETTINGS =
       new RaftSettings(Span.ofMillis(100), Span.ofMillis(300), Span.ofMillis(100), 64, 64, 1);
+  private static final String ARRIVES = "arrives ";
   private static final long AUTHOR = 7;
+  private static final int READER = 9;
 
   private final class Node implements RaftNode.Port {
     private final int number;
@@ -45,6 +44,10 @@
       this.number = number;
     }
 
+    private boolean leads() {
+      return voter.role() == RaftNode.Role.LEADER;
+    }
+
     @Override
     public void save(PersistentState saved) {
       disk = saved;
@@ -54,38 +57,17 @@
     public void send(int to, RaftMessage message) {
       if (to < nodes.size()) {
         // Said at some age or other: that bears on nothing here.
-        RaftMessage w =
-            new RaftMessage(
-                message.kind(),
-                message.from(),
-                message.store(),
-                message.term(),
-                message.index(),
-                message.indexTerm(),
-                message.commit(),
-                message.round(),
-                0,
-                message.yes(),
-                message.entries(),
-                message.whole());
-        Message m = new Message(to, w, w.bytes());
+        RaftMessage ageless = message.withoutAge();
+        Message m = new Message(to, ageless, ageless.bytes());
         onTheWay.putIfAbsent(m.key(), m);
       }
     }
 
     @Override
     public void answer(long asker, RaftMessage message) {
-      if (message.kind() == RaftMessage.Kind.READABLE
-          && message.yes()
-          && message.index() < readsFrom.get((int) message.round())) {
-        broken =
-            "stale: "
-                + number
-                + " answers that all is known up to "
-                + message.index()
-                + ", and "
-                + readsFrom.get((int) message.round())
-                + " had been decided when it was asked";
+      if (message.kind() == RaftMessage.Kind.READABLE && message.yes()) {
+        String wrong = judge.checkRead(number, (int) message.round(), message.index());
+        broken = wrong != null ? wrong : broken;
       }
     }
   }
@@ -94,15 +76,7 @@
   private final List<Node> nodes = new ArrayList<>();
   private final SortedMap<String, Message> onTheWay = new TreeMap<>();
 
-  /** Who led which term; what was decided, in order, and the term in which it first was. */
-  private final TreeMap<Long, Integer> led = new TreeMap<>();
-
-  private final List<Entry> decided = new ArrayList<>();
-  private final List<Long> decidedIn = new ArrayList<>();
-
-  /** How far all was decided when each question was asked. */
-  private final List<Long> readsFrom = new ArrayList<>();
-
+  private final ModelJudge judge;
   private int wakes;
   private int faults;
   private int proposals;
@@ -111,6 +85,7 @@
 
   ModelState(Schedule plan) {
     this.plan = plan;
+    this.judge = new ModelJudge();
     SortedMap<Integer, Voters.Chair> chairs = new TreeMap<>();
     for (int i = 0; i < plan.voters(); i++) {
       chairs.put(i, chair(i));
@@ -132,7 +107,7 @@
   }
 
   private void begin(Node n) {
-    n.voter = plan.maker().make(TERMS, n.number, n.disk, new NumberLog(), n.number, n);
+    n.voter = plan.maker().make(SETTINGS, n.number, n.disk, new NumberLog(), n.number, n);
     n.voter.start(n.clock);
   }
 
@@ -180,6 +155,7 @@
 
   ModelState(ModelState o) {
     this.plan = o.plan;
+    this.judge = new ModelJudge(o.judge);
     for (Node n : o.nodes) {
       Node copy = new Node(n.number);
       copy.disk = n.disk;
@@ -188,10 +164,6 @@
       nodes.add(copy);
     }
     onTheWay.putAll(o.onTheWay);
-    led.putAll(o.led);
-    decided.addAll(o.decided);
-    decidedIn.addAll(o.decidedIn);
-    readsFrom.addAll(o.readsFrom);
     wakes = o.wakes;
     faults = o.faults;
     proposals = o.proposals;
@@ -205,153 +177,133 @@
 
   private List<String> choices(boolean bounded) {
     List<String> all = new ArrayList<>();
-    onTheWay.keySet().forEach(k -> all.add("arrives " + k));
-    for (Node n : nodes) {
+    onTheWay.keySet().forEach(key -> all.add(ARRIVES + key));
+    for (Node node : nodes) {
       if (!bounded || wakes < plan.wakes()) {
-        all.add("wakes " + n.number);
+        all.add("wakes " + node.number);
       }
       if (!bounded || faults < plan.faults()) {
-        all.add("crashes " + n.number);
-        if (n.voter.role() == RaftNode.Role.LEADER) {
-          all.add("stands still " + n.number);
-        }
-        if (!bounded || plan.emptied()) {
-          all.add("emptied " + n.number);
-        }
+        addFaults(node, !bounded || plan.emptied(), all);
       }
-      if (n.voter.role() == RaftNode.Role.LEADER) {
-        if (!bounded || proposals < plan.proposals()) {
-          all.add("propose " + n.number);
-        }
-        if (!bounded || readsFrom.size() < plan.reads()) {
-          all.add("read " + n.number);
-        }
-        if (!bounded || changes < plan.changes()) {
-          all.add("without " + n.number);
-          all.add("with " + n.number);
-        }
+      if (node.leads()) {
+        addRequests(node, bounded, all);
       }
     }
     return all;
   }
 
+  private static void addFaults(Node node, boolean emptied, List<String> to) {
+    to.add("crashes " + node.number);
+    if (node.leads()) {
+      to.add("stands still " + node.number);
+    }
+    if (emptied) {
+      to.add("emptied " + node.number);
+    }
+  }
+
+  private void addRequests(Node leader, boolean bounded, List<String> to) {
+    if (!bounded || proposals < plan.proposals()) {
+      to.add("propose " + leader.number);
+    }
+    if (!bounded || judge.reads() < plan.reads()) {
+      to.add("read " + leader.number);
+    }
+    if (!bounded || changes < plan.changes()) {
+      to.add("without " + leader.number);
+      to.add("with " + leader.number);
+    }
+  }
+
   /** Lets that happen; what it broke, or null. */
   String go(String choice) {
-    int space = choice.lastIndexOf(' ');
-    if (choice.startsWith("arrives ")) {
-      Message m = onTheWay.remove(choice.substring("arrives ".length()));
-      Node n = nodes.get(m.to);
-      return acts(n, () -> n.voter.heard(n.clock, m.message));
+    if (choice.startsWith(ARRIVES)) {
+      Message message = onTheWay.remove(choice.substring(ARRIVES.length()));
+      Node to = nodes.get(message.to);
+      return act(to, () -> to.voter.heard(to.clock, message.message));
     }
-    Node n = nodes.get(Integer.parseInt(choice.substring(space + 1)));
-    switch (choice.substring(0, space)) {
-      case "wakes" -> {
-        wakes++;
-        n.clock = n.clock.orLater(n.voter.next());
-        return acts(n, () -> n.voter.step(n.clock));
-      }
-      case "stands still" -> {
-        faults++;
-        n.clock = n.clock.plus(TERMS.election().times(4));
-        return acts(n, () -> n.voter.step(n.clock));
-      }
-      case "crashes" -> {
-        faults++;
-        begin(n);
-        return null;
-      }
-      case "emptied" -> {
-        faults++;
-        n.disk = PersistentState.joining(500 + faults, new NumberLog());
-        begin(n);
-        return null;
-      }
-      case "propose" -> {
-        proposals++;
-        return acts(
-            n,
-            () ->
-                n.voter.propose(
-                    n.clock, AUTHOR, proposals, new MessageWriter().num(proposals).done()));
-      }
-      case "read" -> {
-        readsFrom.add((long) decided.size());
-        int number = readsFrom.size() - 1;
-        RaftMessage w =
-            new RaftMessage(
-                RaftMessage.Kind.READ, 9, 0, 0, 0, 0, 0, number, 0, false, List.of(), new byte[0]);
-        return acts(n, () -> n.voter.ask(n.clock, 9, w));
-      }
-      case "without" -> {
-        changes++;
-        int goes =
-            n.voter.voters().voting().stream()
-                .filter(v -> v != n.number)
-                .findFirst()
-                .orElse(n.number);
-        return acts(n, () -> n.voter.change(n.clock, n.voter.voters().without(goes)));
-      }
-      case "with" -> {
-        changes++;
-        int comes = nodes.size() - 1;
-        return acts(n, () -> n.voter.change(n.clock, n.voter.voters().with(comes, chair(comes))));
-      }
+    int space = choice.lastIndexOf(' ');
+    Node node = nodes.get(Integer.parseInt(choice.substring(space + 1)));
+    return switch (choice.substring(0, space)) {
+      case "wakes" -> wake(node);
+      case "stands still" -> standStill(node);
+      case "crashes" -> crash(node, node.disk);
+      case "emptied" -> crash(node, PersistentState.joining(501 + faults, new NumberLog()));
+      case "propose" -> propose(node);
+      case "read" -> read(node);
+      case "without" -> change(node, withoutAnother(node));
+      case "with" -> change(node, withNewcomer(node));
       default -> throw new IllegalArgumentException("no such thing: " + choice);
-    }
+    };
   }
 
-  private String acts(Node n, Runnable task) {
+  private String wake(Node node) {
+    wakes++;
+    node.clock = node.clock.orLater(node.voter.next());
+    return act(node, () -> node.voter.step(node.clock));
+  }
+
+  private String standStill(Node node) {
+    faults++;
+    node.clock = node.clock.plus(SETTINGS.election().times(4));
+    return act(node, () -> node.voter.step(node.clock));
+  }
+
+  private String crash(Node node, PersistentState diskAfter) {
+    faults++;
+    node.disk = diskAfter;
+    begin(node);
+    return null;
+  }
+
+  private String propose(Node node) {
+    proposals++;
+    byte[] payload = new MessageWriter().num(proposals).done();
+    return act(node, () -> node.voter.propose(node.clock, AUTHOR, proposals, payload));
+  }
+
+  private String read(Node node) {
+    RaftMessage request =
+        new RaftMessage(
+            RaftMessage.Kind.READ,
+            READER,
+            0,
+            0,
+            0,
+            0,
+            0,
+            judge.onRead(),
+            0,
+            false,
+            List.of(),
+            new byte[0]);
+    return act(node, () -> node.voter.ask(node.clock, READER, request));
+  }
+
+  private String change(Node node, Voters next) {
+    changes++;
+    return act(node, () -> node.voter.change(node.clock, next));
+  }
+
+  private static Voters withoutAnother(Node node) {
+    Voters voters = node.voter.voters();
+    int goes =
+        voters.voting().stream().filter(v -> v != node.number).findFirst().orElse(node.number);
+    return voters.without(goes);
+  }
+
+  private Voters withNewcomer(Node node) {
+    int comes = nodes.size() - 1;
+    return node.voter.voters().with(comes, chair(comes));
+  }
+
+  private String act(Node node, Runnable task) {
     try {
       task.run();
     } catch (IllegalStateException e) {
-      return n.number + ": " + e.getMessage();
+      return node.number + ": " + e.getMessage();
     }
-    return broken != null ? broken : judge(n);
-  }
-
-  /**
-   * One leader a term; one entry an index for ever; whoever leads later holds all that was decided
-   * before.
-   */
-  private String judge(Node n) {
-    RaftNode v = n.voter;
-    if (v.role() == RaftNode.Role.LEADER) {
-      Integer other = led.putIfAbsent(v.term(), n.number);
-      if (other != null && other != n.number) {
-        return "two led term " + v.term() + ": " + other + " and " + n.number;
-      }
-      if (other == null) {
-        for (int i = 0; i < decided.size(); i++) {
-          Entry e = v.entry(i + 1L);
-          if (decidedIn.get(i) < v.term() && !Objects.equals(decided.get(i), e)) {
-            return n.number
-                + " leads term "
-                + v.term()
-                + " without entry "
-                + (i + 1)
-                + ", which was decided in term "
-                + decidedIn.get(i);
-          }
-        }
-      }
-    }
-    for (long i = 1; i <= v.commit(); i++) {
-      Entry e = v.entry(i);
-      if (i > decided.size()) {
-        decided.add(e);
-        decidedIn.add(v.term());
-      } else if (!Objects.equals(decided.get((int) i - 1), e)) {
-        return "entry "
-            + i
-            + " decided twice: term "
-            + decided.get((int) i - 1).term()
-            + " and, at "
-            + n.number
-            + ", term "
-            + e.term();
-      }
-    }
-    return null;
+    return broken != null ? broken : judge.check(node.voter);
   }
 
   /** Tells two worlds apart as far as anything to come depends on it. */
@@ -362,10 +314,7 @@
       all.add(List.of(n.disk.store(), n.disk.term(), n.disk.voted(), n.disk.entries()));
     }
     all.add(new TreeSet<>(onTheWay.keySet()));
-    all.add(new TreeMap<>(led));
-    all.add(new ArrayList<>(decided));
-    all.add(List.copyOf(decidedIn));
-    all.add(List.copyOf(readsFrom));
+    all.add(judge.mark());
     all.add(List.of(wakes, faults, proposals, changes));
     return all;
   }
