--- a/src/main/java/linengauge/rehearsal/BoxModel.java
+++ b/src/main/java/linengauge/rehearsal/BoxModel.java
@@ -314,8 +314,8 @@
   private void setUp(Pipe.End end, JsonNode n, String tag) {
     Viewers.Watch watch = day.viewers().watch(tag);
     if (givenUp.contains(tag)) {
-      return; // held up on its way until its front had given it up: never out, and what ends it
-      // follows
+      // held up on its way until its front had given it up: never out, and what ends it follows
+      return;
     }
     if (watch == null) {
       if (!day.viewers().sent(tag)) {
@@ -326,6 +326,31 @@
     int front = Integer.parseInt(end.peer().substring(1));
     int rung = n.path("opts").path("rung").asInt();
     int tuneIn = watch.tunedIn(front);
+    sawSetUp(watch, front, tuneIn, rung, tag);
+    settingUp.put(tag, end);
+    int mine = life;
+    Span takes = Span.ofMillis(mood == Mood.SLOW ? 1500 : 15 + chance.nextInt(25));
+    Mood now = mood;
+    if (now == Mood.SILENT) {
+      return;
+    }
+    clock.after(
+        takes,
+        () -> {
+          if (mine != life || settingUp.get(tag) != end) {
+            return;
+          }
+          settingUp.remove(tag);
+          if (now == Mood.ERRORS || playing.size() >= FleetDay.STREAMS) {
+            answered(watch, tuneIn, now == Mood.ERRORS ? "error" : "turned-away");
+            say(end, line("FINISH", tag, now == Mood.ERRORS ? 47 : 34, null));
+          } else {
+            play(end, watch, tag, tuneIn, rung);
+          }
+        });
+  }
+
+  private void sawSetUp(Viewers.Watch watch, int front, int tuneIn, int rung, String tag) {
     ledger.saw(
         "set-up",
         "box",
@@ -348,38 +373,21 @@
     if (startedAt != null && clock.now().since(startedAt).under(FleetDay.COLD)) {
       ledger.count("set-ups on cold boxes", 1);
     }
-    settingUp.put(tag, end);
-    int mine = life;
-    Span takes = Span.ofMillis(mood == Mood.SLOW ? 1500 : 15 + chance.nextInt(25));
-    Mood now = mood;
-    if (now == Mood.SILENT) {
-      return;
+  }
+
+  private void play(Pipe.End end, Viewers.Watch watch, String tag, int tuneIn, int rung) {
+    Playing p = new Playing(watch);
+    p.end = end;
+    playing.put(tag, p);
+    rung(p, rung);
+    boolean lost = day.answersLost() > 0 && chance.nextDouble() < day.answersLost();
+    answered(watch, tuneIn, lost ? "swallowed" : "plays");
+    watch.plays(this);
+    if (!lost) {
+      say(end, line("STARTED", tag, -1, "made for " + tag));
     }
-    clock.after(
-        takes,
-        () -> {
-          if (mine != life || settingUp.get(tag) != end) {
-            return;
-          }
-          settingUp.remove(tag);
-          if (now == Mood.ERRORS || playing.size() >= FleetDay.STREAMS) {
-            answered(watch, tuneIn, now == Mood.ERRORS ? "error" : "turned-away");
-            say(end, line("FINISH", tag, now == Mood.ERRORS ? 47 : 34, null));
-            return;
-          }
-          Playing p = new Playing(watch);
-          p.end = end;
-          playing.put(tag, p);
-          rung(p, rung);
-          boolean lost = day.answersLost() > 0 && chance.nextDouble() < day.answersLost();
-          answered(watch, tuneIn, lost ? "swallowed" : "plays");
-          watch.plays(this);
-          if (!lost) {
-            say(end, line("STARTED", tag, -1, "made for " + tag));
-          }
-          p.lost = lost;
-          clock.after(watch.length(), () -> over(tag, p));
-        });
+    p.lost = lost;
+    clock.after(watch.length(), () -> over(tag, p));
   }
 
   private void answered(Viewers.Watch watch, int tuneIn, String how) {
--- a/src/main/java/linengauge/rehearsal/FleetDay.java
+++ b/src/main/java/linengauge/rehearsal/FleetDay.java
@@ -111,14 +111,6 @@
     }
   }
 
-  private static final class Seat {
-    private int life;
-    private FrontNet net;
-    private PlatformFront front;
-    private boolean takenIn;
-    private double part;
-  }
-
   private final Size size;
   private final Names names;
   private final SplittableRandom chance;
@@ -127,7 +119,7 @@
   private final Roads roads;
   private final ListModel list;
   private final Viewers viewers;
-  private final List<Seat> seats = new ArrayList<>();
+  private final List<SimulatedFront> simulatedFronts = new ArrayList<>();
   private final List<BoxModel> boxes = new ArrayList<>();
   private final List<BoxModel.Rack> racks = new ArrayList<>();
   private final double linkKb = 58_000;
@@ -144,6 +136,24 @@
     this.names = names;
     this.chance = new SplittableRandom(seed);
     this.ledger = new Ledger(clock);
+    sawTerms();
+    this.roads = new Roads(clock, Span.ofMillis(250));
+    this.list = new ListModel(clock, ledger, names.zonePrefix());
+    roads.open(journal(), list);
+    this.viewers = new Viewers(this, size.fronts());
+    int shelves = Math.max(1, size.boxes() / BOXES_A_RACK);
+    for (int i = 0; i < shelves; i++) {
+      racks.add(
+          new BoxModel.Rack(
+              0.68 * linkKb * size.boxes() / shelves * (0.85 + 0.3 * chance.nextDouble())));
+    }
+    for (int i = 0; i < size.boxes(); i++) {
+      list.now(newBox(i, "10.1." + i / 200 + "." + (1 + i % 200) + ":3868", null), 0);
+    }
+    drawPartsOfFronts();
+  }
+
+  private void sawTerms() {
     ledger.saw(
         "terms",
         "packages",
@@ -166,27 +176,18 @@
         0,
         "slackMs",
         500);
-    this.roads = new Roads(clock, Span.ofMillis(250));
-    this.list = new ListModel(clock, ledger, names.zonePrefix());
-    roads.open(journal(), list);
-    this.viewers = new Viewers(this, size.fronts());
-    int shelves = Math.max(1, size.boxes() / BOXES_A_RACK);
-    for (int i = 0; i < shelves; i++) {
-      racks.add(
-          new BoxModel.Rack(
-              0.68 * linkKb * size.boxes() / shelves * (0.85 + 0.3 * chance.nextDouble())));
-    }
-    for (int i = 0; i < size.boxes(); i++) {
-      list.now(newBox(i, "10.1." + i / 200 + "." + (1 + i % 200) + ":3868", null), 0);
-    }
+  }
+
+  /** Viewers come to fronts in unequal parts. */
+  private void drawPartsOfFronts() {
     double all = 0;
     for (int i = 0; i < size.fronts(); i++) {
-      Seat s = new Seat();
+      SimulatedFront s = new SimulatedFront();
       s.part = Math.exp(1.1 * (chance.nextDouble() + chance.nextDouble() - 1) * 2);
       all += s.part;
-      seats.add(s);
+      simulatedFronts.add(s);
     }
-    for (Seat s : seats) {
+    for (SimulatedFront s : simulatedFronts) {
       s.part /= all;
     }
   }
@@ -225,11 +226,11 @@
   }
 
   boolean isUp(int front) {
-    return seats.get(front).takenIn;
+    return simulatedFronts.get(front).takenIn;
   }
 
   int life(int front) {
-    return seats.get(front).life;
+    return simulatedFronts.get(front).life;
   }
 
   private String journal() {
@@ -264,8 +265,8 @@
   /** Where a viewer of that front's goes: to it, or to another while it is away. */
   int frontFor(int wanted, SplittableRandom by) {
     int f = wanted;
-    for (int i = 0; i < 50 && !seats.get(f).takenIn; i++) {
-      f = by.nextInt(seats.size());
+    for (int i = 0; i < 50 && !simulatedFronts.get(f).takenIn; i++) {
+      f = by.nextInt(simulatedFronts.size());
     }
     return f;
   }
@@ -321,7 +322,7 @@
   }
 
   private void start(int number) {
-    Seat s = seats.get(number);
+    SimulatedFront s = simulatedFronts.get(number);
     s.life++;
     int mine = s.life;
     ledger.saw("front-started", "front", number);
@@ -386,14 +387,14 @@
    * A front has passed its first test: what it holds from before is handed to it, and viewers come.
    */
   void tookIn(int number) {
-    if (!seats.get(number).takenIn) {
-      seats.get(number).takenIn = true;
+    if (!simulatedFronts.get(number).takenIn) {
+      simulatedFronts.get(number).takenIn = true;
       viewers.handOver(number);
     }
   }
 
   private void dies(int number) {
-    Seat s = seats.get(number);
+    SimulatedFront s = simulatedFronts.get(number);
     if (s.net == null || s.net.isDead()) {
       return;
     }
@@ -426,7 +427,7 @@
 
   /** Told to stop, killed where it has not ended by then, and started again. */
   public void restart(int number) {
-    Seat s = seats.get(number);
+    SimulatedFront s = simulatedFronts.get(number);
     FrontNet net = s.net;
     net.later(() -> s.front.stop());
     clock.after(Span.ofMillis(300), () -> s.takenIn = false);
@@ -515,7 +516,7 @@
   }
 
   public int fronts() {
-    return seats.size();
+    return simulatedFronts.size();
   }
 
   public int boxes() {
@@ -525,7 +526,7 @@
   /* ---- the day ---- */
 
   public Outcome play() throws BadRecord {
-    for (int i = 0; i < seats.size(); i++) {
+    for (int i = 0; i < simulatedFronts.size(); i++) {
       start(i);
     }
     // What plays already as the day begins, spread as traffic is.
@@ -544,7 +545,7 @@
     List<PlatformFront.Figures> atTheEnd = figures();
     Map<String, Double> counts = new LinkedHashMap<>(ledger.counts());
     clock.run(until.plus(AFTERWARDS));
-    for (Seat s : seats) {
+    for (SimulatedFront s : simulatedFronts) {
       longestTurn = longestTurn.orMore(s.net.longest());
     }
     counts.put("left standing", ledger.counts().getOrDefault("left standing", 0.0));
@@ -559,18 +560,21 @@
   }
 
   private List<PlatformFront.Figures> figures() {
-    return seats.stream().filter(s -> s.front != null).map(s -> s.front.figures()).toList();
+    return simulatedFronts.stream()
+        .filter(s -> s.front != null)
+        .map(s -> s.front.figures())
+        .toList();
   }
 
   private int drawFront() {
     double u = chance.nextDouble();
-    for (int i = 0; i < seats.size(); i++) {
-      u -= seats.get(i).part;
+    for (int i = 0; i < simulatedFronts.size(); i++) {
+      u -= simulatedFronts.get(i).part;
       if (u < 0) {
         return i;
       }
     }
-    return seats.size() - 1;
+    return simulatedFronts.size() - 1;
   }
 
   private void arrive(Moment until) {
--- /dev/null
+++ b/src/main/java/linengauge/rehearsal/SimulatedFront.java
@@ -0,0 +1,20 @@
+package linengauge.rehearsal;
+
+import linengauge.platform.PlatformFront;
+
+/** One front of a simulated fleet, through all its lives. */
+final class SimulatedFront {
+  /** Counts its starts. */
+  int life;
+
+  FrontNet net;
+
+  /** Null before it is first started. */
+  PlatformFront front;
+
+  /** Viewers come to it. */
+  boolean takenIn;
+
+  /** What part of all viewers come to it. */
+  double part;
+}
--- a/src/main/java/linengauge/rehearsal/Viewers.java
+++ b/src/main/java/linengauge/rehearsal/Viewers.java
@@ -223,9 +223,18 @@
       plays = false;
       at = null;
       front = day.frontFor(front, chance);
-      Line by = line(front);
-      line = by;
-      by.waiting.add(this);
+      line = line(front);
+      line.waiting.add(this);
+      sawAsked();
+      askedAt = clock.now();
+      sentAgain = false;
+      setUp = setUpMessage();
+      line.write(setUp);
+      String mine = tag;
+      clock.after(FleetDay.PATIENCE.plus(LATE), () -> giveUp(mine));
+    }
+
+    private void sawAsked() {
       ledger.saw(
           "asked",
           "ask",
@@ -243,35 +252,32 @@
           "patienceMs",
           FleetDay.PATIENCE.micros() / 1000);
       ledger.count("asked", 1);
-      String mine = tag;
-      askedAt = clock.now();
-      sentAgain = false;
-      setUp =
-          PlatformViewers.message(
-              SET_UP,
-              Long.parseUnsignedLong(tag, 16),
-              33,
-              pack,
-              35,
-              FleetDay.PATIENCE.micros() / 1000,
-              41,
-              title,
-              43,
-              figures(tries > 1 ? ";again:1" : ""),
-              63,
-              "m=audio of " + tag);
-      by.write(setUp);
-      clock.after(
-          FleetDay.PATIENCE.plus(LATE),
-          () -> {
-            if (!answered && mine.equals(tag) && !done) {
-              end("gave-up");
-              line.write(
-                  PlatformViewers.message(
-                      END, Long.parseUnsignedLong(mine, 16), 61, new byte[] {16}));
-              again(Span.ofMillis(200));
-            }
-          });
+    }
+
+    private byte[] setUpMessage() {
+      return PlatformViewers.message(
+          SET_UP,
+          Long.parseUnsignedLong(tag, 16),
+          33,
+          pack,
+          35,
+          FleetDay.PATIENCE.micros() / 1000,
+          41,
+          title,
+          43,
+          figures(tries > 1 ? ";again:1" : ""),
+          63,
+          "m=audio of " + tag);
+    }
+
+    /** Its patience is over: what it asked for by that tag is ended, and it asks again. */
+    private void giveUp(String mine) {
+      if (!answered && mine.equals(tag) && !done) {
+        end("gave-up");
+        line.write(
+            PlatformViewers.message(END, Long.parseUnsignedLong(mine, 16), 61, new byte[] {16}));
+        again(Span.ofMillis(200));
+      }
     }
 
     private void end(String what) {
