--- a/src/main/java/linengauge/hls/Paths.java
+++ b/src/main/java/linengauge/hls/Paths.java
@@ -65,13 +65,7 @@
    * where it leaves it.
    */
   private static String resolve(String base, String uri) {
-    if (PLAIN.matcher(uri).matches()
-        && !uri.contains("..")
-        && !uri.contains("//")
-        && !uri.startsWith("/")
-        && !uri.startsWith("./")
-        && !uri.contains("/./")
-        && base.length() + uri.length() < LONGEST) {
+    if (isPlain(uri) && base.length() + uri.length() < LONGEST) {
       return base + uri; // what nearly all are: nothing to resolve
     }
     try {
@@ -90,4 +84,13 @@
       return null;
     }
   }
+
+  private static boolean isPlain(String uri) {
+    return PLAIN.matcher(uri).matches()
+        && !uri.contains("..")
+        && !uri.contains("//")
+        && !uri.startsWith("/")
+        && !uri.startsWith("./")
+        && !uri.contains("/./");
+  }
 }
--- a/src/main/java/linengauge/hls/Playlists.java
+++ b/src/main/java/linengauge/hls/Playlists.java
@@ -59,15 +59,16 @@
       groups.add(kind + "/" + Attributes.quoted(chosen.attributes, kind));
     }
     StringBuilder out = new StringBuilder();
-    for (int i = 0; i < lines.size(); i++) {
+    int i = 0;
+    while (i < lines.size()) {
       String line = lines.get(i);
       String tag = tag(line);
+      int last = i; // of what belongs to this tag
       if (tag.equals("#EXT-X-STREAM-INF")) {
-        int at = uriAfter(lines, i);
+        last = uriAfter(lines, i);
         if (i == chosen.line) {
           out.append(line).append('\n').append(variantUri).append('\n');
         }
-        i = at;
       } else if (tag.equals("#EXT-X-MEDIA")) {
         Map<String, String> a = Attributes.read(i + 1, line.substring(tag.length() + 1));
         if (groups.contains(a.get("TYPE") + "/" + Attributes.quoted(a, "GROUP-ID"))) {
@@ -78,6 +79,7 @@
       } else if (!tag.equals("#EXT-X-I-FRAME-STREAM-INF")) {
         out.append(line).append('\n'); // trick play would name rungs past the front's say
       }
+      i = last + 1;
     }
     return out.toString();
   }
--- a/src/main/java/linengauge/rules/Day.java
+++ b/src/main/java/linengauge/rules/Day.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * A record put in order: who asked and was answered, every set-up from its coming to its end, and
@@ -123,62 +124,64 @@
 
   private void take(Seen s, long line) throws BadRecord {
     switch (s.what()) {
-      case "asked" -> {
-        Ask a = new Ask();
-        a.id = s.text("ask");
-        a.at = s.at();
-        a.front = (int) s.whole("front");
-        a.key = s.text("key");
-        a.pack = pack(s, line);
-        a.patience = s.whole("patienceMs") * 1000;
-        if (asks.put(a.id, a) != null) {
-          throw new BadRecord(line, "ask " + a.id + " stands twice");
-        }
-      }
-      case "answered", "broke", "gave-up" -> {
-        Ask a = asks.get(s.text("ask"));
-        if (a == null) {
-          throw new BadRecord(line, "an answer to what was never asked: " + s.text("ask"));
-        }
-        a.ends.add(s);
-      }
-      case "cut" -> {
-        Ask a = asks.get(s.text("ask"));
-        if (a == null) {
-          throw new BadRecord(line, "a cut of what was never asked: " + s.text("ask"));
-        }
-        a.cut = true;
-      }
+      case "asked" -> asked(s, line);
+      case "answered", "broke", "gave-up" -> askOf(s, "an answer to", line).ends.add(s);
+      case "cut" -> askOf(s, "a cut of", line).cut = true;
       case "set-up" -> setUp(s, line);
       case "set-up-answered", "set-up-broken", "ended" -> ends(s);
-      case "box-lost" -> {
-        for (SetUp u : setUps) {
-          if (u.box == s.whole("box")) {
-            u.overAt = Math.min(u.overAt, s.at());
-          }
-        }
+      case "box-lost" -> endSetUps(u -> u.box == s.whole("box"), s.at());
+      case "front-stopped", "front-continued", "front-started", "front-killed" -> front(s);
+      default -> {}
+    }
+  }
+
+  private void asked(Seen s, long line) throws BadRecord {
+    Ask a = new Ask();
+    a.id = s.text("ask");
+    a.at = s.at();
+    a.front = (int) s.whole("front");
+    a.key = s.text("key");
+    a.pack = pack(s, line);
+    a.patience = s.whole("patienceMs") * 1000;
+    if (asks.put(a.id, a) != null) {
+      throw new BadRecord(line, "ask " + a.id + " stands twice");
+    }
+  }
+
+  private Ask askOf(Seen s, String what, long line) throws BadRecord {
+    Ask a = asks.get(s.text("ask"));
+    if (a == null) {
+      throw new BadRecord(line, what + " what was never asked: " + s.text("ask"));
+    }
+    return a;
+  }
+
+  /** All such set-ups are over by then. */
+  private void endSetUps(Predicate<SetUp> such, long at) {
+    for (SetUp u : setUps) {
+      if (such.test(u)) {
+        u.overAt = Math.min(u.overAt, at);
       }
+    }
+  }
+
+  /** A front is stopped, goes on, is started or is killed. */
+  private void front(Seen s) {
+    int front = (int) s.whole("front");
+    switch (s.what()) {
       case "front-stopped" ->
-          stops
-              .computeIfAbsent((int) s.whole("front"), f -> new ArrayList<>())
-              .add(new Stop(s.at(), NEVER));
+          stops.computeIfAbsent(front, f -> new ArrayList<>()).add(new Stop(s.at(), NEVER));
       case "front-continued" -> {
-        List<Stop> of = stops.getOrDefault((int) s.whole("front"), List.of());
+        List<Stop> of = stops.getOrDefault(front, List.of());
         if (!of.isEmpty()) {
           of.set(of.size() - 1, new Stop(of.get(of.size() - 1).from, s.at()));
         }
       }
-      case "front-started" ->
-          starts.computeIfAbsent((int) s.whole("front"), f -> new ArrayList<>()).add(s.at());
-      case "front-killed" -> {
-        kills.computeIfAbsent((int) s.whole("front"), f -> new ArrayList<>()).add(s.at());
-        for (SetUp u : setUps) {
-          if (u.front == s.whole("front")) {
-            u.overAt = Math.min(u.overAt, s.at());
-          }
-        }
+      case "front-started" -> starts.computeIfAbsent(front, f -> new ArrayList<>()).add(s.at());
+      default -> {
+        kills.computeIfAbsent(front, f -> new ArrayList<>()).add(s.at());
+        endSetUps(u -> u.front == front, s.at());
       }
-      default -> {}
     }
   }
 
--- a/src/main/java/linengauge/rules/Judge.java
+++ b/src/main/java/linengauge/rules/Judge.java
@@ -13,6 +13,10 @@
  * terms, stands between what a front did and what was seen of it; it always counts for the front.
  */
 public final class Judge {
+  private static final String ONE_ANSWER = "one-answer";
+  private static final String NO_DOUBLE_SET_UP = "no-double-set-up";
+  private static final Set<String> ANSWERS = Set.of("plays", "blocked", "aborted");
+
   private final Day day;
   private final Verdict verdict = new Verdict();
 
@@ -39,96 +43,119 @@
    */
   private void oneAnswer() {
     for (Day.Ask a : day.asks.values()) {
-      long patienceEnds = a.at + a.patience;
-      long last = a.ends.isEmpty() ? patienceEnds : a.ends.get(a.ends.size() - 1).at();
-      if (day.down(a.front, a.at)
-          || day.killedWithin(a.front, a.at, Math.max(last, patienceEnds) + day.terms.slack())) {
-        long answers = a.ends.stream().filter(e -> e.what().equals("answered")).count();
-        if (answers > 1) {
-          verdict.broken(
-              "one-answer",
-              a.at,
-              a.id,
-              0,
-              "answered " + answers + " times by a front since killed");
+      if (hadNoFront(a)) {
+        judgeAnswersOfKilled(a);
+      } else if (isTaken(a)) {
+        verdict.tried(ONE_ANSWER);
+        String wrong = wrongAnswer(a);
+        if (wrong != null) {
+          verdict.broken(ONE_ANSWER, a.at, a.id, 0, wrong);
         }
-        continue;
-      }
-      if (day.running(a.front, patienceEnds) != patienceEnds) {
-        continue;
-      }
-      if (a.cut && a.ends.size() == 1 && !a.ends.get(0).what().equals("answered")) {
-        continue; // the network broke it, as the shared address went to another front
-      }
-      verdict.tried("one-answer");
-      if (a.ends.size() != 1) {
-        verdict.broken("one-answer", a.at, a.id, 0, a.ends.size() + " ends of one request");
-        continue;
-      }
-      Seen end = a.ends.get(0);
-      String how = end.text("how");
-      if (!end.what().equals("answered")) {
-        verdict.broken("one-answer", a.at, a.id, 0, "no answer: " + end.what());
-      } else if (how == null || !Set.of("plays", "blocked", "aborted").contains(how)) {
-        verdict.broken("one-answer", a.at, a.id, 0, "an unclear answer: " + end.text("status"));
-      } else if (end.at() > patienceEnds + day.terms.slack()) {
-        verdict.broken(
-            "one-answer",
-            a.at,
-            a.id,
-            0,
-            "answered " + (end.at() - patienceEnds) / 1000 + " ms after the viewer's patience");
-      } else if (how.equals("plays")
-          && day.byViewing.getOrDefault(end.text("viewing"), List.of()).stream()
-              .noneMatch(u -> "plays".equals(u.how))) {
-        verdict.broken("one-answer", a.at, a.id, 0, "said to play, and no box plays it");
       }
     }
   }
 
+  /** Its front was dead, or killed before the request was over. */
+  private boolean hadNoFront(Day.Ask a) {
+    long patienceEnds = a.at + a.patience;
+    long last = a.ends.isEmpty() ? patienceEnds : a.ends.get(a.ends.size() - 1).at();
+    return day.down(a.front, a.at)
+        || day.killedWithin(a.front, a.at, Math.max(last, patienceEnds) + day.terms.slack());
+  }
+
+  private void judgeAnswersOfKilled(Day.Ask a) {
+    long answers = a.ends.stream().filter(e -> e.what().equals("answered")).count();
+    if (answers > 1) {
+      verdict.broken(
+          ONE_ANSWER, a.at, a.id, 0, "answered " + answers + " times by a front since killed");
+    }
+  }
+
+  /**
+   * Its front did not stand still past the viewer's patience, and the network did not break it as
+   * the shared address went to another front.
+   */
+  private boolean isTaken(Day.Ask a) {
+    long patienceEnds = a.at + a.patience;
+    boolean cut = a.cut && a.ends.size() == 1 && !a.ends.get(0).what().equals("answered");
+    return day.running(a.front, patienceEnds) == patienceEnds && !cut;
+  }
+
+  /** What is wrong with how the request ended, or null. */
+  private String wrongAnswer(Day.Ask a) {
+    if (a.ends.size() != 1) {
+      return a.ends.size() + " ends of one request";
+    }
+    Seen end = a.ends.get(0);
+    String how = end.text("how");
+    long patienceEnds = a.at + a.patience;
+    if (!end.what().equals("answered")) {
+      return "no answer: " + end.what();
+    }
+    if (how == null || !ANSWERS.contains(how)) {
+      return "an unclear answer: " + end.text("status");
+    }
+    if (end.at() > patienceEnds + day.terms.slack()) {
+      return "answered " + (end.at() - patienceEnds) / 1000 + " ms after the viewer's patience";
+    }
+    return how.equals("plays") && !isPlayed(end.text("viewing"))
+        ? "said to play, and no box plays it"
+        : null;
+  }
+
+  private boolean isPlayed(String viewing) {
+    return day.byViewing.getOrDefault(viewing, List.of()).stream()
+        .anyMatch(u -> "plays".equals(u.how));
+  }
+
   /** Rule 2. */
   private void noDoubleSetUp() {
-    String rule = "no-double-set-up";
-    for (List<Day.SetUp> of : day.byViewing.values()) {
-      Set<Integer> numbers = new HashSet<>();
-      for (int i = 0; i < of.size(); i++) {
-        Day.SetUp u = of.get(i);
-        verdict.tried(rule);
-        if (!numbers.add(u.tuneIn)) {
-          verdict.broken(rule, u.at, u.viewing, u.box, "tune-in " + u.tuneIn + " was sent twice");
-        }
-        for (Day.SetUp earlier : of.subList(0, i)) {
-          if (earlier.noLongerOut() > u.at + day.terms.slack()) {
-            verdict.broken(
-                rule, u.at, u.viewing, u.box, "two tune-ins out: the other at box " + earlier.box);
-          }
-          if (day.terms.packages().get(u.pack).paid() && !earlier.provablyNeverRan()) {
-            verdict.broken(
-                rule, u.at, u.viewing, u.box, "set up again though paid for at box " + earlier.box);
-          }
-        }
-      }
-    }
+    day.byViewing.values().forEach(this::judgeSetUpsOfOneViewing);
     Map<String, List<Day.SetUp>> byKey = new HashMap<>();
     day.setUps.forEach(
         u -> byKey.computeIfAbsent(u.key + "@" + u.front, k -> new ArrayList<>()).add(u));
     for (Day.Ask a : day.asks.values()) {
-      if (!day.terms.packages().get(a.pack).paid()
-          || a.ends.isEmpty()
-          || !"blocked".equals(a.ends.get(0).text("how"))) {
-        continue;
+      if (day.terms.packages().get(a.pack).paid()
+          && !a.ends.isEmpty()
+          && "blocked".equals(a.ends.get(0).text("how"))) {
+        judgeBlockedThoughPaid(a, byKey.getOrDefault(a.key + "@" + a.front, List.of()));
       }
-      verdict.tried(rule);
-      long answered = a.ends.get(0).at();
-      for (Day.SetUp u : byKey.getOrDefault(a.key + "@" + a.front, List.of())) {
-        if (u.at >= a.at && u.at <= answered && !u.provablyNeverRan()) {
-          verdict.broken(
-              rule, answered, u.viewing, u.box, "blocked, though paid for and perhaps set up");
+    }
+  }
+
+  private void judgeSetUpsOfOneViewing(List<Day.SetUp> setUps) {
+    Set<Integer> numbers = new HashSet<>();
+    for (int i = 0; i < setUps.size(); i++) {
+      Day.SetUp u = setUps.get(i);
+      verdict.tried(NO_DOUBLE_SET_UP);
+      if (!numbers.add(u.tuneIn)) {
+        breaksNoDoubleSetUp(u.at, u, "tune-in " + u.tuneIn + " was sent twice");
+      }
+      for (Day.SetUp earlier : setUps.subList(0, i)) {
+        if (earlier.noLongerOut() > u.at + day.terms.slack()) {
+          breaksNoDoubleSetUp(u.at, u, "two tune-ins out: the other at box " + earlier.box);
+        }
+        if (day.terms.packages().get(u.pack).paid() && !earlier.provablyNeverRan()) {
+          breaksNoDoubleSetUp(u.at, u, "set up again though paid for at box " + earlier.box);
         }
       }
     }
   }
 
+  private void judgeBlockedThoughPaid(Day.Ask a, List<Day.SetUp> ofItsKey) {
+    verdict.tried(NO_DOUBLE_SET_UP);
+    long answered = a.ends.get(0).at();
+    for (Day.SetUp u : ofItsKey) {
+      if (u.at >= a.at && u.at <= answered && !u.provablyNeverRan()) {
+        breaksNoDoubleSetUp(answered, u, "blocked, though paid for and perhaps set up");
+      }
+    }
+  }
+
+  private void breaksNoDoubleSetUp(long at, Day.SetUp u, String why) {
+    verdict.broken(NO_DOUBLE_SET_UP, at, u.viewing, u.box, why);
+  }
+
   /**
    * Rule 3. A front hears when it runs; a whole list that no longer names a box says that it is
    * gone.
--- a/src/main/java/linengauge/site/Site.java
+++ b/src/main/java/linengauge/site/Site.java
@@ -277,24 +277,11 @@
 
   /** What the module is told at its start. */
   public Headend headend() {
-    List<PackageTerms> terms = new ArrayList<>();
-    int top = ladder.size() - 1;
-    for (Package p : packages) {
-      terms.add(
-          new PackageTerms(
-              p.value,
-              Span.ofMillis(p.joinTargetMs),
-              or(p.rateFactor, 1.0),
-              or(p.lowestRung, 0),
-              Math.min(top, or(p.highestRung, top)),
-              or(p.seats, 0),
-              or(p.paidAtSetUp, false)));
-    }
     return new Headend(
         fronts.count,
         front.number,
         buildings.indexOf(front.building),
-        List.copyOf(terms),
+        packageTerms(),
         ladder.stream().mapToDouble(Rung::kb).toArray(),
         ladder.stream().mapToDouble(Rung::value).toArray(),
         new Headend.Fleet(
@@ -324,6 +311,23 @@
             Span.ofMillis(permits.longestAdviceMs)));
   }
 
+  private List<PackageTerms> packageTerms() {
+    List<PackageTerms> terms = new ArrayList<>();
+    int top = ladder.size() - 1;
+    for (Package p : packages) {
+      terms.add(
+          new PackageTerms(
+              p.value,
+              Span.ofMillis(p.joinTargetMs),
+              or(p.rateFactor, 1.0),
+              or(p.lowestRung, 0),
+              Math.min(top, or(p.highestRung, top)),
+              or(p.seats, 0),
+              or(p.paidAtSetUp, false)));
+    }
+    return List.copyOf(terms);
+  }
+
   /** What the core is bounded by. */
   public Desk.Bounds bounds() {
     return new Desk.Bounds(
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import linengauge.vrrp.NodeAddress;
 
@@ -20,7 +21,9 @@
     checks.place(site);
     checks.packages(site);
     checks.bounds(site);
-    checks.workAndPairs(site);
+    checks.work(site);
+    checks.members(site);
+    checks.vrrp(site);
     return checks.faults;
   }
 
@@ -50,32 +53,40 @@
     address(s.front().control(), "front.control");
     address(s.front().words(), "front.words");
     address(s.list().address(), "list.address");
+    frontAddresses(s);
+    titles(s);
+  }
+
+  /** Where the fronts' datagrams are heard. */
+  private void frontAddresses(Site s) {
+    Map<String, String> addresses = s.fronts().words();
     if (s.permits().messages() && s.fronts().count() > 1) {
       wants(s.front().words() != null, "front.words", "needed where permits.messages is true");
       for (int i = 0; i < s.fronts().count(); i++) {
         boolean there =
-            i == s.front().number()
-                || s.fronts().words() != null && s.fronts().words().containsKey("" + i);
+            i == s.front().number() || addresses != null && addresses.containsKey("" + i);
         wants(
             there, "fronts.words", "front " + i + " has no address, and permits.messages is true");
       }
     }
-    if (s.fronts().words() != null) {
-      s.fronts()
-          .words()
-          .forEach(
-              (number, at) -> {
-                address(at, "fronts.words");
-                wants(
-                    number.matches("[0-9]{1,5}") && Integer.parseInt(number) < s.fronts().count(),
-                    "fronts.words",
-                    "'" + number + "' is no front's number");
-              });
+    if (addresses != null) {
+      addresses.forEach(
+          (number, at) -> {
+            address(at, "fronts.words");
+            wants(
+                number.matches("[0-9]{1,5}") && Integer.parseInt(number) < s.fronts().count(),
+                "fronts.words",
+                "'" + number + "' is no front's number");
+          });
     }
+  }
+
+  private void titles(Site s) {
     Set<String> titles = new HashSet<>();
     int i = 0;
     for (Site.Held t : s.titles().cells()) {
-      String path = "titles.cells[" + i++ + "]";
+      String path = "titles.cells[" + i + "]";
+      i++;
       wants(titles.add(t.name()), path, "'" + t.name() + "' is named twice");
       wants(
           t.first() < s.fleet().cells() && t.inRow() <= s.fleet().cells(),
@@ -166,14 +177,17 @@
         "must be an address in numbers");
   }
 
-  private void workAndPairs(Site s) {
+  private void work(Site s) {
     Site.Work w = s.work();
     wants(
         w.deskMs() < w.windowMs(),
         "work.deskMs",
         "must be under work.windowMs: viewers come first");
     wants(w.firstPauseMs() <= w.mostPauseMs(), "work.firstPauseMs", "is over work.mostPauseMs");
-    members(s);
+  }
+
+  /** Shared addresses, where there are any. */
+  private void vrrp(Site s) {
     Site.Vrrp v = s.vrrp();
     if (v.routers().isEmpty()) {
       return;
@@ -186,6 +200,25 @@
     wants(!v.partners().isEmpty(), "vrrp.partners", "a shared address wants a partner");
     address(v.listen(), "vrrp.listen");
     address(v.announce(), "vrrp.announce");
+    partners(v, own);
+    group(v);
+    wants(
+        v.deafAfter() == 0 || v.keyFile() != null,
+        "vrrp.deafAfter",
+        "wants vrrp.keyFile: without it, old datagrams sent again could hold the address back");
+    Set<Integer> vrids = new HashSet<>();
+    Set<String> listeners = new HashSet<>(Set.of(s.front().viewers(), s.front().control()));
+    for (int i = 0; i < v.routers().size(); i++) {
+      Site.Router r = v.routers().get(i);
+      String path = "vrrp.routers[" + i + "]";
+      wants(vrids.add(r.vrid()), path + ".vrid", "stands twice");
+      routerTerms(v, r, path);
+      sharedAddresses(r, own, path);
+      viewersOf(r, listeners, path);
+    }
+  }
+
+  private void partners(Site.Vrrp v, NodeAddress own) {
     Set<NodeAddress> partners = new HashSet<>();
     for (int i = 0; i < v.partners().size(); i++) {
       String path = "vrrp.partners[" + i + "]";
@@ -201,52 +234,53 @@
           path,
           "of another family than vrrp.listen");
     }
+  }
+
+  private void group(Site.Vrrp v) {
     if (v.group() != null) {
       NodeAddress group = Site.literal(Site.Address.of(v.group()).host());
       wants(group != null && group.isMulticast(), "vrrp.group", "is no multicast address");
       wants(
           v.groupInterface() != null, "vrrp.groupInterface", "needed where there is a vrrp.group");
     }
+  }
+
+  private void routerTerms(Site.Vrrp v, Site.Router r, String path) {
+    wants(r.advertMs() % 10 == 0, path + ".advertMs", "must be whole hundredths of a second");
     wants(
-        v.deafAfter() == 0 || v.keyFile() != null,
-        "vrrp.deafAfter",
-        "wants vrrp.keyFile: without it, old datagrams sent again could hold the address back");
-    Set<Integer> vrids = new HashSet<>();
-    Set<String> doors = new HashSet<>(Set.of(s.front().viewers(), s.front().control()));
-    for (int i = 0; i < v.routers().size(); i++) {
-      Site.Router r = v.routers().get(i);
-      String path = "vrrp.routers[" + i + "]";
-      wants(vrids.add(r.vrid()), path + ".vrid", "stands twice");
-      wants(r.advertMs() % 10 == 0, path + ".advertMs", "must be whole hundredths of a second");
-      wants(
-          r.priority() < 255 || v.unwellMinus() == 0,
-          path + ".priority",
-          "the owner of an address (255) cannot fall behind: vrrp.unwellMinus must be 0");
-      wants(
-          v.paceMs() <= 3 * r.advertMs(),
-          "vrrp.paceMs",
-          "is over three of " + path + ".advertMs: a loss would be taken " + "over late");
-      for (String a : r.addresses()) {
-        NodeAddress shared = Site.literal(a);
-        wants(shared != null, path + ".addresses", "'" + a + "' is no address");
-        wants(
-            shared == null || own == null || shared.isIpv6() == own.isIpv6(),
-            path + ".addresses",
-            "'" + a + "' is of another family than vrrp.listen");
-      }
-      boolean takes = r.accept() || r.priority() == 255;
-      wants(
-          !takes || r.viewers() != null,
-          path + ".viewers",
-          "needed where viewers are taken by the shared address");
-      address(r.viewers(), path + ".viewers");
+        r.priority() < 255 || v.unwellMinus() == 0,
+        path + ".priority",
+        "the owner of an address (255) cannot fall behind: vrrp.unwellMinus must be 0");
+    wants(
+        v.paceMs() <= 3 * r.advertMs(),
+        "vrrp.paceMs",
+        "is over three of " + path + ".advertMs: a loss would be taken over late");
+  }
+
+  private void sharedAddresses(Site.Router r, NodeAddress own, String path) {
+    for (String a : r.addresses()) {
+      NodeAddress shared = Site.literal(a);
+      wants(shared != null, path + ".addresses", "'" + a + "' is no address");
       wants(
-          r.viewers() == null || doors.add(r.viewers()),
-          path + ".viewers",
-          "has a listener already");
+          shared == null || own == null || shared.isIpv6() == own.isIpv6(),
+          path + ".addresses",
+          "'" + a + "' is of another family than vrrp.listen");
     }
   }
 
+  private void viewersOf(Site.Router r, Set<String> listeners, String path) {
+    boolean takes = r.accept() || r.priority() == 255;
+    wants(
+        !takes || r.viewers() != null,
+        path + ".viewers",
+        "needed where viewers are taken by the shared address");
+    address(r.viewers(), path + ".viewers");
+    wants(
+        r.viewers() == null || listeners.add(r.viewers()),
+        path + ".viewers",
+        "has a listener already");
+  }
+
   /** Budgets that cannot hold together. */
   private void flow(Site s) {
     Site.Flow f = s.flow();
@@ -275,23 +309,27 @@
         f.floorBytes() <= v.writeBufferBytes(),
         "flow.floorBytes",
         "is over viewers.writeBufferBytes");
+    transfersOfOneBox(s);
+    wants(s.desk().idleMs() >= f.lateMs() * 2, "desk.idleMs", "must be over twice flow.lateMs");
+    for (int i = 0; i < s.packages().size(); i++) {
+      wants(
+          s.packages().get(i).joinTargetMs() > f.beatMs(),
+          "flow.beatMs",
+          "is over the join target of packages[" + i + "]");
+    }
+  }
+
+  private void transfersOfOneBox(Site s) {
     int streams =
         Math.min(
             s.desk().viewings(),
             s.fleet().kinds().stream().mapToInt(Site.Kind::streams).max().orElse(0));
     wants(
-        s.boxes().mediaConnections() >= (long) v.atOnce() * streams,
+        s.boxes().mediaConnections() >= (long) s.viewers().atOnce() * streams,
         "boxes.mediaConnections",
         "must hold viewers.atOnce "
             + "transfers for each of "
             + streams
             + " viewings of one box, or slow readers keep others waiting for a place");
-    wants(s.desk().idleMs() >= f.lateMs() * 2, "desk.idleMs", "must be over twice flow.lateMs");
-    for (int i = 0; i < s.packages().size(); i++) {
-      wants(
-          s.packages().get(i).joinTargetMs() > f.beatMs(),
-          "flow.beatMs",
-          "is over the join target of packages[" + i + "]");
-    }
   }
 }
--- a/src/main/java/linengauge/site/SiteFile.java
+++ b/src/main/java/linengauge/site/SiteFile.java
@@ -101,25 +101,39 @@
 
   /** A JSON5 text as a tree that fits the schema; each fault with its path and line. */
   public static JsonNode checked(String name, byte[] bytes, JsonSchema schema) throws BadSite {
-    JsonNode given;
+    JsonNode given = parsed(name, bytes);
+    if (given == null || !given.isObject()) {
+      throw refused(name, "", 1, "an object was expected");
+    }
+    List<SiteFault> faults = schemaFaults(name, given, schema);
+    if (!faults.isEmpty()) {
+      throw new BadSite(faults);
+    }
+    return given;
+  }
+
+  private static JsonNode parsed(String name, byte[] bytes) throws BadSite {
     try {
       JSON5.readTree(bytes); // tells where it breaks, and what stands after the end
-      given =
-          JsonNodes.readTree(
-              JSON5, new ByteArrayInputStream(bytes), new LocationJsonNodeFactoryFactory());
+      return JsonNodes.readTree(
+          JSON5, new ByteArrayInputStream(bytes), new LocationJsonNodeFactoryFactory());
     } catch (JacksonException e) {
-      JsonLocation at = e.getLocation();
-      throw refused(name, "", at == null ? 0 : at.getLineNr(), e.getOriginalMessage());
+      throw refused(name, "", lineOf(e.getLocation()), e.getOriginalMessage());
     } catch (UncheckedIOException e) {
       JsonLocation at = e.getCause() instanceof JacksonException j ? j.getLocation() : null;
-      throw refused(
-          name, "", at == null ? 0 : at.getLineNr(), firstLine(e.getCause().getMessage()));
+      throw refused(name, "", lineOf(at), firstLine(e.getCause().getMessage()));
     } catch (IOException | RuntimeException e) {
       throw refused(name, "", 0, "not JSON5: " + firstLine(e.getMessage()));
     }
-    if (given == null || !given.isObject()) {
-      throw refused(name, "", 1, "an object was expected");
-    }
+  }
+
+  /** 0 where the place is not known. */
+  private static int lineOf(JsonLocation at) {
+    return at == null ? 0 : at.getLineNr();
+  }
+
+  /** What the schema refuses, each fault once. */
+  private static List<SiteFault> schemaFaults(String name, JsonNode given, JsonSchema schema) {
     List<SiteFault> faults = new ArrayList<>();
     Set<String> said = new HashSet<>();
     for (ValidationMessage m : schema.validate(given)) {
@@ -127,15 +141,12 @@
       path = path.startsWith("$.") ? path.substring(2) : path.equals("$") ? "" : path;
       String what = m.getError();
       if (said.add(path + what)) {
-        JsonLocation at =
-            m.getInstanceNode() == null ? null : JsonNodes.tokenLocationOf(m.getInstanceNode());
-        faults.add(new SiteFault(name, path, at == null ? 0 : at.getLineNr(), what));
+        JsonNode node = m.getInstanceNode();
+        JsonLocation at = node == null ? null : JsonNodes.tokenLocationOf(node);
+        faults.add(new SiteFault(name, path, lineOf(at), what));
       }
     }
-    if (!faults.isEmpty()) {
-      throw new BadSite(faults);
-    }
-    return given;
+    return faults;
   }
 
   /** A schema kept in the jar. */
--- a/src/main/java/linengauge/zones/Weighing.java
+++ b/src/main/java/linengauge/zones/Weighing.java
@@ -102,32 +102,18 @@
 
   /** Where it is to stand, by evidence that has held; how much of it goes where comes after. */
   private Row standing(int place, Row r, Course c, Moment now) {
-    double ill = illness(place);
-    c.badSince = ill >= terms.bad() ? c.badSince == null ? now : c.badSince : null;
-    c.wellSince = ill >= 0 && ill < terms.well() ? c.wellSince == null ? now : c.wellSince : null;
-    boolean near = r.standing() == Standing.NEAR || r.standing() == Standing.SHARING;
-    c.nearSince = near ? c.nearSince == null ? now : c.nearSince : null;
-    boolean bad = c.badSince != null && !now.before(c.badSince.plus(terms.after()));
-    if (r.standing() != Standing.GIVEN_UP && bad) {
-      return new Row(
-          Standing.GIVEN_UP,
-          0,
-          0,
-          r.standing() == Standing.COMING_BACK || r.relapses() > 0 ? r.relapses() + 1 : 1,
-          "",
-          0);
+    follow(c, illness(place), r, now);
+    if (r.standing() != Standing.GIVEN_UP && hasLasted(c.badSince, terms.after(), now)) {
+      boolean relapsed = r.standing() == Standing.COMING_BACK || r.relapses() > 0;
+      return new Row(Standing.GIVEN_UP, 0, 0, relapsed ? r.relapses() + 1 : 1, "", 0);
     }
     return switch (r.standing()) {
       case GIVEN_UP ->
-          c.wellSince != null && !now.before(c.wellSince.plus(holdOff(r.relapses())))
+          hasLasted(c.wellSince, holdOff(r.relapses()), now)
               ? new Row(Standing.COMING_BACK, terms.first(), 0, r.relapses(), "", 0)
               : r;
       case COMING_BACK ->
-          c.wellSince == null || now.before(c.steppedAt.plus(terms.step()))
-              ? r
-              : r.stays() * 2 < 1
-                  ? new Row(Standing.COMING_BACK, r.stays() * 2, 0, r.relapses(), "", 0)
-                  : new Row(Standing.NEAR, 1, 0, r.relapses(), "", 0);
+          c.wellSince == null || now.before(c.steppedAt.plus(terms.step())) ? r : stepBack(r);
       default ->
           terms.rested().under(now.since(c.nearSince))
               ? new Row(r.standing(), r.stays(), r.goes(), 0, "", 0)
@@ -135,6 +121,33 @@
     };
   }
 
+  /** Notes since when the place is bad, well, or near. */
+  private void follow(Course c, double ill, Row r, Moment now) {
+    boolean near = r.standing() == Standing.NEAR || r.standing() == Standing.SHARING;
+    c.badSince = since(ill >= terms.bad(), c.badSince, now);
+    c.wellSince = since(ill >= 0 && ill < terms.well(), c.wellSince, now);
+    c.nearSince = since(near, c.nearSince, now);
+  }
+
+  /** Since when that is so; null where it is not. */
+  private static Moment since(boolean so, Moment before, Moment now) {
+    if (!so) {
+      return null;
+    }
+    return before == null ? now : before;
+  }
+
+  private static boolean hasLasted(Moment since, Span span, Moment now) {
+    return since != null && !now.before(since.plus(span));
+  }
+
+  /** The next step of one that comes back: twice as much stays, up to all of it. */
+  private static Row stepBack(Row r) {
+    return r.stays() * 2 < 1
+        ? new Row(Standing.COMING_BACK, r.stays() * 2, 0, r.relapses(), "", 0)
+        : new Row(Standing.NEAR, 1, 0, r.relapses(), "", 0);
+  }
+
   private Span holdOff(int relapses) {
     return terms
         .back()
