--- a/src/main/java/linengauge/vrrp/explore/Explorer.java
+++ b/src/main/java/linengauge/vrrp/explore/Explorer.java
@@ -69,24 +69,8 @@
       settle(new World(w), trail, faults == plan.faults());
       return;
     }
-    World.Message next = w.nextMessage();
     if (faults > 0) {
-      if (next != null) {
-        World lost = new World(w);
-        lost.lose(next);
-        go(
-            lost,
-            depth - 1,
-            faults - 1,
-            note(trail, w, "lost: " + next.from() + " to " + next.to()));
-        World late = new World(w);
-        late.delay(next, Plan.INTERVAL.times(0.7));
-        go(
-            late,
-            depth - 1,
-            faults - 1,
-            note(trail, w, "late: " + next.from() + " to " + next.to()));
-      }
+      faultsOfNextMessage(w, depth, faults, trail);
       for (int n = 0; n < plan.nodes(); n++) {
         troublesOf(w, n, depth, faults, trail);
       }
@@ -103,6 +87,20 @@
     go(on, depth - 1, faults, trail);
   }
 
+  private void faultsOfNextMessage(World w, int depth, int faults, Trail trail) {
+    World.Message next = w.nextMessage();
+    if (next == null) {
+      return;
+    }
+    String way = next.from() + " to " + next.to();
+    World lost = new World(w);
+    lost.lose(next);
+    go(lost, depth - 1, faults - 1, note(trail, w, "lost: " + way));
+    World late = new World(w);
+    late.delay(next, Plan.INTERVAL.times(0.7));
+    go(late, depth - 1, faults - 1, note(trail, w, "late: " + way));
+  }
+
   private void troublesOf(World w, int n, int depth, int faults, Trail trail) {
     if (!w.isUp(n)) {
       World restarted = new World(w);
@@ -166,16 +164,7 @@
         broken = wrong(w, then);
       }
       broken = broken == null ? w.step() : broken;
-      if (broken == null && then != null && !then.equals(w.active())) {
-        broken =
-            "Active changed from "
-                + then
-                + " to "
-                + w.active()
-                + " with no trouble for "
-                + w.now().since(settled).plus(plan.settles()).seconds()
-                + " s";
-      }
+      broken = broken == null && then != null ? changed(w, then, settled) : broken;
     }
     if (broken == null && noTrouble && w.activations() > (allEqual() ? plan.nodes() : 1)) {
       broken = "Active changed with no trouble at all";
@@ -185,6 +174,21 @@
     }
   }
 
+  /**
+   * What is said of an Active that is another than at the time of settling; null: it is the same.
+   */
+  private String changed(World w, List<Integer> then, Moment settled) {
+    return then.equals(w.active())
+        ? null
+        : "Active changed from "
+            + then
+            + " to "
+            + w.active()
+            + " with no trouble for "
+            + w.now().since(settled).plus(plan.settles()).seconds()
+            + " s";
+  }
+
   private boolean allEqual() {
     return plan.priorities().stream().distinct().count() == 1;
   }
@@ -194,11 +198,10 @@
     int up = 0;
     int best = -1;
     for (int n = 0; n < plan.nodes(); n++) {
-      up += w.isUp(n) ? 1 : 0;
-      best =
-          w.isUp(n) && (best < 0 || plan.priorities().get(n) > plan.priorities().get(best))
-              ? n
-              : best;
+      if (w.isUp(n)) {
+        up++;
+        best = best < 0 || plan.priorities().get(n) > plan.priorities().get(best) ? n : best;
+      }
     }
     if (up == 0) {
       return active.isEmpty() ? null : "Active " + active + " and none is up";
--- a/src/main/java/linengauge/vrrp/udp/UdpNode.java
+++ b/src/main/java/linengauge/vrrp/udp/UdpNode.java
@@ -94,7 +94,7 @@
     this.terms = terms;
     this.owner = owner;
     this.unwell = unwell;
-    NodeAddress own = new NodeAddress(terms.listen().getAddress().getAddress());
+    this.own = new NodeAddress(terms.listen().getAddress().getAddress());
     for (InetSocketAddress p : terms.partners()) {
       partners.put(new NodeAddress(p.getAddress().getAddress()), p);
     }
@@ -103,7 +103,6 @@
     }
     Seal seal =
         terms.key() == null ? null : new Seal(terms.key(), System.currentTimeMillis() * 1000);
-    this.own = own;
     this.group =
         terms.group() == null ? null : new NodeAddress(terms.group().getAddress().getAddress());
     this.routers =
@@ -114,46 +113,14 @@
             terms.routers(),
             new Packets(terms.pseudoHeaderForIpv4()),
             seal,
-            new VirtualRouters.Wire() {
-              @Override
-              public void send(byte[] datagram, NodeAddress to) {
-                sendTo(datagram, to.equals(group) ? terms.group() : partners.get(to));
-                if (datagram[2] != 0) {
-                  tell(
-                      TAKEN,
-                      datagram[1]
-                          & 255); // as bridges learn from the source of each (RFC 9568, 7.2)
-                }
-              }
-
-              @Override
-              public void take(int vrid) {
-                took(vrid);
-              }
-
-              @Override
-              public void announce(int vrid) {
-                tell(TAKEN, vrid);
-              }
-
-              @Override
-              public void giveUp(int vrid) {
-                gaveUp(vrid);
-              }
-            });
+            new RouterWire());
     selector = Selector.open();
     StandardProtocolFamily family =
         own.isIpv6() ? StandardProtocolFamily.INET6 : StandardProtocolFamily.INET;
     channel = DatagramChannel.open(family);
     groupChannel = group == null ? null : DatagramChannel.open(family);
     try {
-      channel.setOption(StandardSocketOptions.SO_RCVBUF, terms.receiveBytes());
-      channel.bind(terms.listen());
-      channel.configureBlocking(false);
-      channel.register(selector, SelectionKey.OP_READ);
-      if (groupChannel != null) {
-        join();
-      }
+      bind();
     } catch (IOException e) {
       channel.close();
       if (groupChannel != null) {
@@ -166,6 +133,43 @@
     thread.setPriority(Thread.MAX_PRIORITY);
   }
 
+  /** What the routers act through; called on this node's thread alone. */
+  private final class RouterWire implements VirtualRouters.Wire {
+    @Override
+    public void send(byte[] datagram, NodeAddress to) {
+      sendTo(datagram, to.equals(group) ? terms.group() : partners.get(to));
+      if (datagram[2] != 0) {
+        // as bridges learn from the source of each (RFC 9568, 7.2)
+        tell(TAKEN, datagram[1] & 255);
+      }
+    }
+
+    @Override
+    public void take(int vrid) {
+      took(vrid);
+    }
+
+    @Override
+    public void announce(int vrid) {
+      tell(TAKEN, vrid);
+    }
+
+    @Override
+    public void giveUp(int vrid) {
+      gaveUp(vrid);
+    }
+  }
+
+  private void bind() throws IOException {
+    channel.setOption(StandardSocketOptions.SO_RCVBUF, terms.receiveBytes());
+    channel.bind(terms.listen());
+    channel.configureBlocking(false);
+    channel.register(selector, SelectionKey.OP_READ);
+    if (groupChannel != null) {
+      join();
+    }
+  }
+
   private void join() throws IOException {
     NetworkInterface at = NetworkInterface.getByName(terms.groupInterface());
     if (at == null) {
