--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -403,53 +403,65 @@
     void with(int status, HttpClientResponse response);
   }
 
-  /** One call whose body does not matter, answered once, on the desk. */
+  /** One call, answered once, on the desk. Its fields are read and written there alone. */
+  private final class Call {
+    private final Answered then;
+    private final Carrier.Wake limit;
+    private HttpClientRequest request;
+    private boolean done;
+
+    private Call(int ms, Answered then) {
+      this.then = then;
+      this.limit = program.wakeAfter(Span.ofMillis(ms), this::giveUp);
+    }
+
+    private void giveUp() {
+      if (!done && request != null) {
+        request.reset();
+      }
+      end(0, null);
+    }
+
+    private void end(int status, HttpClientResponse response) {
+      program.onDesk(
+          () -> {
+            if (!done) {
+              done = true;
+              limit.cancel();
+              then.with(status, response);
+            }
+          });
+    }
+
+    private void send(HttpClientRequest q, String body) {
+      request = q;
+      if (done) {
+        q.reset();
+        return;
+      }
+      if (body != null) {
+        q.putHeader("Content-Type", "application/json");
+      }
+      sent(
+          q,
+          body == null ? Buffer.buffer() : Buffer.buffer(body),
+          r -> {
+            r.handler(b -> {});
+            end(r.statusCode(), r);
+          },
+          e -> end(0, null));
+    }
+  }
+
+  /** One call whose body does not matter. */
   private void call(
       HttpMethod method, BoxTable.Entry box, String uri, String body, int ms, Answered then) {
-    boolean[] done = {false};
-    HttpClientRequest[] request = {null};
-    Carrier.Wake[] limit = {null};
-    Answered once =
-        (status, r) ->
-            program.onDesk(
-                () -> {
-                  if (!done[0]) {
-                    done[0] = true;
-                    limit[0].cancel();
-                    then.with(status, r);
-                  }
-                });
-    limit[0] =
-        program.wakeAfter(
-            Span.ofMillis(ms),
-            () -> {
-              if (!done[0] && request[0] != null) {
-                request[0].reset();
-              }
-              once.with(0, null);
-            });
+    Call call = new Call(ms, then);
     others(
         others,
         to(box, method, uri, site.boxes().connectMs()),
-        q -> {
-          request[0] = q;
-          if (done[0]) {
-            q.reset();
-            return;
-          }
-          if (body != null) {
-            q.putHeader("Content-Type", "application/json");
-          }
-          sent(
-              q,
-              body == null ? Buffer.buffer() : Buffer.buffer(body),
-              r -> {
-                r.handler(b -> {});
-                once.with(r.statusCode(), r);
-              },
-              e -> once.with(0, null));
-        },
-        e -> once.with(0, null));
+        q -> call.send(q, body),
+        e -> call.end(0, null));
   }
 
   /** The Load header: "link=0.8; uplink=0.7; streams=12", each part optional. */
--- a/src/main/java/linengauge/front/Door.java
+++ b/src/main/java/linengauge/front/Door.java
@@ -108,7 +108,7 @@
                         ? 431
                         : 400,
                 "not a request that can be read"));
-    server.requestHandler(this::asked);
+    server.requestHandler(this::handle);
     return server
         .listen(at.port(), at.host())
         .recover(e -> Future.failedFuture("viewers' listener " + address + ": " + e.getMessage()));
@@ -163,11 +163,28 @@
     }
   }
 
-  private void asked(HttpServerRequest r) {
+  private void handle(HttpServerRequest r) {
     Caller c = callers.get(r.connection());
     if (c == null) {
       return; // closed meanwhile
     }
+    tellAnswered(r, c);
+    if (!c.asked()) {
+      refuse(r, 429, "too many requests wait on this connection");
+    } else if (c.lease() != null && !c.lease().holds()) {
+      // nothing is taken; a break would tell less
+      blocked(r, "the address is another front's: come again");
+    } else if (c.isTurnedAway()) {
+      blocked(r, "no place: come again");
+    } else if (headerLines(r) > site.viewers().headerCount()) {
+      refuse(r, 431, "more than " + site.viewers().headerCount() + " headers");
+    } else {
+      route(r, c);
+    }
+  }
+
+  /** The caller is told once that this request is answered, or that its connection has closed. */
+  private static void tellAnswered(HttpServerRequest r, Caller c) {
     boolean[] over = {false};
     Runnable end =
         () -> {
@@ -178,28 +195,18 @@
         };
     r.response().endHandler(v -> end.run());
     r.response().closeHandler(v -> end.run());
-    if (!c.asked()) {
-      refuse(r, 429, "too many requests wait on this connection");
-      return;
-    }
-    if (c.lease() != null && !c.lease().holds()) {
-      blocked(
-          r, "the address is another front's: come again"); // nothing is taken; a break would tell
-      // less
-      return;
-    }
-    if (c.isTurnedAway()) {
-      blocked(r, "no place: come again");
-      return;
-    }
-    int headers = 0;
+  }
+
+  /** One by one: size() counts a name that comes again once. */
+  private static int headerLines(HttpServerRequest r) {
+    int lines = 0;
     for (var i = r.headers().iterator(); i.hasNext(); i.next()) {
-      headers++; // size() counts a name that comes again once
-    }
-    if (headers > site.viewers().headerCount()) {
-      refuse(r, 431, "more than " + site.viewers().headerCount() + " headers");
-      return;
+      lines++;
     }
+    return lines;
+  }
+
+  private void route(HttpServerRequest r, Caller c) {
     String path = r.path() == null ? "" : r.path();
     if (path.startsWith("/v/")) {
       int slash = path.indexOf('/', 3);
@@ -217,63 +224,69 @@
   }
 
   private void join(HttpServerRequest r, Caller c, String title) {
+    Held.Ask ask = readAsk(r, title);
+    if (ask == null) {
+      return; // refused
+    }
+    if (!program.gate().asks(ask.key(), Wall.now())) {
+      blocked(r, "blocked: this key asks too often");
+      return;
+    }
+    ViewerEnd end =
+        new ViewerEnd(
+            loop,
+            r.response(),
+            program.routes(),
+            site.bytesOf(ask.pack(), 0),
+            c.lease() == null ? "" : "http://" + site.front().viewers());
+    r.response().exceptionHandler(e -> {});
+    if (!program.askOnDesk(() -> end.held(program.core().take(ask, end)))) {
+      blocked(r, "blocked: too many ask at once");
+      return;
+    }
+    c.waits(() -> program.onDesk(() -> leaveUnlessPlaying(end.held())));
+  }
+
+  private static void leaveUnlessPlaying(Held held) {
+    if (held != null && !held.isPlaying()) {
+      held.viewerLeft();
+    }
+  }
+
+  /** What is asked for; null where that was refused. */
+  private Held.Ask readAsk(HttpServerRequest r, String title) {
     String pack = r.getParam("package");
     Integer number = pack == null ? null : packages.get(pack);
     String key = r.getParam("key");
     if (!NAME.matcher(title).matches() || key != null && !NAME.matcher(key).matches()) {
       refuse(r, 400, "title and key are of letters, digits, '.', '_' and '-', 64 at most");
-      return;
+      return null;
     }
     if (number == null) {
       refuse(r, 400, "package names none of this site");
-      return;
+      return null;
     }
     PackageTerms terms = house.packages().get(number);
     long ceiling = whole(r.getParam("ceiling"), terms.highestRung());
     long patience = whole(r.getParam("patience"), site.viewers().longestPatienceMs());
     if (ceiling < 0 || patience <= 0) {
       refuse(r, 400, "ceiling and patience are whole numbers, patience in milliseconds and over 0");
-      return;
+      return null;
     }
     Site.Held where = cells.get(title);
     if (where == null && !site.titles().anywhere()) {
       refuse(r, 404, "no such title");
-      return;
-    }
-    Held.Ask ask =
-        new Held.Ask(
-            title,
-            where == null ? 0 : where.first(),
-            where == null ? 0 : where.inRow(),
-            number,
-            terms,
-            (int) Math.min(ceiling, terms.highestRung()),
-            Span.ofMillis(Math.min(patience, site.viewers().longestPatienceMs())),
-            key);
-    if (!program.gate().asks(key, Wall.now())) {
-      blocked(r, "blocked: this key asks too often");
-      return;
-    }
-    ViewerEnd end =
-        new ViewerEnd(
-            loop,
-            r.response(),
-            program.routes(),
-            site.bytesOf(number, 0),
-            c.lease() == null ? "" : "http://" + site.front().viewers());
-    r.response().exceptionHandler(e -> {});
-    if (!program.askOnDesk(() -> end.held(program.core().take(ask, end)))) {
-      blocked(r, "blocked: too many ask at once");
-      return;
+      return null;
     }
-    c.waits(
-        () ->
-            program.onDesk(
-                () -> {
-                  if (end.held() != null && !end.held().isPlaying()) {
-                    end.held().viewerLeft();
-                  }
-                }));
+    return new Held.Ask(
+        title,
+        where == null ? 0 : where.first(),
+        where == null ? 0 : where.inRow(),
+        number,
+        terms,
+        (int) Math.min(ceiling, terms.highestRung()),
+        Span.ofMillis(Math.min(patience, site.viewers().longestPatienceMs())),
+        key);
   }
 
   /** Blocked at the door: nothing was taken, and it may come again. */
--- a/src/main/java/linengauge/front/Relay.java
+++ b/src/main/java/linengauge/front/Relay.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.List;
+import java.util.Set;
 import linengauge.carry.Sparse;
 import linengauge.carry.Wall;
 import linengauge.flow.Account;
@@ -38,6 +39,9 @@
           "Last-Modified",
           "Cache-Control");
 
+  /** Answers of a box that go to the viewer as they are. */
+  private static final Set<Integer> PASSED_STATUSES = Set.of(200, 206, 304, 404, 416);
+
   private static final List<String> ASKED_ON = List.of("Range", "If-Range", "Accept");
 
   private static final AttributeKey<Object> USER = AttributeKey.valueOf("linengauge.transfer");
@@ -151,7 +155,7 @@
                   }
                 }
                 q.send()
-                    .onSuccess(this::heard)
+                    .onSuccess(this::onResponse)
                     .onFailure(e -> broken(502, "the media box broke off"));
               });
     }
@@ -181,7 +185,7 @@
               });
     }
 
-    private void heard(HttpClientResponse r) {
+    private void onResponse(HttpClientResponse r) {
       if (over) {
         return;
       }
@@ -191,21 +195,24 @@
       if (status == 404 && at.equals("media.m3u8") || status == 410) {
         program.onDesk(() -> viewer.held().boxLost());
         broken(410, "the media box has lost the viewing");
-        return;
-      }
-      if (status != 200 && status != 206 && status != 304 && status != 404 && status != 416) {
+      } else if (!PASSED_STATUSES.contains(status)) {
         broken(502, "the media box answers " + status);
-        return;
-      }
-      response = r;
-      r.exceptionHandler(e -> broken(502, "the media box broke off"));
-      if (status == 200 && at.endsWith(".m3u8")) {
-        playlist = Buffer.buffer();
-        r.handler(this::more);
-        r.endHandler(v -> rewrite());
-        return;
+      } else {
+        response = r;
+        r.exceptionHandler(e -> broken(502, "the media box broke off"));
+        if (status == 200 && at.endsWith(".m3u8")) {
+          playlist = Buffer.buffer();
+          r.handler(this::more);
+          r.endHandler(v -> rewrite());
+        } else {
+          passOn(r);
+        }
       }
-      to.setStatusCode(status);
+    }
+
+    /** Everything but a playlist goes to the viewer as it comes. */
+    private void passOn(HttpClientResponse r) {
+      to.setStatusCode(r.statusCode());
       for (String name : PASSED_ON) {
         if (r.headers().contains(name)) {
           to.putHeader(name, r.headers().get(name));
@@ -215,20 +222,7 @@
         to.setChunked(true);
       }
       to.setWriteQueueMaxSize(site.viewers().writeBufferBytes());
-      r.handler(
-          b -> {
-            heardAt = Wall.micros();
-            viewer.asked();
-            box.came(b.length());
-            to.write(b);
-            if (caller.account().queued(b.length()) || to.writeQueueFull()) {
-              paused = true;
-              box.wanted(false);
-              r.pause();
-              read(false);
-              to.drainHandler(v -> goOn());
-            }
-          });
+      r.handler(bytes -> passOn(r, bytes));
       r.endHandler(
           v -> {
             if (!over) {
@@ -238,6 +232,21 @@
           });
     }
 
+    /** Passes bytes on, and holds the box back where the viewer does not take them. */
+    private void passOn(HttpClientResponse r, Buffer bytes) {
+      heardAt = Wall.micros();
+      viewer.asked();
+      box.came(bytes.length());
+      to.write(bytes);
+      if (caller.account().queued(bytes.length()) || to.writeQueueFull()) {
+        paused = true;
+        box.wanted(false);
+        r.pause();
+        read(false);
+        to.drainHandler(v -> goOn());
+      }
+    }
+
     /**
      * Whether anything more is read from the box's connection. The library goes on reading for a
      * transfer that is held back, until a queue of its own is full: a thousand of them filled the
