--- a/src/main/java/linengauge/drill/Troubles.java
+++ b/src/main/java/linengauge/drill/Troubles.java
@@ -2,8 +2,12 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import linengauge.standin.StandInBox;
 
 /**
@@ -20,7 +24,10 @@
   private final List<String> failures = new ArrayList<>();
 
   /** Boxes that a trouble has down or about to restart, so that two do not fight over one. */
-  private final java.util.Set<StandInBox> taken = new java.util.HashSet<>();
+  private final Set<StandInBox> taken = new HashSet<>();
+
+  /** What each kind of trouble does. */
+  private final Map<String, Consumer<DayScript.Trouble>> handlers = handlers();
 
   private double bursting = 1;
 
@@ -66,111 +73,135 @@
   private void act(DayScript.Trouble t) {
     grounds.tap.saw(
         "trouble", "kind", t.kind(), "forS", t.forS(), "part", t.part(), "size", t.size());
-    switch (t.kind()) {
-      case "fast_errors" -> on(t, b -> b.failing(t.size()), b -> b.failing(0));
-      case "answer_lost" ->
-          on(
-              t,
-              b -> b.answersLost(t.size(), "reset".equals(t.how())),
-              b -> b.answersLost(0, false));
-      case "hang" -> on(t, b -> b.hung(true), b -> b.hung(false));
-      case "bad_playlist" -> on(t, b -> b.badPlaylists(true), b -> b.badPlaylists(false));
-      case "slow" ->
-          on(
-              t,
-              b -> {
-                b.linkGives(1 / t.size());
-                b.slower(t.size());
-              },
-              b -> {
-                b.linkGives(1);
-                b.slower(1);
-              });
-      case "neighbour" ->
-          on(t, b -> flicker(b, t, System.nanoTime() + Math.round(t.forS() * 1e9), true), b -> {});
-      case "shared_slow" -> {
-        grounds.fleet.boxes().forEach(b -> b.linkGives(1 / t.size()));
-        later(t.forS(), () -> grounds.fleet.boxes().forEach(b -> b.linkGives(1)));
-      }
-      case "origin_slow" -> {
-        int racks = Math.max(1, (int) Math.round(t.part() * grounds.fleet.racks()));
-        int first = chance.nextInt(grounds.fleet.racks());
-        for (int i = 0; i < racks; i++) {
-          int rack = (first + i) % grounds.fleet.racks();
-          grounds.fleet.uplinkGives(rack, 1 / t.size());
-          later(t.forS(), () -> grounds.fleet.uplinkGives(rack, 1));
-        }
-      }
-      case "report_late" -> {
-        grounds.fleet.notesLater((int) (1000 * t.size()));
-        later(t.forS(), () -> grounds.fleet.notesLater(0));
-      }
-      case "burst" -> {
-        bursting = t.size();
-        later(t.forS(), () -> bursting = 1);
-      }
-      case "hot_key" -> {
-        String title = grounds.titles().get(chance.nextInt(grounds.titles().size()));
-        grounds.crowd.crowdFor(title, t.size());
-        later(t.forS(), () -> grounds.crowd.crowdFor(null, 0));
-      }
-      case "peer_down" -> {
-        grounds.post.lose(t.size());
-        later(t.forS(), () -> grounds.post.lose(0));
-      }
-      case "vanish" ->
-          on(
-              t,
-              b -> {
-                taken.add(b);
-                b.vanish();
-                list(b, "gone", 2.5);
-              },
-              this::comeBack);
-      case "ageing" ->
-          on(
-              t,
-              b -> b.slower(1 + t.size() / 2),
-              b -> {
-                b.slower(t.size());
-                later(
-                    1,
-                    () -> {
-                      b.slower(1);
-                      taken.add(b);
-                      b.close();
-                      list(b, "gone", 1);
-                      later(2.5, () -> comeBack(b));
-                    });
-              });
-      case "deploy" -> deploy(t);
-      case "list_break" -> grounds.list.breakFor((int) (1000 * t.forS()));
-      case "list_gap" -> {
-        grounds.list.skipOne();
-        StandInBox b = grounds.fleet.boxes().get(chance.nextInt(grounds.fleet.boxes().size()));
-        if (b.isUp() && !taken.contains(b)) {
-          list(b, "serving", 0);
-          list(b, "serving", 0.2);
-        }
-      }
-      case "balancer_stall" -> stall(t);
-      case "balancer_kill" ->
-          fronts(
-              t,
-              f -> {
-                f.kill();
-                Thread.sleep(Math.round(1000 * t.forS()));
-                grounds.startAgain(f);
-                grounds.awaitReady(f, 20_000);
-              });
-      default -> failures.add("unknown trouble " + t.kind());
+    Consumer<DayScript.Trouble> handler = handlers.get(t.kind());
+    if (handler == null) {
+      failures.add("unknown trouble " + t.kind());
+    } else {
+      handler.accept(t);
+    }
+  }
+
+  private Map<String, Consumer<DayScript.Trouble>> handlers() {
+    return Map.ofEntries(
+        Map.entry("fast_errors", t -> on(t, b -> b.failing(t.size()), b -> b.failing(0))),
+        Map.entry("answer_lost", this::answersLost),
+        Map.entry("hang", t -> on(t, b -> b.hung(true), b -> b.hung(false))),
+        Map.entry(
+            "bad_playlist", t -> on(t, b -> b.badPlaylists(true), b -> b.badPlaylists(false))),
+        Map.entry("slow", t -> on(t, b -> slowDown(b, t.size()), b -> slowDown(b, 1))),
+        Map.entry("neighbour", this::neighbour),
+        Map.entry("shared_slow", this::allLinksSlow),
+        Map.entry("origin_slow", this::uplinksSlow),
+        Map.entry("report_late", this::notesLate),
+        Map.entry("burst", this::burst),
+        Map.entry("hot_key", this::hotTitle),
+        Map.entry("peer_down", this::datagramsLost),
+        Map.entry("vanish", t -> on(t, this::vanish, this::comeBack)),
+        Map.entry("ageing", t -> on(t, b -> b.slower(1 + t.size() / 2), b -> age(b, t.size()))),
+        Map.entry("deploy", this::deploy),
+        Map.entry("list_break", t -> grounds.list.breakFor((int) (1000 * t.forS()))),
+        Map.entry("list_gap", t -> listGap()),
+        Map.entry("balancer_stall", this::stall),
+        Map.entry("balancer_kill", this::kill));
+  }
+
+  /* ---- boxes ---- */
+
+  private void answersLost(DayScript.Trouble t) {
+    boolean byReset = "reset".equals(t.how());
+    on(t, b -> b.answersLost(t.size(), byReset), b -> b.answersLost(0, false));
+  }
+
+  private static void slowDown(StandInBox b, double times) {
+    b.linkGives(1 / times);
+    b.slower(times);
+  }
+
+  private void neighbour(DayScript.Trouble t) {
+    on(t, b -> flicker(b, t, System.nanoTime() + Math.round(t.forS() * 1e9), true), b -> {});
+  }
+
+  private void vanish(StandInBox b) {
+    taken.add(b);
+    b.vanish();
+    list(b, "gone", 2.5);
+  }
+
+  /** It slows down further, and is then started anew. */
+  private void age(StandInBox b, double times) {
+    b.slower(times);
+    later(
+        1,
+        () -> {
+          b.slower(1);
+          taken.add(b);
+          b.close();
+          list(b, "gone", 1);
+          later(2.5, () -> comeBack(b));
+        });
+  }
+
+  /* ---- links, notes, the list, viewers ---- */
+
+  private void allLinksSlow(DayScript.Trouble t) {
+    grounds.fleet.boxes().forEach(b -> b.linkGives(1 / t.size()));
+    later(t.forS(), () -> grounds.fleet.boxes().forEach(b -> b.linkGives(1)));
+  }
+
+  private void uplinksSlow(DayScript.Trouble t) {
+    int racks = Math.max(1, (int) Math.round(t.part() * grounds.fleet.racks()));
+    int first = chance.nextInt(grounds.fleet.racks());
+    for (int i = 0; i < racks; i++) {
+      int rack = (first + i) % grounds.fleet.racks();
+      grounds.fleet.uplinkGives(rack, 1 / t.size());
+      later(t.forS(), () -> grounds.fleet.uplinkGives(rack, 1));
+    }
+  }
+
+  private void notesLate(DayScript.Trouble t) {
+    grounds.fleet.notesLater((int) (1000 * t.size()));
+    later(t.forS(), () -> grounds.fleet.notesLater(0));
+  }
+
+  private void burst(DayScript.Trouble t) {
+    bursting = t.size();
+    later(t.forS(), () -> bursting = 1);
+  }
+
+  private void hotTitle(DayScript.Trouble t) {
+    String title = grounds.titles().get(chance.nextInt(grounds.titles().size()));
+    grounds.crowd.crowdFor(title, t.size());
+    later(t.forS(), () -> grounds.crowd.crowdFor(null, 0));
+  }
+
+  private void datagramsLost(DayScript.Trouble t) {
+    grounds.post.lose(t.size());
+    later(t.forS(), () -> grounds.post.lose(0));
+  }
+
+  private void listGap() {
+    grounds.list.skipOne();
+    StandInBox b = grounds.fleet.boxes().get(chance.nextInt(grounds.fleet.boxes().size()));
+    if (b.isUp() && !taken.contains(b)) {
+      list(b, "serving", 0);
+      list(b, "serving", 0.2);
     }
   }
 
-  private void on(
-      DayScript.Trouble t,
-      java.util.function.Consumer<StandInBox> begin,
-      java.util.function.Consumer<StandInBox> end) {
+  /* ---- front processes ---- */
+
+  private void kill(DayScript.Trouble t) {
+    fronts(
+        t,
+        f -> {
+          f.kill();
+          Thread.sleep(Math.round(1000 * t.forS()));
+          grounds.startAgain(f);
+          grounds.awaitReady(f, 20_000);
+        });
+  }
+
+  private void on(DayScript.Trouble t, Consumer<StandInBox> begin, Consumer<StandInBox> end) {
     for (StandInBox b : some(t.part())) {
       begin.accept(b);
       later(t.forS(), () -> end.accept(b));
--- a/src/main/java/linengauge/standin/PlayerCrowd.java
+++ b/src/main/java/linengauge/standin/PlayerCrowd.java
@@ -270,36 +270,9 @@
       figures.asked++;
       boolean[] over = {false};
       HttpClientRequest[] sent = {null};
-      long timer =
-          vertx.setTimer(
-              want.patienceMs + LISTENS_ON_MS,
-              t -> {
-                if (!over[0]) {
-                  over[0] = true;
-                  if (reached(id)) {
-                    figures.unanswered++;
-                    tap.saw("gave-up", "ask", id, "front", door.front);
-                  }
-                  if (sent[0] != null) {
-                    sent[0].reset();
-                  }
-                  again(0);
-                }
-              });
+      long timer = vertx.setTimer(want.patienceMs + LISTENS_ON_MS, t -> giveUp(id, over, sent));
       boolean shared = door.front < 0;
-      RequestOptions to =
-          to(
-              HttpMethod.GET,
-              "/titles/"
-                  + title
-                  + "/main.m3u8?package="
-                  + want.pack
-                  + "&ceiling="
-                  + ceiling
-                  + "&patience="
-                  + want.patienceMs
-                  + "&key="
-                  + key);
+      RequestOptions to = to(HttpMethod.GET, askUri());
       if (shared) {
         to.putHeader("X-Ask", id);
       }
@@ -316,36 +289,71 @@
                 if (r.failed()) {
                   over[0] = true;
                   vertx.cancelTimer(timer);
-                  figures.refused++;
-                  tap.saw("not-reached", "ask", id, "front", door.front);
-                  again(0);
+                  notReached(id);
                   return;
                 }
                 sent[0] = r.result();
-                if (shared) {
-                  send(id, at, r.result(), over, timer);
-                  return;
+                if (!shared) {
+                  sawAsked(id);
                 }
-                tap.saw(
-                    "asked",
-                    "ask",
-                    id,
-                    "front",
-                    door.front,
-                    "key",
-                    key,
-                    "title",
-                    title,
-                    "package",
-                    want.pack,
-                    "ceiling",
-                    ceiling,
-                    "patienceMs",
-                    want.patienceMs);
                 send(id, at, r.result(), over, timer);
               });
     }
 
+    /** Its patience is over, and a while more. */
+    private void giveUp(String id, boolean[] over, HttpClientRequest[] sent) {
+      if (over[0]) {
+        return;
+      }
+      over[0] = true;
+      if (reached(id)) {
+        figures.unanswered++;
+        tap.saw("gave-up", "ask", id, "front", door.front);
+      }
+      if (sent[0] != null) {
+        sent[0].reset();
+      }
+      again(0);
+    }
+
+    private void notReached(String id) {
+      figures.refused++;
+      tap.saw("not-reached", "ask", id, "front", door.front);
+      again(0);
+    }
+
+    private String askUri() {
+      return "/titles/"
+          + title
+          + "/main.m3u8?package="
+          + want.pack
+          + "&ceiling="
+          + ceiling
+          + "&patience="
+          + want.patienceMs
+          + "&key="
+          + key;
+    }
+
+    private void sawAsked(String id) {
+      tap.saw(
+          "asked",
+          "ask",
+          id,
+          "front",
+          door.front,
+          "key",
+          key,
+          "title",
+          title,
+          "package",
+          want.pack,
+          "ceiling",
+          ceiling,
+          "patienceMs",
+          want.patienceMs);
+    }
+
     private void send(String id, long at, HttpClientRequest request, boolean[] over, long timer) {
       request
           .send()
--- a/src/main/java/linengauge/standin/SharedLan.java
+++ b/src/main/java/linengauge/standin/SharedLan.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -200,53 +201,52 @@
     for (Node n : nodes) {
       DatagramSocket s = vertx.createDatagramSocket();
       sockets.add(s);
-      open.add(
-          s.listen(n.lanPort, n.host)
-              .onSuccess(
-                  x ->
-                      x.handler(
-                          p -> {
-                            for (Node from : nodes) {
-                              if (from.host.equals(p.sender().hostAddress())
-                                  && from.port == p.sender().port()) {
-                                carry(from, n, p.data());
-                              }
-                            }
-                          })));
+      open.add(hear(s, n.lanPort, n.host, (from, data) -> carry(from, n, data)));
     }
-    DatagramSocket ears = vertx.createDatagramSocket();
-    open.add(
-        ears.listen(announcePort, announceHost)
-            .onSuccess(
-                x ->
-                    x.handler(
-                        p -> {
-                          for (Node from : nodes) {
-                            if (from.host.equals(p.sender().hostAddress())
-                                && from.port == p.sender().port()) {
-                              announced(from, p.data());
-                            }
-                          }
-                        })));
+    DatagramSocket announcements = vertx.createDatagramSocket();
+    open.add(hear(announcements, announcePort, announceHost, this::announced));
     for (Shared a : shared) {
-      lines.put(a.vrid, new HashSet<>());
-      NetServer server = vertx.createNetServer(new NetServerOptions().setReusePort(false));
-      server.connectHandler(
-          near -> {
-            Integer holder = holders.get(a.vrid);
-            if (holder == null) {
-              near.close();
-              return;
-            }
-            Line l = new Line(a.vrid, holder, near);
-            lines.get(a.vrid).add(l);
-            l.open();
-          });
-      open.add(server.listen(a.port, a.host));
+      open.add(openShared(a));
     }
     return Future.all(open);
   }
 
+  /** Binds a socket; what a node sends there goes to the receiver, with the node. */
+  private Future<?> hear(
+      DatagramSocket socket, int port, String host, BiConsumer<Node, Buffer> receiver) {
+    return socket
+        .listen(port, host)
+        .onSuccess(
+            bound ->
+                bound.handler(
+                    p -> {
+                      for (Node from : nodes) {
+                        if (from.host.equals(p.sender().hostAddress())
+                            && from.port == p.sender().port()) {
+                          receiver.accept(from, p.data());
+                        }
+                      }
+                    }));
+  }
+
+  /** Opens a shared address: its connections go to whoever holds it. */
+  private Future<?> openShared(Shared a) {
+    lines.put(a.vrid, new HashSet<>());
+    NetServer server = vertx.createNetServer(new NetServerOptions().setReusePort(false));
+    server.connectHandler(
+        near -> {
+          Integer holder = holders.get(a.vrid);
+          if (holder == null) {
+            near.close();
+            return;
+          }
+          Line l = new Line(a.vrid, holder, near);
+          lines.get(a.vrid).add(l);
+          l.open();
+        });
+    return server.listen(a.port, a.host);
+  }
+
   /**
    * What a node sends to another, as it is on the wire; section 5.2 of RFC 9568 says where priority
    * and VRID are.
--- a/src/main/java/linengauge/standin/SlowCrowd.java
+++ b/src/main/java/linengauge/standin/SlowCrowd.java
@@ -252,12 +252,7 @@
 
     private void read(long now) throws IOException {
       double rate = isSegment() ? way.bytesPerSecond : 1e9;
-      if (isSegment()
-          && way == Way.PAUSES
-          && segments % 2 == 1
-          && inBody
-          && left < whole / 2
-          && !hasPaused) {
+      if (isAtItsPause()) {
         hasPaused = true;
         pausedUntil = now + 3_000_000;
       }
@@ -267,10 +262,7 @@
       }
       credit = Math.min(credit + rate * (now - steppedAt) / 1e6, Math.max(1, rate / 4));
       while (credit >= 1) {
-        buffer
-            .clear()
-            .limit((int) Math.min(buffer.capacity(), inBody ? Math.min(left, (long) credit) : 1));
-        int n = channel.read(buffer);
+        int n = readOnce();
         if (n < 0) {
           broke();
           return;
@@ -278,24 +270,6 @@
         if (n == 0) {
           return;
         }
-        credit -= n;
-        bytes += n;
-        buffer.flip();
-        if (inBody) {
-          left -= n;
-          if (!isSegment()) {
-            body += StandardCharsets.US_ASCII.decode(buffer);
-          }
-        } else {
-          head += (char) buffer.get();
-          if (head.endsWith("\r\n\r\n")) {
-            status = Integer.parseInt(head.substring(9, 12));
-            Matcher m = LENGTH.matcher(head);
-            left = m.find() ? Long.parseLong(m.group(1)) : 0;
-            whole = left;
-            inBody = true;
-          }
-        }
         if (inBody && left == 0) {
           answered(now);
           return;
@@ -303,6 +277,48 @@
       }
     }
 
+    /** Half way through every other segment. */
+    private boolean isAtItsPause() {
+      return isSegment()
+          && way == Way.PAUSES
+          && segments % 2 == 1
+          && inBody
+          && left < whole / 2
+          && !hasPaused;
+    }
+
+    /** Reads what its credit allows: one byte of a head, or more of a body. */
+    private int readOnce() throws IOException {
+      long most = inBody ? Math.min(left, (long) credit) : 1;
+      buffer.clear().limit((int) Math.min(buffer.capacity(), most));
+      int n = channel.read(buffer);
+      if (n > 0) {
+        credit -= n;
+        bytes += n;
+        buffer.flip();
+        take(n);
+      }
+      return n;
+    }
+
+    private void take(int n) {
+      if (inBody) {
+        left -= n;
+        if (!isSegment()) {
+          body += StandardCharsets.US_ASCII.decode(buffer);
+        }
+        return;
+      }
+      head += (char) buffer.get();
+      if (head.endsWith("\r\n\r\n")) {
+        status = Integer.parseInt(head.substring(9, 12));
+        Matcher m = LENGTH.matcher(head);
+        left = m.find() ? Long.parseLong(m.group(1)) : 0;
+        whole = left;
+        inBody = true;
+      }
+    }
+
     private void answered(long now) throws IOException {
       if (viewing == null) {
         joined(now);
