--- a/src/main/java/linengauge/drill/DayDrill.java
+++ b/src/main/java/linengauge/drill/DayDrill.java
@@ -54,41 +54,7 @@
     SplittableRandom seeds = new SplittableRandom(seed + 1_000_003L * number);
     List<String> record;
     try (Grounds g = new Grounds(day, paid, seeds.nextLong())) {
-      g.open();
-      long heap = 0;
-      for (FrontProcess p : g.fronts) {
-        heap = Math.max(heap, p.heap());
-      }
-      Troubles troubles = new Troubles(g, seeds.nextLong());
-      SplittableRandom arrivals = seeds.split();
-      long began = System.nanoTime();
-      g.onBoxes(
-          () -> {
-            troubles.begin();
-            arrive(g, troubles, arrivals, began, 0);
-          });
-      Thread.sleep(Math.round(1000 * day.lengthS()));
-      g.onBoxes(g.crowd::close);
-      List<String> failures = troubles.finish();
-      settle(report, name, g, heap);
-      report.claim(
-          name + ": stand-ins and fronts did as told",
-          "no failure",
-          failures.isEmpty() ? "none" : failures,
-          failures.isEmpty());
-      boolean ended = g.endFronts().values().stream().allMatch(e -> e);
-      report.claim(
-          name + ": fronts ended in order when told", "all", ended ? "all" : "not all", ended);
-      figures(report, name, g);
-      record = g.tap.lines();
-      long acted = record.stream().filter(l -> l.contains("\"what\":\"trouble\"")).count();
-      report.claim(
-          name + ": troubles acted out",
-          "all " + day.troubles().size(),
-          acted,
-          acted == day.troubles().size());
-      report.claim(
-          name + ": the record is whole", "not cut short", record.size() + " lines", !g.tap.full());
+      record = play(report, name, g, seeds);
     }
     if (traffic != null) {
       Path to =
@@ -97,6 +63,51 @@
               : traffic.resolveSibling(traffic.getFileName() + "." + (number + 1));
       Files.write(to, record);
     }
+    judge(report, name, record);
+  }
+
+  /** Plays the day; the record of it. */
+  private List<String> play(Report report, String name, Grounds g, SplittableRandom seeds)
+      throws IOException, InterruptedException {
+    g.open();
+    long heap = 0;
+    for (FrontProcess p : g.fronts) {
+      heap = Math.max(heap, p.heap());
+    }
+    Troubles troubles = new Troubles(g, seeds.nextLong());
+    SplittableRandom arrivals = seeds.split();
+    long began = System.nanoTime();
+    g.onBoxes(
+        () -> {
+          troubles.begin();
+          arrive(g, troubles, arrivals, began, 0);
+        });
+    Thread.sleep(Math.round(1000 * day.lengthS()));
+    g.onBoxes(g.crowd::close);
+    List<String> failures = troubles.finish();
+    settle(report, name, g, heap);
+    report.claim(
+        name + ": stand-ins and fronts did as told",
+        "no failure",
+        failures.isEmpty() ? "none" : failures,
+        failures.isEmpty());
+    boolean ended = g.endFronts().values().stream().allMatch(e -> e);
+    report.claim(
+        name + ": fronts ended in order when told", "all", ended ? "all" : "not all", ended);
+    figures(report, name, g);
+    List<String> record = g.tap.lines();
+    long acted = record.stream().filter(l -> l.contains("\"what\":\"trouble\"")).count();
+    report.claim(
+        name + ": troubles acted out",
+        "all " + day.troubles().size(),
+        acted,
+        acted == day.troubles().size());
+    report.claim(
+        name + ": the record is whole", "not cut short", record.size() + " lines", !g.tap.full());
+    return record;
+  }
+
+  private void judge(Report report, String name, List<String> record) {
     try {
       Verdict v = Judge.judge(record);
       report.judged(name, v);
@@ -140,25 +151,10 @@
   private void settle(Report report, String name, Grounds g, long heapBefore)
       throws IOException, InterruptedException {
     long until = System.nanoTime() + 20_000_000_000L;
-    List<String> left = new ArrayList<>();
+    List<String> left;
     do {
       Thread.sleep(200);
-      left.clear();
-      if (g.crowd.present() > 0) {
-        left.add(g.crowd.present() + " viewers");
-      }
-      if (g.fleet.viewings() > 0) {
-        left.add(g.fleet.viewings() + " viewings at boxes");
-      }
-      for (FrontProcess p : g.fronts) {
-        JsonNode s = p.state();
-        for (String what :
-            List.of("held", "keys", "titles", "routes", "noteStreamsInUse", "callsWaiting")) {
-          if (s.path(what).asInt() > 0) {
-            left.add("front " + p.number() + ": " + s.path(what) + " " + what);
-          }
-        }
-      }
+      left = left(g);
     } while (!left.isEmpty() && System.nanoTime() < until);
     report.claim(
         name + ": nothing is left in fronts and boxes",
@@ -171,22 +167,7 @@
       JsonNode s = p.state();
       most = Math.max(most, p.heap());
       wordsHeard += s.path("wordsHeard").asLong();
-      report.figure(
-          name + ": front " + p.number(),
-          "taken "
-              + s.path("taken")
-              + ", played "
-              + s.path("played")
-              + ", blocked "
-              + s.path("blocked")
-              + ", aborted "
-              + s.path("aborted")
-              + ", left "
-              + s.path("left")
-              + ", list breaks "
-              + s.path("listBreaks")
-              + ", gaps "
-              + s.path("listGaps"));
+      report.figure(name + ": front " + p.number(), counts(s));
     }
     report.figure(name + ": words heard by fronts", wordsHeard);
     report.claim(
@@ -196,6 +177,44 @@
         most < heapBefore + HEAP_MORE);
   }
 
+  /** What is left now of viewers and viewings. */
+  private static List<String> left(Grounds g) throws IOException, InterruptedException {
+    List<String> left = new ArrayList<>();
+    if (g.crowd.present() > 0) {
+      left.add(g.crowd.present() + " viewers");
+    }
+    if (g.fleet.viewings() > 0) {
+      left.add(g.fleet.viewings() + " viewings at boxes");
+    }
+    for (FrontProcess p : g.fronts) {
+      JsonNode s = p.state();
+      for (String what :
+          List.of("held", "keys", "titles", "routes", "noteStreamsInUse", "callsWaiting")) {
+        if (s.path(what).asInt() > 0) {
+          left.add("front " + p.number() + ": " + s.path(what) + " " + what);
+        }
+      }
+    }
+    return left;
+  }
+
+  private static String counts(JsonNode state) {
+    return "taken "
+        + state.path("taken")
+        + ", played "
+        + state.path("played")
+        + ", blocked "
+        + state.path("blocked")
+        + ", aborted "
+        + state.path("aborted")
+        + ", left "
+        + state.path("left")
+        + ", list breaks "
+        + state.path("listBreaks")
+        + ", gaps "
+        + state.path("listGaps");
+  }
+
   private void figures(Report report, String name, Grounds g) {
     PlayerCrowd.Figures f = g.crowd.figures();
     report.figure(
--- a/src/main/java/linengauge/drill/Grounds.java
+++ b/src/main/java/linengauge/drill/Grounds.java
@@ -1,7 +1,6 @@
 package linengauge.drill;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -44,6 +43,7 @@
   final WordPost post;
   final PlayerCrowd crowd;
   final List<FrontProcess> fronts = new ArrayList<>();
+  private final List<Integer> ports;
   final List<PlayerCrowd.Door> doors = new ArrayList<>();
 
   /** The loops of the boxes with their list and words, and of the players. */
@@ -64,80 +64,97 @@
     this.more = more;
     this.seeds = new SplittableRandom(seed);
     this.folder = Files.createTempDirectory("linengauge-drill");
-    int fronts = day.fronts().count();
     int boxes = day.fleet().boxes();
-    List<Integer> ports = Ports.free(boxes + 1 + 4 * fronts, taken);
-    List<BoxFleet.Place> places = new ArrayList<>();
-    List<String> buildings = day.fleet().buildings();
-    for (int i = 0; i < boxes; i++) {
-      places.add(
-          new BoxFleet.Place(
-              100 + i, Ports.HOST, ports.get(i), i, buildings.get(i % buildings.size())));
-    }
+    this.ports = Ports.free(boxes + 1 + DrillSiteFile.PORTS_A_FRONT * day.fronts().count(), taken);
     tap.saw("terms", terms(paid));
     DayScript.FleetPlan f = day.fleet();
-    Map<String, Double> factors = new LinkedHashMap<>();
-    day.packages().forEach(p -> factors.put(p.name(), p.rateFactor()));
-    Site.Rules r = day.rules();
-    BoxFleet.Kind kind =
-        new BoxFleet.Kind(
-            f.streams(),
-            day.ladder().stream().mapToDouble(Site.Rung::kb).toArray(),
-            factors,
-            f.setUpMs(),
-            f.leaseMs(),
-            f.seeMs(),
-            f.tellMs(),
-            f.loadInAnswers(),
-            day.permits().reportsUplink(),
-            r.coldMs(),
-            r.startCapacity(),
-            r.fallMultiple(),
-            r.fallAfterMs());
     this.fleet =
         new BoxFleet(
-            vertx, kind, places, f.racks(), f.linkKb(), f.uplinkKb(), seeds.nextLong(), tap);
+            vertx,
+            boxKind(),
+            boxPlaces(),
+            f.racks(),
+            f.linkKb(),
+            f.uplinkKb(),
+            seeds.nextLong(),
+            tap);
     this.list =
         new BoxListService(
             vertx, Ports.HOST, ports.get(boxes), day.list().lateMs(), seeds.nextLong(), tap);
     this.post = new WordPost(vertx, seeds.nextLong());
-    for (int i = 0; i < fronts; i++) {
-      int at = boxes + 1 + 4 * i;
-      Path site = folder.resolve("front-" + i + ".json5");
-      Files.writeString(site, JSON.writeValueAsString(site(i, paid, ports)));
-      doors.add(
-          new PlayerCrowd.Door(i, Ports.HOST, ports.get(at), buildings.get(i % buildings.size())));
-      this.fronts.add(
-          new FrontProcess(
-              i,
-              site,
-              folder.resolve("front-" + i + ".log"),
-              Ports.HOST + ":" + ports.get(at + 1),
-              tap));
+    DrillSiteFile siteFile = new DrillSiteFile(day, paid, ports, titles(), more);
+    for (int i = 0; i < day.fronts().count(); i++) {
+      addFront(i, siteFile);
     }
-    List<PlayerCrowd.Want> wants = new ArrayList<>();
-    day.packages()
-        .forEach(
-            p ->
-                wants.add(
-                    new PlayerCrowd.Want(
-                        p.name(), p.share(), p.patienceMs(), p.joinTargetMs(), p.value())));
     this.crowd =
         new PlayerCrowd(
             vertx,
             doors,
-            wants,
+            wants(),
             titles(),
             day.ladder().size(),
             (int) (1000 * day.traffic().shortestS()),
             (int) (1000 * day.traffic().longestS()),
             seeds.nextLong(),
             tap);
-    this.ports = ports;
     Runtime.getRuntime().addShutdownHook(endFronts);
   }
 
-  private final List<Integer> ports;
+  private List<BoxFleet.Place> boxPlaces() {
+    List<BoxFleet.Place> places = new ArrayList<>();
+    List<String> buildings = day.fleet().buildings();
+    for (int i = 0; i < day.fleet().boxes(); i++) {
+      String building = buildings.get(i % buildings.size());
+      places.add(new BoxFleet.Place(100 + i, Ports.HOST, ports.get(i), i, building));
+    }
+    return places;
+  }
+
+  private BoxFleet.Kind boxKind() {
+    DayScript.FleetPlan f = day.fleet();
+    Site.Rules r = day.rules();
+    Map<String, Double> factors = new LinkedHashMap<>();
+    day.packages().forEach(p -> factors.put(p.name(), p.rateFactor()));
+    return new BoxFleet.Kind(
+        f.streams(),
+        day.ladder().stream().mapToDouble(Site.Rung::kb).toArray(),
+        factors,
+        f.setUpMs(),
+        f.leaseMs(),
+        f.seeMs(),
+        f.tellMs(),
+        f.loadInAnswers(),
+        day.permits().reportsUplink(),
+        r.coldMs(),
+        r.startCapacity(),
+        r.fallMultiple(),
+        r.fallAfterMs());
+  }
+
+  private void addFront(int number, DrillSiteFile siteFile) throws IOException {
+    Path site = folder.resolve("front-" + number + ".json5");
+    Files.writeString(site, JSON.writeValueAsString(siteFile.of(number)));
+    List<String> buildings = day.fleet().buildings();
+    String building = buildings.get(number % buildings.size());
+    doors.add(new PlayerCrowd.Door(number, Ports.HOST, siteFile.viewersPort(number), building));
+    fronts.add(
+        new FrontProcess(
+            number,
+            site,
+            folder.resolve("front-" + number + ".log"),
+            Ports.HOST + ":" + siteFile.controlPort(number),
+            tap));
+  }
+
+  /** What the viewers of the day ask for. */
+  List<PlayerCrowd.Want> wants() {
+    List<PlayerCrowd.Want> wants = new ArrayList<>();
+    for (DayScript.Wanted p : day.packages()) {
+      wants.add(
+          new PlayerCrowd.Want(p.name(), p.share(), p.patienceMs(), p.joinTargetMs(), p.value()));
+    }
+    return wants;
+  }
 
   /** A drill that is itself ended takes its fronts along. */
   private final Thread endFronts =
@@ -183,79 +200,6 @@
     return pairs;
   }
 
-  /** The site file of one front; words go by way of the post. */
-  private ObjectNode site(int number, String paid, List<Integer> ports) {
-    DayScript.FleetPlan f = day.fleet();
-    int at = f.boxes() + 1 + 4 * number;
-    ObjectNode s = JSON.createObjectNode().put("site", day.name());
-    s.set("buildings", JSON.valueToTree(f.buildings()));
-    s.putObject("front")
-        .put("number", number)
-        .put("building", f.buildings().get(number % f.buildings().size()))
-        .put("viewers", Ports.HOST + ":" + ports.get(at))
-        .put("control", Ports.HOST + ":" + ports.get(at + 1))
-        .put("words", Ports.HOST + ":" + ports.get(at + 2));
-    ObjectNode words = s.putObject("fronts").put("count", day.fronts().count()).putObject("words");
-    for (int i = 0; i < day.fronts().count(); i++) {
-      words.put("" + i, Ports.HOST + ":" + ports.get(f.boxes() + 1 + 4 * i + 3));
-    }
-    s.set("ladder", JSON.valueToTree(day.ladder()));
-    ArrayNode packs = s.putArray("packages");
-    for (DayScript.Wanted p : day.packages()) {
-      packs
-          .addObject()
-          .put("name", p.name())
-          .put("value", p.value())
-          .put("joinTargetMs", p.joinTargetMs())
-          .put("rateFactor", p.rateFactor())
-          .put("lowestRung", p.lowestRung())
-          .put("highestRung", p.highestRung())
-          .put("seats", p.seats())
-          .put("paidAtSetUp", p.name().equals(paid));
-    }
-    s.putObject("fleet")
-        .put("cells", f.boxes())
-        .put("racks", f.racks())
-        .put("linksKb", f.boxes() * f.linkKb())
-        .put("linkKbPerWeight", f.linkKb())
-        .put("uplinkKb", f.uplinkKb())
-        .put("shareLatenessMs", f.seeMs())
-        .putArray("kinds")
-        .addObject()
-        .put("name", "small")
-        .put("streams", f.streams());
-    s.set("rules", JSON.valueToTree(day.rules()));
-    s.set("permits", JSON.valueToTree(day.permits()));
-    ArrayNode cells = s.putObject("titles").put("anywhere", false).putArray("cells");
-    int n = 0;
-    for (String title : titles()) {
-      cells
-          .addObject()
-          .put("name", title)
-          .put("first", n++ * 5 % f.boxes())
-          .put("inRow", Math.min(f.boxes(), day.traffic().copies()));
-    }
-    s.putObject("list")
-        .put("address", Ports.HOST + ":" + ports.get(f.boxes()))
-        .put("silenceMs", 3000)
-        .put("retryMostMs", 1000);
-    s.putObject("viewers").put("loops", day.fronts().loops());
-    s.putObject("boxes")
-        .put("notesSilenceMs", 3000)
-        .put("notesRetryMs", 200)
-        .put("firstByteMs", 3000)
-        .put("mediaSilenceMs", 3000)
-        .put("endRetryMs", 200)
-        .put("mediaConnections", Math.max(64, 4 * f.streams()));
-    s.putObject("desk").put("viewings", day.fronts().viewings()).put("idleMs", 6000);
-    s.putObject("stop").put("playingMs", day.fronts().stopMs());
-    more.apply(number)
-        .fields()
-        .forEachRemaining(
-            room -> s.withObject("/" + room.getKey()).setAll((ObjectNode) room.getValue()));
-    return s;
-  }
-
   /** Opens everything and waits until every front is ready. */
   void open(String... options) throws IOException, InterruptedException {
     List<Future<?>> opened = new ArrayList<>();
--- a/src/main/java/linengauge/drill/VrrpCost.java
+++ b/src/main/java/linengauge/drill/VrrpCost.java
@@ -33,44 +33,7 @@
     List<UdpNode> nodes = new ArrayList<>();
     try {
       for (int i = 0; i < 2; i++) {
-        List<RouterTerms> terms = new ArrayList<>();
-        for (int v = 1; v <= routers; v++) {
-          terms.add(
-              new RouterTerms(
-                  v,
-                  200 - 100 * i,
-                  Span.ofMillis(advertMs),
-                  true,
-                  true,
-                  List.of(NodeAddress.of(192, 0, 2, v)),
-                  new NodeAddress(at.get(i).getAddress().getAddress()),
-                  RouterTerms.Additions.NONE));
-        }
-        nodes.add(
-            new UdpNode(
-                new UdpTerms(
-                    at.get(i),
-                    List.of(at.get(1 - i)),
-                    null,
-                    null,
-                    null,
-                    key,
-                    false,
-                    256,
-                    1 << 20,
-                    terms),
-                new UdpNode.Owner() {
-                  @Override
-                  public void took(int vrid) {
-                    // nobody serves here
-                  }
-
-                  @Override
-                  public void gaveUp(int vrid) {
-                    // nobody serves here
-                  }
-                },
-                () -> false));
+        nodes.add(node(at, i, routers, advertMs, key));
       }
       nodes.forEach(UdpNode::start);
       Thread.sleep(3000 + 5L * advertMs);
@@ -83,6 +46,49 @@
     }
   }
 
+  /** One of two nodes, with so many virtual routers; the first has the higher priority. */
+  private static UdpNode node(
+      List<InetSocketAddress> at, int number, int routers, int advertMs, byte[] key)
+      throws IOException {
+    List<RouterTerms> terms = new ArrayList<>();
+    for (int v = 1; v <= routers; v++) {
+      terms.add(
+          new RouterTerms(
+              v,
+              200 - 100 * number,
+              Span.ofMillis(advertMs),
+              true,
+              true,
+              List.of(NodeAddress.of(192, 0, 2, v)),
+              new NodeAddress(at.get(number).getAddress().getAddress()),
+              RouterTerms.Additions.NONE));
+    }
+    return new UdpNode(
+        new UdpTerms(
+            at.get(number),
+            List.of(at.get(1 - number)),
+            null,
+            null,
+            null,
+            key,
+            false,
+            256,
+            1 << 20,
+            terms),
+        new UdpNode.Owner() {
+          @Override
+          public void took(int vrid) {
+            // nobody serves here
+          }
+
+          @Override
+          public void gaveUp(int vrid) {
+            // nobody serves here
+          }
+        },
+        () -> false);
+  }
+
   private static long cpu() {
     ThreadMXBean threads = ManagementFactory.getThreadMXBean();
     long sum = 0;
