--- a/src/main/java/linengauge/front/Chores.java
+++ b/src/main/java/linengauge/front/Chores.java
@@ -27,19 +27,19 @@
 
   /**
    * On the desk: something short to be done once after a span, when there is time for it; false
-   * where there is no place for it now, and it is to be wished for again.
+   * where there is no place for it now, and it is to be submitted again.
    *
    * @param thought what it is thought to take of the desk; measured from its first time on
    */
-  boolean wish(String name, int urgency, Span after, Span thought, Runnable step) {
+  boolean submit(String name, int urgency, Span after, Span thought, Runnable step) {
     Moment now = Wall.now();
-    Workbench.Wish wish =
-        bench.wish(
+    Workbench.Submission submission =
+        bench.submit(
             new Chore(name, urgency, Span.NONE, Span.NONE, 1, thought, 0, job -> run(job, step)),
             now.plus(after),
             now);
     arm(now);
-    return wish.job() != null;
+    return submission.job() != null;
   }
 
   private static void run(Job job, Runnable step) {
--- a/src/main/java/linengauge/front/ListFeed.java
+++ b/src/main/java/linengauge/front/ListFeed.java
@@ -105,7 +105,7 @@
     Span after = pause.next();
     if (!program
         .chores()
-        .wish(
+        .submit(
             "box list",
             URGENT,
             after,
--- a/src/main/java/linengauge/front/Notes.java
+++ b/src/main/java/linengauge/front/Notes.java
@@ -105,7 +105,7 @@
       Span after = pause.next();
       if (!program
           .chores()
-          .wish("notes of " + entry, RETRIES, after, ListFeed.OPENING, this::openAgain)) {
+          .submit("notes of " + entry, RETRIES, after, ListFeed.OPENING, this::openAgain)) {
         program.wakeAfter(
             after,
             () -> {
--- a/src/main/java/linengauge/vrrp/FitnessPenalty.java
+++ b/src/main/java/linengauge/vrrp/FitnessPenalty.java
@@ -9,29 +9,29 @@
  * front that can only block; it could hurt where both fronts of a pair fall ill and recover apart:
  * each change of the better one is a handover, one in `unwellAfter` at the most.
  */
-final class Standing {
+final class FitnessPenalty {
   private final int minus;
   private final Span lasts;
   private boolean unwell;
-  private boolean told;
-  private Moment toldAt = Moment.DISTANT_PAST;
+  private boolean reported;
+  private Moment reportedAt = Moment.DISTANT_PAST;
 
-  Standing(RouterTerms.Additions more) {
+  FitnessPenalty(RouterTerms.Additions more) {
     this.minus = more.unwellMinus();
     this.lasts = more.unwellAfter();
   }
 
-  void told(boolean isUnwell, Moment now) {
-    if (isUnwell != told) {
-      told = isUnwell;
-      toldAt = now;
+  void report(boolean isUnwell, Moment now) {
+    if (isUnwell != reported) {
+      reported = isUnwell;
+      reportedAt = now;
     }
   }
 
   /** What is taken off the priority now. */
   int minus(Moment now) {
-    if (told != unwell && !now.since(toldAt).under(lasts)) {
-      unwell = told;
+    if (reported != unwell && !now.since(reportedAt).under(lasts)) {
+      unwell = reported;
     }
     return unwell ? minus : 0;
   }
@@ -40,15 +40,15 @@
     return unwell;
   }
 
-  Standing copy(RouterTerms.Additions more) {
-    Standing s = new Standing(more);
+  FitnessPenalty copy(RouterTerms.Additions more) {
+    FitnessPenalty s = new FitnessPenalty(more);
     s.unwell = unwell;
-    s.told = told;
-    s.toldAt = toldAt;
+    s.reported = reported;
+    s.reportedAt = reportedAt;
     return s;
   }
 
   long mark() {
-    return (unwell ? 2 : 0) + (told ? 1 : 0);
+    return (unwell ? 2 : 0) + (reported ? 1 : 0);
   }
 }
--- a/src/main/java/linengauge/vrrp/VirtualRouter.java
+++ b/src/main/java/linengauge/vrrp/VirtualRouter.java
@@ -131,7 +131,7 @@
   private final Port port;
   private final Counts counts = new Counts();
   private Flaps flaps;
-  private Standing standing;
+  private FitnessPenalty penalty;
   private State state = State.INITIALIZE;
   private Moment now = Moment.DISTANT_PAST;
   private Moment downAt;
@@ -168,7 +168,7 @@
     this.port = port;
     this.activeInterval = terms.interval();
     this.flaps = new Flaps(terms.additions());
-    this.standing = new Standing(terms.additions());
+    this.penalty = new FitnessPenalty(terms.additions());
   }
 
   /** The same router in the same state, acting through another port. */
@@ -176,7 +176,7 @@
     this.terms = o.terms;
     this.port = port;
     this.flaps = o.flaps.copy(terms.additions());
-    this.standing = o.standing.copy(terms.additions());
+    this.penalty = o.penalty.copy(terms.additions());
     this.state = o.state;
     this.now = o.now;
     this.downAt = o.downAt;
@@ -212,7 +212,7 @@
   }
 
   public boolean isUnwell() {
-    return standing.isUnwell();
+    return penalty.isUnwell();
   }
 
   /** Skew_Time (section 6.1). */
@@ -247,7 +247,7 @@
     if (terms.isOwner()) {
       return RouterTerms.OWNER;
     }
-    int minus = standing.minus(now);
+    int minus = penalty.minus(now);
     if (minus == 0 && state == State.ACTIVE && flaps.holds(now)) {
       return RouterTerms.OWNER - 1;
     }
@@ -289,7 +289,7 @@
   /** What the front says of itself. */
   public void unwell(boolean isUnwell, Moment at) {
     tell(at);
-    standing.told(isUnwell, now);
+    penalty.report(isUnwell, now);
   }
 
   /**
@@ -477,7 +477,7 @@
         ahead(followAnyUntil, from, far),
         (long) deafTimes * 16 + assertionsLeft,
         flaps.mark(from),
-        standing.mark());
+        penalty.mark());
   }
 
   private static long ahead(Moment m, Moment from, long far) {
--- a/src/main/java/linengauge/work/Job.java
+++ b/src/main/java/linengauge/work/Job.java
@@ -4,7 +4,9 @@
 import linengauge.Span;
 import linengauge.session.Backoff;
 
-/** One wish for a chore, from being taken up until it is done for good, given up or called off. */
+/**
+ * One submission of a chore, from being taken up until it is done for good, given up or called off.
+ */
 public final class Job {
   /** Where it stands. */
   public enum State {
@@ -21,7 +23,7 @@
   private Moment dueAt;
   private int failures;
 
-  /** Wished for again while it runs: it is due at once when it ends. */
+  /** Submitted again while it runs: it is due at once when it ends. */
   private boolean again;
 
   private Span deskTime;
@@ -78,7 +80,7 @@
     return (late ? Long.MIN_VALUE / 2 : 0) + chore.urgency() * ageing.micros() - waited.micros();
   }
 
-  void wishedAgain(Moment now) {
+  void submittedAgain(Moment now) {
     if (state == State.RUNS) {
       again = true;
     } else if (now.before(dueAt) && failures == 0) {
--- a/src/main/java/linengauge/work/Workbench.java
+++ b/src/main/java/linengauge/work/Workbench.java
@@ -17,7 +17,7 @@
  * holds no clock, thread or timer: the carrier asks for the next job, and when to ask again.
  */
 public final class Workbench {
-  /** Why a wish was not taken up. */
+  /** Why a submission was not taken up. */
   public enum Answer {
     TAKEN,
     ONE_WAITS,
@@ -25,8 +25,8 @@
     TOO_LARGE
   }
 
-  /** What became of a wish: the job that stands for it, or null where it was refused. */
-  public record Wish(Answer answer, Job job) {}
+  /** What became of a submission: the job that stands for it, or null where it was refused. */
+  public record Submission(Answer answer, Job job) {}
 
   /** Counts since the start. */
   public static final class Counts {
@@ -82,24 +82,24 @@
   }
 
   /**
-   * Wishes that a chore be done, from a moment on. One of the same name that waits or runs already
+   * Submits a chore to be done, from a moment on. One of the same name that waits or runs already
    * stands for it. Where all places are taken, the last in rank that is not running leaves for it,
    * if outranked, and is told so.
    */
-  public Wish wish(Chore chore, Moment from, Moment at) {
+  public Submission submit(Chore chore, Moment from, Moment at) {
     tell(at);
     Job same = jobs.get(chore.name());
     if (same != null) {
-      same.wishedAgain(from.orLater(now));
-      return new Wish(Answer.ONE_WAITS, same);
+      same.submittedAgain(from.orLater(now));
+      return new Submission(Answer.ONE_WAITS, same);
     }
     if (terms.deskTime().under(chore.deskTime()) || chore.bytes() > terms.bytes()) {
       counts.refused++;
-      return new Wish(Answer.TOO_LARGE, null);
+      return new Submission(Answer.TOO_LARGE, null);
     }
     if (jobs.size() >= terms.jobs() && !makeRoom(chore)) {
       counts.refused++;
-      return new Wish(Answer.FULL, null);
+      return new Submission(Answer.FULL, null);
     }
     Job j =
         new Job(
@@ -109,7 +109,7 @@
             from.orLater(now),
             new Backoff(terms.firstPause(), terms.mostPause(), chance.split()));
     jobs.put(chore.name(), j);
-    return new Wish(Answer.TAKEN, j);
+    return new Submission(Answer.TAKEN, j);
   }
 
   private boolean makeRoom(Chore newcomer) {
--- a/src/main/java/linengauge/zones/Weighing.java
+++ b/src/main/java/linengauge/zones/Weighing.java
@@ -13,7 +13,7 @@
  * nothing is moved that has no room where it would go.
  */
 public final class Weighing {
-  private record Told(Moment at, Evidence evidence) {}
+  private record Report(Moment at, Evidence evidence) {}
 
   /** How one place has been of late. */
   private static final class Course {
@@ -23,8 +23,8 @@
     private Moment steppedAt = Moment.DISTANT_PAST;
   }
 
-  /** Fewer words than this condemn nobody. */
-  private static final int LEAST_WORDS = 3;
+  /** Fewer reports than this condemn nobody. */
+  private static final int LEAST_REPORTS = 3;
 
   private static final int MOST_FRONTS = 1024;
 
@@ -32,7 +32,7 @@
   private final ZoneTable table;
 
   /** By place, then by front; what is older than it counts leaves with the next look. */
-  private final TreeMap<Integer, TreeMap<Integer, Told>> told = new TreeMap<>();
+  private final TreeMap<Integer, TreeMap<Integer, Report>> reports = new TreeMap<>();
 
   private final TreeMap<Integer, Course> courses = new TreeMap<>();
 
@@ -57,16 +57,17 @@
     if (place < 0 || place >= ZoneTable.MOST_PLACES) {
       return;
     }
-    TreeMap<Integer, Told> words = told.computeIfAbsent(place, p -> new TreeMap<>());
-    if (words.size() < MOST_FRONTS || words.containsKey(front)) {
-      words.put(front, new Told(now, e));
+    TreeMap<Integer, Report> ofPlace = reports.computeIfAbsent(place, p -> new TreeMap<>());
+    if (ofPlace.size() < MOST_FRONTS || ofPlace.containsKey(front)) {
+      ofPlace.put(front, new Report(now, e));
     }
   }
 
   /** The rows that are to change now, all in one decision from the table's number; empty: none. */
   public Map<Integer, Row> look(Moment now) {
-    told.values()
-        .forEach(words -> words.values().removeIf(t -> terms.holds().under(now.since(t.at()))));
+    reports
+        .values()
+        .forEach(ofPlace -> ofPlace.values().removeIf(t -> terms.holds().under(now.since(t.at()))));
     TreeMap<Integer, Row> next = new TreeMap<>();
     for (int place : rooms.keySet()) {
       Row r = table.row(place);
@@ -156,26 +157,26 @@
   }
 
   /**
-   * The share of failures, the worst and the best word left out; -1 where too few speak. Guards
+   * The share of failures, the worst and the best report left out; -1 where too few speak. Guards
    * against one sick front that condemns a place, or one that praises it. It could hurt where two
    * alone see a place: it is never given up for them.
    */
   private double illness(int place) {
-    List<double[]> words = new ArrayList<>();
-    for (Told t : told.getOrDefault(place, new TreeMap<>()).values()) {
+    List<double[]> sharesOfFailures = new ArrayList<>();
+    for (Report t : reports.getOrDefault(place, new TreeMap<>()).values()) {
       Evidence e = t.evidence();
       if (e.tries() > 0) {
-        words.add(
+        sharesOfFailures.add(
             new double[] {(double) e.failed() / e.tries(), Math.min(1, e.tries() / terms.full())});
       }
     }
-    if (words.size() < LEAST_WORDS) {
+    if (sharesOfFailures.size() < LEAST_REPORTS) {
       return -1;
     }
-    words.sort((a, b) -> Double.compare(a[0], b[0]));
+    sharesOfFailures.sort((a, b) -> Double.compare(a[0], b[0]));
     double bad = 0;
     double all = 0;
-    for (double[] w : words.subList(1, words.size() - 1)) {
+    for (double[] w : sharesOfFailures.subList(1, sharesOfFailures.size() - 1)) {
       bad += w[0] * w[1];
       all += w[1];
     }
@@ -184,7 +185,7 @@
 
   private double asked(int place) {
     double sum = 0;
-    for (Told t : told.getOrDefault(place, new TreeMap<>()).values()) {
+    for (Report t : reports.getOrDefault(place, new TreeMap<>()).values()) {
       sum += t.evidence().asked();
     }
     return sum;
--- a/src/test/java/linengauge/work/WorkbenchTest.java
+++ b/src/test/java/linengauge/work/WorkbenchTest.java
@@ -65,8 +65,8 @@
         });
   }
 
-  private Job wish(Chore c) {
-    return bench.wish(c, now, now).job();
+  private Job submit(Chore c) {
+    return bench.submit(c, now, now).job();
   }
 
   private void pass(double ms) {
@@ -84,9 +84,9 @@
 
   @Test
   void theMostUrgentGoesFirstAndEqualOnesInTheirOrder() {
-    wish(chore("c", 2, 1, 0));
-    wish(chore("a", 1, 1, 0));
-    wish(chore("b", 1, 1, 0));
+    submit(chore("c", 2, 1, 0));
+    submit(chore("a", 1, 1, 0));
+    submit(chore("b", 1, 1, 0));
     assertEquals("a", does());
     assertEquals("b", does());
     assertEquals("c", does());
@@ -97,7 +97,7 @@
   @Test
   void theBudgetOfAnyWindowIsKeptAndEasesWhenItSaid() {
     for (int i = 0; i < 10; i++) {
-      wish(chore("j" + i, 1, 30, 0));
+      submit(chore("j" + i, 1, 30, 0));
     }
     for (int i = 0; i < 3; i++) {
       assertNotNull(does());
@@ -111,11 +111,11 @@
 
   @Test
   void aLargeJobIsNotPassedByAndByBySmallOnesThatUseWhatItWaitsFor() {
-    wish(chore("first", 1, 60, 0));
+    submit(chore("first", 1, 60, 0));
     assertEquals("first", does());
-    wish(chore("large", 1, 90, 0));
-    wish(chore("small", 2, 10, 0));
-    wish(chore("reads", 2, 0, 500));
+    submit(chore("large", 1, 90, 0));
+    submit(chore("small", 2, 10, 0));
+    submit(chore("reads", 2, 0, 500));
     assertEquals("reads", does(), "it takes nothing that the large one waits for");
     assertNull(does());
     pass(1100);
@@ -125,27 +125,27 @@
 
   @Test
   void whatWaitsLongGoesBeforeWhatIsMoreUrgentAndLate() {
-    wish(chore("patient", 5, 1, 0));
+    submit(chore("patient", 5, 1, 0));
     for (int i = 0; i < 3; i++) {
       pass(500);
-      wish(chore("urgent" + i, 1, 1, 0));
+      submit(chore("urgent" + i, 1, 1, 0));
       assertEquals("urgent" + i, does());
     }
     pass(600);
-    wish(chore("urgent", 1, 1, 0)); // four steps are over
+    submit(chore("urgent", 1, 1, 0)); // four steps are over
     assertEquals("patient", does());
-    wish(chore("bound", 9, Span.ofMillis(300), Span.NONE, 0, 1, 0));
+    submit(chore("bound", 9, Span.ofMillis(300), Span.NONE, 0, 1, 0));
     pass(300);
-    wish(chore("other", 0, 1, 0));
+    submit(chore("other", 0, 1, 0));
     assertEquals("bound", does(), "it is late for its own bound");
   }
 
   @Test
   void aLateDeskLeavesTheFloorAndAnEmptyWindowOneJob() {
     bench.deskLate(Span.ofMillis(50));
-    wish(chore("a", 1, 4, 0));
-    wish(chore("b", 1, 4, 0));
-    wish(chore("c", 1, 4, 0));
+    submit(chore("a", 1, 4, 0));
+    submit(chore("b", 1, 4, 0));
+    submit(chore("c", 1, 4, 0));
     assertEquals("a", does());
     assertEquals("b", does());
     assertNull(does(), "12 ms would be over a tenth of 100");
@@ -153,17 +153,17 @@
     assertEquals("c", does());
     pass(1100);
     bench.deskLate(Span.ofMillis(80));
-    wish(chore("large", 1, 90, 0));
+    submit(chore("large", 1, 90, 0));
     assertEquals("large", does(), "else it would wait for as long as the desk is late");
   }
 
   @Test
   void oneOfANameWaitsAndAWishWhileItRunsIsDoneOnceMore() {
-    Job j = wish(chore("save", 1, 1, 0));
-    assertSame(j, wish(chore("save", 1, 1, 0)));
+    Job j = submit(chore("save", 1, 1, 0));
+    assertSame(j, submit(chore("save", 1, 1, 0)));
     assertSame(j, bench.next(now));
-    wish(chore("save", 1, 1, 0));
-    wish(chore("save", 1, 1, 0));
+    submit(chore("save", 1, 1, 0));
+    submit(chore("save", 1, 1, 0));
     assertNull(bench.next(now), "not beside itself");
     j.done(now, Span.NONE, 0);
     assertEquals("save", does());
@@ -172,7 +172,7 @@
 
   @Test
   void whatFailsPausesLongerAndLongerAndIsGivenUpAsOftenAsItMay() {
-    Job j = wish(chore("list", 1, Span.NONE, Span.NONE, 6, 0, 0));
+    Job j = submit(chore("list", 1, Span.NONE, Span.NONE, 6, 0, 0));
     Span before = Span.NONE;
     for (int i = 1; i < 6; i++) {
       assertSame(j, bench.next(now));
@@ -181,7 +181,7 @@
       Span whole = Span.ofMillis(100L << i - 1);
       assertTrue(!whole.under(pause) && !pause.under(whole.times(0.5)), "pause " + pause);
       assertTrue(before.times(0.9).under(pause) || i == 1, "shorter than before");
-      wish(chore("list", 1, Span.NONE, Span.NONE, 6, 0, 0));
+      submit(chore("list", 1, Span.NONE, Span.NONE, 6, 0, 0));
       assertNull(bench.next(now), "wishing does not cut its pause");
       now = bench.askAt();
       before = pause;
@@ -194,7 +194,7 @@
 
   @Test
   void whatIsDoneEverySoOftenIsNotCaughtUpOn() {
-    Job j = wish(chore("sweep", 1, Span.NONE, Span.ofMillis(200), 0, 1, 0));
+    Job j = submit(chore("sweep", 1, Span.NONE, Span.ofMillis(200), 0, 1, 0));
     assertEquals("sweep", does());
     assertNull(does());
     pass(5000);
@@ -211,22 +211,22 @@
   @Test
   void aFullBenchKeepsTheMoreUrgentAndSaysSoToTheOther() {
     for (int i = 0; i < 20; i++) {
-      wish(chore("j" + i, 3, 1, 0));
+      submit(chore("j" + i, 3, 1, 0));
     }
-    assertEquals(Workbench.Answer.FULL, bench.wish(chore("late", 3, 1, 0), now, now).answer());
-    assertEquals(Workbench.Answer.TAKEN, bench.wish(chore("urgent", 1, 1, 0), now, now).answer());
+    assertEquals(Workbench.Answer.FULL, bench.submit(chore("late", 3, 1, 0), now, now).answer());
+    assertEquals(Workbench.Answer.TAKEN, bench.submit(chore("urgent", 1, 1, 0), now, now).answer());
     assertEquals(List.of("j19"), givenUp);
     assertEquals(20, bench.jobs());
     assertEquals(
-        Workbench.Answer.TOO_LARGE, bench.wish(chore("huge", 0, 101, 0), now, now).answer());
+        Workbench.Answer.TOO_LARGE, bench.submit(chore("huge", 0, 101, 0), now, now).answer());
     assertEquals("urgent", does());
   }
 
   @Test
   void whatIsCalledOffWhileItRunsGivesItsPlaceBackAndItsEndIsPassedOver() {
-    wish(chore("a", 1, 0, 0));
-    wish(chore("b", 1, 0, 0));
-    wish(chore("c", 1, 0, 0));
+    submit(chore("a", 1, 0, 0));
+    submit(chore("b", 1, 0, 0));
+    submit(chore("c", 1, 0, 0));
     Job a = bench.next(now);
     assertNotNull(bench.next(now));
     assertNull(bench.next(now), "two at once");
@@ -241,7 +241,7 @@
   @Test
   void whatTakesMoreThanItSaidIsBelievedLessTheNextTime() {
     Chore c = chore("save", 1, Span.NONE, Span.ofMillis(10), 0, 5, 0);
-    wish(c);
+    submit(c);
     bench.next(now).done(now, Span.ofMillis(80), 0);
     pass(20);
     assertNull(bench.next(now), "85 and 80 are over 100");
@@ -277,7 +277,7 @@
       w.deskLate(late ? Span.ofMillis(200) : Span.NONE);
       int urgency = chance.nextInt(5);
       if (chance.nextInt(8) == 0) {
-        w.wish(
+        w.submit(
             new Chore(
                 "n" + urgency + "-" + chance.nextInt(6),
                 urgency,
