A new leader's word is old until it has decided in its own term; views' ages are judged

The judge of whole fleets has two more rules: a view that misses a change must say that it is as old as that, and a front's own faults of less than two seconds are no cause for its expiry. RaftNode now counts the age from the last leader's word until then; a unit test shows it.

--- a/src/main/java/linengauge/consensus/RaftNode.java
+++ b/src/main/java/linengauge/consensus/RaftNode.java
@@ -501,6 +501,16 @@
     return ages.isEmpty() ? Span.NONE : new Span(ages.get(ages.size() / 2));
   }
 
+  /**
+   * For how long at the most its word may be out of date. Guards against a leader that has decided
+   * nothing of its own term yet: what earlier leaders decided last may be unknown to it (Raft, 8).
+   * Hurts by an exchange after each election, in which nobody is told a fresh word.
+   */
+  private Span age() {
+    boolean knowsAll = role == Role.LEADER && firstOwn <= commit;
+    return knowsAll ? ageOfMost() : now.since(sureAt).orLess(Span.ofSeconds(3600));
+  }
+
   private void beat() {
     beatAt = now.plus(terms.beat());
     peers.keySet().forEach(this::append);
@@ -508,8 +518,7 @@
 
   private void append(int to) {
     Peer p = peers.get(to);
-    RaftMessage w =
-        word(RaftMessage.Kind.APPEND).committed(commit, ageOfMost().micros()).round(round);
+    RaftMessage w = word(RaftMessage.Kind.APPEND).committed(commit, age().micros()).round(round);
     if (p.next <= log.base()) {
       if (p.wholeAt.plus(terms.election()).before(now)) {
         p.wholeAt = now;
@@ -719,9 +728,8 @@
   /* ---- those who follow ---- */
 
   private void tell(long asker, RaftMessage w) {
-    Span age = role == Role.LEADER ? ageOfMost() : now.since(sureAt).orLess(Span.ofSeconds(3600));
     RaftMessage told =
-        word(RaftMessage.Kind.FOLLOWED).committed(commit, age.micros()).round(w.round());
+        word(RaftMessage.Kind.FOLLOWED).committed(commit, age().micros()).round(w.round());
     if (w.index() < log.base()) {
       answer(
           asker,
@@ -734,7 +742,7 @@
               log.baseTerm(),
               commit,
               w.round(),
-              age.micros(),
+              age().micros(),
               false,
               List.of(),
               base));
--- a/src/main/java/linengauge/lease/explore/Conditions.java
+++ b/src/main/java/linengauge/lease/explore/Conditions.java
@@ -1,9 +1,12 @@
 package linengauge.lease.explore;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import linengauge.Moment;
+import linengauge.Span;
 
 /**
  * What is wrong at present with parties and ways, and until when anything was. Faults of one kind
@@ -16,6 +19,7 @@
   private final int[] diskFull;
   private final int[] faults;
   private final Moment[] lastFault;
+  private final Map<Integer, List<Fault>> begun = new HashMap<>();
   private final int[] regionCut = new int[Topology.REGIONS];
   private final Moment[] lastRegionCut = new Moment[Topology.REGIONS];
   private final Map<Long, Integer> cuts = new HashMap<>();
@@ -34,6 +38,7 @@
   }
 
   void begins(Fault fault, Moment now) {
+    begun.computeIfAbsent(fault.party(), party -> new ArrayList<>()).add(fault);
     count(fault, 1, now);
   }
 
@@ -108,6 +113,20 @@
     return faults[party] > 0 || !lastFault[party].before(since);
   }
 
+  /**
+   * For how long, all faults of the party itself together, anything was wrong with it since then.
+   */
+  Span ailedFor(int party, Moment since, Moment now) {
+    Span sum = Span.NONE;
+    for (Fault fault : begun.getOrDefault(party, List.of())) {
+      boolean ofParty = fault.kind() != Fault.Kind.CUT && fault.kind() != Fault.Kind.REGION_CUT;
+      Moment to = fault.to().before(now) ? fault.to() : now;
+      Moment from = fault.from().orLater(since);
+      sum = ofParty && from.before(to) ? sum.plus(to.since(from)) : sum;
+    }
+    return sum;
+  }
+
   /** A way between the two, in one direction at least, was cut on its own since then. */
   boolean wayCutSince(int a, int b, Moment since) {
     return wayCut(way(a, b), since) || wayCut(way(b, a), since);
--- a/src/main/java/linengauge/lease/explore/Judge.java
+++ b/src/main/java/linengauge/lease/explore/Judge.java
@@ -20,6 +20,15 @@
   /** How long after a fault an expiry may still be owed to it, beyond the lease. */
   private static final Span SLACK = Span.ofSeconds(4);
 
+  /** Its own faults of so long within that time are no cause for an expiry. */
+  private static final Span BLIP = Span.ofSeconds(2);
+
+  /**
+   * The log's messages count their age from when they come: a view's age may be short by what two
+   * of them took on their way.
+   */
+  private static final Span ON_THE_WAY = Span.ofMillis(400);
+
   /** So many control machines out of reach of a front are no more than it has to bear. */
   private static final int CONTROLS_BORNE = 2;
 
@@ -31,6 +40,10 @@
   private final EventQueue events;
   private final List<String> broken = new ArrayList<>();
   private final Map<Long, Long> digests = new HashMap<>();
+
+  /** When any replica first came to a version. */
+  private final Map<Long, Moment> reachedAt = new HashMap<>();
+
   private final DirectoryEntry[] listed;
   private final Deaths deaths;
   private long version;
@@ -113,6 +126,9 @@
         broken(number + " is listed with an earlier life after a later one");
       }
     }
+    for (long reached = version + 1; reached <= directory.version(); reached++) {
+      reachedAt.put(reached, events.now());
+    }
     version = directory.version();
   }
 
@@ -133,11 +149,18 @@
     if (front.agent().holdsLease(front.clock())) {
       broken(front.number + " expires while it holds its lease by its own clock");
     }
-    if (!ailed(front)) {
+    if (!hasCause(front)) {
       broken(front.number + " expires, and nothing ailed it");
     }
   }
 
+  /** Whether what befell the front is a cause for its expiry. */
+  private boolean hasCause(SimulatedFront front) {
+    Moment since = events.now().minus(simulation.settings().lease().plus(SLACK));
+    Span own = conditions.ailedFor(front.number, since, events.now());
+    return BLIP.under(own) || controlsOutOfReach(front, since) > CONTROLS_BORNE;
+  }
+
   /** Whether anything that it need not bear befell the front within a lease and some slack. */
   boolean ailed(SimulatedFront front) {
     Moment since = events.now().minus(simulation.settings().lease().plus(SLACK));
@@ -238,11 +261,28 @@
     if (whole && digest != null && digest != front.agent().view().digest()) {
       broken(front.number + " holds another directory at version " + held);
     }
+    if (whole) {
+      lookAtAge(front, held);
+    }
     if (held > version) {
       broken(front.number + " holds version " + held + ", which no replica has");
     }
   }
 
+  /** A view that misses a change says that it is as old as that, but for its clock's rate. */
+  private void lookAtAge(SimulatedFront front, long held) {
+    Moment missed = reachedAt.get(held + 1);
+    if (missed == null) {
+      return;
+    }
+    Span missing = events.now().since(missed);
+    Span said = front.agent().age(front.clock());
+    Span least = missing.times(1 - simulation.settings().drift()).minus(ON_THE_WAY);
+    if (said.under(least)) {
+      broken(front.number + " misses what changed " + missing + " ago, and says " + said);
+    }
+  }
+
   private boolean isListed(int number, long incarnation) {
     DirectoryEntry entry = listed[number];
     return entry != null
--- a/src/test/java/linengauge/consensus/RaftNodeTest.java
+++ b/src/test/java/linengauge/consensus/RaftNodeTest.java
@@ -172,6 +172,26 @@
     assertEquals(500_000, last(answers).age(), "as old as the last word of which it knew all");
   }
 
+  /**
+   * Guards against a new leader that calls its word fresh while it does not know what earlier
+   * leaders decided last.
+   */
+  @Test
+  void aNewLeadersWordIsOldUntilItHasDecidedInItsOwnTerm() {
+    append(1, 1, 0, 1);
+    now = now.plus(Span.ofSeconds(2));
+    voter.step(now);
+    voter.heard(now, from(1, Kind.WOULD, 2).yes(true));
+    voter.heard(now, from(1, Kind.VOTED, 2).yes(true));
+    assertEquals(RaftNode.Role.LEADER, voter.role());
+    assertEquals(2_000_000, last(sent).age(), "its beat is as old as the last leader's word");
+    voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
+    assertEquals(2_000_000, last(answers).age(), "and so is what it tells whoever follows");
+    voter.heard(now, from(1, Kind.TAKEN, 2).yes(true).at(voter.last(), 0));
+    voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
+    assertEquals(0, last(answers).age());
+  }
+
   @Test
   void noStepAfterWhichNothingCouldBeDecided() {
     leads();
