A control machine that stood still does not take queued words of the log for fresh

A registrar that goes on after a pause read the log's messages of before it as if they had just been sent, told fronts an age of 20 ms for a copy 1.6 s old, and thought itself fresh enough to grant leases. It now takes no age for one exchange after a pause. Two more schedules that once broke a rule are tests, and the guard has one.

--- a/src/main/java/linengauge/lease/Registrar.java
+++ b/src/main/java/linengauge/lease/Registrar.java
@@ -57,6 +57,7 @@
   private Moment evidenceAt = NEVER;
   private int controlLeader = MemberDirectory.NOBODY;
   private Moment sureAt = Moment.DISTANT_PAST;
+  private Moment trustsAgeFrom = Moment.DISTANT_PAST;
   private long termSeen;
   private boolean ledBefore;
   private Moment termSeenAt = Moment.DISTANT_PAST;
@@ -127,6 +128,7 @@
   private void arrive(Moment at) {
     if (stoodStill(dueAt, at)) {
       leasesFrom = leasesFrom.orLater(at);
+      trustsAgeFrom = at.plus(settings.evidence());
     }
     now = at;
     dueAt = dueAt.orLater(at); // counted once
@@ -140,6 +142,14 @@
     return due.plus(settings.heartbeat().times(0.5)).before(at);
   }
 
+  /**
+   * Guards against the log's messages that queued while this process stood still: read now, they
+   * seem to have been sent now. Hurts by half a second in which nothing is granted.
+   */
+  protected boolean trustsAge() {
+    return !now.before(trustsAgeFrom);
+  }
+
   /**
    * What the log's follower knows.
    *
@@ -149,7 +159,9 @@
   public void control(Moment at, int leader, Span age) {
     arrive(at);
     controlLeader = leader;
-    sureAt = sureAt.orLater(at.minus(age));
+    if (trustsAge()) {
+      sureAt = sureAt.orLater(at.minus(age));
+    }
     dueAt = next();
   }
 
--- a/src/test/java/linengauge/lease/explore/Guard.java
+++ b/src/test/java/linengauge/lease/explore/Guard.java
@@ -24,6 +24,7 @@
   REGISTRAR_FRESH,
   REGISTRAR_LISTED_LIFE,
   REGISTRAR_TRUSTS_CONFIRMED,
+  REGISTRAR_TRUSTS_AGE,
   REGISTRAR_REGION_LOST;
 
   @Override
@@ -93,6 +94,11 @@
         return Guard.this != REGISTRAR_TRUSTS_CONFIRMED && super.trustsOnlyConfirmed();
       }
 
+      @Override
+      protected boolean trustsAge() {
+        return Guard.this == REGISTRAR_TRUSTS_AGE || super.trustsAge();
+      }
+
       @Override
       protected boolean isRegionLost(int region, Moment at) {
         return Guard.this != REGISTRAR_REGION_LOST && super.isRegionLost(region, at);
--- a/src/test/java/linengauge/lease/explore/LeaseSimulationTest.java
+++ b/src/test/java/linengauge/lease/explore/LeaseSimulationTest.java
@@ -21,6 +21,16 @@
 class LeaseSimulationTest {
   private static final LeaseSettings USUAL = LeaseSettings.USUAL;
 
+  private static final LeaseSchedule STOOD_STILL =
+      schedule(
+          526,
+          24,
+          fault(Kind.MUTE, 30, 40.908, 43.379),
+          fault(Kind.RESTART, 27, 48.214, 51.564),
+          fault(Kind.RESTART, 37, 48.214, 51.564),
+          fault(Kind.FREEZE, 4, 55.945, 57.536),
+          fault(Kind.RESTART, 24, 56.050, 56.723));
+
   private static Fault fault(Kind kind, int party, int other, double from, double to) {
     return new Fault(kind, party, other, at(from), at(to));
   }
@@ -113,6 +123,7 @@
         Arguments.of(Guard.AGENT_FAILS_OVER, schedule(1, 24, fault(Kind.KILL, 0, 53.562, 60.375))),
         Arguments.of(
             Guard.REGISTRAR_TRUSTS_CONFIRMED, schedule(1, 24, fault(Kind.CUT, 3, 2, 30, 50))),
+        Arguments.of(Guard.REGISTRAR_TRUSTS_AGE, STOOD_STILL),
         Arguments.of(
             Guard.REGISTRAR_REGION_LOST,
             schedule(11, 24, fault(Kind.REGION_CUT, 0, 48.592, 62.598))));
@@ -147,7 +158,20 @@
                 1311,
                 24,
                 fault(Kind.LOSS, 2, 40.764, 67.450),
-                fault(Kind.DEAF, 39, 40.170, 40.533))));
+                fault(Kind.DEAF, 39, 40.170, 40.533))),
+        Arguments.of(
+            "a control machine that had stood still took queued words for fresh", STOOD_STILL),
+        Arguments.of(
+            "control machines that all began again called an old directory fresh",
+            schedule(
+                448,
+                24,
+                fault(Kind.KILL, 2, 27.351, 44.065),
+                fault(Kind.KILL, 0, 30.190, 31.047),
+                fault(Kind.KILL, 1, 30.190, 31.047),
+                fault(Kind.KILL, 3, 30.190, 31.047),
+                fault(Kind.KILL, 4, 30.190, 31.047),
+                fault(Kind.KILL, 5, 30.190, 31.047))));
   }
 
   @ParameterizedTest(name = "{0}")
