--- a/src/main/java/linengauge/consensus/FollowRequests.java
+++ b/src/main/java/linengauge/consensus/FollowRequests.java
@@ -7,26 +7,19 @@
 final class FollowRequests {
   private final RaftState state;
   private final Outbox outbox;
-  private final LeaderReplication leading;
-  private final FollowerReplication following;
+  private final RaftNode node;
   private final Snapshots snapshots;
 
-  FollowRequests(
-      RaftState state,
-      Outbox outbox,
-      LeaderReplication leading,
-      FollowerReplication following,
-      Snapshots snapshots) {
+  FollowRequests(RaftState state, Outbox outbox, RaftNode node, Snapshots snapshots) {
     this.state = state;
     this.outbox = outbox;
-    this.leading = leading;
-    this.following = following;
+    this.node = node;
     this.snapshots = snapshots;
   }
 
   /** The committed entries after the one that is named, or the snapshot that covers them. */
   void onFollowRequest(long client, RaftMessage message) {
-    Span age = state.isLeader() ? leading.quorumContactAge() : following.age();
+    Span age = node.age();
     long held = message.index();
     if (held < state.log().base()) {
       outbox.answer(
--- a/src/main/java/linengauge/consensus/LeaderReplication.java
+++ b/src/main/java/linengauge/consensus/LeaderReplication.java
@@ -130,7 +130,7 @@
   private void sendAppend(int to) {
     PeerProgress peer = peers.get(to);
     Log log = state.log();
-    long age = quorumContactAge().micros();
+    long age = node.age().micros();
     if (peer.nextIndex <= log.base()) {
       sendSnapshot(to, peer, age);
       return;
--- a/src/main/java/linengauge/consensus/RaftNode.java
+++ b/src/main/java/linengauge/consensus/RaftNode.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import linengauge.Moment;
+import linengauge.Span;
 import linengauge.consensus.Entry.Kind;
 
 /**
@@ -71,7 +72,7 @@
     this.following = new FollowerReplication(this, state, outbox, elections, snapshots);
     this.voterChanges = new VoterChanges(this, state, leading);
     this.reads = new ReadRequests(this, state, outbox, leading);
-    this.followRequests = new FollowRequests(state, outbox, leading, following, snapshots);
+    this.followRequests = new FollowRequests(state, outbox, this, snapshots);
   }
 
   /** The same voter in another world, for an exploration; the machine is a fresh one. */
@@ -295,6 +296,16 @@
     return true;
   }
 
+  /**
+   * For how long at the most its word may be out of date. Guards against a leader that has decided
+   * nothing of its own term yet: what earlier leaders decided last may be unknown to it (Raft, 8).
+   * Hurts by an exchange after each election, in which nobody is told a fresh word.
+   */
+  Span age() {
+    boolean knowsAll = state.isLeader() && leading.hasCommittedInOwnTerm();
+    return knowsAll ? leading.quorumContactAge() : following.age();
+  }
+
   /**
    * Guards against a voter whose folder was emptied: it has forgotten what it promised, and could
    * promise the opposite.
--- a/src/main/java/linengauge/site/SiteChecks.java
+++ b/src/main/java/linengauge/site/SiteChecks.java
@@ -23,6 +23,7 @@
     checks.bounds(site);
     checks.work(site);
     checks.members(site);
+    checks.lease(site);
     checks.vrrp(site);
     return checks.faults;
   }
