--- a/src/main/java/linengauge/lease/LeaseAgent.java
+++ b/src/main/java/linengauge/lease/LeaseAgent.java
@@ -366,10 +366,10 @@
       emptyView();
       return;
     }
-    if (view.version() >= ack.latest() && view.isWhole()) {
+    if (view.version() == ack.latest() && view.isWhole()) {
       complete = true;
       currentAsOf = currentAsOf.orLater(sent.at().minus(ack.age()));
-    } else if (ack.upTo() > sent.version()) {
+    } else if (ack.upTo() < ack.latest() && ack.upTo() > sent.version()) {
       pageAt = now;
     }
   }
