--- a/src/main/java/linengauge/lease/LeaseCodec.java
+++ b/src/main/java/linengauge/lease/LeaseCodec.java
@@ -141,7 +141,7 @@
     BitSet heard = new BitSet();
     message
         .heard()
-        .forEach(number -> heard.set(Layout.within(number - first, 0, MOST_SPREAD, "spread")));
+        .forEach(number -> heard.set(Layout.within(number - first, 0, MOST_SPREAD - 1, "spread")));
     byte[] bits = heard.toByteArray();
     Layout.writeNumber(to, first);
     to.putShort((short) bits.length).put(bits);
