--- a/src/main/java/linengauge/scale/hollow/HollowProcess.java
+++ b/src/main/java/linengauge/scale/hollow/HollowProcess.java
@@ -125,6 +125,15 @@
     return !killed && !process.isAlive();
   }
 
+  /** As where the run is gone. */
+  void endInput() throws IOException {
+    process.getOutputStream().close();
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
   HollowSpec spec() {
     return spec;
   }
