--- a/src/main/java/linengauge/cli/ScaleHollow.java
+++ b/src/main/java/linengauge/cli/ScaleHollow.java
@@ -21,6 +21,7 @@
 import linengauge.scale.hollow.HollowPlan;
 import linengauge.scale.hollow.HollowPlan.Method;
 import linengauge.scale.hollow.HollowPlanRefused;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -80,7 +81,7 @@
   @Option(names = "--heap-mb", defaultValue = "256", description = "a process (default: 256)")
   private int heapMb;
 
-  @Option(names = "--first-port", defaultValue = "21000", description = "default: 21000")
+  @Option(names = "--first-port", defaultValue = "28000", description = "default: 28000")
   private int firstPort;
 
   @Option(names = "--runs", defaultValue = "1", description = "of each size (default: 1)")
@@ -89,8 +90,11 @@
   @Option(names = "--out", required = true, paramLabel = "FILE.json", description = "the result")
   private Path out;
 
+  @CommandLine.Mixin private Commands.LogForm log;
+
   @Override
   public Integer call() throws IOException {
+    log.apply();
     ScaleCommands.refuse(spec, refusals());
     var recorder =
         new ScaleRecorder(
--- a/src/main/java/linengauge/scale/ScaleResultFile.java
+++ b/src/main/java/linengauge/scale/ScaleResultFile.java
@@ -71,7 +71,7 @@
   public static void write(Path file, ScaleResult result) throws IOException {
     Path folder = file.toAbsolutePath().getParent();
     Files.createDirectories(folder);
-    Path unfinished = Files.createTempFile(folder, ".scale", ".tmp");
+    Path unfinished = folder.resolve("." + file.getFileName() + ".tmp");
     try {
       Files.writeString(unfinished, JSON.writeValueAsString(result) + "\n");
       Files.move(
--- a/src/main/java/linengauge/scale/fit/Extrapolation.java
+++ b/src/main/java/linengauge/scale/fit/Extrapolation.java
@@ -16,6 +16,13 @@
   /** The largest residual, as a fraction of the value measured, with which a fit still holds. */
   double LARGEST_RELATIVE_RESIDUAL = 0.10;
 
+  /**
+   * Sizes that a fit wants beyond its coefficients before it says anything of sizes not measured: a
+   * curve that nearly passes through its points because it has nearly as many coefficients does not
+   * hold by that.
+   */
+  int SPARE_SIZES = 2;
+
   /** The farthest size, as a multiple of the largest size measured. */
   double FARTHEST = 2.5;
 
@@ -49,6 +56,13 @@
           LARGEST_RELATIVE_RESIDUAL * 100);
     }
     double times = size / fit.largestSize();
+    int wanted = fit.model().coefficients() + SPARE_SIZES;
+    if (times > 1 && sizes < wanted) {
+      return refused("%s beyond %d sizes wants %d", fit.model().label(), sizes, wanted);
+    }
+    if (times > 1 && turns(fit, size)) {
+      return refused("%s turns beyond the sizes measured", fit.model().label());
+    }
     if (times > FARTHEST) {
       return refused("%.1f times the largest size measured, over %.1f", times, FARTHEST);
     }
@@ -62,6 +76,20 @@
     return new Value(fit, size, value, times);
   }
 
+  /** Whether it rises within the sizes measured and falls beyond them, or the other way. */
+  private static boolean turns(Fit fit, double size) {
+    double within = fit.at(fit.largestSize()) - fit.at(fit.smallestSize());
+    double step = (size - fit.largestSize()) / 100;
+    for (int i = 1; i <= 100; i++) {
+      double before = fit.at(fit.largestSize() + (i - 1) * step);
+      double after = fit.at(fit.largestSize() + i * step);
+      if (within * (after - before) < 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * What the plainest model that holds gives at the size; of models with as many coefficients the
    * one with the smallest residual.
--- a/src/test/java/linengauge/scale/fit/ExtrapolationTest.java
+++ b/src/test/java/linengauge/scale/fit/ExtrapolationTest.java
@@ -59,6 +59,30 @@
     assertRefused("3 sizes", Extrapolation.of(fit, 500));
   }
 
+  @Test
+  void aSquareThroughFourPointsSaysNothingOfFurtherSizes() {
+    // given: an exact square, which has only one point more than coefficients
+    var four = LeastSquaresTest.points(SIZES, n -> 5 + n + n * n);
+    var five = LeastSquaresTest.points(new double[] {60, 220, 440, 650, 900}, n -> 5 + n + n * n);
+    // then
+    Fit square = LeastSquares.fit(GrowthModel.QUADRATIC, four);
+    assertRefused("wants 5", Extrapolation.of(square, 1800));
+    assertInstanceOf(Extrapolation.Value.class, Extrapolation.of(square, 500));
+    Fit better = LeastSquares.fit(GrowthModel.QUADRATIC, five);
+    assertInstanceOf(Extrapolation.Value.class, Extrapolation.of(better, 1800));
+  }
+
+  @Test
+  void aCurveThatTurnsBeyondItsSizesIsRefused() {
+    // given: a cost that seems to fall again from 1,200 on
+    var points =
+        LeastSquaresTest.points(
+            new double[] {60, 220, 440, 650, 900}, n -> 1500 * 1500 - (n - 1200) * (n - 1200));
+    Fit square = LeastSquares.fit(GrowthModel.QUADRATIC, points);
+    assertRefused("turns", Extrapolation.of(square, 1800));
+    assertInstanceOf(Extrapolation.Value.class, Extrapolation.of(square, 1100));
+  }
+
   @Test
   void aValueBelowNothingIsRefused() {
     assertRefused("below nothing", Extrapolation.of(line(SIZES, n -> 1000 - n), 1800));
