--- a/src/main/java/linengauge/scale/FitTable.java
+++ b/src/main/java/linengauge/scale/FitTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 import linengauge.scale.fit.Extrapolation;
 import linengauge.scale.fit.Fit;
@@ -71,11 +72,25 @@
     cells.add(shown.model().label() + ": " + shown.formula());
     cells.add(percent(shown.largestRelativeResidual()));
     cells.add(MarkdownTable.number(target));
+    OptionalDouble measured = measured(series, target);
+    if (measured.isPresent()) {
+      cells.add(MarkdownTable.number(measured.getAsDouble()));
+      cells.add("measured");
+      return cells;
+    }
     cells.add(at instanceof Extrapolation.Value v ? MarkdownTable.number(v.value()) : "");
     cells.add(how(at));
     return cells;
   }
 
+  /** The mean of what was measured at the size itself: no fit comes before it. */
+  private static OptionalDouble measured(Series series, double size) {
+    return series.points().stream()
+        .filter(point -> point.size() == size)
+        .mapToDouble(SizedValue::value)
+        .average();
+  }
+
   static String title(Series.Name name) {
     return String.join(
         ", ",
--- a/src/test/java/linengauge/scale/PageTablesTest.java
+++ b/src/test/java/linengauge/scale/PageTablesTest.java
@@ -111,6 +111,19 @@
     assertTrue(page.contains("| 1,800 |  | no: "), page);
   }
 
+  @Test
+  void whatWasMeasuredAtTheTargetItselfIsShownAndNoFit() throws Exception {
+    ScaleResult wild =
+        Results.gossip(
+            Completeness.COMPLETE,
+            Results.bytes(60, 500),
+            Results.bytes(220, 10),
+            Results.bytes(440, 9000),
+            Results.bytes(1800, 4321));
+    String page = PageTables.printed(EMPTY, List.of(wild));
+    assertTrue(page.contains("| 1,800 | 4,321 | measured |"), page);
+  }
+
   @Test
   void badMarkersAreRefused() {
     for (String bad :
