--- a/src/main/java/linengauge/scale/FitTable.java
+++ b/src/main/java/linengauge/scale/FitTable.java
@@ -19,10 +19,17 @@
   /** Connections of one front at the target: 100 million over 1,800 fronts. */
   static final int TARGET_CONNECTIONS = 55_556;
 
+  /** Deliveries of one front a second at the target: 36 million over 1,800 fronts. */
+  static final int TARGET_MESSAGES = 20_000;
+
   private FitTable() {}
 
   static double target(Series series) {
-    return series.name().sizeUnit().equals("fronts") ? TARGET_FRONTS : TARGET_CONNECTIONS;
+    return switch (series.name().sizeUnit()) {
+      case "fronts" -> TARGET_FRONTS;
+      case "connections" -> TARGET_CONNECTIONS;
+      default -> TARGET_MESSAGES;
+    };
   }
 
   /** The table of the page: for each figure the plainest model that holds. */
--- a/src/main/java/linengauge/scale/fit/Extrapolation.java
+++ b/src/main/java/linengauge/scale/fit/Extrapolation.java
@@ -23,6 +23,12 @@
    */
   int SPARE_SIZES = 2;
 
+  /** A residual below which no less plain model is looked for. */
+  double NEAR_ENOUGH = 0.02;
+
+  /** By how much a less plain model has to come nearer to be taken. */
+  double MUCH_NEARER = 2;
+
   /** The farthest size, as a multiple of the largest size measured. */
   double FARTHEST = 2.5;
 
@@ -105,10 +111,16 @@
         .orElseGet(() -> refused("too few sizes for any model"));
   }
 
-  /** The plainest model within the residual's bound, where there is one. */
+  /**
+   * The plainest model within the residual's bound, where there is one; not where a less plain one
+   * comes more than twice as near: a constant would hide a slope on top of a high base.
+   */
   static Optional<Fit> plainestThatHolds(List<Fit> fits) {
+    double nearest = fits.stream().mapToDouble(Fit::largestRelativeResidual).min().orElse(0);
+    double bound =
+        Math.min(LARGEST_RELATIVE_RESIDUAL, Math.max(NEAR_ENOUGH, MUCH_NEARER * nearest));
     return fits.stream()
-        .filter(fit -> fit.largestRelativeResidual() <= LARGEST_RELATIVE_RESIDUAL)
+        .filter(fit -> fit.largestRelativeResidual() <= bound)
         .min(
             Comparator.<Fit>comparingInt(fit -> fit.model().coefficients())
                 .thenComparingDouble(Fit::largestRelativeResidual));
--- a/src/test/java/linengauge/scale/fit/ExtrapolationTest.java
+++ b/src/test/java/linengauge/scale/fit/ExtrapolationTest.java
@@ -100,6 +100,22 @@
     assertEquals(100 + 300 * Math.log(1800), value.value(), 1e-6);
   }
 
+  @Test
+  void aSlopeOnTopOfAHighBaseIsNotTakenForAConstant() {
+    // given: a constant would miss by 9%, the line by nothing
+    var points = LeastSquaresTest.points(SIZES, n -> 1000 + 0.2 * n);
+    var value =
+        assertInstanceOf(
+            Extrapolation.Value.class, Extrapolation.ofPlainest(LeastSquares.fitAll(points), 1800));
+    assertEquals(GrowthModel.LINEAR, value.fit().model());
+    // but one within two in a hundred is a constant
+    var flat = LeastSquaresTest.points(SIZES, n -> 1000 + 0.02 * n);
+    var constant =
+        assertInstanceOf(
+            Extrapolation.Value.class, Extrapolation.ofPlainest(LeastSquares.fitAll(flat), 1800));
+    assertEquals(GrowthModel.CONSTANT, constant.fit().model());
+  }
+
   @Test
   void whereNoModelHoldsTheReasonOfTheClosestIsGiven() {
     var points =
