--- a/src/main/java/linengauge/scale/HollowMeasurements.java
+++ b/src/main/java/linengauge/scale/HollowMeasurements.java
@@ -76,6 +76,8 @@
     if (phase.allKnowSeconds() >= 0) {
       add(subject, role, phase, "all know after", "s", Statistic.MAXIMUM, phase.allKnowSeconds());
     }
+    int late = phase.allKnowSeconds() >= 0 ? 0 : 1;
+    add(subject, role, phase, "not all knew within the wait", "runs", Statistic.TOTAL, late);
     int wronglyGone = phase.wronglyGone().size();
     add(subject, role, phase, "wrongly given up", "fronts", Statistic.TOTAL, wronglyGone);
     long drops = phase.drops().values().stream().mapToLong(Long::longValue).sum();
--- a/src/test/java/linengauge/scale/HollowMeasurementsTest.java
+++ b/src/test/java/linengauge/scale/HollowMeasurementsTest.java
@@ -91,6 +91,8 @@
     String detection = PageTables.DETECTION;
     assertEquals(
         List.of(5.0), values(all, "lease", detection, "all know after", Statistic.MAXIMUM));
+    String late = "not all knew within the wait";
+    assertEquals(List.of(0.0, 1.0), values(all, "lease", detection, late, Statistic.TOTAL));
     assertEquals(
         List.of(1.0, 1.0), values(all, "lease", detection, "wrongly given up", Statistic.TOTAL));
     assertEquals(List.of(3.0, 3.0), values(all, "lease", detection, "dropped", Statistic.TOTAL));
