--- a/src/main/java/linengauge/scale/FitTable.java
+++ b/src/main/java/linengauge/scale/FitTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 import linengauge.scale.fit.Extrapolation;
 import linengauge.scale.fit.Fit;
@@ -18,10 +19,17 @@
   /** Connections of one front at the target: 100 million over 1,800 fronts. */
   static final int TARGET_CONNECTIONS = 55_556;
 
+  /** Deliveries of one front a second at the target: 36 million over 1,800 fronts. */
+  static final int TARGET_MESSAGES = 20_000;
+
   private FitTable() {}
 
   static double target(Series series) {
-    return series.name().sizeUnit().equals("fronts") ? TARGET_FRONTS : TARGET_CONNECTIONS;
+    return switch (series.name().sizeUnit()) {
+      case "fronts" -> TARGET_FRONTS;
+      case "connections" -> TARGET_CONNECTIONS;
+      default -> TARGET_MESSAGES;
+    };
   }
 
   /** The table of the page: for each figure the plainest model that holds. */
@@ -71,11 +79,25 @@
     cells.add(shown.model().label() + ": " + shown.formula());
     cells.add(percent(shown.largestRelativeResidual()));
     cells.add(MarkdownTable.number(target));
+    OptionalDouble measured = measured(series, target);
+    if (measured.isPresent()) {
+      cells.add(MarkdownTable.number(measured.getAsDouble()));
+      cells.add("measured");
+      return cells;
+    }
     cells.add(at instanceof Extrapolation.Value v ? MarkdownTable.number(v.value()) : "");
     cells.add(how(at));
     return cells;
   }
 
+  /** The mean of what was measured at the size itself: no fit comes before it. */
+  private static OptionalDouble measured(Series series, double size) {
+    return series.points().stream()
+        .filter(point -> point.size() == size)
+        .mapToDouble(SizedValue::value)
+        .average();
+  }
+
   static String title(Series.Name name) {
     return String.join(
         ", ",
