--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -35,6 +35,7 @@
     "linengauge.lease",
     "linengauge.consensus",
     "linengauge.consensus.explore",
+    "linengauge.lease.explore",
     "linengauge.zones"
   };
 
