--- a/src/test/java/linengauge/consensus/RaftNodeTest.java
+++ b/src/test/java/linengauge/consensus/RaftNodeTest.java
@@ -88,6 +88,12 @@
             .with(List.of(entries)));
   }
 
+  /** 1 leads term 1 and sends its state up to that entry. */
+  private void install(long index, long commit) {
+    byte[] state = PersistentState.founding(5, three, NOTHING).base();
+    voter.heard(now, from(1, Kind.INSTALL, 1).at(index, 1).committed(commit, 0).whole(state));
+  }
+
   private static Entry decision(long term, long number) {
     return new Entry(term, Entry.Kind.DECISION, 9, number, new byte[] {1});
   }
@@ -116,21 +122,7 @@
     append(1, 1, 0, 4, Entry.blank(1), decision(1, 1), decision(1, 2));
     assertEquals(4, voter.decided().index());
     Entry third = voter.entry(3);
-    voter.heard(
-        now,
-        new RaftMessage(
-            Kind.INSTALL,
-            1,
-            101,
-            1,
-            2,
-            1,
-            4,
-            0,
-            0,
-            false,
-            List.of(),
-            PersistentState.founding(5, three, NOTHING).base()));
+    install(2, 4);
     assertEquals(4, voter.decided().index());
     assertEquals(4, voter.commit());
     assertEquals(third, voter.entry(3));
@@ -142,21 +134,7 @@
   void aNewerStateKeepsWhatLiesBeyondIt() {
     append(1, 1, 0, 1, Entry.blank(1), decision(1, 1), decision(1, 2));
     assertEquals(4, voter.last());
-    voter.heard(
-        now,
-        new RaftMessage(
-            Kind.INSTALL,
-            1,
-            101,
-            1,
-            3,
-            1,
-            3,
-            0,
-            0,
-            false,
-            List.of(),
-            PersistentState.founding(5, three, NOTHING).base()));
+    install(3, 3);
     assertEquals(3, voter.commit());
     assertEquals(decision(1, 2), voter.entry(4), "it said that it has it, and is counted for it");
   }
