--- a/src/main/java/linengauge/drill/FailoverDrill.java
+++ b/src/main/java/linengauge/drill/FailoverDrill.java
@@ -121,42 +121,7 @@
     List<String> record;
     try (Grounds g =
         new Grounds(day, "", seeds.nextLong(), ports, i -> site(i, nodes, announcePort, keyFile))) {
-      SharedLan lan =
-          new SharedLan(g.vertx, nodes, shared, Ports.HOST, announcePort, seeds.nextLong(), g.tap);
-      g.await(lan::open);
-      g.onBoxes(() -> lan.trouble(0, 0.02, 5));
-      g.open(
-          "-Xmx384m",
-          "-Xms384m",
-          "-XX:MaxDirectMemorySize=512m",
-          "-XX:+UseG1GC",
-          "-XX:MaxGCPauseMillis=20");
-      List<PlayerCrowd> crowds = new ArrayList<>();
-      for (SharedLan.Shared s : shared) {
-        crowds.add(crowd(g, lan, s, seeds.nextLong()));
-      }
-      Thread.sleep(4000 + 4 * down());
-      g.tap.saw("pair-quiet");
-      Thread.sleep(1000);
-      for (int i = 0; i < rounds; i++) {
-        Trouble t = Trouble.values()[i % Trouble.values().length];
-        round(g, lan, crowds, t, seeds);
-      }
-      if (flapSeconds > 0) {
-        flap(report, name, g, crowds);
-      }
-      played(report, name, crowds);
-      surge(report, name, g, nodes, crowds);
-      lateness(report, name, g);
-      crowds.forEach(c -> players.getOrCreateContext().runOnContext(v -> c.close()));
-      Thread.sleep(3500);
-      boolean ended = g.endFronts().values().stream().allMatch(e -> e);
-      report.claim(
-          name + ": the fronts ended in order when told", "yes", ended ? "yes" : "no", ended);
-      record = g.tap.lines();
-      figures(report, name, crowds, lan);
-      report.claim(
-          name + ": the record is whole", "not cut short", record.size() + " lines", !g.tap.full());
+      record = play(report, name, g, nodes, shared, announcePort, seeds);
     } finally {
       players.close();
       Files.deleteIfExists(keyFile);
@@ -167,6 +132,55 @@
     judge(report, name, record);
   }
 
+  /** Plays all of it; the record. */
+  private List<String> play(
+      Report report,
+      String name,
+      Grounds g,
+      List<SharedLan.Node> nodes,
+      List<SharedLan.Shared> shared,
+      int announcePort,
+      SplittableRandom seeds)
+      throws IOException, InterruptedException {
+    SharedLan lan =
+        new SharedLan(g.vertx, nodes, shared, Ports.HOST, announcePort, seeds.nextLong(), g.tap);
+    g.await(lan::open);
+    g.onBoxes(() -> lan.trouble(0, 0.02, 5));
+    g.open(
+        "-Xmx384m",
+        "-Xms384m",
+        "-XX:MaxDirectMemorySize=512m",
+        "-XX:+UseG1GC",
+        "-XX:MaxGCPauseMillis=20");
+    List<PlayerCrowd> crowds = new ArrayList<>();
+    for (SharedLan.Shared s : shared) {
+      crowds.add(crowd(g, lan, s, seeds.nextLong()));
+    }
+    Thread.sleep(4000 + 4 * down());
+    g.tap.saw("pair-quiet");
+    Thread.sleep(1000);
+    for (int i = 0; i < rounds; i++) {
+      Trouble t = Trouble.values()[i % Trouble.values().length];
+      round(g, lan, crowds, t, seeds);
+    }
+    if (flapSeconds > 0) {
+      flap(report, name, g, crowds);
+    }
+    played(report, name, crowds);
+    surge(report, name, g, nodes, crowds);
+    lateness(report, name, g);
+    crowds.forEach(c -> players.getOrCreateContext().runOnContext(v -> c.close()));
+    Thread.sleep(3500);
+    boolean ended = g.endFronts().values().stream().allMatch(e -> e);
+    report.claim(
+        name + ": the fronts ended in order when told", "yes", ended ? "yes" : "no", ended);
+    List<String> record = g.tap.lines();
+    figures(report, name, crowds, lan);
+    report.claim(
+        name + ": the record is whole", "not cut short", record.size() + " lines", !g.tap.full());
+    return record;
+  }
+
   private ObjectNode site(int number, List<SharedLan.Node> nodes, int announcePort, Path keyFile) {
     ObjectNode s = JSON.createObjectNode();
     s.putObject("viewers").put("perAddress", 20_000); // all viewers here come from one
@@ -208,19 +222,11 @@
   }
 
   private PlayerCrowd crowd(Grounds g, SharedLan lan, SharedLan.Shared at, long chance) {
-    List<PlayerCrowd.Want> wants = new ArrayList<>();
-    g.day
-        .packages()
-        .forEach(
-            p ->
-                wants.add(
-                    new PlayerCrowd.Want(
-                        p.name(), p.share(), p.patienceMs(), p.joinTargetMs(), p.value())));
     PlayerCrowd crowd =
         new PlayerCrowd(
             players,
             List.of(new PlayerCrowd.Door(-1, at.host(), at.port(), "east-hall")),
-            wants,
+            g.wants(),
             g.titles(),
             g.day.ladder().size(),
             (int) (1000 * g.day.traffic().shortestS()),
@@ -253,6 +259,33 @@
     FrontProcess front = g.fronts.get(node);
     long from = g.tap.micros() - 100_000;
     g.tap.saw("pair-trouble", "kind", t.name(), "node", node, "vrid", vrid);
+    act(g, lan, t, node, freeze);
+    if (t == Trouble.SPLIT) {
+      g.tap.saw(
+          "pair-quiet"); // at once: two that claim one address are judged from the moment they hear
+      // each other
+    }
+    long to = g.tap.micros();
+    silences
+        .computeIfAbsent(t, k -> new ArrayList<>())
+        .add(crowds.get(vrid - 1).longestSilence(from, to));
+    if (t == Trouble.KILL || t == Trouble.STOP) {
+      g.startAgain(front);
+      g.awaitReady(front, 20_000);
+    }
+    // A deaf node's address is held by the other for some time, and a better one waits before it
+    // takes over again.
+    Thread.sleep(1500 + 6 * down());
+    if (t != Trouble.SPLIT) {
+      g.tap.saw("pair-quiet");
+    }
+    Thread.sleep(1000 + 2 * down());
+  }
+
+  /** Does that to a front for as long as it takes others to see it. */
+  private void act(Grounds g, SharedLan lan, Trouble t, int node, long freeze)
+      throws IOException, InterruptedException {
+    FrontProcess front = g.fronts.get(node);
     long lasts = 2000 + 5 * down();
     switch (t) {
       case KILL -> {
@@ -281,26 +314,6 @@
         g.onBoxes(() -> lan.cut(node, 1 - node, false));
       }
     }
-    if (t == Trouble.SPLIT) {
-      g.tap.saw(
-          "pair-quiet"); // at once: two that claim one address are judged from the moment they hear
-      // each other
-    }
-    long to = g.tap.micros();
-    silences
-        .computeIfAbsent(t, k -> new ArrayList<>())
-        .add(crowds.get(vrid - 1).longestSilence(from, to));
-    if (t == Trouble.KILL || t == Trouble.STOP) {
-      g.startAgain(front);
-      g.awaitReady(front, 20_000);
-    }
-    // A deaf node's address is held by the other for some time, and a better one waits before it
-    // takes over again.
-    Thread.sleep(1500 + 6 * down());
-    if (t != Trouble.SPLIT) {
-      g.tap.saw("pair-quiet");
-    }
-    Thread.sleep(1000 + 2 * down());
   }
 
   private static void both(SharedLan lan, boolean cut) {
@@ -372,26 +385,7 @@
                       }
                     }));
     long before = handovers(g);
-    long sent = 0;
-    SplittableRandom chance = new SplittableRandom(seed);
-    long from = System.nanoTime();
-    try (DatagramSocket as = new DatagramSocket(0, InetAddress.getByName(nodes.get(1).host()))) {
-      while (System.nanoTime() - from < SURGE_MS * 1_000_000L) {
-        // Evenly, a hundred in each millisecond, or as many as this machine gets out.
-        while (sent < (System.nanoTime() - from) / 10_000) {
-          byte[] garbage = new byte[8 + chance.nextInt(60)];
-          chance.nextBytes(garbage);
-          as.send(
-              new DatagramPacket(
-                  garbage,
-                  garbage.length,
-                  InetAddress.getByName(nodes.get(0).host()),
-                  nodes.get(0).port()));
-          sent++;
-        }
-        Thread.sleep(1);
-      }
-    }
+    long sent = sendGarbage(nodes);
     long moved = handovers(g) - before;
     report.claim(
         name + ": handovers in a surge with garbage in a partner's name",
@@ -415,6 +409,31 @@
     Thread.sleep(1000 + 2 * down());
   }
 
+  /** Garbage in a partner's name, for the length of the surge; how many datagrams went out. */
+  private long sendGarbage(List<SharedLan.Node> nodes) throws IOException, InterruptedException {
+    long sent = 0;
+    SplittableRandom chance = new SplittableRandom(seed);
+    long from = System.nanoTime();
+    try (DatagramSocket as = new DatagramSocket(0, InetAddress.getByName(nodes.get(1).host()))) {
+      while (System.nanoTime() - from < SURGE_MS * 1_000_000L) {
+        // Evenly, a hundred in each millisecond, or as many as this machine gets out.
+        while (sent < (System.nanoTime() - from) / 10_000) {
+          byte[] garbage = new byte[8 + chance.nextInt(60)];
+          chance.nextBytes(garbage);
+          as.send(
+              new DatagramPacket(
+                  garbage,
+                  garbage.length,
+                  InetAddress.getByName(nodes.get(0).host()),
+                  nodes.get(0).port()));
+          sent++;
+        }
+        Thread.sleep(1);
+      }
+    }
+    return sent;
+  }
+
   private long handovers(Grounds g) throws IOException {
     try {
       return Holders.judge(g.tap.lines(), advertMs, 10_000, 100_000).handovers;
--- a/src/main/java/linengauge/drill/RelayDrill.java
+++ b/src/main/java/linengauge/drill/RelayDrill.java
@@ -201,22 +201,7 @@
     front.front.heap();
     long before = front.front.heap();
     HttpClient client = client(8);
-    AtomicInteger joined = new AtomicInteger();
-    List<String> ids = java.util.Collections.synchronizedList(new ArrayList<>());
-    for (int i = 0; i < many; i++) {
-      client
-          .request(join(front))
-          .compose(RelayDrill::sent)
-          .compose(r -> r.body())
-          .onComplete(
-              b -> {
-                if (b.succeeded()) {
-                  ids.add(id(b.result()));
-                }
-                joined.incrementAndGet();
-              });
-    }
-    waitFor(() -> joined.get() == many, 30_000);
+    joinAll(client, front, many, 30_000);
     long held = front.front.state().path("held").asLong() - heldBefore;
     Thread.sleep(500);
     front.front.heap();
@@ -350,15 +335,12 @@
     return q.send();
   }
 
-  /** Bytes a second of segments through viewings that play. */
-  private double bytes(Carrying to, long millis) throws InterruptedException {
-    AtomicLong got = new AtomicLong();
-    AtomicInteger running = new AtomicInteger(CONNECTIONS);
-    HttpClient client = client(CONNECTIONS);
-    long[] began = {0};
+  /** Joins so many times at once and waits for the answers; the ids of viewings that play. */
+  private List<String> joinAll(HttpClient client, Carrying to, int many, long millis)
+      throws InterruptedException {
+    AtomicInteger answered = new AtomicInteger();
     List<String> ids = java.util.Collections.synchronizedList(new ArrayList<>());
-    AtomicInteger joined = new AtomicInteger();
-    for (int i = 0; i < CONNECTIONS; i++) {
+    for (int i = 0; i < many; i++) {
       client
           .request(join(to))
           .compose(RelayDrill::sent)
@@ -368,10 +350,20 @@
                 if (b.succeeded()) {
                   ids.add(id(b.result()));
                 }
-                joined.incrementAndGet();
+                answered.incrementAndGet();
               });
     }
-    waitFor(() -> joined.get() == CONNECTIONS, 10_000);
+    waitFor(() -> answered.get() == many, millis);
+    return ids;
+  }
+
+  /** Bytes a second of segments through viewings that play. */
+  private double bytes(Carrying to, long millis) throws InterruptedException {
+    AtomicLong got = new AtomicLong();
+    AtomicInteger running = new AtomicInteger(CONNECTIONS);
+    HttpClient client = client(CONNECTIONS);
+    long[] began = {0};
+    List<String> ids = joinAll(client, to, CONNECTIONS, 10_000);
     began[0] = System.nanoTime();
     long until = began[0] + millis * 1_000_000;
     running.set(ids.size());
