scale following: what following the log costs a front, and how soon a change is in force

Cause: membership alone was measured, not configuration, and control's budget is for both. Change: command, table log-following.

--- a/src/main/java/linengauge/cli/ScaleCommands.java
+++ b/src/main/java/linengauge/cli/ScaleCommands.java
@@ -41,6 +41,7 @@
     subcommands = {
       ScaleCommands.Simulate.class,
       ScaleHollow.class,
+      ScaleFollowing.class,
       ScaleFronts.class,
       ScaleCommands.Fit.class,
       ScaleCommands.Tables.class
--- /dev/null
+++ b/src/main/java/linengauge/cli/ScaleFollowing.java
@@ -0,0 +1,74 @@
+package linengauge.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import linengauge.scale.MachineLimits;
+import linengauge.scale.ScaleRecorder;
+import linengauge.scale.ScaleResult.Kind;
+import linengauge.scale.log.LogFollowing;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures what following the decided log costs. */
+@Command(
+    name = "following",
+    mixinStandardHelpOptions = true,
+    description = "What following the decided log (configuration) costs a front, on loopback.")
+final class ScaleFollowing implements Callable<Integer> {
+  private static final long HEAP = 512L << 20;
+  private static final long MEMORY_A_FOLLOWER = 2L << 20;
+  private static final int DESCRIPTORS_A_FOLLOWER = 6;
+  private static final int LARGEST_SIZE = 600;
+  private static final int MOST_CHANGES = 600;
+
+  @Spec private CommandSpec spec;
+
+  @Option(names = "--sizes", split = ",", required = true, description = "followers")
+  private List<Integer> sizes;
+
+  @Option(names = "--seconds", defaultValue = "20", description = "for each (default: 20)")
+  private int seconds;
+
+  @Option(
+      names = "--changes-a-minute",
+      defaultValue = "0",
+      description = "decided meanwhile (default: 0)")
+  private int changes;
+
+  @Option(names = "--out", required = true, paramLabel = "FILE.json", description = "the result")
+  private Path out;
+
+  @Override
+  public Integer call() throws Exception {
+    ScaleCommands.refuse(spec, refusals());
+    ScaleRecorder recorder =
+        new ScaleRecorder(
+            out, ScaleCommands.heading(spec, List.of(), 1, Kind.REAL_SOCKETS, "followers"));
+    for (int size : sizes) {
+      recorder.add(LogFollowing.measure(new LogFollowing.Plan(size, seconds, changes)));
+    }
+    recorder.complete();
+    return 0;
+  }
+
+  private List<String> refusals() {
+    List<String> reasons = new ArrayList<>();
+    for (int size : sizes) {
+      if (size < 1 || size > LARGEST_SIZE) {
+        reasons.add(size + ": sizes are from 1 to " + LARGEST_SIZE);
+      }
+      MachineLimits.Wanted wanted =
+          new MachineLimits.Wanted(
+              HEAP + size * MEMORY_A_FOLLOWER, HEAP, size * (long) DESCRIPTORS_A_FOLLOWER, 1);
+      MachineLimits.here().passedBy(wanted).forEach(why -> reasons.add(size + ": " + why));
+    }
+    if (seconds < 1 || changes < 0 || changes > MOST_CHANGES) {
+      reasons.add("--seconds should be 1 or more, --changes-a-minute 0 to " + MOST_CHANGES);
+    }
+    return reasons;
+  }
+}
--- a/src/main/java/linengauge/scale/PageTables.java
+++ b/src/main/java/linengauge/scale/PageTables.java
@@ -21,6 +21,7 @@
           "membership-events",
           "membership-detection",
           "control-machines",
+          "log-following",
           "hollow-fronts",
           "real-fronts",
           "fits");
@@ -34,6 +35,7 @@
   public static final String GOSSIP = "gossip";
   public static final String LEASE = "lease";
   public static final String SERVE = "serve";
+  public static final String LOG = "log";
 
   /** Events that are shown at all sizes and fitted on the page; `scale fit` shows all. */
   static final Set<String> PLAIN_EVENTS = Set.of(QUIET, "start", "front killed", "whole run");
@@ -97,7 +99,10 @@
       case "membership-detection" -> (result, m) -> simulated(result) && m.role().equals(DETECTION);
       case "control-machines" ->
           (result, m) -> simulated(result) && m.role().equals(CONTROL_MACHINE);
-      case "hollow-fronts" -> (result, m) -> !simulated(result) && !m.subject().equals(SERVE);
+      case "log-following" -> (result, m) -> m.subject().equals(LOG);
+      case "hollow-fronts" ->
+          (result, m) ->
+              !simulated(result) && !m.subject().equals(SERVE) && !m.subject().equals(LOG);
       case "real-fronts" -> (result, m) -> m.subject().equals(SERVE);
       default -> throw new IllegalArgumentException(table);
     };
