--- a/src/main/java/linengauge/lease/Registrar.java
+++ b/src/main/java/linengauge/lease/Registrar.java
@@ -1,6 +1,5 @@
 package linengauge.lease;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -51,6 +50,7 @@
   private final EvidenceExchange exchange;
   private final ChangeBatcher batcher;
   private final RegionWatch regions;
+  private final LeaseExpiry expiry;
 
   private Moment now = Moment.DISTANT_PAST;
   private Moment dueAt = NEVER;
@@ -92,6 +92,7 @@
     exchange = new EvidenceExchange(settings, own, others, chance);
     batcher = new ChangeBatcher(settings, directory);
     regions = new RegionWatch(settings, own, all, exchange);
+    expiry = new LeaseExpiry(settings, directory, table, regions);
   }
 
   /** Begins; the first exchange follows within one period. */
@@ -434,53 +435,9 @@
     if (claims) {
       return List.of(new DirectoryChange.Leads(own, life, directory.term() + 1));
     }
-    return leads() ? departures() : List.of();
-  }
-
-  private List<DirectoryChange> departures() {
-    regions.count(directory, table, now);
-    List<DirectoryChange> changes = new ArrayList<>();
-    Set<Integer> lost = new HashSet<>();
-    for (DirectoryEntry entry : directory.entries()) {
-      int region = entry.member().region();
-      if (!isDue(entry) || isUnreachable(region) || lost.contains(region)) {
-        continue;
-      }
-      if (isRegionLost(region, now)) {
-        lost.add(region);
-        changes.add(0, new DirectoryChange.RegionReachable(region, false));
-      } else {
-        changes.add(
-            new DirectoryChange.Departed(
-                entry.member().number(),
-                entry.incarnation(),
-                DirectoryEntry.State.EXPIRED,
-                directory.term()));
-      }
-    }
-    for (int region = 0; region <= Layout.MOST_REGION; region++) {
-      if (isUnreachable(region) && regions.isBack(region, now)) {
-        changes.add(0, new DirectoryChange.RegionReachable(region, true));
-      }
-    }
-    return changes;
-  }
-
-  private boolean isDue(DirectoryEntry entry) {
-    if (entry.state() != DirectoryEntry.State.PRESENT) {
-      return false;
-    }
-    Moment from =
-        table
-            .of(entry, now)
-            .heardAt()
-            .orLater(leasesFrom)
-            .orLater(regions.reachableSince(entry.member().region()));
-    return !now.since(from).under(settings.lease());
-  }
-
-  private boolean isUnreachable(int region) {
-    return (directory.unreachable() >>> region & 1) == 1;
+    return leads()
+        ? expiry.changes(leasesFrom, now, region -> isRegionLost(region, now))
+        : List.of();
   }
 
   /** See {@link RegionWatch}. */
