--- a/src/test/java/linengauge/lease/LeaseFleetTest.java
+++ b/src/test/java/linengauge/lease/LeaseFleetTest.java
@@ -146,6 +146,26 @@
     }
   }
 
+  /** The region's control machines are heard again a moment before its fronts are. */
+  @Test
+  void frontsThatComeBackAMomentAfterTheirControlMachinesAreNotLetGo() {
+    for (long cutFor = 4_000; cutFor < 5_000; cutFor += 100) {
+      LeaseWorld world = new LeaseWorld(USUAL, cutFor, 2, 2, 2);
+      world.fronts(FRONT, 20, 2);
+      world.run(15_000);
+
+      world.cut = (from, to) -> isOfRegionTwo(from) || isOfRegionTwo(to);
+      world.run(cutFor);
+      world.cut = (from, to) -> from.number >= FRONT;
+      world.run(1_500);
+      world.cut = (from, to) -> false;
+      world.run(15_000);
+
+      long changed = world.fronts.stream().filter(front -> front.superseded > 0).count();
+      assertEquals(0, changed, "let go after a cut of " + cutFor + " ms");
+    }
+  }
+
   /** The same for a region without control machines of its own. */
   @Test
   void aRegionWithoutControlMachinesThatComesBackWithinALeaseLosesNobody() {
