A front without its first whole copy need not know of an end yet

The judge wanted each front to know of an end within the bound, also one that had started seconds before and was still loading its first copy, as it says by its mode: at 1,800 fronts that takes up to 16 s, longer than the bound of 10 s.

--- a/src/main/java/linengauge/lease/explore/Deaths.java
+++ b/src/main/java/linengauge/lease/explore/Deaths.java
@@ -6,6 +6,7 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.lease.DirectoryEntry;
+import linengauge.lease.LeaseAgent;
 import linengauge.membership.explore.DetectionFigures;
 
 /**
@@ -175,9 +176,15 @@
     open.remove(death.number);
   }
 
+  /** A front that has not its first whole copy yet says so, and need not know. */
   private boolean mustKnow(SimulatedFront front, Death death) {
     boolean isCut = simulation.conditions().isRegionCut(Topology.region(front.number));
-    return front.isUp() && !isCut && !death.known.get(front.number) && !judge.ailed(front);
+    boolean starting = front.agent().mode(front.clock()) == LeaseAgent.Mode.STARTING;
+    return front.isUp()
+        && !starting
+        && !isCut
+        && !death.known.get(front.number)
+        && !judge.ailed(front);
   }
 
   private static boolean holds(SimulatedFront front, Death death) {
