--- a/src/main/java/linengauge/consensus/FollowRequests.java
+++ b/src/main/java/linengauge/consensus/FollowRequests.java
@@ -5,15 +5,15 @@
 
 /** Answers those who follow the committed log without a vote ({@link LogFollower}). */
 final class FollowRequests {
+  private final RaftNode node;
   private final RaftState state;
   private final Outbox outbox;
-  private final RaftNode node;
   private final Snapshots snapshots;
 
-  FollowRequests(RaftState state, Outbox outbox, RaftNode node, Snapshots snapshots) {
+  FollowRequests(RaftNode node, RaftState state, Outbox outbox, Snapshots snapshots) {
+    this.node = node;
     this.state = state;
     this.outbox = outbox;
-    this.node = node;
     this.snapshots = snapshots;
   }
 
--- a/src/main/java/linengauge/consensus/RaftNode.java
+++ b/src/main/java/linengauge/consensus/RaftNode.java
@@ -72,7 +72,7 @@
     this.following = new FollowerReplication(this, state, outbox, elections, snapshots);
     this.voterChanges = new VoterChanges(this, state, leading);
     this.reads = new ReadRequests(this, state, outbox, leading);
-    this.followRequests = new FollowRequests(state, outbox, this, snapshots);
+    this.followRequests = new FollowRequests(this, state, outbox, snapshots);
   }
 
   /** The same voter in another world, for an exploration; the machine is a fresh one. */
@@ -135,6 +135,17 @@
     return state.committed();
   }
 
+  /**
+   * For how long at the most what is known here may be out of date. Guards against a leader that
+   * has committed nothing of its own term yet: what earlier leaders committed last may be unknown
+   * to it (Raft, 8). Hurts by an exchange after each election, in which nobody is told a fresh
+   * word.
+   */
+  Span age() {
+    boolean knowsAll = state.isLeader() && leading.hasCommittedInOwnTerm();
+    return knowsAll ? leading.quorumContactAge() : following.age();
+  }
+
   /** How often in a row a state could not be saved. */
   public long failures() {
     return failures;
@@ -296,16 +307,6 @@
     return true;
   }
 
-  /**
-   * For how long at the most its word may be out of date. Guards against a leader that has decided
-   * nothing of its own term yet: what earlier leaders decided last may be unknown to it (Raft, 8).
-   * Hurts by an exchange after each election, in which nobody is told a fresh word.
-   */
-  Span age() {
-    boolean knowsAll = state.isLeader() && leading.hasCommittedInOwnTerm();
-    return knowsAll ? leading.quorumContactAge() : following.age();
-  }
-
   /**
    * Guards against a voter whose folder was emptied: it has forgotten what it promised, and could
    * promise the opposite.
--- a/src/main/java/linengauge/lease/explore/Deaths.java
+++ b/src/main/java/linengauge/lease/explore/Deaths.java
@@ -6,6 +6,7 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.lease.DirectoryEntry;
+import linengauge.lease.LeaseAgent;
 import linengauge.membership.explore.DetectionFigures;
 
 /**
@@ -22,6 +23,9 @@
    */
   private static final Span SPREADING = Span.ofSeconds(4);
 
+  /** So long a front may take to load its first copy of the directory of 1,800 members. */
+  private static final Span LONGEST_LOADING = Span.ofSeconds(20);
+
   /** A life that ended. */
   private static final class Death {
     private final int number;
@@ -177,7 +181,20 @@
 
   private boolean mustKnow(SimulatedFront front, Death death) {
     boolean isCut = simulation.conditions().isRegionCut(Topology.region(front.number));
-    return front.isUp() && !isCut && !death.known.get(front.number) && !judge.ailed(front);
+    return front.isUp()
+        && !mayBeLoading(front)
+        && !isCut
+        && !death.known.get(front.number)
+        && !judge.ailed(front);
+  }
+
+  /** A front that has not its first whole copy yet says so, and need not know for a while. */
+  private boolean mayBeLoading(SimulatedFront front) {
+    boolean starting = front.agent().mode(front.clock()) == LeaseAgent.Mode.STARTING;
+    Moment began = beganAt[front.number];
+    return starting
+        && began != null
+        && simulation.events().now().since(began).under(LONGEST_LOADING);
   }
 
   private static boolean holds(SimulatedFront front, Death death) {
