An end in order begins what is still queued; tests for three rows of crossings

Seen: of 1,200 sessions handed over to a front that is told to stop at once, those from the 1,041st on were told by nobody that they were over (virtual time, a look at the time taking 1 ms; none at 1 us or 0.1 ms). Cause: they wait for their turns, and PlatformFront.stop ended only what had been begun. Change: ClientConnection.beginAll before Desk.endAll; set-ups behind them are answered as well.

--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -330,6 +330,22 @@
     }
   }
 
+  /**
+   * The front ends: whatever still waits for its turn is begun now, so that it is answered, or told
+   * that it is over, before the process ends. It could hurt by one long turn, the last but one.
+   */
+  void beginAll() {
+    for (Map<Long, Queued> from : List.of(handOvers, setUps)) {
+      while (!from.isEmpty()) {
+        try {
+          begin(from, from.keySet().iterator().next());
+        } catch (BadMessage e) {
+          listener.log("unreadable viewer", socket.peer(), e.getMessage());
+        }
+      }
+    }
+  }
+
   /** How long what is being begun now may have lain unread. */
   Span lain() {
     return front().now().since(lain);
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -131,6 +131,11 @@
     queued.remove(id, by);
   }
 
+  /** The front ends: whatever waits for its turn is begun, on every connection. */
+  void beginAll() {
+    new LinkedHashSet<>(queued.values()).forEach(ClientConnection::beginAll);
+  }
+
   void keeps(int more) {
     kept += more;
   }
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -355,6 +355,7 @@
                   + ", longest turn "
                   + lag.longest().micros() / 1000
                   + " ms");
+          door.beginAll();
           desk.endAll();
           told.info(
               "ended: "
--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -389,6 +389,33 @@
         List.of(7L), next.released, "one polled for a connection that turns out full is not lost");
   }
 
+  /**
+   * All that can stand at once is lost while no viewer is connected: each of them is told on the
+   * next connection, and none is thrown out of the queue.
+   */
+  @Test
+  void asManyReleasesAsSessionsCanStandWaitForTheNextConnection() throws Exception {
+    PaperNet net = PaperNet.front();
+    for (long first = 1000; first < 9000; first += 500) {
+      Line by = net.viewers();
+      var all = new ByteArrayOutputStream();
+      for (long id = first; id < first + 500; id++) {
+        all.writeBytes(handOver(id, "127.0.0.1:3"));
+      }
+      by.comes(all.toByteArray());
+      net.pass(Span.ofMillis(50));
+      by.breaks();
+    }
+    assertEquals(8000, net.front.figures().viewings());
+    net.gone("127.0.0.1:3");
+    net.pass(Span.ofMillis(300));
+    assertEquals(8000, net.front.figures().endsUntold());
+    Line next = net.viewers();
+    next.comes(handOver(50, "127.0.0.1:4"));
+    net.pass(Span.ofMillis(10));
+    assertEquals(8000, new java.util.HashSet<>(next.released).size());
+  }
+
   /* ---- idle closes and set-ups ---- */
 
   @Test
@@ -513,6 +540,27 @@
     assertEquals(List.of(7L), net.viewersLines.get(0).released, "refused once, as it never ran");
   }
 
+  /**
+   * The way to a server is cut with a set-up on it, and mended later: what was written arrives then,
+   * the set-up with its end right behind it, and nothing else of this front; no further set-up is
+   * entrusted to that connection.
+   */
+  @Test
+  void aSetUpOnAWayThatIsCutIsFollowedByItsEndAndByNoOther() throws Exception {
+    PaperNet net = PaperNet.front(text -> text.replace("\"probing\":true", "\"probing\":false"));
+    net.pass(Span.ofSeconds(3));
+    String at = net.setUpOut();
+    net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
+    Line cut = net.box(at);
+    net.pass(Span.ofMillis(1500)); // longer than the wait; nothing comes
+    net.viewers().comes(setUp(8));
+    net.pass(Span.ofMillis(1500));
+    assertTrue(net.setUps.contains(8L), "sent on another connection");
+    assertEquals(List.of(7L), cut.setUps, "and not on the one whose way may be cut");
+    assertEquals(1, cut.ended.stream().filter(id -> id == 7L).count(), "its end follows it");
+    assertTrue(cut.over, "closed as it rests");
+  }
+
   /* ---- answers cut, doubled and spoilt ---- */
 
   /**
@@ -725,6 +773,36 @@
     }
   }
 
+  /**
+   * Told to stop with hundreds handed over, and set-ups behind them, that wait for their turns: a
+   * session that is told to nobody would be left standing, and a set-up never answered.
+   */
+  @Test
+  void toldToStopAmidHundredsHandedOverEachIsToldItsEnd() throws Exception {
+    for (long stepMicros : new long[] {1, 100, 1000}) {
+      PaperNet net = PaperNet.front();
+      net.step = new Span(stepMicros);
+      Line by = net.viewers();
+      var all = new ByteArrayOutputStream();
+      for (long id = 300; id < 1500; id++) {
+        all.writeBytes(handOver(id, "127.0.0.1:3"));
+      }
+      all.writeBytes(many(1500, 1600));
+      by.comes(all.toByteArray());
+      net.front.stop();
+      while (net.endedAt == null) {
+        net.passOne();
+      }
+      for (long id = 300; id < 1600; id++) {
+        long told = id;
+        assertEquals(
+            1,
+            by.released.stream().filter(r -> r == told).count(),
+            "session " + id + ", a look at the time taking " + stepMicros + " us");
+      }
+    }
+  }
+
   /* ---- margins and settings ---- */
 
   @Test
--- a/src/test/java/linengauge/platform/PaperNet.java
+++ b/src/test/java/linengauge/platform/PaperNet.java
@@ -80,6 +80,9 @@
     /** Ids of the set-ups written on it. */
     final List<Long> setUps = new ArrayList<>();
 
+    /** Ids of what a server was told to be over on it. */
+    final List<Long> ended = new ArrayList<>();
+
     /** Bytes of what was written last. */
     int lastLength;
 
@@ -114,6 +117,10 @@
                         + tag
                         + "\",\"opts\":{\"load\":\"x0:0.2;x1:0.2;outstanding:1\"},\"rc\":1}"));
       }
+      if (line.contains("FINISH")) {
+        ended.add(
+            Long.parseLong(line.replaceFirst("(?s).*\"tag\":\"([0-9a-f]{16})\".*", "$1"), 16));
+      }
       if (line.contains("START")) {
         long id = Long.parseLong(line.replaceFirst("(?s).*\"tag\":\"([0-9a-f]{16})\".*", "$1"), 16);
         setUps.add(id);
