--- a/src/test/java/linengauge/ArchitectureTest.java
+++ b/src/test/java/linengauge/ArchitectureTest.java
@@ -30,10 +30,10 @@
     "linengauge.briefing",
     "linengauge.platform.codec",
     "linengauge.platform.keep",
-    "linengauge.members",
-    "linengauge.members.explore",
-    "linengauge.council",
-    "linengauge.council.explore",
+    "linengauge.membership",
+    "linengauge.membership.explore",
+    "linengauge.consensus",
+    "linengauge.consensus.explore",
     "linengauge.zones"
   };
 
@@ -127,8 +127,8 @@
               "linengauge.vrrp..",
               "linengauge.memory..",
               "linengauge.work..",
-              "linengauge.members..",
-              "linengauge.council..",
+              "linengauge.membership..",
+              "linengauge.consensus..",
               "linengauge.zones..",
               "com.fasterxml.jackson.databind..",
               "com.networknt..",
