--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -541,9 +541,9 @@
   }
 
   /**
-   * The way to a server is cut with a set-up on it, and mended later: what was written arrives then,
-   * the set-up with its end right behind it, and nothing else of this front; no further set-up is
-   * entrusted to that connection.
+   * The way to a server is cut with a set-up on it, and mended later: what was written arrives
+   * then, the set-up with its end right behind it, and nothing else of this front; no further
+   * set-up is entrusted to that connection.
    */
   @Test
   void aSetUpOnAWayThatIsCutIsFollowedByItsEndAndByNoOther() throws Exception {
