--- a/src/test/java/linengauge/cli/ScaleCommandsTest.java
+++ b/src/test/java/linengauge/cli/ScaleCommandsTest.java
@@ -73,6 +73,9 @@
         2, scale("fronts", "--load", "connections", "--out", out, "--sizes", "10,4000000"));
     assertEquals(
         2, scale("fronts", "--load", "messages", "--out", out, "--sizes", 1, "--deploy", "/none"));
+    assertEquals(2, scale("following", "--sizes", "10,601", "--out", out));
+    assertEquals(2, scale("following", "--sizes", "0", "--out", out));
+    assertEquals(2, scale("following", "--sizes", "5", "--changes-a-minute", 601, "--out", out));
     assertFalse(Files.exists(out), "nothing was begun");
   }
 
