A voter that stood still does not call its leader's queued messages fresh

A voter that was frozen read queued APPENDs, each with a small age, and counted it from its waking; a registrar that distrusts its own pause takes that age later. Lines: FollowerReplication.onLeaderMessage. Change: after a step late by half an election's time nothing read is called fresh for an election's time; the same for a leader. A test jumped two seconds in one step, which is a pause now: it steps as the voter wants; its assertions are the same.

--- a/src/main/java/linengauge/consensus/FollowerReplication.java
+++ b/src/main/java/linengauge/consensus/FollowerReplication.java
@@ -55,7 +55,7 @@
     } else {
       onAppendEntries(message);
     }
-    if (state.commitIndex() >= message.commit()) {
+    if (state.commitIndex() >= message.commit() && !node.mayReadQueuedMessages()) {
       Span age = new Span(Math.max(0, message.age()));
       currentUntil = currentUntil.orLater(state.now().minus(age));
     }
--- a/src/main/java/linengauge/consensus/RaftNode.java
+++ b/src/main/java/linengauge/consensus/RaftNode.java
@@ -40,6 +40,9 @@
   /** In the place of an index: the entry was not placed in the log. */
   public static final long NOT_PLACED = -1;
 
+  /** A step so late, as a part of an election's time, is a pause of this process. */
+  private static final double STAND_STILL = 0.5;
+
   private final Port port;
   private final RaftState state;
   private final Outbox outbox = new Outbox();
@@ -53,6 +56,9 @@
   private Moment nextSaveAt = Moment.DISTANT_PAST;
   private long failures;
 
+  /** When it last went on after it stood still. */
+  private Moment resumedAt = Moment.DISTANT_PAST;
+
   /**
    * @param seed of how long it waits before it wants to lead: one for each front, so that two
    *     seldom want it at once
@@ -91,6 +97,7 @@
     reads.copyFrom(other.reads);
     nextSaveAt = other.nextSaveAt;
     failures = other.failures;
+    resumedAt = other.resumedAt;
     state.applyCommitted();
   }
 
@@ -142,7 +149,8 @@
    * word.
    */
   Span age() {
-    boolean knowsAll = state.isLeader() && leading.hasCommittedInOwnTerm();
+    boolean knowsAll =
+        state.isLeader() && leading.hasCommittedInOwnTerm() && !mayReadQueuedMessages();
     return knowsAll ? leading.quorumContactAge() : following.age();
   }
 
@@ -168,8 +176,29 @@
 
   /* ---- what happens ---- */
 
-  public void step(Moment at) {
+  private void arrive(Moment at) {
+    if (stoodStill(next(), at)) {
+      resumedAt = at;
+    }
     state.setNow(at);
+  }
+
+  /**
+   * Guards against messages that queued while this process stood still, taken for just sent: what
+   * they say of how fresh it is counts from the pause's end. Hurts by an election's time after each
+   * pause, in which nobody is told a fresh word.
+   */
+  protected boolean stoodStill(Moment due, Moment at) {
+    return due.plus(state.settings().election().times(STAND_STILL)).before(at);
+  }
+
+  /** Whether what it reads now may have been sent long ago. */
+  boolean mayReadQueuedMessages() {
+    return state.now().since(resumedAt).under(state.settings().election());
+  }
+
+  public void step(Moment at) {
+    arrive(at);
     if (state.isLeader()) {
       if (checksQuorum() && !leading.hasQuorumContact()) {
         // thesis 6.2: cut off from most of them, or frozen meanwhile, it leads nobody
@@ -190,7 +219,7 @@
    *     does not lead or too many wait
    */
   public long propose(Moment at, long author, long number, byte[] payload) {
-    state.setNow(at);
+    arrive(at);
     long placed =
         leading.appendToLog(new Entry(state.term(), Kind.DECISION, author, number, payload));
     settle();
@@ -204,7 +233,7 @@
    * @return where it was placed, or {@link #NOT_PLACED}
    */
   public long change(Moment at, Voters next) {
-    state.setNow(at);
+    arrive(at);
     long placed = voterChanges.change(next);
     settle();
     return placed;
@@ -212,7 +241,7 @@
 
   /** A message has come from another voter, proved to be of the fleet. */
   public void heard(Moment at, RaftMessage message) {
-    state.setNow(at);
+    arrive(at);
     switch (message.kind()) {
       case WOULD_YOU -> elections.onPreVoteRequest(message);
       case WOULD -> elections.onPreVoteReply(message);
@@ -232,7 +261,7 @@
    * decided.
    */
   public void ask(Moment at, long asker, RaftMessage message) {
-    state.setNow(at);
+    arrive(at);
     switch (message.kind()) {
       case FOLLOW -> followRequests.onFollowRequest(asker, message);
       case PROPOSE -> onProposal(asker, message);
--- a/src/test/java/linengauge/consensus/RaftNodeTest.java
+++ b/src/test/java/linengauge/consensus/RaftNodeTest.java
@@ -157,8 +157,7 @@
   @Test
   void aNewLeadersWordIsOldUntilItHasDecidedInItsOwnTerm() {
     append(1, 1, 0, 1);
-    now = now.plus(Span.ofSeconds(2));
-    voter.step(now);
+    stepFor(Span.ofSeconds(2));
     voter.heard(now, from(1, Kind.WOULD, 2).yes(true));
     voter.heard(now, from(1, Kind.VOTED, 2).yes(true));
     assertEquals(RaftNode.Role.LEADER, voter.role());
@@ -170,6 +169,31 @@
     assertEquals(0, last(answers).age());
   }
 
+  /** Time goes on, and the voter is stepped whenever it wants to be. */
+  private void stepFor(Span span) {
+    Moment end = now.plus(span);
+    while (voter.next().before(end)) {
+      now = voter.next().orLater(now);
+      voter.step(now);
+    }
+    now = end;
+    voter.step(now);
+  }
+
+  /** Guards against messages that queued while this process stood still, taken for just sent. */
+  @Test
+  void aVoterThatStoodStillDoesNotCallQueuedWordsFresh() {
+    append(1, 1, 0, 1);
+    now = now.plus(Span.ofSeconds(5)); // nothing ran
+    append(1, 1, 0, 1); // sent at any time within these five seconds
+    voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
+    assertEquals(5_000_000, last(answers).age());
+    now = now.plus(RaftSettings.USUAL.election());
+    append(1, 1, 0, 1);
+    voter.ask(now, 7, from(40, Kind.FOLLOW, 0).at(1, 0));
+    assertEquals(0, last(answers).age(), "the queue is through");
+  }
+
   @Test
   void noStepAfterWhichNothingCouldBeDecided() {
     leads();
--- a/src/test/java/linengauge/lease/explore/LeaseSimulationTest.java
+++ b/src/test/java/linengauge/lease/explore/LeaseSimulationTest.java
@@ -161,6 +161,20 @@
                 fault(Kind.DEAF, 39, 40.170, 40.533))),
         Arguments.of(
             "a control machine that had stood still took queued words for fresh", STOOD_STILL),
+        Arguments.of(
+            "a voter that had stood still took its leader's queued words for just sent",
+            schedule(
+                31971,
+                24,
+                fault(Kind.REGION_CUT, 1, 28.299, 51.555),
+                fault(Kind.FREEZE, 2, 22.723, 48.384))),
+        Arguments.of(
+            "the same, with another region cut off meanwhile",
+            schedule(
+                32173,
+                24,
+                fault(Kind.FREEZE, 3, 39.069, 44.282),
+                fault(Kind.REGION_CUT, 1, 41.423, 45.362))),
         Arguments.of(
             "control machines that all began again called an old directory fresh",
             schedule(
