Log every retry, refusal and close with request, server, attempt and reason

What operators saw: the report's logs could not say which request had two attempts, on which connections, why the first was given up and why the viewer was refused; servers stood there as decimal numbers that the platform does not use.

Now each request keeps what happened to it (a few small objects); the first retry, refusal, failure or broken connection logs all of it, in order, with ids as the platform writes them. Connections to servers are numbered; every close says by whom, why and with how many attempts out. Refusals carry a reason (Outside.Refusal), attempts their ending. A thread of its own formats and writes: at most 4,096 events wait and 1,000 lines leave a second, the rest is counted. What still waits at SIGTERM's end is logged.

"box lost" in the log is "server lost" now; the test that looks for it follows the name.

--- a/src/bench/java/linengauge/session/DeskBench.java
+++ b/src/bench/java/linengauge/session/DeskBench.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import linengauge.Headend;
 import linengauge.Moment;
+import linengauge.Outside;
 import linengauge.PackageTerms;
 import linengauge.Span;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -77,7 +78,7 @@
     public void plays(Held vw) {}
 
     @Override
-    public void blocked(Span comeBackAfter) {
+    public void blocked(Span comeBackAfter, Outside.Refusal reason) {
       throw new IllegalStateException("blocked");
     }
 
--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -40,14 +40,29 @@
 
     /**
      * Final answer: blocked; a further try is harmless, best after the given span (none: no
-     * advice).
+     * advice). The reason is for the log.
      */
-    void block(Span comeBackAfter);
+    void block(Span comeBackAfter, Refusal reason);
 
     /** Final answer: aborted; says nothing of what may have run. */
     void abort();
   }
 
+  /** Why a request was refused, as operators read it. */
+  enum Refusal {
+    /** No server that serves and holds the title may take it now. */
+    NO_SERVER,
+    /** Every server that may take it would be short, even at the lowest rung. */
+    SERVERS_FULL,
+    ATTEMPTS_USED_UP,
+    RETRY_BUDGET_USED_UP,
+    DEADLINE_TOO_CLOSE,
+    FRONT_FULL,
+    FRONT_STOPPING,
+    FRONT_FAILED,
+    SAME_KEY_OPEN
+  }
+
   /** The front's line to one media box. */
   interface Line {
     void probe();
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -973,7 +973,7 @@
           && now.plus(HOLD).before(target)) {
         outside.wakeAfter(HOLD, this::place);
       } else {
-        giveUp();
+        giveUp(best);
       }
     }
 
@@ -1064,15 +1064,30 @@
     }
 
     /** The final answer, at once: blocked where that is safe to say, else aborted. */
-    private void giveUp() {
+    private void giveUp(MediaBox best) {
       answered = true;
       if (mayHaveRun && terms.paidAtSetUp()) {
         player.abort();
       } else {
-        player.block(COME_BACK.orLess(house.permits().longestAdvice()));
+        player.block(COME_BACK.orLess(house.permits().longestAdvice()), refusal(best));
       }
     }
 
+    private Outside.Refusal refusal(MediaBox best) {
+      if (best != null) {
+        return Outside.Refusal.SERVERS_FULL;
+      }
+      if (!mayStillPlay()) {
+        return Outside.Refusal.ATTEMPTS_USED_UP;
+      }
+      if (!margin.under(patienceLeft(this))) {
+        return Outside.Refusal.DEADLINE_TOO_CLOSE;
+      }
+      return tuneIns > 0 && !furtherLeft()
+          ? Outside.Refusal.RETRY_BUDGET_USED_UP
+          : Outside.Refusal.NO_SERVER;
+    }
+
     /* ---- end-of-viewing bookkeeping ---- */
 
     public void playing() {
--- a/src/main/java/linengauge/front/ViewerEnd.java
+++ b/src/main/java/linengauge/front/ViewerEnd.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.concurrent.atomic.AtomicInteger;
 import linengauge.Moment;
+import linengauge.Outside;
 import linengauge.Span;
 import linengauge.carry.Wall;
 import linengauge.session.Held;
@@ -103,7 +104,7 @@
   }
 
   @Override
-  public void blocked(Span comeBackAfter) {
+  public void blocked(Span comeBackAfter, Outside.Refusal reason) {
     answer(503, "blocked: come again\n", comeBackAfter);
   }
 
--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 import linengauge.Moment;
 import linengauge.Span;
+import linengauge.platform.LogEvent.Kind;
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.SetUpForm;
-import linengauge.platform.codec.Texts;
 import linengauge.platform.codec.ViewerMessages;
 import linengauge.platform.codec.ViewerMessages.Message;
 import linengauge.platform.keep.IdleConnection;
@@ -100,7 +100,9 @@
     this.listener = listener;
     this.socket = socket;
     this.received = new ReceiveQueue(cameAfter, front().now());
-    socket.hears(data -> front().onEvent(() -> read(data)), () -> front().onEvent(this::gone));
+    socket.hears(
+        data -> front().onEvent(() -> read(data)),
+        () -> front().onEvent(() -> gone("by the client")));
   }
 
   private PlatformFront front() {
@@ -177,8 +179,8 @@
       }
       resume();
     } catch (BadMessage e) {
-      listener.log("unreadable viewer", socket.peer(), e.getMessage());
-      close();
+      listener.log("unreadable client", socket.peer(), e.getMessage());
+      close(e.getMessage());
     }
     beginLater();
   }
@@ -219,8 +221,7 @@
   private void queue(Message m) {
     boolean handOver = m.isHandOver();
     if (setUps.containsKey(m.id()) && !handOver) {
-      listener.log("two set-ups of one id", null, "");
-      close();
+      close("two set-ups of one id");
     } else if (handOver) {
       if (handOvers.putIfAbsent(m.id(), new Queued(m.kept(), lain)) == null) {
         handedOver += m.length();
@@ -284,8 +285,8 @@
         begin(from, from.keySet().iterator().next());
       }
     } catch (BadMessage e) {
-      listener.log("unreadable viewer", socket.peer(), e.getMessage());
-      close();
+      listener.log("unreadable client", socket.peer(), e.getMessage());
+      close(e.getMessage());
     }
     if (!begins && (!handOvers.isEmpty() || mayBegin())) {
       begins = true;
@@ -324,7 +325,7 @@
       try {
         begin(handOvers, id);
       } catch (BadMessage e) {
-        listener.log("unreadable viewer", socket.peer(), e.getMessage());
+        listener.log("unreadable client", socket.peer(), e.getMessage());
       }
       lain = was;
     }
@@ -340,7 +341,7 @@
         try {
           begin(from, from.keySet().iterator().next());
         } catch (BadMessage e) {
-          listener.log("unreadable viewer", socket.peer(), e.getMessage());
+          listener.log("unreadable client", socket.peer(), e.getMessage());
         }
       }
     }
@@ -354,18 +355,19 @@
   /* ---- its end ---- */
 
   /** Closes it; what waits on it is answered by the close. */
-  void close() {
+  void close(String why) {
     if (!closed) {
       socket.close();
-      gone();
+      gone("by the front: " + why);
     }
   }
 
-  private void gone() {
+  private void gone(String why) {
     if (closed) {
       return;
     }
     closed = true;
+    logClose(why);
     listener.left(this, idle);
     for (long id : List.copyOf(setUps.keySet())) {
       unqueue(setUps, id);
@@ -389,10 +391,7 @@
     beginLater();
     List<ClientSession> sessions = new ArrayList<>(waiting);
     if (!sessions.isEmpty()) {
-      listener.log(
-          "connection gone with set-ups open",
-          Texts.id(sessions.get(0).id()),
-          sessions.size() + " of " + socket.peer());
+      sessions.forEach(ClientSession::logHeld);
     }
     waiting.clear();
     sessions.forEach(
@@ -411,6 +410,14 @@
     told.clear();
   }
 
+  /** Logs every close by the front, and those under which something was open. */
+  private void logClose(String why) {
+    if (!waiting.isEmpty() || !setUps.isEmpty() || why.startsWith("by the front")) {
+      String open = ", " + waiting.size() + " open, " + setUps.size() + " not begun";
+      front().events().ofFront(Kind.CLIENT_CONNECTION_CLOSED, socket.peer() + " " + why + open);
+    }
+  }
+
   /* ---- what is owed here ---- */
 
   void waits(ClientSession session) {
@@ -427,10 +434,7 @@
   void answer(ClientSession session, byte[] message) {
     unwait(session);
     if (session.answerBy().before(front().now())) {
-      listener.log(
-          "answered late",
-          Texts.id(session.id()),
-          front().now().since(session.answerBy()).micros() / 1000 + " ms");
+      session.answeredLate(front().now().since(session.answerBy()));
     }
     write(message);
     viewers();
@@ -464,8 +468,7 @@
       return false;
     }
     if (socket.isFull()) {
-      listener.log("viewer does not read", socket.peer(), "");
-      front().later(this::close);
+      front().later(() -> close("the client does not read"));
       return false;
     }
     socket.write(message);
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -94,7 +94,8 @@
     backlog.taken();
     ClientConnection line = new ClientConnection(this, socket, backlog.cameAfter());
     lines.add(line);
-    line.idle(idle.arrived(line::close, line::rests, front.now()));
+    line.idle(
+        idle.arrived(() -> line.close("idle, or its place is wanted"), line::rests, front.now()));
     makePlace();
   }
 
@@ -131,6 +132,15 @@
     queued.remove(id, by);
   }
 
+  /** The front ends: what became of every request that still waits is logged. */
+  void logWaiting() {
+    for (ClientSession seat : seats.values()) {
+      if (seat.asker() != null) {
+        seat.logHeld();
+      }
+    }
+  }
+
   /** The front ends: whatever waits for its turn is begun, on every connection. */
   void beginAll() {
     new LinkedHashSet<>(queued.values()).forEach(ClientConnection::beginAll);
@@ -240,8 +250,7 @@
       return; // told of something held already
     }
     if (before.asker() == line) {
-      log("two set-ups of one id", null, "");
-      line.close();
+      line.close("two set-ups of one id");
     } else {
       line.unfit(before.id(), "the id of another viewing");
     }
--- a/src/main/java/linengauge/platform/ClientSession.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -1,8 +1,11 @@
 package linengauge.platform;
 
 import linengauge.Moment;
+import linengauge.Outside;
 import linengauge.Span;
+import linengauge.platform.LogEvent.Kind;
 import linengauge.platform.codec.ViewerMessages;
+import linengauge.session.BoxTable;
 import linengauge.session.Held;
 import linengauge.session.Viewer;
 
@@ -36,6 +39,11 @@
   /** Until when its viewer waits. */
   private final Moment answerBy;
 
+  private final RequestTrail trail;
+
+  /** It plays, or has been handed over as playing. */
+  private boolean stands;
+
   ClientSession(
       ClientListener door,
       long id,
@@ -50,6 +58,55 @@
     this.length = description == null ? 0 : description.length();
     this.asker = asker;
     this.answerBy = answerBy;
+    this.trail = door.front().events().trail();
+    this.stands = description == null;
+    if (!stands) {
+      String asked = "class " + pack + ", " + answerBy.since(door.front().now()).micros() / 1000;
+      log(Kind.REQUEST_TAKEN, LogEvent.NONE, LogEvent.NONE, LogEvent.NONE, asked + " ms", false);
+    }
+  }
+
+  /* ---- what the log is told ---- */
+
+  private void log(
+      Kind kind, long server, int attempt, int connection, String reason, boolean notable) {
+    trail.add(
+        door.front().events().ofRequest(kind, id, server, attempt, connection, reason), notable);
+  }
+
+  private void log(Kind kind, String reason, boolean notable) {
+    log(kind, LogEvent.NONE, LogEvent.NONE, LogEvent.NONE, reason, notable);
+  }
+
+  /** Something happened to an attempt at that server. */
+  void logged(Kind kind, BoxTable.Entry server, int attempt, int connection, String reason) {
+    log(kind, server.id(), attempt, connection, reason, false);
+  }
+
+  /**
+   * An attempt leaves by that connection; every one but the first is logged with what led to it.
+   */
+  void attemptSent(int attempt, BoxTable.Entry server, int connection, Span wait) {
+    String waits = "waits " + wait.micros() / 1000 + " ms";
+    log(Kind.ATTEMPT_SENT, server.id(), attempt, connection, waits, attempt > 0);
+  }
+
+  @Override
+  public void attemptEnded(int attempt, BoxTable.Entry server, Outside.Ending how) {
+    boolean ordinary = how == Outside.Ending.FINISHED || how == Outside.Ending.WITHDRAWN;
+    Kind kind = stands ? Kind.SESSION_ENDED : Kind.ATTEMPT_ENDED;
+    int connection = wire == null ? LogEvent.NONE : wire.number();
+    log(kind, server.id(), attempt, connection, how.name(), !ordinary);
+  }
+
+  /** Logs what has happened so far, though nothing notable did. */
+  void logHeld() {
+    trail.logHeld();
+  }
+
+  /** Its answer leaves after its time. */
+  void answeredLate(Span by) {
+    log(Kind.REQUEST_FAILED, "answered late by " + by.micros() / 1000 + " ms", true);
   }
 
   Moment answerBy() {
@@ -93,24 +150,29 @@
   /** Whoever asked no longer waits. */
   void unasked() {
     asker = null;
+    log(Kind.CLIENT_LEFT, "", false);
   }
 
   @Override
   public void plays(Held vw) {
+    stands = true;
     asker.home(this);
     settle(ViewerMessages.plays(id, answer));
     answer = null;
     description = null;
+    trail.settled();
   }
 
   @Override
-  public void blocked(Span comeBackAfter) {
+  public void blocked(Span comeBackAfter, Outside.Refusal reason) {
+    log(Kind.REQUEST_REFUSED, reason.name(), true);
     settle(ViewerMessages.blocked(id, comeBackAfter.micros() / 1000));
     door.over(this);
   }
 
   @Override
   public void aborted(Cause cause) {
+    log(Kind.REQUEST_FAILED, cause.name(), true);
     settle(ViewerMessages.aborted(id));
     door.over(this);
   }
--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import linengauge.Moment;
 import linengauge.Span;
+import linengauge.platform.LogEvent.Kind;
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.JournalFrames;
 import linengauge.session.Backoff;
@@ -54,6 +55,7 @@
   /** The service has moved; the numbers go on. */
   void moved(String to) {
     if (!to.equals(address)) {
+      log("moved from " + address + " to " + to);
       address = to;
       pauses.reset();
       connect();
@@ -91,6 +93,7 @@
     socket = s;
     connectedAt = front.now();
     heardAt = connectedAt;
+    log("connected to " + address + ", asks from " + last);
     JournalFrames frames =
         new JournalFrames(
             (number, whole, rows) -> {
@@ -123,7 +126,8 @@
     if (mine != turn) {
       return;
     }
-    front.log("journal service broke off", address, why);
+    front.log("discovery broke off", address, why);
+    log("closed: " + why);
     turn++;
     if (socket != null) {
       socket.close();
@@ -138,10 +142,24 @@
         });
   }
 
+  private void log(String reason) {
+    front.events().ofFront(Kind.DISCOVERY, reason);
+  }
+
+  private void logEvent(long number, boolean whole, List<Row> rows) {
+    log("event " + number + (whole ? ", whole list of " : ", changes: ") + rows.size());
+    if (!whole) {
+      for (Row row : rows) {
+        front.events().ofServer(Kind.SERVER_STATE, row.id(), row.state().name());
+      }
+    }
+  }
+
   /** To be called some times a second. */
   void look(Moment now) {
     if (socket != null && SILENCE.under(now.since(heardAt)) && !front.isBehind()) {
-      front.log("journal service silent", address, "");
+      front.log("discovery silent", address, "");
+      log("closed: silent");
       connect();
     }
   }
@@ -155,6 +173,7 @@
       return;
     }
     last = number;
+    logEvent(number, whole, rows);
     if (whole) {
       front.desk().listed(number, rows);
     } else {
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -57,6 +57,9 @@
     /** Something that comes seldom. */
     void info(String line);
 
+    /** Something that happened to a request, a connection or a server; may come by the thousand. */
+    default void event(LogEvent event) {}
+
     /** It has ended: in order (empty, null), or by a failure, which is named. */
     void over(String failed, RuntimeException cause);
   }
@@ -76,6 +79,7 @@
   private final Net net;
   private final Told told;
   private final EventLoopLag lag;
+  private final EventLog events;
   private final ServerLinks boxes;
   private final ClientListener door;
   private final Desk desk;
@@ -101,6 +105,7 @@
     this.told = told;
     this.now = net.now();
     this.lag = new EventLoopLag(CROSSING, now);
+    this.events = new EventLog(this::now, told::event);
     DescriptorBudget places = DescriptorBudget.of(posting.descriptors());
     this.boxes = new ServerLinks(this, places.boxes());
     this.door = new ClientListener(this, places.viewers());
@@ -272,6 +277,10 @@
     }
   }
 
+  EventLog events() {
+    return events;
+  }
+
   EventLoopLag lag() {
     return lag;
   }
@@ -355,6 +364,7 @@
                   + ", longest turn "
                   + lag.longest().micros() / 1000
                   + " ms");
+          door.logWaiting();
           door.beginAll();
           desk.endAll();
           told.info(
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -6,8 +6,10 @@
 import linengauge.Moment;
 import linengauge.Outside.Ending;
 import linengauge.Span;
+import linengauge.platform.LogEvent.Kind;
 import linengauge.platform.codec.BadMessage;
 import linengauge.platform.codec.BoxLines;
+import linengauge.platform.codec.Texts;
 import linengauge.platform.keep.Line;
 import linengauge.platform.keep.SpentIds;
 import linengauge.session.Carrier.Wake;
@@ -45,6 +47,7 @@
   }
 
   private final ServerLink link;
+  private final int number;
   private final String address;
   private final int closingsWhenBegun;
   private final BoxLines reader = new BoxLines(this);
@@ -64,6 +67,7 @@
 
   ServerConnection(ServerLink link, String address, int closingsWhenBegun) {
     this.link = link;
+    this.number = link.links().nextConnectionNumber();
     this.address = address;
     this.closingsWhenBegun = closingsWhenBegun;
     this.line = new Line(front().now());
@@ -101,7 +105,17 @@
     return line;
   }
 
+  /** In the log. */
+  int number() {
+    return number;
+  }
+
+  private void log(Kind kind, String reason) {
+    front().events().ofConnection(kind, link.box().id(), number, reason);
+  }
+
   void connect() {
+    log(Kind.CONNECTION_DIALLED, address);
     front()
         .connect(
             address,
@@ -118,7 +132,7 @@
 
               @Override
               public void failed(boolean refused, String why) {
-                gone(refused ? Gone.REFUSED : Gone.NOT_REACHED);
+                gone(refused ? Gone.REFUSED : Gone.NOT_REACHED, why);
               }
             });
   }
@@ -126,8 +140,10 @@
   private void up(Net.Connection s) {
     socket = s;
     line.up(front().now());
+    log(Kind.CONNECTION_UP, "");
     s.hears(
-        data -> front().onEvent(() -> read(data)), () -> front().onEvent(() -> gone(Gone.CLOSED)));
+        data -> front().onEvent(() -> read(data)),
+        () -> front().onEvent(() -> gone(Gone.CLOSED, "by the server")));
     link.up(this);
     // What came while it was dialled is read first: a viewer may have left meanwhile.
     front()
@@ -155,7 +171,7 @@
       boolean ended = reader.feed(data) > 0;
       line.read(ended, reader.isMidLine(), front().now());
     } catch (BadMessage e) {
-      front().log("unreadable box", link.box(), e.getMessage());
+      front().log("unreadable server", Texts.server(link.box().id()), e.getMessage());
       close(e.getMessage());
     }
   }
@@ -211,6 +227,7 @@
     out.writtenAt = front().now();
     spent.add(id, out.writtenAt);
     ClientSession seat = (ClientSession) out.held.viewer();
+    seat.attemptSent(out.tuneIn, link.box(), number, out.held.waitLeft());
     write(
         BoxLines.setUp(
             id,
@@ -256,6 +273,7 @@
     }
     outs.remove(id);
     if (out.written) {
+      ((ClientSession) vw.viewer()).logged(Kind.GIVE_UP_SENT, link.box(), tuneIn, number, "");
       write(BoxLines.end(id));
       if (vw.waitLeft().equals(Span.NONE)) {
         line.unanswered(out.writtenAt);
@@ -274,6 +292,7 @@
     }
     ClientSession seat = (ClientSession) out.held.viewer();
     seat.answered(description);
+    seat.logged(Kind.ATTEMPT_ANSWERED, link.box(), out.tuneIn, number, "");
     front().tick();
     out.held.plays(out.tuneIn);
     // Where the core did not want it any more it has been taken back meanwhile, on this very
@@ -292,6 +311,8 @@
       return;
     }
     outs.remove(id);
+    ((ClientSession) out.held.viewer())
+        .logged(Kind.ATTEMPT_ANSWERED, link.box(), out.tuneIn, number, "cause " + cause);
     out.held.failed(out.tuneIn, BoxLines.unanswered(cause));
   }
 
@@ -347,16 +368,17 @@
       if (socket != null) {
         socket.close();
       }
-      gone(Gone.CLOSED);
+      gone(Gone.CLOSED, why);
     }
   }
 
-  private void gone(Gone how) {
+  private void gone(Gone how, String why) {
     if (closed) {
       return;
     }
     closed = true;
     boolean wasUp = socket != null;
+    log(Kind.CONNECTION_CLOSED, why + ", " + outs.size() + " attempts out");
     for (Out out : ServerLinks.taken(outs)) {
       Ending broken =
           out.written && link.silence(out.writtenAt, this) == Ending.UNHEARD
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -9,6 +9,7 @@
 import linengauge.Outside.Ending;
 import linengauge.Span;
 import linengauge.platform.codec.BoxLines;
+import linengauge.platform.codec.Texts;
 import linengauge.platform.keep.EarlyEnds;
 import linengauge.platform.keep.ReachabilityDetector;
 import linengauge.platform.keep.TimeoutCause;
@@ -223,7 +224,8 @@
 
   private void lost(String why) {
     if (!standing.isEmpty()) {
-      front().log("box lost", box, why + ", " + standing.size() + " viewings");
+      front()
+          .log("server lost", Texts.server(box.id()), why + ", " + standing.size() + " sessions");
       for (ClientSession seat : List.copyOf(standing.values())) {
         seat.held().boxLost(); // taken back at the box, which ends it here
         over(seat.id());
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -19,6 +19,7 @@
   private final int places;
   private int wires;
   private long tests;
+  private int connectionNumber;
 
   /** Emptied by {@link #look}: a link leaves once its box has gone and nothing of it is left. */
   private final Map<Long, ServerLink> links = new LinkedHashMap<>();
@@ -60,6 +61,11 @@
     return least != null;
   }
 
+  /** Numbers connections, over all servers. */
+  int nextConnectionNumber() {
+    return ++connectionNumber;
+  }
+
   long testId() {
     return ++tests;
   }
--- a/src/main/java/linengauge/platform/Service.java
+++ b/src/main/java/linengauge/platform/Service.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import linengauge.briefing.BadBriefing;
+import linengauge.carry.EventWriter;
 import linengauge.carry.Sparse;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,6 +21,7 @@
   private final Configuration posting;
   private final VertxNet net;
   private final Sparse sparse = new Sparse(LOG);
+  private final EventWriter<LogEvent> events = new EventWriter<>(LOG, LogEvent::line);
   private final CompletableFuture<String> over = new CompletableFuture<>();
   private final Object reload = new Object();
   private final AtomicBoolean reloadWaits = new AtomicBoolean();
@@ -55,6 +57,7 @@
     }
     service.begin().whenComplete((v, e) -> early.complete(service));
     String failed = service.over.join();
+    service.events.flush();
     if (!failed.isEmpty()) {
       System.err.println("linengauge: " + failed);
     }
@@ -64,6 +67,7 @@
   /** Begins; the future is done once it listens. */
   CompletableFuture<Void> begin() {
     var listening = new CompletableFuture<Void>();
+    events.start();
     net.onLoop(
         () -> {
           front = new PlatformFront(posting, net, this);
@@ -137,6 +141,11 @@
     LOG.info("{}", line);
   }
 
+  @Override
+  public void event(LogEvent event) {
+    events.accept(event);
+  }
+
   @Override
   public void over(String failed, RuntimeException cause) {
     if (cause != null) {
--- a/src/main/java/linengauge/platform/codec/Texts.java
+++ b/src/main/java/linengauge/platform/codec/Texts.java
@@ -56,6 +56,12 @@
         : -1;
   }
 
+  /** A server's id as the platform writes it; the contrary of {@link #box}. */
+  public static String server(long id) {
+    String hex = Long.toHexString(id & 0xffffffffL);
+    return "s-" + "0".repeat(8 - hex.length()) + hex;
+  }
+
   static boolean hex(String text, int from) {
     for (int i = from; i < text.length(); i++) {
       if (Character.digit(text.charAt(i), 16) < 0 || text.charAt(i) > 'f') {
--- a/src/main/java/linengauge/session/Desk.java
+++ b/src/main/java/linengauge/session/Desk.java
@@ -10,6 +10,7 @@
 import linengauge.Headend;
 import linengauge.Moment;
 import linengauge.Outside;
+import linengauge.Outside.Refusal;
 import linengauge.Policy;
 import linengauge.Span;
 
@@ -153,14 +154,11 @@
     Span patience = ask.patience().minus(unseen).minus(margin);
     Held before = ask.key() == null ? null : byKey.get(ask.key());
     boolean full = held.size() >= bounds.viewings();
-    if (stopping
-        || broken
-        || full
-        || !Span.NONE.under(patience)
-        || before != null && !before.isPlaying()) {
+    Refusal refusal = refusal(full, patience, before);
+    if (refusal != null) {
       counts.turnedAwayFull += full ? 1 : 0;
       counts.blocked++;
-      viewer.blocked(bounds.advice());
+      viewer.blocked(bounds.advice(), refusal);
       return null;
     }
     if (before != null) {
@@ -191,6 +189,23 @@
     return vw;
   }
 
+  /** Why a request is not taken; null where it is. */
+  private Refusal refusal(boolean full, Span patience, Held before) {
+    if (broken) {
+      return Refusal.FRONT_FAILED;
+    }
+    if (stopping) {
+      return Refusal.FRONT_STOPPING;
+    }
+    if (full) {
+      return Refusal.FRONT_FULL;
+    }
+    if (!Span.NONE.under(patience)) {
+      return Refusal.DEADLINE_TOO_CLOSE;
+    }
+    return before != null && !before.isPlaying() ? Refusal.SAME_KEY_OPEN : null;
+  }
+
   /**
    * A viewing that plays already at a box, handed over to this front. Null where it cannot be held
    * (the box is not known here or gone, or the front is full or stopping): the viewer has been told
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -170,10 +170,10 @@
   }
 
   @Override
-  public void block(Span comeBackAfter) {
+  public void block(Span comeBackAfter, Outside.Refusal reason) {
     if (answer()) {
       desk.counts().blocked++;
-      viewer.blocked(comeBackAfter);
+      viewer.blocked(comeBackAfter, reason);
       desk.release(this);
     }
   }
@@ -407,6 +407,7 @@
     callOff(nextLook);
     out = false;
     last = how;
+    viewer.attemptEnded(tuneIns - 1, at, how);
     handle.tuneInEnded(how, over);
     if (!out) {
       at = null;
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -103,7 +103,7 @@
     }
 
     @Override
-    public void block(Span comeBackAfter) {
+    public void block(Span comeBackAfter, Refusal reason) {
       act("bounce", id, comeBackAfter.micros());
       answered();
     }
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -137,7 +137,7 @@
     }
 
     @Override
-    public void block(Span comeBackAfter) {
+    public void block(Span comeBackAfter, Outside.Refusal reason) {
       assertFalse(terms.paidAtSetUp() && mayHaveRun, "blocked though it may have run");
       answered("blocked");
     }
--- /dev/null
+++ b/src/test/java/linengauge/platform/EventLogTest.java
@@ -0,0 +1,96 @@
+package linengauge.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import java.util.List;
+import linengauge.Moment;
+import linengauge.Span;
+import linengauge.carry.EventWriter;
+import linengauge.platform.LogEvent.Kind;
+import linengauge.standin.PlatformViewers;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+/** What operators find in the log of a request, and what bounds the log. */
+class EventLogTest {
+  private static List<String> ofRequest(PaperNet net, long id) {
+    return net.events.stream().filter(e -> e.request() == id).map(LogEvent::line).toList();
+  }
+
+  private static int indexOf(List<String> lines, String... parts) {
+    for (int i = 0; i < lines.size(); i++) {
+      if (List.of(parts).stream().allMatch(lines.get(i)::contains)) {
+        return i;
+      }
+    }
+    throw new AssertionError(String.join(" ", parts) + " is not in\n" + String.join("\n", lines));
+  }
+
+  /** Guards against a log that cannot say which attempt was where, on which connection, and why. */
+  @Test
+  void aRetryLogsTheWholeRequestWithServersAttemptsConnectionsAndReasons() throws Exception {
+    PaperNet net = PaperNet.front();
+    String at = net.setUpOut();
+    net.pass(Span.ofSeconds(3));
+    String server = at.endsWith(":3") ? "server=s-00000001" : "server=s-00000002";
+    List<String> lines = ofRequest(net, 7);
+    int taken = indexOf(lines, "event=request-taken", "request=0000000000000007", "class lesson");
+    int sent = indexOf(lines, "event=attempt-sent", "attempt=0", "connection=", server);
+    int gaveUp = indexOf(lines, "event=give-up-sent", "attempt=0", "connection=", server);
+    int ended = indexOf(lines, "event=attempt-ended", "attempt=0", "reason=\"");
+    int retry = indexOf(lines, "event=attempt-sent", "attempt=1");
+    int refused = indexOf(lines, "event=request-refused", "reason=\"");
+    assertTrue(
+        taken < sent && sent < gaveUp && gaveUp < ended && ended < retry && retry < refused,
+        String.join("\n", lines));
+  }
+
+  /** Guards against a log that grows with the ordinary traffic. */
+  @Test
+  void aRequestAnsweredByItsFirstAttemptIsNotLogged() throws Exception {
+    PaperNet net = PaperNet.front();
+    net.answers(net.setUpOut(), 7);
+    net.viewersLines.get(0).comes(PlatformViewers.message(12, 7, 61, new byte[1]));
+    net.settle();
+    assertEquals(List.of(), ofRequest(net, 7));
+  }
+
+  /** Guards against closes without a reason. */
+  @Test
+  void everyCloseOfAServersConnectionSaysWhoAndWhyAndWhatWasOpen() throws Exception {
+    PaperNet net = PaperNet.front();
+    String at = net.setUpOut();
+    net.box(at).comes("no such thing");
+    net.settle();
+    List<String> lines = net.events.stream().map(LogEvent::line).toList();
+    indexOf(lines, "event=connection-closed", "a line that is no JSON", "1 attempts out");
+  }
+
+  /** Guards against a log that takes the front's memory or its disk when everything goes wrong. */
+  @Test
+  void linesPastTheBoundsAreDroppedAndCounted() throws Exception {
+    Logger logger = (Logger) LoggerFactory.getLogger("bounded");
+    logger.setLevel(Level.INFO);
+    logger.setAdditive(false);
+    ListAppender<ILoggingEvent> written = new ListAppender<>();
+    written.start();
+    logger.addAppender(written);
+    EventWriter<LogEvent> writer = new EventWriter<>(logger, LogEvent::line);
+    EventLog events = new EventLog(() -> new Moment(1), writer::accept);
+    for (int i = 0; i < 10_000; i++) {
+      events.ofFront(Kind.DISCOVERY, "closed");
+    }
+    writer.flush();
+    assertTrue(written.list.size() <= 2002, written.list.size() + " lines");
+    assertTrue(written.list.size() >= 1000, written.list.size() + " lines");
+    Thread.sleep(1100);
+    writer.flush();
+    String last = written.list.get(written.list.size() - 1).getFormattedMessage();
+    assertTrue(last.startsWith("event=events-dropped count="), last);
+  }
+}
--- a/src/test/java/linengauge/platform/PaperNet.java
+++ b/src/test/java/linengauge/platform/PaperNet.java
@@ -35,6 +35,9 @@
 
   final List<String> said = new ArrayList<>();
 
+  /** What was told to the log. */
+  final List<LogEvent> events = new ArrayList<>();
+
   /** Addresses that refuse. */
   final List<String> refusing = new ArrayList<>();
 
@@ -383,6 +386,11 @@
     said.add(line);
   }
 
+  @Override
+  public void event(LogEvent event) {
+    events.add(event);
+  }
+
   @Override
   public void over(String failed, RuntimeException cause) {
     if (!failed.isEmpty()) {
--- a/src/test/java/linengauge/platform/PlatformFrontTest.java
+++ b/src/test/java/linengauge/platform/PlatformFrontTest.java
@@ -55,10 +55,10 @@
     net.refusing.add(at);
     net.boxesAnswerTests = false;
     net.pass(Span.ofMillis(6000)); // tested in its silence, then a connection is tried
-    assertFalse(net.said.contains("box lost"), net.said.toString());
+    assertFalse(net.said.contains("server lost"), net.said.toString());
     net.box(at).breaks();
     net.pass(Span.ofMillis(500));
-    assertTrue(net.said.contains("box lost"), "nothing else is up, and nothing listens");
+    assertTrue(net.said.contains("server lost"), "nothing else is up, and nothing listens");
   }
 
   @Test
--- a/src/test/java/linengauge/session/CoreStage.java
+++ b/src/test/java/linengauge/session/CoreStage.java
@@ -90,7 +90,7 @@
     }
 
     @Override
-    public void blocked(Span comeBackAfter) {
+    public void blocked(Span comeBackAfter, Outside.Refusal reason) {
       advice = comeBackAfter;
       answered("blocked", "");
     }
--- a/src/test/java/linengauge/session/LateAnswerTest.java
+++ b/src/test/java/linengauge/session/LateAnswerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import linengauge.Headend;
 import linengauge.Moment;
+import linengauge.Outside;
 import linengauge.PackageTerms;
 import linengauge.Span;
 import org.junit.jupiter.api.Test;
@@ -59,7 +60,7 @@
         }
 
         @Override
-        public void blocked(Span comeBackAfter) {
+        public void blocked(Span comeBackAfter, Outside.Refusal reason) {
           done.add("blocked");
         }
 
