A retry goes to the same server only once the end before it is confirmed there

Cause: an attempt that was given up here was taken to be over there. Its end left on the connection of the attempt, the next attempt to the same server on another one (ServerLink.connection takes one that has not carried the id), and TCP orders nothing between two connections; read the other way round, the end ended the new attempt and the old one went on. The same after a close.

Why this works: UnconfirmedAttempts, asked for every choice, bars a server in whose hands an attempt of the request may still be, by the server's id. It is freed by what the server can only have said after reading the end, on the connection of the end: FINISHED, a release of that id, or the answer to a test written after it (UnconfirmedEnds). A close or a late answer frees nothing. Another server that holds the title is taken at once; where none is left the request waits 250 ms for the confirmation and is refused with that reason. A connection is kept for a second while an end on it is unconfirmed: it was closed 12 us after the end before. Endings say whether they are confirmed: a release by the server with any cause is (RESET is new, told from BROKEN), a time-out or close is not. The simulator tells an outcome once the attempt is over there, so its adapter passes all as confirmed.

Tests changed: the stage now fails any attempt at a server with an unconfirmed one. CrossingOrdersTest.triedAgain and PolicyTest.aBoxThatWasHeardMeanwhile... expected a retry at the only server without a word of it, which is the fault; they now have the server confirm, and assert that nothing leaves before.

--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -55,6 +55,8 @@
     /** Every server that may take it would be short, even at the lowest rung. */
     SERVERS_FULL,
     ATTEMPTS_USED_UP,
+    /** An earlier attempt may still be out at every server that could take one. */
+    EARLIER_ATTEMPT_UNCONFIRMED,
     RETRY_BUDGET_USED_UP,
     DEADLINE_TOO_CLOSE,
     FRONT_FULL,
@@ -65,31 +67,43 @@
 
   /** The front's line to one media box. */
   interface Line {
+    /** The server's id in the list: the same whenever it is listed again. */
+    long id();
+
     void probe();
   }
 
   /**
    * How a tune-in that is no longer out has ended. UNHEARD: no answer came, and the box was heard
    * meanwhile on a connection that it has kept, so it lives and has not started anew; HELD_UP: no
-   * answer was read in time, as the front stood still.
+   * answer was read in time, as the front stood still. BROKEN: its connection closed; RESET: the
+   * server says that it broke on its way; SPOILT: it was answered with what no client can use.
    */
   enum Ending {
-    FINISHED(false),
-    ERROR(false),
-    TURNED_AWAY(true),
-    NO_ANSWER(false),
-    NOT_REACHED(true),
-    BROKEN(false),
-    UNHEARD(false),
-    HELD_UP(false),
-    WITHDRAWN(false),
-    NEVER_SENT(true);
+    FINISHED(false, true),
+    ERROR(false, true),
+    TURNED_AWAY(true, true),
+    NO_ANSWER(false, false),
+    NOT_REACHED(true, true),
+    BROKEN(false, false),
+    RESET(false, true),
+    SPOILT(false, false),
+    UNHEARD(false, false),
+    HELD_UP(false, false),
+    WITHDRAWN(false, false),
+    NEVER_SENT(true, true);
 
     /** It is certain that the set-up never ran. */
     public final boolean neverRan;
 
-    Ending(boolean neverRan) {
+    /**
+     * It is certain that nothing of it is out at its server: the server said so, or it never left.
+     */
+    public final boolean confirmed;
+
+    Ending(boolean neverRan, boolean confirmed) {
       this.neverRan = neverRan;
+      this.confirmed = confirmed;
     }
   }
 }
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -65,6 +65,10 @@
   public static final Span ANSWER_MARGIN = Span.ofMillis(60);
   public static final double MARGIN_PART = 0.1; // of a patience, at the most
   private static final Span HOLD = Span.ofMillis(100);
+
+  /** How long a request waits for a server to confirm the end of an earlier attempt. */
+  private static final Span CONFIRM_WAIT = Span.ofMillis(250);
+
   private static final Span COME_BACK = Span.ofMillis(600);
   private static final Span FIRST_AVOID = Span.ofSeconds(1);
   private static final int MOST_DOUBLINGS = 3;
@@ -853,6 +857,9 @@
     private boolean playing;
     private boolean answered;
     private boolean mayHaveRun;
+    private final UnconfirmedAttempts unconfirmed = new UnconfirmedAttempts();
+    private Moment endedAt = Moment.DISTANT_PAST;
+    private boolean holding;
 
     private Viewing(
         Outside.Player player, PackageTerms terms, Title title, int ceiling, Moment patienceEnds) {
@@ -970,13 +977,44 @@
       } else if (best == null
           && mayStillPlay()
           && HOLD.under(patienceLeft(this))
-          && now.plus(HOLD).before(target)) {
-        outside.wakeAfter(HOLD, this::place);
+          && (now.plus(HOLD).before(target) || awaitsConfirmation())) {
+        hold();
       } else {
         giveUp(best);
       }
     }
 
+    private void hold() {
+      if (!holding) {
+        holding = true;
+        outside.wakeAfter(
+            HOLD,
+            () -> {
+              holding = false;
+              place();
+            });
+      }
+    }
+
+    /** A server could take it but for an earlier attempt whose end may be confirmed any moment. */
+    private boolean awaitsConfirmation() {
+      return barredByUnconfirmed() && now.since(endedAt).under(CONFIRM_WAIT);
+    }
+
+    private boolean barredByUnconfirmed() {
+      if (unconfirmed.isEmpty()) {
+        return false;
+      }
+      for (List<MediaBox> shelf : cells) {
+        for (MediaBox b : shelf) {
+          if (unconfirmed.mayBeOutAt(b.line.id()) && mayTuneInButForUnconfirmed(this, b)) {
+            return true;
+          }
+        }
+      }
+      return false;
+    }
+
     /**
      * Even on its lowest rung it would make its best box short, which costs all that play there
      * more than it is worth. Should hold against any crowd; it harms where those could still step
@@ -1065,11 +1103,12 @@
 
     /** The final answer, at once: blocked where that is safe to say, else aborted. */
     private void giveUp(MediaBox best) {
+      Outside.Refusal reason = refusal(best);
       answered = true;
       if (mayHaveRun && terms.paidAtSetUp()) {
         player.abort();
       } else {
-        player.block(COME_BACK.orLess(house.permits().longestAdvice()), refusal(best));
+        player.block(COME_BACK.orLess(house.permits().longestAdvice()), reason);
       }
     }
 
@@ -1083,8 +1122,11 @@
       if (!margin.under(patienceLeft(this))) {
         return Outside.Refusal.DEADLINE_TOO_CLOSE;
       }
-      return tuneIns > 0 && !furtherLeft()
-          ? Outside.Refusal.RETRY_BUDGET_USED_UP
+      if (tuneIns > 0 && !furtherLeft()) {
+        return Outside.Refusal.RETRY_BUDGET_USED_UP;
+      }
+      return barredByUnconfirmed()
+          ? Outside.Refusal.EARLIER_ATTEMPT_UNCONFIRMED
           : Outside.Refusal.NO_SERVER;
     }
 
@@ -1100,19 +1142,26 @@
       at.sample();
     }
 
-    /** The tune-in is no longer out; over says that the viewing has ended with it or before. */
-    public void tuneInEnded(Outside.Ending how, boolean over) {
+    /**
+     * The tune-in is no longer out; over says that the viewing has ended with it or before,
+     * confirmed that it is over at its server too.
+     */
+    public void tuneInEnded(Outside.Ending how, boolean over, boolean confirmed) {
       if (at == null) {
         return;
       }
       MediaBox b = at;
       boolean wasPlaying = playing;
       playing = false;
+      if (!confirmed) {
+        unconfirmed.endedUnconfirmed(b.line.id(), tuneIns - 1);
+      }
+      endedAt = now;
       leave();
       mayHaveRun |= !how.neverRan;
       switch (how) {
-        case ERROR, TURNED_AWAY, UNHEARD -> b.failed(false);
-        case NO_ANSWER, NOT_REACHED, BROKEN -> b.failed(true);
+        case ERROR, SPOILT, TURNED_AWAY, UNHEARD -> b.failed(false);
+        case NO_ANSWER, NOT_REACHED, BROKEN, RESET -> b.failed(true);
         default -> {}
       }
       b.sample();
@@ -1122,6 +1171,13 @@
       }
     }
 
+    /** That attempt, which ended unconfirmed, is over at its server too. */
+    public void endConfirmed(int attempt) {
+      if (unconfirmed.confirm(attempt) && holding) {
+        place();
+      }
+    }
+
     /** The viewer has gone; a tune-in that is out still ends by itself. */
     public void viewerLeft() {
       answered = true;
@@ -1152,6 +1208,10 @@
   /* ---- the gate: every send passes here, and every rule is kept here ---- */
 
   private boolean mayTuneIn(Viewing vw, MediaBox b) {
+    return !vw.unconfirmed.mayBeOutAt(b.line.id()) && mayTuneInButForUnconfirmed(vw, b);
+  }
+
+  private boolean mayTuneInButForUnconfirmed(Viewing vw, MediaBox b) {
     return !vw.answered
         && vw.at == null
         && vw.mayStillPlay() // one tune-in out, none twice
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -12,6 +12,7 @@
 import linengauge.platform.codec.Texts;
 import linengauge.platform.keep.Line;
 import linengauge.platform.keep.SpentIds;
+import linengauge.platform.keep.UnconfirmedEnds;
 import linengauge.session.Carrier.Wake;
 import linengauge.session.Held;
 
@@ -26,6 +27,9 @@
    */
   private static final Span SPENT_KEPT = Span.ofSeconds(8);
 
+  /** A connection stays open so long for the server to confirm an end that was written on it. */
+  private static final Span CONFIRMED_WITHIN = Span.ofSeconds(1);
+
   /** How it ended: closed by either side, or never there. */
   private enum Gone {
     CLOSED,
@@ -54,6 +58,12 @@
   private final Map<Long, Out> outs = new LinkedHashMap<>();
   private final SpentIds spent = new SpentIds(MOST_SPENT, SPENT_KEPT);
 
+  /** An attempt whose end was written here. */
+  private record GivenUp(Held held, int attempt) {}
+
+  private final UnconfirmedEnds<GivenUp> unconfirmed =
+      new UnconfirmedEnds<>(MOST_SPENT, SPENT_KEPT);
+
   /** Tests whose result is waited for, with their timers. */
   private final Map<Long, Wake> tests = new LinkedHashMap<>();
 
@@ -157,7 +167,7 @@
               }
             });
     for (long id : List.copyOf(tests.keySet())) {
-      write(BoxLines.test(id));
+      writeTest(id);
     }
   }
 
@@ -252,16 +262,21 @@
                   }
                 }));
     if (isUp()) {
-      write(BoxLines.test(id));
+      writeTest(id);
     }
   }
 
+  private void writeTest(long id) {
+    unconfirmed.testWritten(id);
+    write(BoxLines.test(id));
+  }
+
   /**
    * Asks whether the box is there at all: any answer is a sign, none is judged by {@link
    * ServerLink#look}.
    */
   void ask(long id) {
-    write(BoxLines.test(id));
+    writeTest(id);
   }
 
   /** Takes back a set-up that is out here; false where it is not. */
@@ -275,6 +290,7 @@
     if (out.written) {
       ((ClientSession) vw.viewer()).logged(Kind.GIVE_UP_SENT, link.box(), tuneIn, number, "");
       write(BoxLines.end(id));
+      unconfirmed.written(id, new GivenUp(vw, tuneIn), front().now());
       if (vw.waitLeft().equals(Span.NONE)) {
         line.unanswered(out.writtenAt);
       }
@@ -307,6 +323,7 @@
     link.reported(load);
     Out out = outs.get(id);
     if (out == null || !out.written) {
+      confirmed(unconfirmed.confirmed(id));
       link.ended(id, BoxLines.played(cause), this);
       return;
     }
@@ -316,9 +333,23 @@
     out.held.failed(out.tuneIn, BoxLines.unanswered(cause));
   }
 
+  @Override
+  public void endConfirmed(long id) {
+    confirmed(unconfirmed.confirmed(id));
+  }
+
+  private void confirmed(GivenUp attempt) {
+    if (attempt != null) {
+      ((ClientSession) attempt.held.viewer())
+          .logged(Kind.END_CONFIRMED, link.box(), attempt.attempt, number, "");
+      attempt.held.endConfirmed(attempt.attempt);
+    }
+  }
+
   @Override
   public void tested(long id, boolean passed, BoxLines.Load load) {
     link.reported(load);
+    unconfirmed.testAnswered(id).forEach(this::confirmed);
     Wake timer = tests.remove(id);
     if (timer != null) {
       timer.cancel();
@@ -353,7 +384,8 @@
   /* ---- its end ---- */
 
   void look(Moment now, Span rests) {
-    switch (line.verdict(load(), isUp() ? rests : Span.NONE, now)) {
+    int open = load() + (unconfirmed.awaitsSince(now.minus(CONFIRMED_WITHIN)) ? 1 : 0);
+    switch (line.verdict(open, isUp() ? rests : Span.NONE, now)) {
       case SPOILT -> close("a line that does not end");
       case RESTS -> {
         rested = !line.isRetired();
--- a/src/main/java/linengauge/platform/codec/BoxLines.java
+++ b/src/main/java/linengauge/platform/codec/BoxLines.java
@@ -30,6 +30,9 @@
 
     void ended(long id, int cause, Load load);
 
+    /** The end that was written for that id has been read. */
+    void endConfirmed(long id);
+
     void tested(long id, boolean passed, Load load);
 
     void shareDelivered(long id, double share);
@@ -143,7 +146,8 @@
         heard.tested(id, cause == 1, load(fields.get("load")));
       }
       case "NOTICE" -> note(id, String.valueOf(fields.get("note")), number(fields.get("value")));
-      case "PENDING", "FINISHED", "ECHO", "MOVE", "RATE" -> {
+      case "FINISHED" -> heard.endConfirmed(id);
+      case "PENDING", "ECHO", "MOVE", "RATE" -> {
         // nothing is owed for these
       }
       default -> throw new BadMessage("a line of no known type");
@@ -170,7 +174,7 @@
       case 34 -> Ending.TURNED_AWAY;
       case 47 -> Ending.ERROR;
       case 102 -> Ending.NEVER_SENT;
-      default -> Ending.BROKEN;
+      default -> Ending.RESET;
     };
   }
 
--- /dev/null
+++ b/src/main/java/linengauge/platform/keep/UnconfirmedEnds.java
@@ -0,0 +1,92 @@
+package linengauge.platform.keep;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import linengauge.Moment;
+import linengauge.Span;
+
+/**
+ * Ends of attempts that were written on one connection to a server and are not confirmed yet. A
+ * connection keeps the order of what is written on it, so whatever the server says there of the
+ * attempt, or of a test that was written after the end, shows that it has read the end. Nothing on
+ * another connection shows it, nor does a close.
+ *
+ * @param <A> the attempts
+ */
+public final class UnconfirmedEnds<A> {
+  private record End<A>(A attempt, long lastTest, Moment writtenAt) {}
+
+  private final int most;
+  private final Span kept;
+
+  /** By the request's id, the oldest first; bounded, the oldest goes; emptied by time. */
+  private final LinkedHashMap<Long, End<A>> ends = new LinkedHashMap<>();
+
+  /** The number of the latest test written on the connection; numbers only rise. */
+  private long lastTest = Long.MIN_VALUE;
+
+  public UnconfirmedEnds(int most, Span kept) {
+    this.most = most;
+    this.kept = kept;
+  }
+
+  /** The end of that attempt has been written. */
+  public void written(long id, A attempt, Moment now) {
+    look(now);
+    if (ends.size() == most) {
+      ends.remove(ends.keySet().iterator().next());
+    }
+    ends.put(id, new End<>(attempt, lastTest, now));
+  }
+
+  /** A test of that number has been written. */
+  public void testWritten(long number) {
+    lastTest = number;
+  }
+
+  /** The server has said that the attempt of that id is over; null where it was not in doubt. */
+  public A confirmed(long id) {
+    End<A> end = ends.remove(id);
+    return end == null ? null : end.attempt;
+  }
+
+  /** The server has answered that test: it has read every end that was written before. */
+  public List<A> testAnswered(long number) {
+    List<A> confirmed = new ArrayList<>();
+    if (number > lastTest) {
+      return confirmed; // never written here
+    }
+    Iterator<End<A>> all = ends.values().iterator();
+    while (all.hasNext()) {
+      End<A> end = all.next();
+      if (end.lastTest < number) {
+        confirmed.add(end.attempt);
+        all.remove();
+      }
+    }
+    return confirmed;
+  }
+
+  /** Whether an end written since that moment is still to be confirmed. */
+  public boolean awaitsSince(Moment from) {
+    for (End<A> end : ends.values()) {
+      if (!end.writtenAt.before(from)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  public int size() {
+    return ends.size();
+  }
+
+  private void look(Moment now) {
+    Iterator<End<A>> oldest = ends.values().iterator();
+    while (oldest.hasNext() && oldest.next().writtenAt.plus(kept).before(now)) {
+      oldest.remove();
+    }
+  }
+}
--- a/src/main/java/linengauge/session/BoxTable.java
+++ b/src/main/java/linengauge/session/BoxTable.java
@@ -61,6 +61,7 @@
       this.prober = prober;
     }
 
+    @Override
     public long id() {
       return id;
     }
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -276,6 +276,13 @@
     }
   }
 
+  /** That attempt, which has ended here, is over at its server too: the server has shown it. */
+  public void endConfirmed(int attempt) {
+    if (!answered) {
+      desk.call(() -> handle.endConfirmed(attempt));
+    }
+  }
+
   /** The box has told the share delivered. */
   public void shareDelivered(double share) {
     if (playing) {
@@ -408,7 +415,7 @@
     out = false;
     last = how;
     viewer.attemptEnded(tuneIns - 1, at, how);
-    handle.tuneInEnded(how, over);
+    handle.tuneInEnded(how, over, how.confirmed);
     if (!out) {
       at = null;
       desk.release(this);
--- a/src/main/java/linengauge/wire/WireFront.java
+++ b/src/main/java/linengauge/wire/WireFront.java
@@ -307,7 +307,8 @@
           if (vw != null) {
             vw.out = false;
             vw.answered |= over;
-            vw.handle.tuneInEnded(ending, over);
+            // The simulator tells how an attempt has ended once it is over at its server.
+            vw.handle.tuneInEnded(ending, over, true);
             release(vw);
           }
         });
--- a/src/test/java/linengauge/PolicyTest.java
+++ b/src/test/java/linengauge/PolicyTest.java
@@ -425,6 +425,8 @@
       Stage s = stage(1, false);
       Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
       v.ends(how);
+      assertTrue(v.out == null, how + ": the first may still be out there");
+      v.endConfirmed(0);
       assertEquals(
           how == Outside.Ending.NO_ANSWER, v.out == null, how + ": it may have started anew");
     }
@@ -550,4 +552,35 @@
       assertTrue(price > 0 ? there == 4 : there < 4, there + " of 4 at a price of " + price);
     }
   }
+
+  /**
+   * Guards against two attempts of one request out at a server that has not read the first's end.
+   */
+  @Test
+  void aServerThatMayStillHaveAnAttemptGetsNoFurtherOneUntilItIsConfirmed() {
+    for (Outside.Ending how : Outside.Ending.values()) {
+      if (how.confirmed) {
+        continue;
+      }
+      Stage s = stage(1, false);
+      Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+      v.ends(how);
+      s.pass(Span.ofMillis(200));
+      assertTrue(v.out == null && v.answer == null, how + ": it waits for the confirmation");
+      s.pass(PATIENCE);
+      assertEquals("blocked", v.answer, how + ": and not for ever");
+    }
+  }
+
+  /** Guards against an attempt that is forgotten as its server leaves the list and comes back. */
+  @Test
+  void aServerThatLeavesTheListAndComesBackIsStillTheOneThatMayHaveAnAttempt() {
+    Stage s = stage(1, false);
+    Stage.Viewer v = s.take(PLAIN, s.policy.title(0, 4), PATIENCE);
+    v.ends(Outside.Ending.UNHEARD);
+    s.boxes.get(0).gone();
+    s.boxes.get(0).serving(Moment.DISTANT_PAST);
+    s.pass(Span.ofMillis(150));
+    assertTrue(v.out == null, "the same server, by its id");
+  }
 }
--- a/src/test/java/linengauge/Stage.java
+++ b/src/test/java/linengauge/Stage.java
@@ -8,7 +8,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 
 /** One front with its boxes and viewers, and the six rules checked at every send and answer. */
@@ -25,6 +27,8 @@
     int probes;
     final List<Moment> sends = new ArrayList<>();
 
+    final long id = nextBoxId++;
+
     Box(int cell) {
       this.cell = cell;
       this.handle = policy.box(this);
@@ -48,6 +52,11 @@
       handle.gone();
     }
 
+    @Override
+    public long id() {
+      return id;
+    }
+
     @Override
     public void probe() {
       assertTrue(headend.permits().probes(), "probed where it may not");
@@ -56,6 +65,9 @@
   }
 
   final class Viewer implements Player {
+    /** Attempts that ended here without a word of their servers. */
+    final Map<Integer, Box> unconfirmed = new HashMap<>();
+
     final PackageTerms terms;
     final Policy.Title title;
     final int ceiling;
@@ -111,6 +123,7 @@
             made <= rules.furtherFree() + rules.furtherShare() * took,
             "further tune-ins over budget");
       }
+      assertFalse(unconfirmed.containsValue(box), "sent where an earlier attempt may still be out");
       out = box;
       this.timeout = timeout;
       int sent = tuneIns;
@@ -153,6 +166,12 @@
       answer = how;
     }
 
+    /** The server shows that it has read the end of that attempt. */
+    void endConfirmed(int attempt) {
+      unconfirmed.remove(attempt);
+      handle.endConfirmed(attempt);
+    }
+
     void plays() {
       answered("plays");
       playing = true;
@@ -166,11 +185,15 @@
       }
       playing = false;
       mayHaveRun |= !how.neverRan;
+      Box at = out;
       out = null;
       if (over || answer != null) {
         viewers.remove(this);
       }
-      handle.tuneInEnded(how, over);
+      if (!how.confirmed) {
+        unconfirmed.put(tuneIns - 1, at);
+      }
+      handle.tuneInEnded(how, over, how.confirmed);
     }
   }
 
@@ -188,6 +211,7 @@
       new PriorityQueue<>(
           (a, b) -> a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
   private long number;
+  private long nextBoxId;
   Moment now;
 
   Stage(Headend headend, long seed, int boxCount) {
--- a/src/test/java/linengauge/platform/CodecTest.java
+++ b/src/test/java/linengauge/platform/CodecTest.java
@@ -73,6 +73,11 @@
       heard.add("ended " + id + " " + cause + " " + load);
     }
 
+    @Override
+    public void endConfirmed(long id) {
+      heard.add("confirmed " + id);
+    }
+
     @Override
     public void tested(long id, boolean passed, BoxLines.Load load) {
       heard.add("tested " + id + " " + passed + " " + load);
--- a/src/test/java/linengauge/platform/CrossingOrdersTest.java
+++ b/src/test/java/linengauge/platform/CrossingOrdersTest.java
@@ -461,13 +461,22 @@
 
   /* ---- one id, two attempts ---- */
 
-  /** A front that knows one box; viewing 7 was not answered there and is tried again. */
+  /**
+   * A front that knows one box; viewing 7 was not answered there and is tried again once the box
+   * has confirmed the end of the first attempt.
+   */
   private static PaperNet triedAgain() throws Exception {
     PaperNet net = PaperNet.front();
     net.pass(Span.ofSeconds(3)); // young fronts send nothing to a box that may have started anew
     String at = net.setUpOut();
     net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
     net.boxesAnswerTests = false;
+    Line first = net.lines.stream().filter(l -> l.setUps.contains(7L)).findFirst().orElseThrow();
+    for (int i = 0; i < 100 && first.ended.isEmpty(); i++) {
+      net.pass(Span.ofMillis(20));
+    }
+    assertEquals(List.of(7L), net.setUps, "not before the first is over at the box");
+    first.comes("{\"verb\":\"FINISHED\",\"tag\":\"" + tag(7) + "\",\"opts\":{}}");
     for (int i = 0; i < 100 && net.setUps.size() < 2; i++) {
       net.pass(Span.ofMillis(20));
     }
--- a/src/test/java/linengauge/platform/KeepTest.java
+++ b/src/test/java/linengauge/platform/KeepTest.java
@@ -19,6 +19,7 @@
 import linengauge.platform.keep.Line;
 import linengauge.platform.keep.ReachabilityDetector;
 import linengauge.platform.keep.ReceiveQueue;
+import linengauge.platform.keep.UnconfirmedEnds;
 import org.junit.jupiter.api.Test;
 
 class KeepTest {
@@ -317,4 +318,32 @@
     idle.come(new byte[1], at(2000), at(2010));
     assertEquals(at(2000), idle.next().came(), "nothing that waited to be taken comes so late");
   }
+
+  /** Guards against a confirmation by what the server may have written before it read the end. */
+  @Test
+  void aTestConfirmsOnlyTheEndsThatWereWrittenBeforeIt() {
+    var ends = new UnconfirmedEnds<String>(8, Span.ofSeconds(8));
+    ends.testWritten(1);
+    ends.written(7, "seven", at(1));
+    assertEquals(List.of(), ends.testAnswered(1), "written before the end");
+    assertEquals(List.of(), ends.testAnswered(2), "never written here");
+    ends.testWritten(3);
+    ends.written(8, "eight", at(2));
+    assertEquals(List.of("seven"), ends.testAnswered(3));
+    assertEquals("eight", ends.confirmed(8));
+    assertNull(ends.confirmed(8));
+    assertEquals(0, ends.size());
+  }
+
+  /** Guards against a table that grows with every attempt given up. */
+  @Test
+  void endsThatAreNeverConfirmedLeaveByNumberAndByTime() {
+    var ends = new UnconfirmedEnds<String>(4, Span.ofSeconds(8));
+    for (long id = 0; id < 100; id++) {
+      ends.written(id, "some", at(1));
+    }
+    assertEquals(4, ends.size());
+    ends.written(200, "late", at(20_000));
+    assertEquals(1, ends.size());
+  }
 }
--- /dev/null
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -0,0 +1,101 @@
+package linengauge.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import linengauge.Span;
+import linengauge.platform.PaperNet.Line;
+import org.junit.jupiter.api.Test;
+
+/** A front that knows one server: what must have come from it before a request goes there again. */
+class RetryOrderTest {
+  private static final long REQUEST = 7;
+
+  /**
+   * Its first attempt was given up, though the server shows that it is there; tests are answered
+   * only where a test of this class says so.
+   */
+  private static PaperNet givenUp() throws Exception {
+    PaperNet net = PaperNet.front(text -> text.replace("\"probing\":true", "\"probing\":false"));
+    net.pass(Span.ofSeconds(3)); // young fronts send nothing to a server that may have started anew
+    String at = net.setUpOut();
+    net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
+    net.boxesAnswerTests = false;
+    net.pass(Span.ofMillis(50));
+    first(net).comes(line("PENDING", ""));
+    for (int i = 0; i < 100 && first(net).ended.isEmpty(); i++) {
+      net.pass(Span.ofMillis(10));
+    }
+    assertEquals(List.of(REQUEST), first(net).ended);
+    return net;
+  }
+
+  private static Line first(PaperNet net) {
+    return net.lines.stream().filter(l -> l.setUps.contains(REQUEST)).findFirst().orElseThrow();
+  }
+
+  private static String line(String verb, String more) {
+    return "{\"verb\":\"" + verb + "\",\"tag\":\"0000000000000007\",\"opts\":{}" + more + "}";
+  }
+
+  private static int attempts(PaperNet net) {
+    net.pass(Span.ofMillis(150));
+    return net.setUps.size();
+  }
+
+  /**
+   * Guards against a second attempt while nothing shows that the server has read the first's end.
+   */
+  @Test
+  void withoutAWordNoFurtherAttemptGoesToTheSameServer() throws Exception {
+    PaperNet net = givenUp();
+    net.pass(Span.ofSeconds(3));
+    assertEquals(List.of(REQUEST), net.setUps);
+    assertTrue(
+        net.events.stream().anyMatch(e -> e.reason().equals("EARLIER_ATTEMPT_UNCONFIRMED")),
+        () -> "the refusal says why: " + net.events);
+  }
+
+  /** Guards against refusing what the server has cleared. */
+  @Test
+  void aConfirmedOrRefusedEndFreesTheServer() throws Exception {
+    for (String word :
+        List.of(line("FINISHED", ""), line("FINISH", ",\"rc\":34"), line("FINISH", ",\"rc\":16"))) {
+      PaperNet net = givenUp();
+      first(net).comes(word);
+      assertEquals(2, attempts(net), word);
+    }
+  }
+
+  /** Guards against taking for a confirmation what the server may write before it reads the end. */
+  @Test
+  void aLateAnswerOrTheCloseOfTheConnectionConfirmsNothing() throws Exception {
+    PaperNet answered = givenUp();
+    first(answered).comes(line("STARTED", ",\"blob\":\"late\""));
+    assertEquals(1, attempts(answered));
+    assertFalse(first(answered).over, "its end may still be confirmed");
+    PaperNet closed = givenUp();
+    first(closed).breaks();
+    assertEquals(1, attempts(closed));
+  }
+
+  /** Guards against a retry that overtakes the close of the connection before it. */
+  @Test
+  void anAttemptWhoseConnectionClosesIsNotTriedAgainAtItsServer() throws Exception {
+    for (boolean byTheServer : new boolean[] {true, false}) {
+      PaperNet net = PaperNet.front(t -> t.replace("\"probing\":true", "\"probing\":false"));
+      net.pass(Span.ofSeconds(3));
+      String at = net.setUpOut();
+      net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
+      if (byTheServer) {
+        first(net).breaks();
+      } else {
+        first(net).comes("no such thing");
+      }
+      net.pass(Span.ofSeconds(3));
+      assertEquals(List.of(REQUEST), net.setUps);
+    }
+  }
+}
