Where no other server is left, the one in doubt is asked to confirm the end

So a request whose every other server is used up waited 250 ms for nothing. Now it asks once, by a test on the connection that carried the end: its answer shows that the end has been read, as a connection keeps order. The test is debited to the budget of probes. RetryOrderTest's new case failed before (one attempt, refused with EARLIER_ATTEMPT_UNCONFIRMED).

--- a/src/main/java/linengauge/Outside.java
+++ b/src/main/java/linengauge/Outside.java
@@ -36,6 +36,12 @@
   interface Player {
     void tuneIn(Policy.MediaBox box, Span timeout);
 
+    /**
+     * Asks the server to show that it has read the end of that attempt, where it can be asked; told
+     * by {@link Policy.Viewing#endConfirmed}.
+     */
+    default void askConfirmation(long server) {}
+
     void rung(int rung);
 
     /**
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -861,6 +861,9 @@
     private Moment endedAt = Moment.DISTANT_PAST;
     private boolean holding;
 
+    /** Asked for a confirmation since its last attempt. */
+    private boolean asked;
+
     private Viewing(
         Outside.Player player, PackageTerms terms, Title title, int ceiling, Moment patienceEnds) {
       this.player = player;
@@ -978,6 +981,7 @@
           && mayStillPlay()
           && HOLD.under(patienceLeft(this))
           && (now.plus(HOLD).before(target) || awaitsConfirmation())) {
+        askConfirmation();
         hold();
       } else {
         giveUp(best);
@@ -996,23 +1000,33 @@
       }
     }
 
+    /** Asks once after each attempt, where nothing else is left; later probes pay for it. */
+    private void askConfirmation() {
+      MediaBox barred = barredByUnconfirmed();
+      if (barred != null && !asked && house.permits().probes()) {
+        asked = true;
+        probesLeft--;
+        player.askConfirmation(barred.line.id());
+      }
+    }
+
     /** A server could take it but for an earlier attempt whose end may be confirmed any moment. */
     private boolean awaitsConfirmation() {
-      return barredByUnconfirmed() && now.since(endedAt).under(CONFIRM_WAIT);
+      return barredByUnconfirmed() != null && now.since(endedAt).under(CONFIRM_WAIT);
     }
 
-    private boolean barredByUnconfirmed() {
+    private MediaBox barredByUnconfirmed() {
       if (unconfirmed.isEmpty()) {
-        return false;
+        return null;
       }
       for (List<MediaBox> shelf : cells) {
         for (MediaBox b : shelf) {
           if (unconfirmed.mayBeOutAt(b.line.id()) && mayTuneInButForUnconfirmed(this, b)) {
-            return true;
+            return b;
           }
         }
       }
-      return false;
+      return null;
     }
 
     /**
@@ -1125,7 +1139,7 @@
       if (tuneIns > 0 && !furtherLeft()) {
         return Outside.Refusal.RETRY_BUDGET_USED_UP;
       }
-      return barredByUnconfirmed()
+      return barredByUnconfirmed() != null
           ? Outside.Refusal.EARLIER_ATTEMPT_UNCONFIRMED
           : Outside.Refusal.NO_SERVER;
     }
@@ -1157,6 +1171,7 @@
         unconfirmed.endedUnconfirmed(b.line.id(), tuneIns - 1);
       }
       endedAt = now;
+      asked = false;
       leave();
       mayHaveRun |= !how.neverRan;
       switch (how) {
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -333,6 +333,11 @@
     out.held.failed(out.tuneIn, BoxLines.unanswered(cause));
   }
 
+  /** An end of that id has been written here and not been confirmed. */
+  boolean awaitsConfirmation(long id) {
+    return isUp() && unconfirmed.awaits(id);
+  }
+
   @Override
   public void endConfirmed(long id) {
     confirmed(unconfirmed.confirmed(id));
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -72,6 +72,15 @@
     }
   }
 
+  /** A test written behind the end shows, once it is answered, that the end has been read. */
+  void askConfirmation(long id) {
+    for (ServerConnection w : wires) {
+      if (w.awaitsConfirmation(id)) {
+        w.ask(links.testId());
+      }
+    }
+  }
+
   void probe() {
     ServerConnection w = connection(0);
     if (w == null) {
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -128,6 +128,14 @@
     return link(vw.box()).unanswered(vw, tuneIn);
   }
 
+  @Override
+  public void askConfirmation(Held vw, long box) {
+    ServerLink link = links.get(box);
+    if (link != null) {
+      link.askConfirmation(((ClientSession) vw.viewer()).id());
+    }
+  }
+
   @Override
   public void probe(BoxTable.Entry box) {
     link(box).probe();
--- a/src/main/java/linengauge/platform/keep/UnconfirmedEnds.java
+++ b/src/main/java/linengauge/platform/keep/UnconfirmedEnds.java
@@ -69,6 +69,11 @@
     return confirmed;
   }
 
+  /** Whether the end of that id is still to be confirmed. */
+  public boolean awaits(long id) {
+    return ends.containsKey(id);
+  }
+
   /** Whether an end written since that moment is still to be confirmed. */
   public boolean awaitsSince(Moment from) {
     for (End<A> end : ends.values()) {
--- a/src/main/java/linengauge/session/Carrier.java
+++ b/src/main/java/linengauge/session/Carrier.java
@@ -43,6 +43,12 @@
     return Outside.Ending.NO_ANSWER;
   }
 
+  /**
+   * Asks that box to show that it has read the ends of that viewing's attempts, where they can
+   * still be asked for on the connections that carried them.
+   */
+  default void askConfirmation(Held vw, long box) {}
+
   /** Asks a box for its load; the outcome is told by {@link Desk#probed}. */
   void probe(BoxTable.Entry box);
 
--- a/src/main/java/linengauge/session/Held.java
+++ b/src/main/java/linengauge/session/Held.java
@@ -154,6 +154,11 @@
             });
   }
 
+  @Override
+  public void askConfirmation(long server) {
+    desk.carrier().askConfirmation(this, server);
+  }
+
   private void timedOut(int n) {
     // One that still waits for its connection never ran: that is no secret from the module.
     Outside.Ending how = sent ? desk.carrier().unanswered(this, n) : Outside.Ending.NOT_REACHED;
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -18,11 +18,16 @@
    * only where a test of this class says so.
    */
   private static PaperNet givenUp() throws Exception {
-    PaperNet net = PaperNet.front(text -> text.replace("\"probing\":true", "\"probing\":false"));
+    return givenUp(false);
+  }
+
+  private static PaperNet givenUp(boolean probing) throws Exception {
+    PaperNet net =
+        PaperNet.front(text -> text.replace("\"probing\":true", "\"probing\":" + probing));
     net.pass(Span.ofSeconds(3)); // young fronts send nothing to a server that may have started anew
     String at = net.setUpOut();
     net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
-    net.boxesAnswerTests = false;
+    net.boxesAnswerTests = probing;
     net.pass(Span.ofMillis(50));
     first(net).comes(line("PENDING", ""));
     for (int i = 0; i < 100 && first(net).ended.isEmpty(); i++) {
@@ -69,6 +74,16 @@
     }
   }
 
+  /** Guards against a refusal where the server would confirm the end if it were asked. */
+  @Test
+  void whereNoOtherServerIsLeftItIsAskedForTheConfirmation() throws Exception {
+    PaperNet net = givenUp(true);
+    assertEquals(2, attempts(net));
+    assertTrue(
+        net.events.stream().anyMatch(e -> e.kind() == LogEvent.Kind.END_CONFIRMED),
+        () -> net.events.toString());
+  }
+
   /** Guards against taking for a confirmation what the server may write before it reads the end. */
   @Test
   void aLateAnswerOrTheCloseOfTheConnectionConfirmsNothing() throws Exception {
