Over HTTP, a box is tried again only after it has answered the end of the attempt

A set-up that timed out was reset and its end sent by DELETE on another connection, and the next PUT left at once on a third; after a broken connection no end was sent at all, and the viewing ran until its lease; an unusable playlist counted as an error, which says that nothing runs.

Fix: a box that answers DELETE keeps the end and refuses what comes late (docs/protocol/box.md), so its answer is the confirmation; a broken set-up is ended by DELETE too; a playlist that no client can use is SPOILT, which proves nothing.

--- a/src/main/java/linengauge/front/BoxCalls.java
+++ b/src/main/java/linengauge/front/BoxCalls.java
@@ -46,6 +46,7 @@
 
   /** A set-up that is out. */
   private static final class Out {
+    private final BoxTable.Entry box;
     private final int tuneIn;
 
     /** Of the viewing's addresses, as its viewer is to have them. */
@@ -55,7 +56,8 @@
     private boolean sent;
     private boolean over;
 
-    private Out(int tuneIn, String base) {
+    private Out(BoxTable.Entry box, int tuneIn, String base) {
+      this.box = box;
       this.tuneIn = tuneIn;
       this.base = base;
     }
@@ -132,7 +134,7 @@
 
   void setUp(Held vw, int tuneIn) {
     BoxTable.Entry box = vw.box();
-    Out o = new Out(tuneIn, program.viewerOf(vw).base());
+    Out o = new Out(box, tuneIn, program.viewerOf(vw).base());
     out.put(vw, o);
     others(
         setUps,
@@ -213,6 +215,9 @@
           if (!o.over) {
             o.over = true;
             out.remove(vw, o);
+            if (how == Ending.BROKEN) {
+              tellEnd(vw, o.box, o.tuneIn); // it may run there
+            }
             vw.failed(o.tuneIn, how);
           }
         });
@@ -285,7 +290,7 @@
           if (!o.over) {
             log.warn("broken playlist", box.toString(), what);
             withdraw(vw, box, o.tuneIn);
-            vw.failed(o.tuneIn, Ending.ERROR);
+            vw.failed(o.tuneIn, Ending.SPOILT);
           }
         });
   }
@@ -308,6 +313,10 @@
       }
     }
     program.notes().over(vw, box);
+    tellEnd(vw, box, tuneIn);
+  }
+
+  private void tellEnd(Held vw, BoxTable.Entry box, int tuneIn) {
     if (ends >= site.boxes().waitingEnds()) {
       endsGivenUp++;
       log.warn("end not told", box.toString(), "too many wait");
@@ -319,10 +328,15 @@
         box,
         "/viewings/" + vw.id() + "?tuneIn=" + tuneIn,
         site.boxes().endTries(),
-        new Backoff(Span.ofMillis(ms), Span.ofMillis(8L * ms), chance.split()));
+        new Backoff(Span.ofMillis(ms), Span.ofMillis(8L * ms), chance.split()),
+        () -> vw.endConfirmed(tuneIn));
   }
 
-  private void end(BoxTable.Entry box, String uri, int tries, Backoff pause) {
+  /**
+   * A box that has answered keeps the end: nothing of that tune-in runs there, nor can any more
+   * (docs/protocol/box.md).
+   */
+  private void end(BoxTable.Entry box, String uri, int tries, Backoff pause, Runnable confirmed) {
     if (closed) {
       return; // the front has ended; the box's lease ends it there
     }
@@ -335,8 +349,9 @@
         (status, r) -> {
           if (status >= 200 && status < 300 || status == 404 || status == 410) {
             ends--;
+            confirmed.run();
           } else if (tries > 1 && (status != 0 || box.state() != BoxTable.State.GONE)) {
-            program.wakeAfter(pause.next(), () -> end(box, uri, tries - 1, pause));
+            program.wakeAfter(pause.next(), () -> end(box, uri, tries - 1, pause, confirmed));
           } else {
             ends--;
             endsGivenUp++;
