What concerns a session keeps to the connection of its set-up

What callers could see: a rung that the front has left stays in force, or an end is read before what went ahead of it.

RetryOrderTest.whatConcernsASessionKeepsToTheConnectionOfItsSetUp failed before (the end left on the other session's connection). Now a session's lines take the connection of its set-up, and where that has closed, another one and then the same again. Renamed in ServerLink as touched: wires, sayings and say are connections, unsent and send.

--- a/src/main/java/linengauge/platform/ClientSession.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -36,6 +36,8 @@
   /** The connection that it was set up on, while it plays; null for one that was handed over. */
   private ServerConnection wire;
 
+  private ServerConnection lastUsed;
+
   /** Until when its viewer waits. */
   private final Moment answerBy;
 
@@ -201,6 +203,17 @@
     wire = by;
   }
 
+  /**
+   * The connection that carries what is told to its server; null where none has yet, or it closed.
+   */
+  ServerConnection lastUsed() {
+    return lastUsed;
+  }
+
+  void lastUsed(ServerConnection by) {
+    lastUsed = by;
+  }
+
   void home(ClientConnection line) {
     home = line;
   }
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -19,8 +19,8 @@
 
 /** One media box: its connections, and the viewings that stand there. */
 final class ServerLink {
-  private static final int MOST_WIRES = 4;
-  private static final int MOST_SAYINGS = 512;
+  private static final int MOST_CONNECTIONS = 4;
+  private static final int MOST_UNSENT = 512;
   private static final int MOST_EARLY_ENDS = 256;
 
   /** As long as the platform gives a front to release what has ended. */
@@ -32,15 +32,15 @@
   private final ServerLinks links;
   private final BoxTable.Entry box;
   private final ReachabilityDetector reach;
-  private final List<ServerConnection> wires = new ArrayList<>();
+  private final List<ServerConnection> connections = new ArrayList<>();
 
   /** Viewings that play at the box; each leaves with its end. */
   private final Map<Long, ClientSession> standing = new LinkedHashMap<>();
 
   private final EarlyEnds earlyEnds = new EarlyEnds(MOST_EARLY_ENDS, EARLY_END_KEPT);
 
-  /** What is to be said of them once a connection is there; bounded, the oldest goes. */
-  private final ArrayDeque<byte[]> sayings = new ArrayDeque<>();
+  /** Lines that wait for a connection to be written on; bounded, the oldest goes. */
+  private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
 
   ServerLink(ServerLinks links, BoxTable.Entry box) {
     this.links = links;
@@ -74,7 +74,7 @@
 
   /** A test written behind the end shows, once it is answered, that the end has been read. */
   void askConfirmation(long id) {
-    for (ServerConnection w : wires) {
+    for (ServerConnection w : connections) {
       if (w.awaitsConfirmation(id)) {
         w.ask(links.testId());
       }
@@ -91,19 +91,19 @@
   }
 
   void rung(ClientSession seat, int rung) {
-    say(BoxLines.rung(seat.id(), rung));
+    send(seat, BoxLines.rung(seat.id(), rung));
   }
 
   void withdraw(Held vw, int tuneIn) {
     ClientSession seat = (ClientSession) vw.viewer();
-    for (ServerConnection w : List.copyOf(wires)) {
+    for (ServerConnection w : List.copyOf(connections)) {
       if (w.withdraw(vw, tuneIn)) {
         return;
       }
     }
     // One that was never written is not said to be over.
     if (over(seat.id()) != null && !reach.lost(front().now())) {
-      say(BoxLines.end(seat.id()));
+      send(seat, BoxLines.end(seat.id()));
     }
   }
 
@@ -114,34 +114,54 @@
       front().later(() -> ended(seat.id(), how, null));
       return;
     }
-    if (wires.isEmpty()) {
+    if (connections.isEmpty()) {
       open();
     }
   }
 
-  private void say(byte[] line) {
+  /**
+   * Writes what concerns a session that stands. A connection keeps the order of what is written on
+   * it and two do not, so all of it takes the connection of its set-up as long as that can be used,
+   * then another one in the same way.
+   */
+  private void send(ClientSession session, byte[] line) {
+    ServerConnection by = session.lastUsed();
+    if (!usable(by)) {
+      by = lastHeard();
+      session.lastUsed(by);
+    }
+    if (by != null) {
+      by.write(line);
+    } else if (box.state() != BoxTable.State.GONE) {
+      sendOnceUp(line);
+      if (connections.isEmpty()) {
+        open();
+      }
+    }
+  }
+
+  private boolean usable(ServerConnection connection) {
+    return connection != null
+        && connection.isUp()
+        && !connection.isRetired()
+        && connections.contains(connection);
+  }
+
+  private ServerConnection lastHeard() {
     ServerConnection best = null;
-    for (ServerConnection w : wires) {
-      if (w.isUp()
-          && !w.isRetired()
-          && (best == null || best.line().heardAt().before(w.line().heardAt()))) {
+    for (ServerConnection w : connections) {
+      if (usable(w) && (best == null || best.line().heardAt().before(w.line().heardAt()))) {
         best = w;
       }
     }
-    if (best != null) {
-      best.write(line);
-      return;
-    }
-    if (box.state() == BoxTable.State.GONE) {
-      return; // nobody is there to hear it
-    }
-    if (sayings.size() == MOST_SAYINGS) {
-      sayings.poll();
-    }
-    sayings.add(line);
-    if (wires.isEmpty()) {
-      open();
+    return best;
+  }
+
+  private void sendOnceUp(byte[] line) {
+    if (unsent.size() == MOST_UNSENT) {
+      unsent.poll();
     }
+    unsent.add(line);
   }
 
   /**
@@ -150,7 +170,7 @@
    */
   private ServerConnection leastLoaded(long id) {
     ServerConnection least = null;
-    for (ServerConnection w : wires) {
+    for (ServerConnection w : connections) {
       if (!w.isRetired()
           && (least == null
               || least.hasSpent(id) && !w.hasSpent(id)
@@ -167,8 +187,8 @@
    */
   private ServerConnection connection(long id) {
     ServerConnection least = leastLoaded(id);
-    long usable = wires.stream().filter(w -> !w.isRetired()).count();
-    if (least != null && (least.load() == 0 && !least.hasSpent(id) || usable >= MOST_WIRES)) {
+    long usable = connections.stream().filter(w -> !w.isRetired()).count();
+    if (least != null && (least.load() == 0 && !least.hasSpent(id) || usable >= MOST_CONNECTIONS)) {
       return least;
     }
     ServerConnection fresh = open();
@@ -184,7 +204,7 @@
       return null;
     }
     ServerConnection w = new ServerConnection(this, address, reach.closings());
-    wires.add(w);
+    connections.add(w);
     w.connect();
     return w;
   }
@@ -193,7 +213,7 @@
 
   void up(ServerConnection w) {
     reach.up(w.closingsWhenBegun(), front().now());
-    for (byte[] line = sayings.poll(); line != null; line = sayings.poll()) {
+    for (byte[] line = unsent.poll(); line != null; line = unsent.poll()) {
       w.write(line);
     }
   }
@@ -208,12 +228,15 @@
    * keeps all open ({@link #look}).
    */
   void closed(ServerConnection w, boolean wasUp, boolean refused, boolean rested) {
-    wires.remove(w);
+    connections.remove(w);
     links.placeFree();
     for (ClientSession seat : standing.values()) {
       if (seat.wire() == w) {
         seat.wire(null);
       }
+      if (seat.lastUsed() == w) {
+        seat.lastUsed(null);
+      }
     }
     if (wasUp) {
       if (!rested) {
@@ -222,7 +245,7 @@
       return;
     }
     reach.failed(front().now());
-    if (refused && wires.stream().noneMatch(ServerConnection::isUp)) {
+    if (refused && connections.stream().noneMatch(ServerConnection::isUp)) {
       // Nothing listens there: its process has died, and what it played with it. Where another
       // connection is up it lives,
       // and has no place for more; had it died, that one would close now, and the next one tried be
@@ -248,6 +271,7 @@
   void plays(ClientSession seat, ServerConnection by) {
     standing.put(seat.id(), seat);
     seat.wire(by);
+    seat.lastUsed(by);
     by.line().stands(1);
   }
 
@@ -291,7 +315,7 @@
   }
 
   Ending unanswered(Held vw, int tuneIn) {
-    for (ServerConnection w : wires) {
+    for (ServerConnection w : connections) {
       Moment writtenAt = w.writtenAt(vw, tuneIn);
       if (writtenAt != null) {
         return silence(writtenAt, null);
@@ -309,7 +333,10 @@
         writtenAt,
         front().lag(),
         front().now(),
-        wires.stream().filter(w -> w != but && w.isUp()).map(ServerConnection::line).toList());
+        connections.stream()
+            .filter(w -> w != but && w.isUp())
+            .map(ServerConnection::line)
+            .toList());
   }
 
   /** The viewing of that id that plays here, or null. */
@@ -322,7 +349,7 @@
    * Of its connections that take nothing new and the given one, the one with the fewest viewings.
    */
   ServerConnection leastRetired(ServerConnection least) {
-    for (ServerConnection w : wires) {
+    for (ServerConnection w : connections) {
       if (w.isRetired()
           && w.load() == 0
           && (least == null || w.line().standing() < least.line().standing())) {
@@ -344,16 +371,16 @@
   boolean look(Moment now) {
     if (box.state() == BoxTable.State.GONE) {
       lost("gone from the list");
-      sayings.clear();
-      List.copyOf(wires).forEach(w -> w.close("its box has gone"));
-      return wires.isEmpty();
+      unsent.clear();
+      List.copyOf(connections).forEach(w -> w.close("its box has gone"));
+      return connections.isEmpty();
     }
     earlyEnds.look(now);
     int usable = 0;
     boolean coming = false;
     // The end of a viewing without a connection of its own may come on any that is open.
     boolean spareRests = standing.values().stream().allMatch(seat -> seat.wire() != null);
-    for (ServerConnection w : List.copyOf(wires)) {
+    for (ServerConnection w : List.copyOf(connections)) {
       w.look(
           now,
           usable == 0
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import linengauge.Span;
 import linengauge.platform.PaperNet.Line;
+import linengauge.standin.PlatformViewers;
 import org.junit.jupiter.api.Test;
 
 /** A front that knows one server: what must have come from it before a request goes there again. */
@@ -113,4 +114,30 @@
       assertEquals(List.of(REQUEST), net.setUps);
     }
   }
+
+  /** Two sessions of one server, set up on two connections; the second has been heard last. */
+  private static PaperNet twoStand() throws Exception {
+    PaperNet net = PaperNet.front(t -> t.replace("\"probing\":true", "\"probing\":false"));
+    net.pass(Span.ofSeconds(3));
+    String at = net.setUpOut();
+    net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
+    net.viewers().comes(PlatformViewers.setUp(REQUEST + 1, "lesson", 2000, ""));
+    net.settle();
+    for (long id = REQUEST; id <= REQUEST + 1; id++) {
+      long of = id;
+      Line by = net.lines.stream().filter(l -> l.setUps.contains(of)).findFirst().orElseThrow();
+      by.comes(line("STARTED", ",\"blob\":\"b\"").replace("7\",\"opts", id + "\",\"opts"));
+      net.pass(Span.ofMillis(10));
+    }
+    return net;
+  }
+
+  /** Guards against a rung or an end that overtakes what was written of the session before. */
+  @Test
+  void whatConcernsASessionKeepsToTheConnectionOfItsSetUp() throws Exception {
+    PaperNet net = twoStand();
+    net.viewersLines.get(0).comes(PlatformViewers.message(12, REQUEST, 61, new byte[] {16}));
+    net.settle();
+    assertEquals(List.of(REQUEST), first(net).ended);
+  }
 }
