An attempt under a connection that closes is ended on another one too

What callers could see: nothing at first; a server goes on playing for nobody. Where the front closes a connection (a line that cannot be read, a silent peer) or sees it reset, an answer to another attempt on it may be under way: at the server the session stands then, and a session that stands belongs to no connection, so the close does not end it. The front took the attempt for over and never said so: "given up here" for "over there" again.

RetryOrderTest.anAttemptWhoseConnectionClosesIsEndedOnAnotherConnection failed before (no end on any connection). Now the end is told on another connection that is up, or on the next one that comes up (none is opened for it), and once more a second later, as the first may be read before the set-up itself. It cannot hit a later attempt: the server gets none of the same request after a close.

--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -417,6 +417,9 @@
     boolean wasUp = socket != null;
     log(Kind.CONNECTION_CLOSED, why + ", " + outs.size() + " attempts out");
     for (Out out : ServerLinks.taken(outs)) {
+      if (out.written) {
+        link.endAfterClose(((ClientSession) out.held.viewer()).id());
+      }
       Ending broken =
           out.written && link.silence(out.writtenAt, this) == Ending.UNHEARD
               ? Ending.UNHEARD
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -26,6 +26,9 @@
   /** As long as the platform gives a front to release what has ended. */
   private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
 
+  /** Longer than what was written on one connection is read after what was written on another. */
+  private static final Span END_AGAIN = Span.ofSeconds(1);
+
   /** Connections beyond the first are closed when they have rested so long. */
   private static final Span SPARE_RESTS = Span.ofSeconds(4);
 
@@ -140,6 +143,26 @@
     }
   }
 
+  /**
+   * A connection has closed under an attempt. Its server may have answered meanwhile: then a
+   * session stands there that belongs to no connection and to no client. So its end is told on
+   * another one, or on the next that comes up; and once more later, as the first may overtake the
+   * set-up.
+   */
+  void endAfterClose(long id) {
+    endElsewhere(id);
+    front().after(END_AGAIN, () -> endElsewhere(id));
+  }
+
+  private void endElsewhere(long id) {
+    ServerConnection by = lastHeard();
+    if (by != null) {
+      by.write(BoxLines.end(id));
+    } else if (box.state() != BoxTable.State.GONE) {
+      sendOnceUp(BoxLines.end(id));
+    }
+  }
+
   private boolean usable(ServerConnection connection) {
     return connection != null
         && connection.isUp()
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -140,4 +140,23 @@
     net.settle();
     assertEquals(List.of(REQUEST), first(net).ended);
   }
+
+  /** Guards against a session that stands for nobody: answered as its connection was closed. */
+  @Test
+  void anAttemptWhoseConnectionClosesIsEndedOnAnotherConnection() throws Exception {
+    for (boolean byTheServer : new boolean[] {true, false}) {
+      PaperNet net = twoStand();
+      net.viewers().comes(PlatformViewers.setUp(9, "lesson", 2000, ""));
+      net.settle();
+      Line of = net.lines.stream().filter(l -> l.setUps.contains(9L)).findFirst().orElseThrow();
+      if (byTheServer) {
+        of.breaks();
+      } else {
+        of.comes("no such thing");
+      }
+      net.settle();
+      assertTrue(
+          net.lines.stream().anyMatch(l -> l != of && l.ended.contains(9L)), net.done.toString());
+    }
+  }
 }
