Sessions given up while their server was out of reach are ended once it is back

What callers could see: their sessions were released as cut, rightly, when no connection to the server came up for 3.5 s; but a server whose way alone was cut played on, and nobody ever told it to stop: a link that was out of reach said nothing, then or later.

Now the ends wait, bounded as all unsent lines (512 a server), for the next connection; none is opened for them.

--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -105,7 +105,12 @@
       }
     }
     // One that was never written is not said to be over.
-    if (over(seat.id()) != null && !reach.lost(front().now())) {
+    if (over(seat.id()) == null) {
+      return;
+    }
+    if (reach.lost(front().now())) {
+      sendOnceUp(BoxLines.end(seat.id())); // it may play on, and be reached again
+    } else {
       send(seat, BoxLines.end(seat.id()));
     }
   }
--- a/src/test/java/linengauge/platform/PaperNet.java
+++ b/src/test/java/linengauge/platform/PaperNet.java
@@ -38,6 +38,9 @@
   /** What was told to the log. */
   final List<LogEvent> events = new ArrayList<>();
 
+  /** Addresses that nothing comes up from. */
+  final List<String> unreachable = new ArrayList<>();
+
   /** Addresses that refuse. */
   final List<String> refusing = new ArrayList<>();
 
@@ -323,6 +326,10 @@
   @Override
   public void connect(String address, int mostUnread, Tried then) {
     tried.computeIfAbsent(address, a -> new ArrayList<>()).add(now);
+    if (unreachable.contains(address)) {
+      later(() -> then.failed(false, "Timeout"));
+      return;
+    }
     if (refusing.contains(address)) {
       later(() -> then.failed(true, "refused"));
       return;
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -159,4 +159,21 @@
           net.lines.stream().anyMatch(l -> l != of && l.ended.contains(9L)), net.done.toString());
     }
   }
+
+  /** Guards against sessions that play on for nobody at a server whose way was cut for long. */
+  @Test
+  void sessionsGivenUpWhileTheirServerWasOutOfReachAreEndedOnceItIsReachedAgain() throws Exception {
+    PaperNet net = twoStand();
+    Line first = first(net);
+    net.unreachable.add(first.to);
+    net.lines.stream().filter(l -> l.to.equals(first.to)).forEach(Line::breaks);
+    net.pass(Span.ofSeconds(5));
+    assertTrue(net.said.contains("server lost"), net.said.toString());
+    net.unreachable.clear();
+    net.pass(Span.ofSeconds(6)); // it may have started anew, and is not asked at once
+    net.viewers().comes(PlatformViewers.setUp(9, "lesson", 2000, ""));
+    net.settle();
+    Line again = net.box(first.to);
+    assertTrue(again.ended.containsAll(List.of(REQUEST, REQUEST + 1)), again.ended.toString());
+  }
 }
