An end written just before its connection closes is told again on another

What callers could see: a session goes on at its server though its client has left. An end that was written is lost where the connection is reset behind it, before the server has read it; and a session belongs to no connection, so the close does not end it. The front took what it had written for read.

Ends of sessions are kept with the unconfirmed ones of attempts, by connection; what was written in the last second before a close, and has not been confirmed, takes the same way as attempts under a close.

--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -58,7 +58,7 @@
   private final Map<Long, Out> outs = new LinkedHashMap<>();
   private final SpentIds spent = new SpentIds(MOST_SPENT, SPENT_KEPT);
 
-  /** An attempt whose end was written here. */
+  /** An attempt whose end was written here; none where it is that of a session that stood. */
   private record GivenUp(Held held, int attempt) {}
 
   private final UnconfirmedEnds<GivenUp> unconfirmed =
@@ -279,6 +279,16 @@
     writeTest(id);
   }
 
+  /** Tells that a session that stands is over. */
+  void end(long id) {
+    end(id, null);
+  }
+
+  private void end(long id, GivenUp attempt) {
+    write(BoxLines.end(id));
+    unconfirmed.written(id, attempt, front().now());
+  }
+
   /** Takes back a set-up that is out here; false where it is not. */
   boolean withdraw(Held vw, int tuneIn) {
     long id = ((ClientSession) vw.viewer()).id();
@@ -289,8 +299,7 @@
     outs.remove(id);
     if (out.written) {
       ((ClientSession) vw.viewer()).logged(Kind.GIVE_UP_SENT, link.box(), tuneIn, number, "");
-      write(BoxLines.end(id));
-      unconfirmed.written(id, new GivenUp(vw, tuneIn), front().now());
+      end(id, new GivenUp(vw, tuneIn));
       if (vw.waitLeft().equals(Span.NONE)) {
         line.unanswered(out.writtenAt);
       }
@@ -389,7 +398,7 @@
   /* ---- its end ---- */
 
   void look(Moment now, Span rests) {
-    int open = load() + (unconfirmed.awaitsSince(now.minus(CONFIRMED_WITHIN)) ? 1 : 0);
+    int open = load() + unconfirmed.since(now.minus(CONFIRMED_WITHIN)).size();
     switch (line.verdict(open, isUp() ? rests : Span.NONE, now)) {
       case SPOILT -> close("a line that does not end");
       case RESTS -> {
@@ -416,6 +425,8 @@
     closed = true;
     boolean wasUp = socket != null;
     log(Kind.CONNECTION_CLOSED, why + ", " + outs.size() + " attempts out");
+    // Written so lately, an end may be lost with the connection.
+    unconfirmed.since(front().now().minus(CONFIRMED_WITHIN)).forEach(link::endAfterClose);
     for (Out out : ServerLinks.taken(outs)) {
       if (out.written) {
         link.endAfterClose(((ClientSession) out.held.viewer()).id());
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -111,7 +111,7 @@
     if (reach.lost(front().now())) {
       sendOnceUp(BoxLines.end(seat.id())); // it may play on, and be reached again
     } else {
-      send(seat, BoxLines.end(seat.id()));
+      sendEnd(seat);
     }
   }
 
@@ -133,18 +133,37 @@
    * then another one in the same way.
    */
   private void send(ClientSession session, byte[] line) {
-    ServerConnection by = session.lastUsed();
-    if (!usable(by)) {
-      by = lastHeard();
-      session.lastUsed(by);
-    }
+    ServerConnection by = connectionOf(session);
     if (by != null) {
       by.write(line);
-    } else if (box.state() != BoxTable.State.GONE) {
-      sendOnceUp(line);
-      if (connections.isEmpty()) {
-        open();
-      }
+    } else {
+      sendOnNext(line);
+    }
+  }
+
+  private void sendEnd(ClientSession session) {
+    ServerConnection by = connectionOf(session);
+    if (by != null) {
+      by.end(session.id());
+    } else {
+      sendOnNext(BoxLines.end(session.id()));
+    }
+  }
+
+  private ServerConnection connectionOf(ClientSession session) {
+    if (!usable(session.lastUsed())) {
+      session.lastUsed(lastHeard());
+    }
+    return session.lastUsed();
+  }
+
+  private void sendOnNext(byte[] line) {
+    if (box.state() == BoxTable.State.GONE) {
+      return; // nobody is there to hear it
+    }
+    sendOnceUp(line);
+    if (connections.isEmpty()) {
+      open();
     }
   }
 
--- a/src/main/java/linengauge/platform/keep/UnconfirmedEnds.java
+++ b/src/main/java/linengauge/platform/keep/UnconfirmedEnds.java
@@ -13,7 +13,7 @@
  * attempt, or of a test that was written after the end, shows that it has read the end. Nothing on
  * another connection shows it, nor does a close.
  *
- * @param <A> the attempts
+ * @param <A> the attempts; an end may be of none
  */
 public final class UnconfirmedEnds<A> {
   private record End<A>(A attempt, long lastTest, Moment writtenAt) {}
@@ -62,7 +62,9 @@
     while (all.hasNext()) {
       End<A> end = all.next();
       if (end.lastTest < number) {
-        confirmed.add(end.attempt);
+        if (end.attempt != null) {
+          confirmed.add(end.attempt);
+        }
         all.remove();
       }
     }
@@ -74,14 +76,16 @@
     return ends.containsKey(id);
   }
 
-  /** Whether an end written since that moment is still to be confirmed. */
-  public boolean awaitsSince(Moment from) {
-    for (End<A> end : ends.values()) {
-      if (!end.writtenAt.before(from)) {
-        return true;
-      }
-    }
-    return false;
+  /** The ids of all ends written since that moment that are still to be confirmed. */
+  public List<Long> since(Moment from) {
+    List<Long> ids = new ArrayList<>();
+    ends.forEach(
+        (id, end) -> {
+          if (!end.writtenAt.before(from)) {
+            ids.add(id);
+          }
+        });
+    return ids;
   }
 
   public int size() {
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -176,4 +176,17 @@
     Line again = net.box(first.to);
     assertTrue(again.ended.containsAll(List.of(REQUEST, REQUEST + 1)), again.ended.toString());
   }
+
+  /** Guards against an end that is lost with the connection that was reset behind it. */
+  @Test
+  void anEndWrittenJustBeforeItsConnectionClosesIsToldOnAnother() throws Exception {
+    PaperNet net = twoStand();
+    net.viewersLines.get(0).comes(PlatformViewers.message(12, REQUEST, 61, new byte[] {16}));
+    net.settle();
+    Line of = first(net);
+    assertEquals(List.of(REQUEST), of.ended);
+    of.breaks();
+    net.settle();
+    assertTrue(net.lines.stream().anyMatch(l -> l != of && l.ended.contains(REQUEST)));
+  }
 }
