--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -26,6 +26,11 @@
   /** As long as the platform gives a front to release what has ended. */
   private static final Span EARLY_END_KEPT = Span.ofSeconds(8);
 
+  /** Where nothing else opens a connection, one is tried so often, and for so long. */
+  private static final Span UNSENT_TRIED_EVERY = Span.ofSeconds(2);
+
+  private static final Span UNSENT_TRIED_FOR = Span.ofSeconds(30);
+
   /** Longer than what was written on one connection is read after what was written on another. */
   private static final Span END_AGAIN = Span.ofSeconds(1);
 
@@ -45,6 +50,11 @@
   /** Lines that wait for a connection to be written on; bounded, the oldest goes. */
   private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
 
+  /** When the last of them was added, and when a connection is next tried for them. */
+  private Moment unsentSince = Moment.DISTANT_PAST;
+
+  private Moment nextUnsentTry = Moment.DISTANT_PAST;
+
   ServerLink(ServerLinks links, BoxTable.Entry box) {
     this.links = links;
     this.box = box;
@@ -150,9 +160,16 @@
     }
   }
 
+  /**
+   * One that takes nothing new is still better than none: it may be read once its way is mended.
+   */
   private ServerConnection connectionOf(ClientSession session) {
-    if (!usable(session.lastUsed())) {
-      session.lastUsed(lastHeard());
+    if (usable(session.lastUsed())) {
+      return session.lastUsed();
+    }
+    ServerConnection best = lastHeard();
+    if (best != null || session.lastUsed() == null || !session.lastUsed().isUp()) {
+      session.lastUsed(best);
     }
     return session.lastUsed();
   }
@@ -209,6 +226,9 @@
       unsent.poll();
     }
     unsent.add(line);
+    Moment now = front().now();
+    unsentSince = now;
+    nextUnsentTry = nextUnsentTry.orLater(now.plus(UNSENT_TRIED_EVERY));
   }
 
   /**
@@ -414,6 +434,13 @@
 
   /* ---- time ---- */
 
+  private void tryUnsent(Moment now) {
+    if (!now.before(nextUnsentTry) && now.since(unsentSince).under(UNSENT_TRIED_FOR)) {
+      nextUnsentTry = now.plus(UNSENT_TRIED_EVERY);
+      open();
+    }
+  }
+
   /** True once nothing is left of it. */
   boolean look(Moment now) {
     if (box.state() == BoxTable.State.GONE) {
@@ -436,6 +463,9 @@
       usable += w.isRetired() ? 0 : 1;
       coming |= !w.isUp();
     }
+    if (!unsent.isEmpty() && connections.isEmpty()) {
+      tryUnsent(now);
+    }
     if (!standing.isEmpty() && !coming) {
       if (usable > 0 && reach.wantsTest(now)) {
         leastLoaded(0).ask(links.testId());
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -169,10 +169,10 @@
     net.lines.stream().filter(l -> l.to.equals(first.to)).forEach(Line::breaks);
     net.pass(Span.ofSeconds(5));
     assertTrue(net.said.contains("server lost"), net.said.toString());
+    long connections = net.opened(first.to);
     net.unreachable.clear();
-    net.pass(Span.ofSeconds(6)); // it may have started anew, and is not asked at once
-    net.viewers().comes(PlatformViewers.setUp(9, "lesson", 2000, ""));
-    net.settle();
+    net.pass(Span.ofSeconds(3)); // and nobody asks for anything there
+    assertEquals(connections + 1, net.opened(first.to));
     Line again = net.box(first.to);
     assertTrue(again.ended.containsAll(List.of(REQUEST, REQUEST + 1)), again.ended.toString());
   }
@@ -189,4 +189,34 @@
     net.settle();
     assertTrue(net.lines.stream().anyMatch(l -> l != of && l.ended.contains(REQUEST)));
   }
+
+  /**
+   * Guards against an end that waits for a new connection while the session's own is still open.
+   */
+  @Test
+  void anEndLeavesOnAConnectionThatIsSilentWhereNoOtherIsUp() throws Exception {
+    PaperNet net = givenUpSilently();
+    Line only = first(net);
+    assertEquals(List.of(REQUEST + 1), only.ended, "it takes no more set-ups from here on");
+    net.viewersLines.get(0).comes(PlatformViewers.message(12, REQUEST, 61, new byte[] {16}));
+    net.settle();
+    assertTrue(only.ended.contains(REQUEST), only.ended.toString());
+  }
+
+  /** A session stands; a second attempt on its connection is given up with nothing heard. */
+  private static PaperNet givenUpSilently() throws Exception {
+    PaperNet net = PaperNet.front(t -> t.replace("\"probing\":true", "\"probing\":false"));
+    net.pass(Span.ofSeconds(3));
+    String at = net.setUpOut();
+    net.gone(at.endsWith(":3") ? "127.0.0.1:4" : "127.0.0.1:3");
+    net.boxesAnswerTests = false;
+    first(net).comes(line("STARTED", ",\"blob\":\"b\""));
+    net.settle();
+    net.unreachable.add(first(net).to);
+    net.viewers().comes(PlatformViewers.setUp(REQUEST + 1, "lesson", 2000, ""));
+    for (int i = 0; i < 100 && first(net).ended.isEmpty(); i++) {
+      net.pass(Span.ofMillis(10));
+    }
+    return net;
+  }
 }
