A connection that the front closes carries the ends of its attempts first

What callers could see: a session stands at a server for nobody.

Now the front writes the end of each attempt on the very connection before it closes it, in order behind the set-up. RetryOrderTest.anAttemptUnderAConnectionThatTheFrontClosesIsEndedOnItFirst failed before for both closes, a server gone and an unreadable line.

--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -412,12 +412,23 @@
   void close(String why) {
     if (!closed) {
       if (socket != null) {
+        endAttempts();
         socket.close();
       }
       gone(Gone.CLOSED, why);
     }
   }
 
+  /** In order behind their set-ups: one that has been answered meanwhile would stand for nobody. */
+  private void endAttempts() {
+    outs.forEach(
+        (id, out) -> {
+          if (out.written && !socket.isFull()) {
+            socket.write(BoxLines.end(id));
+          }
+        });
+  }
+
   private void gone(Gone how, String why) {
     if (closed) {
       return;
--- a/src/test/java/linengauge/platform/RetryOrderTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderTest.java
@@ -219,4 +219,24 @@
     }
     return net;
   }
+
+  /**
+   * Guards against a session that stands for nobody at a new server that has a gone one's address.
+   */
+  @Test
+  void anAttemptUnderAConnectionThatTheFrontClosesIsEndedOnItFirst() throws Exception {
+    for (boolean gone : new boolean[] {true, false}) {
+      PaperNet net = PaperNet.front();
+      String at = net.setUpOut();
+      Line of = first(net);
+      if (gone) {
+        net.gone(at);
+      } else {
+        of.comes("no such thing");
+      }
+      net.settle();
+      assertTrue(of.over);
+      assertEquals(List.of(REQUEST), of.ended);
+    }
+  }
 }
