--- a/src/main/java/linengauge/standin/FaultyServer.java
+++ b/src/main/java/linengauge/standin/FaultyServer.java
@@ -7,9 +7,11 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,18 +24,23 @@
 /**
  * A server of the platform (docs/protocol/platform.md, "Boxes") behind a faulty network: each
  * connection has a latency of its own, so that what is written on two of them may be read in
- * another order than it was written; order within a connection is kept. It notes what becomes of
- * each attempt as it reads it, by the rules of the operators' page. One thread does everything but
- * reading sockets.
+ * another order than it was written; order within a connection is kept. It notes when each attempt
+ * arrived and what became of it, by the rules of the operators' page. One thread does everything
+ * but reading sockets.
  */
 public final class FaultyServer implements AutoCloseable {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int REFUSED_FULL = 34;
   private static final int ERROR = 47;
-  private static final int CUT = 41;
+  private static final int RESET = 41;
   private static final int OVER = 16;
+  private static final int ACCEPT_QUEUE = 64;
+  private static final int LATE_COPY_MS = 8;
+  private static final long NEVER = Long.MAX_VALUE;
 
-  /** What becomes of attempts and connections; shares are of all attempts, drawn one by one. */
+  /**
+   * What becomes of attempts; shares are of all attempts, drawn one by one; the rest is answered.
+   */
   public record Faults(
       int mostLatencyMs,
       double silentShare,
@@ -42,23 +49,46 @@
       double resetShare,
       int leastAnswerMs,
       int mostAnswerMs,
-      boolean confirmsEnds) {}
+      boolean confirmsEnds,
+      double secondCopyShare) {}
 
-  /** One attempt as the server saw it. */
+  /** How a session came to its end, where the server ended it. */
+  public enum End {
+    OPEN,
+    RELEASED,
+    PROCESS_DIED
+  }
+
+  /** One attempt as the server saw it; moments are microseconds of the system's running clock. */
   public static final class Attempt {
     public final String request;
-    public final long readAt;
-    public long overAt = Long.MAX_VALUE;
+    public final String server;
+    public final int rung;
+    public final long arrivedAt;
+
+    /** When the server answered it, the front wrote its end, or its connection closed. */
+    public long outUntil = NEVER;
+
+    /** When it or what it set up was over for the server. */
+    public long overAt = NEVER;
+
+    /** The server has said that it never ran. */
+    public boolean neverRan;
+
+    public boolean stands;
+    public End endedBy = End.OPEN;
     private final Socket by;
-    private boolean stands;
 
-    private Attempt(String request, long readAt, Socket by) {
+    private Attempt(String request, String server, int rung, Socket by) {
       this.request = request;
-      this.readAt = readAt;
+      this.server = server;
+      this.rung = rung;
+      this.arrivedAt = nowMicros();
       this.by = by;
     }
   }
 
+  private final String id;
   private final ServerSocket listener;
   private final SplittableRandom chance;
   private final ScheduledExecutorService loop =
@@ -69,18 +99,35 @@
             return thread;
           });
   private final List<Socket> sockets = new ArrayList<>();
+  private final List<Socket> fillers = new ArrayList<>();
   private final Map<String, Attempt> open = new HashMap<>();
   private final List<Attempt> attempts = new ArrayList<>();
-  private final List<String> faultsSeen = new ArrayList<>();
+  private final List<String> overtaken = new ArrayList<>();
+
+  /** What is to be done once the process goes on; null while it runs. */
+  private ArrayDeque<Runnable> hung;
+
+  private boolean accepting = true;
   private volatile Faults faults;
 
-  public FaultyServer(long seed, Faults faults) throws IOException {
-    this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+  public FaultyServer(String id, long seed, int port, Faults faults) throws IOException {
+    this.id = id;
+    this.listener = new ServerSocket();
+    this.listener.setReuseAddress(true);
+    this.listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), ACCEPT_QUEUE);
     this.chance = new SplittableRandom(seed);
     this.faults = faults;
     start(this::accept);
   }
 
+  public static long nowMicros() {
+    return System.nanoTime() / 1000;
+  }
+
+  public String id() {
+    return id;
+  }
+
   public int port() {
     return listener.getLocalPort();
   }
@@ -89,19 +136,19 @@
     faults = anew;
   }
 
-  /** Every attempt so far, and what broke the rule of one attempt at a time. */
+  /** Every attempt so far. */
   public synchronized List<Attempt> attempts() {
     return List.copyOf(attempts);
   }
 
   /** Attempts that were read while another one of the same request was out or stood here. */
   public synchronized List<String> overtaken() {
-    return List.copyOf(faultsSeen);
+    return List.copyOf(overtaken);
   }
 
-  /** Sessions and attempts that are open here. */
-  public synchronized int open() {
-    return open.size();
+  /** Requests that have an attempt or a session open here. */
+  public synchronized List<String> open() {
+    return List.copyOf(open.keySet());
   }
 
   private static void start(Runnable job) {
@@ -110,24 +157,30 @@
     thread.start();
   }
 
+  /* ---- connections ---- */
+
   private void accept() {
     try {
       while (true) {
+        awaitAccepting();
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
+        int latencyMs;
         synchronized (this) {
           sockets.add(socket);
+          latencyMs = chance.nextInt(faults.mostLatencyMs() + 1);
         }
-        int latencyMs = drawLatency();
         start(() -> read(socket, latencyMs));
       }
-    } catch (IOException e) {
+    } catch (IOException | InterruptedException e) {
       // closed
     }
   }
 
-  private synchronized int drawLatency() {
-    return chance.nextInt(faults.mostLatencyMs() + 1);
+  private synchronized void awaitAccepting() throws InterruptedException {
+    while (!accepting) {
+      wait();
+    }
   }
 
   private void read(Socket socket, int latencyMs) {
@@ -136,76 +189,128 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
       for (String line = in.readLine(); line != null; line = in.readLine()) {
-        String read = line;
-        after(latencyMs, () -> heard(socket, read));
+        JsonNode message = JSON.readTree(line);
+        Runnable step = arrived(socket, message);
+        after(latencyMs, step);
       }
     } catch (IOException e) {
       // its other side has gone
     } finally {
+      closeArrived(socket);
       after(latencyMs, () -> closed(socket));
     }
   }
 
+  /** Notes what has come, and returns what is to be done once it is read. */
+  private synchronized Runnable arrived(Socket socket, JsonNode message) {
+    String tag = message.path("tag").asText();
+    return switch (message.path("verb").asText()) {
+      case "START" -> {
+        int rung = message.path("opts").path("rung").asInt();
+        Attempt attempt = new Attempt(tag, id, rung, socket);
+        attempts.add(attempt);
+        yield () -> started(attempt, message.path("blob").asText());
+      }
+      case "FINISH" -> {
+        attempts.stream().filter(a -> a.request.equals(tag)).forEach(FaultyServer::noLongerOut);
+        yield () -> finished(socket, tag);
+      }
+      case "ECHO" -> () -> say(socket, tested(tag));
+      default -> () -> {};
+    };
+  }
+
+  private static void noLongerOut(Attempt attempt) {
+    attempt.outUntil = Math.min(attempt.outUntil, nowMicros());
+  }
+
+  private synchronized void closeArrived(Socket socket) {
+    attempts.stream().filter(a -> a.by == socket).forEach(FaultyServer::noLongerOut);
+  }
+
   private void after(int ms, Runnable step) {
     if (!loop.isShutdown()) {
-      loop.schedule(step, ms, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> runOrDefer(step), ms, TimeUnit.MILLISECONDS);
     }
   }
 
-  private synchronized void heard(Socket socket, String line) {
-    try {
-      JsonNode message = JSON.readTree(line);
-      String tag = message.path("tag").asText();
-      switch (message.path("verb").asText()) {
-        case "START" -> started(socket, tag, message.path("blob").asText());
-        case "FINISH" -> finished(socket, tag);
-        case "ECHO" -> say(socket, reply("ECHOED", tag, 1));
-        default -> {}
+  private synchronized void runOrDefer(Runnable step) {
+    if (hung != null) {
+      hung.add(step);
+    } else {
+      step.run();
+    }
+  }
+
+  /* ---- faults of the whole server ---- */
+
+  /** Reads and says nothing until told to go on; connections stay open and new ones come up. */
+  public synchronized void hang() {
+    hung = hung == null ? new ArrayDeque<>() : hung;
+  }
+
+  /** The same, and no new connection comes up: its queue of those to be accepted is full. */
+  public void vanish() throws IOException {
+    synchronized (this) {
+      accepting = false;
+    }
+    hang();
+    for (int i = 0; i < ACCEPT_QUEUE + 2; i++) {
+      Socket filler = new Socket();
+      fillers.add(filler);
+      try {
+        filler.connect(listener.getLocalSocketAddress(), 20);
+      } catch (IOException e) {
+        return; // it is full
       }
-    } catch (IOException e) {
-      faultsSeen.add("unreadable line: " + line);
     }
   }
 
-  private void started(Socket socket, String tag, String description) {
-    long now = System.nanoTime() / 1000;
-    Attempt before = open.get(tag);
-    if (before != null) {
-      faultsSeen.add(
-          "request " + tag + " set up again " + (now - before.readAt) + " us after the last");
+  /** Goes on where it stood. */
+  public synchronized void goOn() throws IOException {
+    for (Socket filler : fillers) {
+      filler.close();
+    }
+    fillers.clear();
+    accepting = true;
+    notifyAll();
+    ArrayDeque<Runnable> deferred = hung == null ? new ArrayDeque<>() : hung;
+    hung = null;
+    deferred.forEach(Runnable::run);
+  }
+
+  /** Resets every connection. */
+  public synchronized void resetAll() {
+    List.copyOf(sockets).forEach(this::reset);
+  }
+
+  /* ---- attempts ---- */
+
+  private void started(Attempt attempt, String description) {
+    if (open.put(attempt.request, attempt) != null) {
+      overtaken.add("request " + attempt.request + " set up at " + id + " while one was open");
     }
-    Attempt attempt = new Attempt(tag, now, socket);
-    attempts.add(attempt);
-    open.put(tag, attempt);
-    double drawn = chance.nextDouble();
     Faults f = faults;
+    double drawn = chance.nextDouble();
     int answerMs = f.leastAnswerMs() + chance.nextInt(f.mostAnswerMs() - f.leastAnswerMs() + 1);
+    int cause = chance.nextBoolean() ? REFUSED_FULL : ERROR;
+    double unreadable = f.silentShare() + f.unreadableShare();
+    double refused = unreadable + f.refusedShare();
     if (drawn < f.silentShare()) {
       return;
     }
-    drawn -= f.silentShare();
-    if (drawn < f.unreadableShare()) {
-      after(answerMs, () -> spoil(socket));
-      return;
-    }
-    drawn -= f.unreadableShare();
-    if (drawn < f.refusedShare()) {
-      after(answerMs, () -> refuse(attempt, drawnCause(attempt)));
-      return;
-    }
-    drawn -= f.refusedShare();
-    if (drawn < f.resetShare()) {
-      after(answerMs, () -> reset(socket));
-      return;
+    if (drawn < unreadable) {
+      after(answerMs, () -> write(attempt.by, "\u0001{{{ unreadable\n"));
+    } else if (drawn < refused) {
+      after(answerMs, () -> refuse(attempt, cause));
+    } else if (drawn < refused + f.resetShare()) {
+      after(answerMs, () -> reset(attempt.by));
+    } else {
+      after(answerMs, () -> answer(attempt, description));
     }
-    after(answerMs, () -> answer(attempt, description));
-  }
-
-  private static int drawnCause(Attempt attempt) {
-    return attempt.readAt % 2 == 0 ? REFUSED_FULL : ERROR;
   }
 
-  private synchronized void finished(Socket socket, String tag) {
+  private void finished(Socket socket, String tag) {
     over(open.remove(tag));
     if (faults.confirmsEnds()) {
       say(socket, reply("FINISHED", tag, -1));
@@ -214,33 +319,34 @@
 
   private static void over(Attempt attempt) {
     if (attempt != null) {
-      attempt.overAt = System.nanoTime() / 1000;
+      attempt.overAt = nowMicros();
     }
   }
 
-  private synchronized void spoil(Socket socket) {
-    try {
-      socket.getOutputStream().write("\u0001{{{ unreadable\n".getBytes(StandardCharsets.UTF_8));
-    } catch (IOException e) {
-      // its other side has gone
-    }
-  }
-
-  private synchronized void refuse(Attempt attempt, int cause) {
+  private void refuse(Attempt attempt, int cause) {
     if (open.remove(attempt.request, attempt)) {
       over(attempt);
+      noLongerOut(attempt);
+      attempt.neverRan = cause == REFUSED_FULL;
       say(attempt.by, reply("FINISH", attempt.request, cause));
     }
   }
 
-  private synchronized void answer(Attempt attempt, String description) {
-    if (open.get(attempt.request) == attempt) {
-      attempt.stands = true;
-      say(attempt.by, reply("STARTED", attempt.request, -1).put("blob", "for " + description));
+  private void answer(Attempt attempt, String description) {
+    if (open.get(attempt.request) != attempt) {
+      return;
+    }
+    attempt.stands = true;
+    noLongerOut(attempt);
+    ObjectNode answer =
+        reply("STARTED", attempt.request, -1).put("blob", description + "at " + id + "\r\n");
+    say(attempt.by, answer);
+    if (chance.nextDouble() < faults.secondCopyShare()) {
+      after(LATE_COPY_MS, () -> say(attempt.by, answer));
     }
   }
 
-  private synchronized void reset(Socket socket) {
+  private void reset(Socket socket) {
     try {
       socket.setSoLinger(true, 0);
       socket.close();
@@ -250,7 +356,7 @@
   }
 
   /** Attempts open on a connection that closes are given up; what stands stays. */
-  private synchronized void closed(Socket socket) {
+  private void closed(Socket socket) {
     sockets.remove(socket);
     open.values()
         .removeIf(
@@ -263,13 +369,18 @@
             });
   }
 
-  /** Ends every session that stands, as at their ordinary end. */
-  public synchronized void endAll() {
+  /** Ends some of the sessions that stand, as at their ordinary end or cut. */
+  public synchronized void endSome(double share) {
+    if (hung != null) {
+      return;
+    }
     for (Attempt attempt : List.copyOf(open.values())) {
-      if (attempt.stands) {
+      Socket by = attempt.by.isClosed() && !sockets.isEmpty() ? sockets.get(0) : attempt.by;
+      if (attempt.stands && !by.isClosed() && chance.nextDouble() < share) {
         open.remove(attempt.request);
         over(attempt);
-        say(attempt.by, reply("FINISH", attempt.request, chance.nextBoolean() ? OVER : CUT));
+        attempt.endedBy = End.RELEASED;
+        say(by, reply("FINISH", attempt.request, chance.nextBoolean() ? OVER : RESET));
       }
     }
   }
@@ -280,20 +391,47 @@
     return cause < 0 ? reply : reply.put("rc", cause);
   }
 
-  private static void say(Socket socket, JsonNode line) {
+  private static ObjectNode tested(String tag) {
+    ObjectNode reply = reply("ECHOED", tag, 1);
+    reply.withObject("/opts").put("load", "x0:0.2;x1:0.2;outstanding:1");
+    return reply;
+  }
+
+  private void say(Socket socket, JsonNode line) {
+    write(socket, line + "\n");
+  }
+
+  /** One line in ten leaves in two pieces. */
+  private void write(Socket socket, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    int first = chance.nextInt(10) == 0 ? chance.nextInt(bytes.length) : bytes.length;
     try {
-      socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+      socket.getOutputStream().write(bytes, 0, first);
+      if (first < bytes.length) {
+        TimeUnit.MILLISECONDS.sleep(2);
+        socket.getOutputStream().write(bytes, first, bytes.length - first);
+      }
     } catch (IOException e) {
       // its other side has gone
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
+  /** Its process dies: connections are reset, sessions cut, and new ones refused. */
   @Override
   public synchronized void close() throws IOException {
     listener.close();
-    for (Socket socket : List.copyOf(sockets)) {
-      reset(socket);
+    for (Socket filler : fillers) {
+      filler.close();
     }
+    resetAll();
+    open.values().forEach(FaultyServer::over);
+    open.values().stream().filter(a -> a.stands).forEach(a -> a.endedBy = End.PROCESS_DIED);
+    open.clear();
+    attempts.forEach(FaultyServer::noLongerOut);
+    accepting = true;
+    notifyAll();
     loop.shutdownNow();
   }
 }
--- a/src/test/java/linengauge/platform/RetryOrderProcessesTest.java
+++ b/src/test/java/linengauge/platform/RetryOrderProcessesTest.java
@@ -45,7 +45,7 @@
 
   private void start(long seed, Faults faults) throws Exception {
     for (int i = 0; i < SERVERS; i++) {
-      servers.add(new FaultyServer(seed * SERVERS + i, faults));
+      servers.add(new FaultyServer("s-" + i, seed * SERVERS + i, 0, faults));
     }
     journal = new PlatformJournal(1);
     port = PlatformTryOut.freePort();
@@ -144,13 +144,13 @@
   @ParameterizedTest
   @ValueSource(longs = {2, 3})
   void aRetryNeverReachesAServerBeforeTheEndOfTheAttemptBeforeIt(long seed) throws Exception {
-    noneOvertakes(seed, new Faults(200, 0.5, 0, 0, 0, 200, 450, false));
+    noneOvertakes(seed, new Faults(200, 0.5, 0, 0, 0, 200, 450, false, 0));
   }
 
   /** Guards against a retry that reaches a server before the close that ended the one before it. */
   @ParameterizedTest
   @ValueSource(longs = {11, 12})
   void aRetryNeverReachesAServerBeforeTheCloseOfTheConnectionBeforeIt(long seed) throws Exception {
-    noneOvertakes(seed, new Faults(200, 0.2, 0.4, 0.1, 0.1, 50, 350, false));
+    noneOvertakes(seed, new Faults(200, 0.2, 0.4, 0.1, 0.1, 50, 350, false, 0));
   }
 }
--- /dev/null
+++ b/src/test/java/linengauge/soak/SoakDiscovery.java
@@ -0,0 +1,215 @@
+package linengauge.soak;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import linengauge.standin.FaultyServer;
+
+/**
+ * The discovery service of a day: one store of numbered events, told at one address after another,
+ * that falls silent, breaks off amid an event, tells events twice, and is down for a while.
+ */
+final class SoakDiscovery implements AutoCloseable {
+  private static final long SIGN_EVERY_MS = 1000;
+  private static final int HEAD = 9;
+
+  /** When a server was last said to drain or be gone, and from when a front must have been told. */
+  record Told(String server, long had) {}
+
+  /** A span in which the service did not tell what it had. */
+  record Outage(long from, long until, boolean down) {}
+
+  private final SplittableRandom chance;
+  private final List<byte[]> frames = new ArrayList<>();
+  private final List<Told> withdrawn = new ArrayList<>();
+  private final List<Outage> outages = new ArrayList<>();
+  private final List<Socket> readers = new CopyOnWriteArrayList<>();
+  private ServerSocket listener;
+  private volatile boolean silent;
+  private volatile boolean closed;
+  private long outageSince;
+
+  SoakDiscovery(SplittableRandom chance) throws IOException {
+    this.chance = chance;
+    open(0);
+    start(this::signs);
+  }
+
+  private void open(int port) throws IOException {
+    ServerSocket anew = new ServerSocket();
+    anew.setReuseAddress(true);
+    anew.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 16);
+    listener = anew;
+    start(() -> accept(anew));
+  }
+
+  private static void start(Runnable job) {
+    Thread thread = new Thread(job, "soak-discovery");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  synchronized int port() {
+    return listener.getLocalPort();
+  }
+
+  /** The number of the last event. */
+  synchronized int position() {
+    return frames.size();
+  }
+
+  private void accept(ServerSocket from) {
+    try {
+      while (true) {
+        Socket reader = from.accept();
+        start(() -> serve(reader));
+      }
+    } catch (IOException e) {
+      // closed
+    }
+  }
+
+  private void serve(Socket reader) {
+    try {
+      long last = new DataInputStream(reader.getInputStream()).readLong();
+      synchronized (this) {
+        readers.add(reader);
+        for (int n = (int) Math.max(0, last); n < frames.size() && !silent; n++) {
+          reader.getOutputStream().write(frames.get(n));
+        }
+      }
+    } catch (IOException e) {
+      // its front has gone
+    }
+  }
+
+  private void signs() {
+    try {
+      while (!closed) {
+        Thread.sleep(SIGN_EVERY_MS);
+        tell(frame(0, position(), new byte[0]));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static byte[] frame(int kind, long number, byte[] records) {
+    return ByteBuffer.allocate(4 + HEAD + records.length)
+        .putInt(HEAD + records.length)
+        .putLong(number)
+        .put((byte) kind)
+        .put(records)
+        .array();
+  }
+
+  private synchronized void tell(byte[] bytes) {
+    if (silent) {
+      return;
+    }
+    for (Socket reader : readers) {
+      try {
+        reader.getOutputStream().write(bytes);
+      } catch (IOException e) {
+        readers.remove(reader);
+      }
+    }
+  }
+
+  /** An event is had from now on; one in ten is told twice, one in ten breaks off midway. */
+  synchronized void changed(String server, boolean serves, byte[] records) {
+    byte[] frame = frame(2, frames.size() + 1L, records);
+    frames.add(frame);
+    if (!serves) {
+      withdrawn.add(new Told(server, FaultyServer.nowMicros()));
+    }
+    int how = chance.nextInt(10);
+    if (how == 0 && !silent) {
+      breakOff(frame);
+    } else {
+      tell(frame);
+      if (how == 1) {
+        tell(frame);
+      }
+    }
+  }
+
+  private void breakOff(byte[] frame) {
+    long now = FaultyServer.nowMicros();
+    outages.add(new Outage(now, now, false));
+    for (Socket reader : readers) {
+      try {
+        reader.getOutputStream().write(frame, 0, frame.length / 2);
+        reader.close();
+      } catch (IOException e) {
+        // its front has gone
+      }
+    }
+    readers.clear();
+  }
+
+  /** Open streams stay open and tell nothing, new ones too. */
+  synchronized void fallSilent() {
+    silent = true;
+    outageSince = FaultyServer.nowMicros();
+  }
+
+  /** Streams that fell silent stay so; whoever asks anew is told. */
+  synchronized void speakAgain() {
+    silent = false;
+    readers.clear();
+    outages.add(new Outage(outageSince, FaultyServer.nowMicros(), true));
+  }
+
+  synchronized void goDown() throws IOException {
+    outageSince = FaultyServer.nowMicros();
+    listener.close();
+    closeReaders();
+  }
+
+  synchronized void comeBack() throws IOException {
+    open(listener.getLocalPort());
+    outages.add(new Outage(outageSince, FaultyServer.nowMicros(), true));
+  }
+
+  /** Another address from now on; the old one takes nobody and tells nothing more. */
+  synchronized void move() throws IOException {
+    listener.close();
+    readers.clear();
+    open(0);
+  }
+
+  private void closeReaders() {
+    for (Socket reader : readers) {
+      try {
+        reader.close();
+      } catch (IOException e) {
+        // closed already
+      }
+    }
+    readers.clear();
+  }
+
+  synchronized List<Told> withdrawn() {
+    return List.copyOf(withdrawn);
+  }
+
+  synchronized List<Outage> outages() {
+    return List.copyOf(outages);
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    closed = true;
+    listener.close();
+    closeReaders();
+  }
+}
--- /dev/null
+++ b/src/test/java/linengauge/soak/SoakFront.java
@@ -0,0 +1,143 @@
+package linengauge.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import linengauge.cli.Main;
+import linengauge.standin.FaultyServer;
+
+/** One front as a process, over all its lives. */
+final class SoakFront {
+  /** From its start to its end; signals as they were sent. NEVER: not yet, or not at all. */
+  static final class Life {
+    static final long NEVER = Long.MAX_VALUE;
+    final long startedAt = FaultyServer.nowMicros();
+    long toldToStopAt = NEVER;
+    long killedAt = NEVER;
+    long endedAt = NEVER;
+    long lastReloadAt = Long.MIN_VALUE;
+    int exit = -1;
+
+    boolean covers(long at) {
+      return startedAt <= at && at < endedAt;
+    }
+  }
+
+  final int number;
+  final int port;
+  private final Path folder;
+  private final Path file;
+  final List<Life> lives = new ArrayList<>();
+  private volatile Process process;
+
+  SoakFront(int number, int port, Path folder) {
+    this.number = number;
+    this.port = port;
+    this.folder = folder;
+    this.file = folder.resolve("front-" + number + ".json");
+  }
+
+  Life life() {
+    return lives.get(lives.size() - 1);
+  }
+
+  Path log() {
+    return folder.resolve("front-" + number + ".log");
+  }
+
+  /** Replaces the configuration whole, as the operators do. */
+  void post(String configuration) throws IOException {
+    Path anew = folder.resolve("front-" + number + ".new");
+    Files.writeString(anew, configuration);
+    Files.move(anew, file, StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  void start() throws IOException {
+    ProcessBuilder run =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xms24m",
+            "-Xmx24m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:MaxDirectMemorySize=12m",
+            "-Dio.netty.allocator.type=unpooled",
+            "-cp",
+            System.getProperty("java.class.path"),
+            Main.class.getName(),
+            "serve");
+    run.environment().put("PROXY_CONFIG", file.toString());
+    run.environment().put("MALLOC_ARENA_MAX", "1");
+    lives.add(new Life());
+    process =
+        run.redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
+            .start();
+    Life life = life();
+    process.onExit().thenAccept(p -> ended(life, p.exitValue()));
+  }
+
+  private void ended(Life life, int exit) {
+    life.endedAt = FaultyServer.nowMicros();
+    life.exit = exit;
+  }
+
+  boolean isAlive() {
+    return process != null && process.isAlive();
+  }
+
+  void reload() throws IOException, InterruptedException {
+    life().lastReloadAt = FaultyServer.nowMicros();
+    signal("HUP");
+  }
+
+  void tellToStop() throws IOException, InterruptedException {
+    life().toldToStopAt = FaultyServer.nowMicros();
+    signal("TERM");
+  }
+
+  void kill() throws InterruptedException {
+    if (isAlive()) {
+      life().killedAt = FaultyServer.nowMicros();
+    }
+    process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+  }
+
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /** Resident memory in MB, and sockets; null where it has ended. */
+  int[] usage() {
+    try {
+      Path of = Path.of("/proc", Long.toString(process.pid()));
+      String resident =
+          Files.readAllLines(of.resolve("status")).stream()
+              .filter(line -> line.startsWith("VmRSS"))
+              .findFirst()
+              .orElse("VmRSS: 0 kB");
+      try (var descriptors = Files.list(of.resolve("fd"))) {
+        return new int[] {
+          Integer.parseInt(resident.replaceAll("\\D", "")) / 1024,
+          (int) descriptors.filter(SoakFront::isSocket).count()
+        };
+      }
+    } catch (IOException | UncheckedIOException e) {
+      return null;
+    }
+  }
+
+  private static boolean isSocket(Path descriptor) {
+    try {
+      return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+    } catch (IOException e) {
+      return false; // closed meanwhile
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/linengauge/soak/SoakTest.java
@@ -0,0 +1,41 @@
+package linengauge.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Short dense days of real processes. More of them by hand: `mvn test -Dtest=SoakTest
+ * -Dsoak.first=1 -Dsoak.last=50`; what each left (logs, script) stays where `-Dsoak.keep=FOLDER`
+ * says.
+ */
+@Timeout(120)
+class SoakTest {
+  private static final String KEEP = System.getProperty("soak.keep");
+  @TempDir private Path temporary;
+
+  static LongStream seeds() {
+    return LongStream.rangeClosed(Long.getLong("soak.first", 1), Long.getLong("soak.last", 3));
+  }
+
+  /** Guards against any rule of the operators' page broken under several faults at once. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noRuleIsBrokenOnADayOfManyFaults(long seed) throws Exception {
+    Path folder = KEEP == null ? temporary : Path.of(KEEP, "seed-" + seed);
+    Files.createDirectories(folder);
+    try (SoakDay day = new SoakDay(seed, folder)) {
+      List<String> broken = day.play();
+      Files.write(folder.resolve("broken"), broken);
+      System.out.println("soak seed " + seed + ": " + broken.size() + " broken; " + day.summary());
+      assertEquals(List.of(), broken, "seed " + seed);
+    }
+  }
+}
