--- a/src/test/java/linengauge/KnownRedTest.java
+++ b/src/test/java/linengauge/KnownRedTest.java
@@ -76,6 +76,23 @@
     assertDoesNotThrow(() -> mended.checkClass("linengauge.OtherTest"));
   }
 
+  /** Guards against a fault that shows in some runs alone failing the build in the others. */
+  @Test
+  void anIntermittentOneIsLetFailAndLetPass() throws Exception {
+    var outcomes = new KnownRed.Outcomes(list(LISTED + " | intermittent: seen once | i"));
+    assertDoesNotThrow(() -> KnownRed.run(outcomes, LISTED, () -> null));
+    assertDoesNotThrow(() -> outcomes.checkClass("linengauge.KnownRedTest"));
+    assertThrows(
+        TestAbortedException.class,
+        () ->
+            KnownRed.run(
+                outcomes,
+                LISTED,
+                () -> {
+                  throw new AssertionError("the fault");
+                }));
+  }
+
   @Test
   void aTestThatIsNotListedFailsAsEver() throws Exception {
     var outcomes = new KnownRed.Outcomes(List.of());
