--- a/review/standin/review/ServersReturn.java
+++ b/review/standin/review/ServersReturn.java
@@ -6,12 +6,12 @@
 import java.util.SplittableRandom;
 
 /**
- * Three of thirteen servers are lost for 5 s and return cold, under their ids and at their
+ * Six of twenty servers are lost for 5 s and return cold, under their ids and at their
  * addresses. Every session that stood there is over; its viewer has to be told within 8 s.
  */
 final class ServersReturn {
-  private static final int SERVERS = 13;
-  private static final int LOST = 3;
+  private static final int SERVERS = 20;
+  private static final int LOST = 6;
   private static final int PLACES = 12;
   private static final long LOST_AT_MS = 14_000;
   private static final long LOST_FOR_MS = 5_000;
@@ -56,10 +56,10 @@
     Process front = bench.startFront("n0", port, Bench.configuration(port, journal.port, 1024, 3, PLACES, servers));
     viewers[0] = bench.part(new Viewers(bench, port, 6));
 
-    // Three viewers a second come for fourteen seconds, and one a second from then on.
+    // Ten viewers a second come until the loss, and four a second from then on.
     long begin = bench.now();
     long lostAt = begin + LOST_AT_MS;
-    for (long at = 0, number = 1; at < 30_000; at += at < LOST_AT_MS ? 330 : 1000, number++) {
+    for (long at = 0, number = 1; at < 30_000; at += at < LOST_AT_MS ? 100 : 250, number++) {
       String id = String.format("%016x", random.nextLong() | 1L << 60);
       int home = random.nextInt(PLACES);
       String title = String.format("7f3a9c21e0b4%04x", home * 16 + random.nextInt(16));
@@ -75,7 +75,7 @@
     }
     if (trouble) {
       for (int i = 0; i < LOST; i++) {
-        Server lost = servers.get(i * 4 + 1);
+        Server lost = servers.get(i * 3 + 1);
         bench.after(lostAt - bench.now(), () -> {
           try {
             lost.vanish();
@@ -94,7 +94,7 @@
         });
       }
     }
-    Thread.sleep(Math.max(0, begin + 62_000 - bench.now()));
+    Thread.sleep(Math.max(0, begin + 48_000 - bench.now()));
 
     int played = 0;
     int cut = 0;
