Sessions of a server that restarted are released, in whatever order its restart shows

Cause: a session ended only on a refusal, a removal or 3.5 s of failed dials. The first dial that came up cleared all suspicion, and the new start in the list was looked at only by set-ups that were still to be sent.

Change: connection.ServerIncarnation compares when the listed process started with when the connection of a session's set-up came up, which cannot outlive its process; earlier sessions are released and earlier connections closed. The last connection's reset after 1 s of failed dials is a loss too. The typed CloseCause replaces three flags.

--- a/src/main/java/linengauge/platform/ClientSession.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -41,6 +41,9 @@
 
   private ServerConnection lastUsedConnection;
 
+  /** When the server's process was running that holds the session; the latest moment known. */
+  private Moment serverSeenAt;
+
   /** The client waits until then. */
   private final Moment answerDeadline;
 
@@ -214,6 +217,14 @@
     serverConnection = connection;
   }
 
+  Moment serverSeenAt() {
+    return serverSeenAt;
+  }
+
+  void setServerSeenAt(Moment moment) {
+    serverSeenAt = moment;
+  }
+
   /**
    * The connection that carries messages about the session to its server; null if there has been
    * none yet, or it has closed.
--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -151,7 +151,11 @@
     log("event " + number + (full ? ", full list of " : ", changes: ") + rows.size());
     if (!full) {
       for (ListedBox row : rows) {
-        front.events().logServer(Kind.SERVER_STATE, row.id(), row.state().name());
+        String start =
+            row.startedAt().equals(Moment.DISTANT_PAST)
+                ? ""
+                : ", started at " + row.startedAt().micros() / 1000;
+        front.events().logServer(Kind.SERVER_STATE, row.id(), row.state().name() + start);
       }
     }
   }
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -94,6 +94,7 @@
    */
   private final ArrayDeque<DeferredTask> deferredTasks = new ArrayDeque<>();
 
+  private final Moment createdAt;
   private Moment now;
   private boolean stopping;
 
@@ -110,6 +111,7 @@
     this.net = net;
     this.observer = observer;
     this.now = net.now();
+    this.createdAt = now;
     this.lag = new EventLoopLag(MAX_CROSSING_TIME, now);
     this.events = new EventLog(this::now, observer::event);
     DescriptorBudget budget = DescriptorBudget.of(configuration.descriptorLimit());
@@ -300,6 +302,11 @@
     return now;
   }
 
+  /** When this front was created; sessions handed over to it were established before. */
+  Moment createdAt() {
+    return createdAt;
+  }
+
   SessionManager sessionManager() {
     return sessionManager;
   }
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -10,6 +10,7 @@
 import linengauge.platform.codec.MalformedMessageException;
 import linengauge.platform.codec.ServerLineCodec;
 import linengauge.platform.codec.TextFormat;
+import linengauge.platform.connection.CloseCause;
 import linengauge.platform.connection.ConnectionHealth;
 import linengauge.platform.connection.RecentAttemptIds;
 import linengauge.platform.connection.UnconfirmedEnds;
@@ -30,16 +31,6 @@
   /** The connection stays open this long for the server to confirm an end written on it. */
   private static final Span END_CONFIRMATION_TIME = Span.ofSeconds(1);
 
-  /**
-   * How the connection ended: closed by either side, not reached, or refused, as nothing listens at
-   * the address.
-   */
-  private enum CloseCause {
-    CLOSED,
-    NOT_REACHED,
-    REFUSED
-  }
-
   /** An attempt that is open on the connection, or waits for it to be established. */
   private static final class OpenAttempt {
     private final Session session;
@@ -76,9 +67,6 @@
   private Net.Connection socket;
   private boolean closed;
 
-  /** This front closes the connection as it is idle. */
-  private boolean closedAsIdle;
-
   private final ConnectionHealth usage;
 
   ServerConnection(ServerLink link, String address, int closesBeforeDial) {
@@ -165,7 +153,7 @@
     log(Kind.CONNECTION_UP, "");
     connection.setHandlers(
         data -> front().handleEvent(() -> read(data)),
-        () -> front().handleEvent(() -> onClosed(CloseCause.CLOSED, "by the server")));
+        () -> front().handleEvent(() -> onClosed(CloseCause.BY_SERVER, "by the server")));
     link.connectionUp(this);
     // What arrived while the connection was dialled is read first: a client may have left
     // meanwhile.
@@ -430,21 +418,22 @@
         openCount() + unconfirmedEnds.writtenSince(now.minus(END_CONFIRMATION_TIME)).size();
     switch (usage.verdict(pending, isUp() ? idleLimit : Span.NONE, now)) {
       case CLOSE_BROKEN -> close("incomplete line");
-      case CLOSE_IDLE -> {
-        closedAsIdle = !usage.isRetired();
-        close("idle");
-      }
+      case CLOSE_IDLE -> close(usage.isRetired() ? CloseCause.BY_FRONT : CloseCause.IDLE, "idle");
       default -> {}
     }
   }
 
   void close(String reason) {
+    close(CloseCause.BY_FRONT, reason);
+  }
+
+  private void close(CloseCause cause, String reason) {
     if (!closed) {
       if (socket != null) {
         endOpenAttempts();
         socket.close();
       }
-      onClosed(CloseCause.CLOSED, reason);
+      onClosed(cause, reason);
     }
   }
 
@@ -466,7 +455,6 @@
       return;
     }
     closed = true;
-    boolean wasUp = socket != null;
     log(Kind.CONNECTION_CLOSED, reason + ", " + openAttempts.size() + " attempts out");
     // An end written this recently may be lost with the connection.
     unconfirmedEnds
@@ -488,7 +476,6 @@
       timer.cancel();
       front().sessionManager().probeCompleted(link.server(), false);
     }
-    link.connectionClosed(
-        this, wasUp || cause == CloseCause.CLOSED, cause == CloseCause.REFUSED, closedAsIdle);
+    link.connectionClosed(this, cause);
   }
 }
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -10,8 +10,10 @@
 import linengauge.Span;
 import linengauge.platform.codec.ServerLineCodec;
 import linengauge.platform.codec.TextFormat;
+import linengauge.platform.connection.CloseCause;
 import linengauge.platform.connection.EarlyEnds;
 import linengauge.platform.connection.ReachabilityDetector;
+import linengauge.platform.connection.ServerIncarnation;
 import linengauge.platform.connection.TimeoutCause;
 import linengauge.session.BoxTable;
 import linengauge.session.Session;
@@ -43,6 +45,7 @@
   private final ServerLinks links;
   private final BoxTable.Entry server;
   private final ReachabilityDetector reachability;
+  private final ServerIncarnation incarnation = new ServerIncarnation();
   private final List<ServerConnection> connections = new ArrayList<>();
 
   /** Sessions established at the server; each is removed with its end. */
@@ -63,6 +66,7 @@
     this.server = server;
     this.reachability =
         new ReachabilityDetector(ReachabilityDetector.Settings.PLATFORM, links.front().now());
+    this.incarnation.onListed(server.startedAt(), links.front().now());
   }
 
   BoxTable.Entry server() {
@@ -132,6 +136,11 @@
 
   void adopt(ClientSession clientSession) {
     sessions.put(clientSession.id(), clientSession);
+    clientSession.setServerSeenAt(front().createdAt());
+    if (incarnation.hasOutlived(clientSession.serverSeenAt())) {
+      front().defer(() -> endSessionsOfEarlierProcess());
+      return;
+    }
     AttemptOutcome outcome = earlyEnds.take(clientSession.id());
     if (outcome != null) {
       front().defer(() -> sessionEnded(clientSession.id(), outcome, null));
@@ -307,8 +316,7 @@
    * server has nothing left to send: no established session was set up on it, and a session without
    * a connection of its own keeps all connections open ({@link #sweep}).
    */
-  void connectionClosed(
-      ServerConnection connection, boolean wasUp, boolean refused, boolean closedAsIdle) {
+  void connectionClosed(ServerConnection connection, CloseCause cause) {
     connections.remove(connection);
     links.releaseConnection();
     for (ClientSession clientSession : sessions.values()) {
@@ -319,28 +327,74 @@
         clientSession.setLastUsedConnection(null);
       }
     }
-    if (wasUp) {
-      if (!closedAsIdle) {
+    boolean isLastOne = connections.stream().noneMatch(ServerConnection::isUp);
+    switch (cause) {
+      case BY_SERVER -> {
         reachability.onClosed();
+        if (isLastOne && reachability.isUnreachable(front().now())) {
+          serverLost("reset after an outage");
+        }
+      }
+      case BY_FRONT -> reachability.onClosed();
+      case NOT_REACHED -> reachability.onConnectFailed(front().now());
+      case REFUSED -> {
+        reachability.onConnectFailed(front().now());
+        if (isLastOne) {
+          // Nothing listens there: the server's process has died, and its sessions with it. If
+          // another connection is up, the process lives and has no room for more; had it died, that
+          // connection would close now, and the next one dialled would be refused.
+          serverLost("refused");
+        }
+      }
+      case IDLE -> {
+        // nothing was left to be sent
+      }
+      default -> throw new IllegalStateException(cause.name());
+    }
+  }
+
+  /**
+   * Discovery may have listed a new start of the server's process. The connections to the earlier
+   * process are closed, as they may stay open and silent; its sessions died with it.
+   */
+  private void checkRestart(Moment now) {
+    if (!incarnation.onListed(server.startedAt(), now)) {
+      return;
+    }
+    for (ServerConnection connection : List.copyOf(connections)) {
+      if (connection.isUp() && incarnation.hasOutlived(connection.usage().upAt())) {
+        connection.close("its server has restarted");
       }
+    }
+    endSessionsOfEarlierProcess();
+  }
+
+  private void endSessionsOfEarlierProcess() {
+    List<ClientSession> lost =
+        sessions.values().stream()
+            .filter(clientSession -> incarnation.hasOutlived(clientSession.serverSeenAt()))
+            .toList();
+    if (lost.isEmpty()) {
       return;
     }
-    reachability.onConnectFailed(front().now());
-    if (refused && connections.stream().noneMatch(ServerConnection::isUp)) {
-      // Nothing listens there: the server's process has died, and its sessions with it. If another
-      // connection is up, the process lives and has no room for more; had it died, that connection
-      // would close now, and the next one dialled would be refused.
-      serverLost("refused");
+    warnSessionsLost("restarted", lost.size());
+    for (ClientSession clientSession : lost) {
+      removeSession(clientSession.id()); // The new process knows nothing of it: no end is sent.
+      clientSession.session().boxLost();
     }
   }
 
+  private void warnSessionsLost(String reason, int count) {
+    front()
+        .warn(
+            "server lost",
+            TextFormat.formatServerId(server.id()),
+            reason + ", " + count + " sessions");
+  }
+
   private void serverLost(String reason) {
     if (!sessions.isEmpty()) {
-      front()
-          .warn(
-              "server lost",
-              TextFormat.formatServerId(server.id()),
-              reason + ", " + sessions.size() + " sessions");
+      warnSessionsLost(reason, sessions.size());
       for (ClientSession clientSession : List.copyOf(sessions.values())) {
         clientSession.session().boxLost(); // also cancelled at the server, which ends it here
         removeSession(clientSession.id());
@@ -355,6 +409,7 @@
     sessions.put(clientSession.id(), clientSession);
     clientSession.setServerConnection(connection);
     clientSession.setLastUsedConnection(connection);
+    clientSession.setServerSeenAt(connection.usage().upAt());
     connection.usage().addSessions(1);
   }
 
@@ -471,6 +526,7 @@
       List.copyOf(connections).forEach(connection -> connection.close("its server was removed"));
       return connections.isEmpty();
     }
+    checkRestart(now);
     earlyEnds.expire(now);
     int usableCount = 0;
     boolean connecting = false;
--- a/src/main/java/linengauge/platform/connection/ConnectionHealth.java
+++ b/src/main/java/linengauge/platform/connection/ConnectionHealth.java
@@ -43,7 +43,8 @@
     upAt = now;
   }
 
-  Moment upAt() {
+  /** When the connection was established. */
+  public Moment upAt() {
     return upAt;
   }
 
--- a/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
+++ b/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
@@ -138,6 +138,16 @@
         && mayAttempt(now);
   }
 
+  /**
+   * Returns whether connection attempts have failed for long enough that the close of the last open
+   * connection shows a restart: a path that was cut closes nothing, whereas the machine of a
+   * process that died resets what led to it.
+   */
+  public boolean isUnreachable(Moment now) {
+    return failedSince != null && !now.isBefore(failedSince.plus(settings.minFailureTime()));
+  }
+
+  /** Returns whether the server must be taken for lost, as connections have failed for too long. */
   public boolean isLost(Moment now) {
     return failedSince != null
         && (!now.isBefore(failedSince.plus(settings.failureTimeout()))
--- a/src/main/java/linengauge/session/BoxTable.java
+++ b/src/main/java/linengauge/session/BoxTable.java
@@ -86,6 +86,11 @@
       return state;
     }
 
+    /** When the box's process started: the latest of the times listed and reported so far. */
+    public Moment startedAt() {
+      return listing == null ? reportedStart : listing.startedAt().max(reportedStart);
+    }
+
     int incarnation() {
       return incarnation;
     }
@@ -172,10 +177,7 @@
   private void update(Entry entry, ListedBox listing) {
     entry.address = listing.address() == null ? entry.address : listing.address();
     entry.incarnation +=
-        entry.listing != null
-                && entry.listing.startedAt().max(entry.reportedStart).isBefore(listing.startedAt())
-            ? 1
-            : 0;
+        entry.listing != null && entry.startedAt().isBefore(listing.startedAt()) ? 1 : 0;
     switch (listing.state()) {
       case SERVING ->
           entry.mediaBox.markServing(
@@ -202,11 +204,7 @@
    * same start, reported with a little noise.
    */
   void startReported(Entry entry, Moment startedAt, Span tolerance) {
-    Moment knownStart =
-        entry.listing == null
-            ? entry.reportedStart
-            : entry.listing.startedAt().max(entry.reportedStart);
-    if (knownStart.plus(tolerance).isBefore(startedAt)) {
+    if (entry.startedAt().plus(tolerance).isBefore(startedAt)) {
       entry.reportedStart = startedAt;
       entry.incarnation++;
       if (entry.state == State.SERVING) {
--- a/src/test/java/linengauge/platform/FakeNet.java
+++ b/src/test/java/linengauge/platform/FakeNet.java
@@ -266,11 +266,16 @@
 
   /** The journal service sends event 2 with the given server record. */
   void sendServerEvent(byte[] record) {
+    sendServerEvent(2, record);
+  }
+
+  /** The journal service sends the event of that number with the given server record. */
+  void sendServerEvent(long number, byte[] record) {
     latestConnection("127.0.0.1:2")
         .deliver(
             ByteBuffer.allocate(13 + record.length)
                 .putInt(9 + record.length)
-                .putLong(2)
+                .putLong(number)
                 .put((byte) 2)
                 .put(record)
                 .array());
