What clients send and do not read is bounded in heap over all connections

Cause: bounds in bytes of the wire and for each connection alone. A histogram during the flood shows 44,000 queued set-ups of some 300 bytes of objects each, not the refusals of the claim. An Error on the loop was caught by nobody.

The process ends on an Error, without heap, and when its loop has ended.

The tests of platform, rehearsal and architecture pass.

--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -10,6 +10,7 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.LogEvent.Kind;
+import linengauge.platform.RequestQueue.QueuedRequest;
 import linengauge.platform.codec.ClientMessageCodec;
 import linengauge.platform.codec.ClientMessageCodec.Message;
 import linengauge.platform.codec.MalformedMessageException;
@@ -35,41 +36,21 @@
   /** Messages parsed between two updates of the clock; each takes a few microseconds. */
   private static final int MESSAGES_PER_CLOCK_UPDATE = 16;
 
-  /**
-   * Bytes of handed-over sessions that wait to be started; beyond that nothing more is read from
-   * the connection.
-   */
-  private static final int MAX_HAND_OVER_BYTES = 128 * 1024;
-
   /** A client that closes the connection may not have read a release sent this recently. */
   private static final Span MAX_RELEASE_READ_DELAY = Span.ofMillis(500);
 
   private static final int MAX_SENT_RELEASES = 512;
 
-  /** A request that waits to be started, and the earliest moment at which it may have arrived. */
-  private record QueuedRequest(Message message, Moment earliestArrival) {}
-
   private record SentRelease(boolean interrupted, Moment sentAt) {}
 
   private final ClientListener listener;
   private final Net.Connection socket;
+  private final ClientOutput output;
   private final ClientMessageCodec reader = new ClientMessageCodec(this);
 
   /** Sessions whose answer is owed on this connection; each is removed with its answer. */
   private final Set<ClientSession> unanswered = new LinkedHashSet<>();
 
-  /**
-   * Requests that wait to be started, by id; removed when they are started, by their ends and by
-   * the close of the connection.
-   */
-  private final Map<Long, QueuedRequest> queuedRequests = new LinkedHashMap<>();
-
-  /**
-   * Handed-over sessions that wait to be started, by id: they belong to no connection, and are
-   * started even if this one closes.
-   */
-  private final Map<Long, QueuedRequest> queuedHandOvers = new LinkedHashMap<>();
-
   /**
    * Releases written on this connection and not confirmed, by the session's id; bounded, the oldest
    * is dropped; removed after some time.
@@ -96,17 +77,13 @@
 
   private Moment nextEarliestArrival;
   private final ReceiveQueue received;
-  private int queuedHandOverBytes;
-
-  /**
-   * Bytes of the requests that wait here, started or not: what the front must keep of what it was
-   * sent.
-   */
-  private int queuedBytes;
+  private final RequestQueue queue;
 
   ClientConnection(ClientListener listener, Net.Connection socket, Moment earliestConnect) {
     this.listener = listener;
     this.socket = socket;
+    this.output = new ClientOutput(socket);
+    this.queue = new RequestQueue(listener.requestHeap().openAccount());
     this.received = new ReceiveQueue(earliestConnect, front().now());
     socket.setHandlers(
         data -> front().handleEvent(() -> read(data)),
@@ -141,13 +118,22 @@
     }
     Moment now = front().now();
     received.add(data, now.minus(front().maxReadDelay()), now);
+    updateUnparsedBytes();
     if (!parseScheduled) {
       parse();
-    } else if (received.isFull(reader.unreadBytes())) {
+    } else if (mustPause()) {
       pause();
     }
   }
 
+  private boolean mustPause() {
+    return received.isFull(reader.unreadBytes()) || queue.isOverShare();
+  }
+
+  private void updateUnparsedBytes() {
+    queue.setUnparsedBytes(received.queuedBytes() + reader.unreadBytes());
+  }
+
   /**
    * Parses received messages, for one loop iteration's share of time; the rest is parsed in later
    * iterations. Otherwise a client that sends at full speed would make all others wait.
@@ -156,15 +142,13 @@
     if (closed) {
       return;
     }
+    output.beginBatch();
     try {
       Moment batchEnd = front().now().plus(MAX_BATCH_TIME);
       boolean messageEnded = false;
       boolean hasMore = true;
       for (int i = 1;
-          hasMore
-              && !closed
-              && front().now().isBefore(batchEnd)
-              && queuedHandOverBytes <= MAX_HAND_OVER_BYTES;
+          hasMore && !closed && front().now().isBefore(batchEnd) && queue.mayAddHandOver();
           i++) {
         hasMore = parseMessage();
         messageEnded |= hasMore;
@@ -173,10 +157,15 @@
           front().updateClock();
         }
       }
-      idleState.onRead(messageEnded, !hasMore && reader.hasPartialMessage(), front().now());
+      updateUnparsedBytes();
+      boolean isPartial = !hasMore && reader.hasPartialMessage();
+      idleState.onRead(messageEnded, isPartial, front().now());
+      if (isPartial && queue.isOverShare()) {
+        close("memory limit of clients reached");
+      }
       if (hasMore && !closed) {
         parseScheduled = true;
-        if (received.isFull(reader.unreadBytes())) {
+        if (mustPause()) {
           pause();
         }
         // By a timer: a deferred task runs before the loop reads from any other connection.
@@ -192,6 +181,8 @@
     } catch (MalformedMessageException e) {
       listener.warn("malformed client message", socket.peer(), e.getMessage());
       close(e.getMessage());
+    } finally {
+      output.endBatch();
     }
     scheduleStart();
   }
@@ -231,33 +222,29 @@
   }
 
   private void enqueue(Message message) {
-    boolean isHandOver = message.isHandOver();
-    if (queuedRequests.containsKey(message.id()) && !isHandOver) {
-      close("two requests with one id");
-    } else if (isHandOver) {
-      if (queuedHandOvers.putIfAbsent(
-              message.id(), new QueuedRequest(message.copy(), earliestArrival))
-          == null) {
-        queuedHandOverBytes += message.length();
+    if (message.isHandOver()) {
+      if (queue.addHandOver(message, earliestArrival)) {
         listener.requestQueued(message.id(), this);
       }
-    } else if (queuedBytes + message.length() > ClientListener.MAX_QUEUED_BYTES_PER_CONNECTION
-        || !listener.hasRoomFor(message.length())) {
+    } else if (queue.hasRequest(message.id())) {
+      close("two requests with one id");
+    } else if (queue.addRequest(message, earliestArrival)) {
+      listener.requestQueued(message.id(), this);
+    } else {
       // The request is rejected, and reading goes on: if it stopped, the front would not notice
       // when a client that has sent too much leaves.
-      write(
-          ClientMessageCodec.encodeRejected(
-              message.id(), listener.recordRejection().micros() / 1000));
-    } else {
-      queuedRequests.put(message.id(), new QueuedRequest(message.copy(), earliestArrival));
-      addQueuedBytes(message.length());
-      listener.requestQueued(message.id(), this);
+      reject(message.id());
     }
   }
 
-  private void addQueuedBytes(int bytes) {
-    queuedBytes += bytes;
-    listener.addQueuedBytes(bytes);
+  /** Rejects a request for want of room. */
+  void reject(long id) {
+    write(ClientMessageCodec.encodeRejected(id, listener.recordRejection().micros() / 1000));
+  }
+
+  /** Whether there is room for an open request with a description of that length. */
+  boolean hasRoomForRequest(int descriptionLength) {
+    return queue.hasRoomForOpen(descriptionLength);
   }
 
   private void pause() {
@@ -269,7 +256,8 @@
   }
 
   private void resume() {
-    if (paused && !received.isFull(reader.unreadBytes())) {
+    // Once all is parsed it reads on in any case: only then are its requests started.
+    if (paused && (!parseScheduled || !mustPause())) {
       paused = false;
       received.onResumed(front().now());
       socket.resume();
@@ -279,7 +267,7 @@
   /* ---- starting requests ---- */
 
   private void scheduleStart() {
-    if (!startScheduled && (!queuedHandOvers.isEmpty() || canStartRequest())) {
+    if (!startScheduled && (queue.hasHandOvers() || canStartRequest())) {
       startScheduled = true;
       front().defer(this::startQueued);
     }
@@ -287,7 +275,7 @@
 
   /** A request is started once all that arrived with it is parsed, as its end may be there. */
   private boolean canStartRequest() {
-    return !queuedRequests.isEmpty() && !closed && !parseScheduled && !paused;
+    return queue.requestCount() > 0 && !closed && !parseScheduled && !paused;
   }
 
   /**
@@ -296,54 +284,44 @@
    */
   private void startQueued() {
     startScheduled = false;
+    output.beginBatch();
     Moment batchEnd = front().now().plus(MAX_BATCH_TIME);
     try {
-      while (front().now().isBefore(batchEnd)
-          && (!queuedHandOvers.isEmpty() || canStartRequest())) {
-        Map<Long, QueuedRequest> queue =
-            queuedHandOvers.isEmpty() ? queuedRequests : queuedHandOvers;
-        start(queue, queue.keySet().iterator().next());
+      while (front().now().isBefore(batchEnd) && (queue.hasHandOvers() || canStartRequest())) {
+        start(queue.takeNext());
       }
     } catch (MalformedMessageException e) {
       listener.warn("malformed client message", socket.peer(), e.getMessage());
       close(e.getMessage());
+    } finally {
+      output.endBatch();
     }
-    if (!startScheduled && (!queuedHandOvers.isEmpty() || canStartRequest())) {
+    if (!startScheduled && (queue.hasHandOvers() || canStartRequest())) {
       startScheduled = true;
       front().schedule(NEXT_ITERATION_DELAY, this::startQueued);
     }
   }
 
-  private void start(Map<Long, QueuedRequest> queue, long id) throws MalformedMessageException {
-    QueuedRequest queued = dequeue(queue, id);
+  private void start(QueuedRequest queued) throws MalformedMessageException {
+    listener.requestDequeued(queued.message().id(), this);
     earliestArrival = queued.earliestArrival();
     front().updateClock();
     reader.decode(queued.message());
   }
 
-  private QueuedRequest dequeue(Map<Long, QueuedRequest> queue, long id) {
-    QueuedRequest queued = queue.remove(id);
-    if (queue == queuedRequests) {
-      addQueuedBytes(-queued.message().length());
-    } else {
-      queuedHandOverBytes -= queued.message().length();
-    }
-    listener.requestDequeued(id, this);
-    return queued;
-  }
-
   /**
    * The end of a session has arrived while its request waits here: a handed-over session is started
    * now, any other never.
    */
   void endedBeforeStart(long id) {
-    if (queuedRequests.containsKey(id)) {
-      dequeue(queuedRequests, id);
+    if (queue.takeRequest(id) != null) {
+      listener.requestDequeued(id, this);
     }
-    if (queuedHandOvers.containsKey(id)) {
+    QueuedRequest handOver = queue.takeHandOver(id);
+    if (handOver != null) {
       Moment previous = earliestArrival;
       try {
-        start(queuedHandOvers, id);
+        start(handOver);
       } catch (MalformedMessageException e) {
         listener.warn("malformed client message", socket.peer(), e.getMessage());
       }
@@ -356,13 +334,11 @@
    * before the process exits. This causes one long loop iteration, the last but one.
    */
   void startAllQueued() {
-    for (Map<Long, QueuedRequest> queue : List.of(queuedHandOvers, queuedRequests)) {
-      while (!queue.isEmpty()) {
-        try {
-          start(queue, queue.keySet().iterator().next());
-        } catch (MalformedMessageException e) {
-          listener.warn("malformed client message", socket.peer(), e.getMessage());
-        }
+    while (!queue.isEmpty()) {
+      try {
+        start(queue.takeNext());
+      } catch (MalformedMessageException e) {
+        listener.warn("malformed client message", socket.peer(), e.getMessage());
       }
     }
   }
@@ -377,7 +353,7 @@
   /** Closes the connection; the requests that wait on it get no other answer than the close. */
   void close(String reason) {
     if (!closed) {
-      socket.close();
+      output.close();
       onClosed("by the front: " + reason);
     }
   }
@@ -389,8 +365,8 @@
     closed = true;
     logClose(reason);
     listener.connectionClosed(this, idleState);
-    for (long id : List.copyOf(queuedRequests.keySet())) {
-      dequeue(queuedRequests, id);
+    for (long id : queue.dropRequests()) {
+      listener.requestDequeued(id, this);
     }
     // What arrived before the close still takes effect: ends and handed-over sessions belong to no
     // connection.
@@ -416,7 +392,7 @@
     unanswered.clear();
     sessions.forEach(
         session -> {
-          addQueuedBytes(-session.descriptionLength());
+          queue.requestSettled(session.descriptionLength());
           listener.abandon(session);
         });
     // The client may not have read these releases: they are sent again on another connection,
@@ -429,13 +405,14 @@
           }
         });
     sentReleases.clear();
+    queue.closeAccount();
   }
 
   /** Logs every close by the front, and each one that leaves requests unanswered. */
   private void logClose(String reason) {
-    if (!unanswered.isEmpty() || !queuedRequests.isEmpty() || reason.startsWith("by the front")) {
+    if (!unanswered.isEmpty() || queue.requestCount() > 0 || reason.startsWith("by the front")) {
       String openRequests =
-          ", " + unanswered.size() + " open, " + queuedRequests.size() + " not started";
+          ", " + unanswered.size() + " open, " + queue.requestCount() + " not started";
       front()
           .events()
           .logFront(Kind.CLIENT_CONNECTION_CLOSED, socket.peer() + " " + reason + openRequests);
@@ -447,7 +424,7 @@
   void addUnanswered(ClientSession session) {
     unanswered.add(session);
     idleState.onRequestOpened();
-    addQueuedBytes(session.descriptionLength());
+    queue.requestOpened(session.descriptionLength());
   }
 
   /** Makes this the connection on which the session's release is sent. */
@@ -467,7 +444,7 @@
   void removeUnanswered(ClientSession session) {
     if (unanswered.remove(session)) {
       idleState.onRequestSettled(front().now());
-      addQueuedBytes(-session.descriptionLength());
+      queue.requestSettled(session.descriptionLength());
     }
   }
 
@@ -477,14 +454,21 @@
       return false;
     }
     Moment now = front().now();
+    expireSentReleases(now);
+    if (sentReleases.size() >= MAX_SENT_RELEASES) {
+      sentReleases.remove(sentReleases.keySet().iterator().next());
+    }
+    sentReleases.put(id, new SentRelease(interrupted, now));
+    return true;
+  }
+
+  /** Forgets the releases that the client has had time to read. */
+  void expireSentReleases(Moment now) {
     Iterator<SentRelease> releases = sentReleases.values().iterator();
     while (releases.hasNext()
-        && (releases.next().sentAt().plus(MAX_RELEASE_READ_DELAY).isBefore(now)
-            || sentReleases.size() >= MAX_SENT_RELEASES)) {
+        && releases.next().sentAt().plus(MAX_RELEASE_READ_DELAY).isBefore(now)) {
       releases.remove();
     }
-    sentReleases.put(id, new SentRelease(interrupted, now));
-    return true;
   }
 
   /**
@@ -495,21 +479,16 @@
     if (closed) {
       return false;
     }
-    if (socket.isFull()) {
+    if (!output.write(message)) {
       front().defer(() -> close("the client does not read"));
       return false;
     }
-    socket.write(message);
     return true;
   }
 
   /** Whether nothing is open on the connection and nothing received waits here. */
   boolean isIdle() {
-    return unanswered.isEmpty()
-        && queuedRequests.isEmpty()
-        && queuedHandOvers.isEmpty()
-        && !parseScheduled
-        && !paused;
+    return unanswered.isEmpty() && queue.isEmpty() && !parseScheduled && !paused;
   }
 
   /* ---- received messages ---- */
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -11,6 +11,7 @@
 import linengauge.platform.codec.SetUpRequest;
 import linengauge.platform.codec.TextFormat;
 import linengauge.platform.connection.AcceptBacklog;
+import linengauge.platform.connection.HeapBudget;
 import linengauge.platform.connection.IdleConnectionReaper;
 import linengauge.platform.connection.IdleTracker;
 import linengauge.session.Session;
@@ -24,12 +25,12 @@
   static final int WRITE_BUFFER_BYTES = 64 * 1024;
 
   /**
-   * Bytes of requests that may wait on one connection, and on all; requests beyond that are
-   * rejected at once.
+   * Heap that the data received from all clients, their queued and their open requests may occupy
+   * together; with the idle connections and the server list it fits into the heap of the run
+   * command.
    */
-  static final int MAX_QUEUED_BYTES_PER_CONNECTION = 48 * 1024;
+  private static final long MAX_REQUEST_HEAP_BYTES = 3L * 1024 * 1024;
 
-  private static final int MAX_QUEUED_BYTES = 4 * 1024 * 1024;
   private static final long MAX_TIME_LIMIT_MS = 600_000;
 
   /**
@@ -63,7 +64,7 @@
    */
   private final Map<Long, ClientConnection> queuedRequests = new HashMap<>();
 
-  private int queuedBytes;
+  private final HeapBudget requestHeap = new HeapBudget(MAX_REQUEST_HEAP_BYTES);
   private boolean closingScheduled;
 
   /**
@@ -159,12 +160,9 @@
     new LinkedHashSet<>(queuedRequests.values()).forEach(ClientConnection::startAllQueued);
   }
 
-  void addQueuedBytes(int bytes) {
-    queuedBytes += bytes;
-  }
-
-  boolean hasRoomFor(int bytes) {
-    return queuedBytes + bytes <= MAX_QUEUED_BYTES;
+  /** The heap occupied by what clients have sent. */
+  HeapBudget requestHeap() {
+    return requestHeap;
   }
 
   /** Counts a request that is rejected before it reaches the core; returns when to retry. */
@@ -179,6 +177,7 @@
 
   void sweep(Moment now) {
     idleConnections.closeOverdue(now);
+    connections.forEach(connection -> connection.expireSentReleases(now));
     while (!pendingReleases.isEmpty() && pendingReleases.peek().expiresAt().isBefore(now)) {
       pendingReleases.poll();
     }
@@ -245,6 +244,10 @@
       }
       return;
     }
+    if (!connection.hasRoomForRequest(form.description().length())) {
+      connection.reject(id);
+      return;
+    }
     ClientSession session =
         new ClientSession(
             this,
--- a/src/main/java/linengauge/platform/Service.java
+++ b/src/main/java/linengauge/platform/Service.java
@@ -3,6 +3,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import linengauge.net.EventWriter;
 import linengauge.net.RateLimitedLog;
@@ -14,6 +17,9 @@
 public final class Service implements PlatformFront.Observer {
   private static final Logger LOG = LoggerFactory.getLogger("linengauge.platform");
 
+  private static final int LOOP_CHECK_INTERVAL_MS = 1000;
+  private static final int FATAL_ERROR_EXIT_CODE = 3;
+
   private final Path configurationFile;
   private final Configuration configuration;
   private final VertxNet net;
@@ -27,7 +33,7 @@
   Service(Path configurationFile, Configuration configuration) {
     this.configurationFile = configurationFile;
     this.configuration = configuration;
-    this.net = new VertxNet(configuration.settings().dialTimeout());
+    this.net = new VertxNet(configuration.settings().dialTimeout(), Service::haltOnError);
   }
 
   /** Runs a front until it is asked to stop; returns the exit code of the process. */
@@ -54,7 +60,7 @@
       return 1;
     }
     service.start().whenComplete((ignored, error) -> started.complete(service));
-    String failure = service.stopReason.join();
+    String failure = service.awaitStopReason();
     service.events.flush();
     if (!failure.isEmpty()) {
       System.err.println("linengauge: " + failure);
@@ -92,6 +98,36 @@
     return failure;
   }
 
+  /**
+   * Waits for the reason of the stop. A front whose event loop has ended serves nobody any more, so
+   * its process must end: then the platform can start another one.
+   */
+  private String awaitStopReason() {
+    while (true) {
+      try {
+        return stopReason.get(LOOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+      } catch (TimeoutException e) {
+        if (net.hasLoopEnded()) {
+          return "the event loop has ended";
+        }
+      } catch (InterruptedException | ExecutionException e) {
+        return e.toString();
+      }
+    }
+  }
+
+  /**
+   * Ends the process at once: after an error, such as a lack of memory, the front's state is
+   * unknown, and an orderly stop would need what has failed.
+   */
+  private static void haltOnError(Error error) {
+    try {
+      LOG.error("the front cannot go on", error);
+    } finally {
+      Runtime.getRuntime().halt(FATAL_ERROR_EXIT_CODE);
+    }
+  }
+
   /** Asks the front to stop in order; may be called from any thread. */
   void stop() {
     net.runOnLoop(() -> front.stop());
--- a/src/main/java/linengauge/platform/VertxNet.java
+++ b/src/main/java/linengauge/platform/VertxNet.java
@@ -15,10 +15,21 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.net.WallClock;
+import linengauge.platform.connection.HeapBudget;
 import linengauge.session.Transport.Timer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Sockets and timers on one event loop. */
 final class VertxNet implements Net {
+  private static final Logger LOG = LoggerFactory.getLogger("linengauge.platform");
+
+  /** Heap that writes to all clients, and to all servers, may occupy until they are received. */
+  private static final long MAX_OUTPUT_HEAP_BYTES = 2L * 1024 * 1024;
+
+  /** Heap that one write occupies beside its bytes. */
+  private static final int WRITE_HEAP_BYTES = 512;
+
   /** Used if the settings give no connect timeout. */
   private static final Span DEFAULT_CONNECT_TIMEOUT = Span.ofSeconds(1);
 
@@ -35,7 +46,19 @@
 
   private Runnable flushTask;
 
-  VertxNet(Span connectTimeout) {
+  private final HeapBudget clientOutput = new HeapBudget(MAX_OUTPUT_HEAP_BYTES);
+  private final HeapBudget serverOutput = new HeapBudget(MAX_OUTPUT_HEAP_BYTES);
+
+  /** The thread of the event loop; null until it has run its first task. */
+  private volatile Thread loopThread;
+
+  /**
+   * Creates the loop.
+   *
+   * @param errorHandler is passed every {@link Error} that a task of the loop throws; the state of
+   *     the front is unknown then
+   */
+  VertxNet(Span connectTimeout, Consumer<Error> errorHandler) {
     this.vertx =
         Vertx.builder()
             .withTransport(new OneLoopTransport())
@@ -49,6 +72,7 @@
                             .setClassPathResolvingEnabled(false)
                             .setFileCachingEnabled(false)))
             .build();
+    vertx.exceptionHandler(thrown -> handleThrown(thrown, errorHandler));
     this.context = vertx.getOrCreateContext();
     this.client =
         vertx.createNetClient(
@@ -69,9 +93,27 @@
                 .setReuseAddress(true));
   }
 
+  private static void handleThrown(Throwable thrown, Consumer<Error> errorHandler) {
+    if (thrown instanceof Error error) {
+      errorHandler.accept(error);
+    } else {
+      LOG.error("unhandled exception", thrown);
+    }
+  }
+
   /** Runs the task on the event loop; may be called from any thread. */
   void runOnLoop(Runnable task) {
-    context.runOnContext(ignored -> task.run());
+    context.runOnContext(
+        ignored -> {
+          loopThread = Thread.currentThread();
+          task.run();
+        });
+  }
+
+  /** Returns whether the event loop has started and its thread has ended. */
+  boolean hasLoopEnded() {
+    Thread thread = loopThread;
+    return thread != null && !thread.isAlive();
   }
 
   /** Closes everything and waits for it; must not be called on the event loop. */
@@ -91,7 +133,7 @@
         .onComplete(
             result -> {
               if (result.succeeded()) {
-                handler.connected(new Socket(result.result(), writeBufferBytes));
+                handler.connected(new Socket(result.result(), writeBufferBytes, serverOutput));
               } else {
                 Throwable cause = result.cause();
                 boolean isTimeout = cause.getClass().getSimpleName().contains("Timeout");
@@ -104,7 +146,8 @@
 
   @Override
   public void listen(String address, int writeBufferBytes, AcceptHandler handler) {
-    server.connectHandler(socket -> handler.accepted(new Socket(socket, writeBufferBytes)));
+    server.connectHandler(
+        socket -> handler.accepted(new Socket(socket, writeBufferBytes, clientOutput)));
     server.exceptionHandler(e -> handler.acceptFailed(String.valueOf(e.getMessage())));
     server
         .listen(Configuration.port(address), Configuration.host(address))
@@ -159,9 +202,11 @@
 
   private final class Socket implements Connection {
     private final NetSocket socket;
+    private final HeapBudget.Account heap;
 
-    private Socket(NetSocket socket, int writeBufferBytes) {
+    private Socket(NetSocket socket, int writeBufferBytes, HeapBudget outputHeap) {
       this.socket = socket;
+      this.heap = outputHeap.openAccount();
       socket.setWriteQueueMaxSize(writeBufferBytes);
       socket.exceptionHandler(e -> {}); // the close handler is called as well
     }
@@ -169,16 +214,23 @@
     @Override
     public void setHandlers(Consumer<byte[]> dataHandler, Runnable closeHandler) {
       socket.handler(buffer -> dataHandler.accept(buffer.getBytes()));
-      socket.closeHandler(ignored -> closeHandler.run());
+      socket.closeHandler(
+          ignored -> {
+            heap.close();
+            closeHandler.run();
+          });
     }
 
     @Override
     public void write(byte[] message) {
+      long heapBytes = WRITE_HEAP_BYTES + (long) message.length;
+      heap.add(heapBytes);
       pendingWrites++;
       socket
           .write(Buffer.buffer(message))
           .onComplete(
               result -> {
+                heap.add(-heapBytes);
                 pendingWrites--;
                 runFlushTask();
               });
@@ -186,7 +238,7 @@
 
     @Override
     public boolean isFull() {
-      return socket.writeQueueFull();
+      return socket.writeQueueFull() || heap.isOverShare();
     }
 
     @Override
@@ -201,6 +253,7 @@
 
     @Override
     public void close() {
+      heap.close();
       socket.close();
     }
 
--- a/src/main/java/linengauge/platform/connection/ReceiveQueue.java
+++ b/src/main/java/linengauge/platform/connection/ReceiveQueue.java
@@ -57,6 +57,11 @@
     queuedBytes += data.length;
   }
 
+  /** The number of bytes that wait. */
+  public int queuedBytes() {
+    return queuedBytes;
+  }
+
   /** Removes and returns the next chunk, or null. */
   public Chunk poll() {
     Chunk chunk = chunks.poll();
--- a/src/test/java/linengauge/platform/EventOrderSocketsTest.java
+++ b/src/test/java/linengauge/platform/EventOrderSocketsTest.java
@@ -421,7 +421,7 @@
   @ParameterizedTest
   @EnumSource(names = {"LATER", "CLOSES", "AT_ONCE"})
   void lastWritesAreWaitedForWithinTheirBound(Departure peer) throws Exception {
-    VertxNet net = new VertxNet(Span.ofMillis(250));
+    VertxNet net = new VertxNet(Span.ofMillis(250), error -> {});
     try (var serverSocket = new ServerSocket()) {
       serverSocket.setReceiveBufferSize(8192);
       serverSocket.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
--- a/src/test/java/linengauge/platform/FakeNet.java
+++ b/src/test/java/linengauge/platform/FakeNet.java
@@ -92,7 +92,10 @@
     /** Ids of the ends written to a server on this connection. */
     final List<Long> endedIds = new ArrayList<>();
 
-    /** Length of the latest message written, in bytes. */
+    /** Number of writes, each of one or several messages. */
+    int writeCount;
+
+    /** Length of the latest message written to a client, in bytes. */
     int lastMessageBytes;
 
     boolean paused;
@@ -112,10 +115,11 @@
     @Override
     public void write(byte[] message) {
       String line = new String(message, StandardCharsets.UTF_8);
-      messageTypes.add((int) message[2]);
-      lastMessageBytes = message.length;
-      if (address.equals("viewer") && message[2] == 12) {
-        releasedIds.add(ByteBuffer.wrap(message).getLong(3));
+      writeCount++;
+      if (address.equals("viewer")) {
+        recordClientMessages(ByteBuffer.wrap(message));
+      } else {
+        messageTypes.add((int) message[2]);
       }
       if (line.contains("ECHO") && serversAnswerTests) {
         String tag = line.replaceFirst("(?s).*\"tag\":\"([0-9a-f]{16})\".*", "$1");
@@ -142,6 +146,21 @@
               + address);
     }
 
+    /** A write to a client holds one or several whole messages. */
+    private void recordClientMessages(ByteBuffer written) {
+      while (written.hasRemaining()) {
+        int start = written.position();
+        int length = written.getShort();
+        int type = written.get();
+        messageTypes.add(type);
+        lastMessageBytes = 2 + length;
+        if (type == 12) {
+          releasedIds.add(written.getLong());
+        }
+        written.position(start + 2 + length);
+      }
+    }
+
     /**
      * Like the network library, holds back what is written or closed during the delivery of data
      * until the delivery is over.
