--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -119,7 +119,10 @@
     Moment now = front().now();
     received.add(data, now.minus(front().maxReadDelay()), now);
     updateUnparsedBytes();
-    if (!parseScheduled) {
+    if (received.isFull(reader.unreadBytes()) && queue.isOverShare()) {
+      // The library reads up to 64 KB at once, which many connections together cannot hold.
+      close("memory limit of clients reached");
+    } else if (!parseScheduled) {
       parse();
     } else if (mustPause()) {
       pause();
