Releases go to connections of viewers, not of clients that were refused and stay

Cause: a refused request made a connection a viewer's; the release of a session whose own connection had closed went to the first such one, which settled it.

Change: an established or handed-over session makes it a viewer's. A connection of refused requests is offered a release only where there is no viewer's, and the release is kept for the next one. PendingReleases is taken out of ClientListener.

--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -41,6 +41,16 @@
 
   private static final int MAX_SENT_RELEASES = 512;
 
+  /** What a connection has been used for so far, which tells who may read a release on it. */
+  enum Use {
+    /** Nothing, or only tests of the front. */
+    NONE,
+    /** Its requests have been refused; its client may view nothing. */
+    REFUSED_REQUESTS,
+    /** A session was established or handed over by it. */
+    VIEWER
+  }
+
   private record SentRelease(boolean interrupted, Moment sentAt) {}
 
   private final ClientListener listener;
@@ -58,7 +68,7 @@
   private final Map<Long, SentRelease> sentReleases = new LinkedHashMap<>();
 
   private IdleTracker idleState;
-  private boolean usedByClient;
+  private Use use = Use.NONE;
   private boolean closed;
 
   /** Received messages wait for a loop iteration in which they are parsed. */
@@ -102,12 +112,8 @@
     return !closed;
   }
 
-  /**
-   * Whether a request has been answered on this connection or a session handed over by it. A client
-   * that only tests the front is sent no releases.
-   */
-  boolean isUsedByClient() {
-    return usedByClient;
+  Use use() {
+    return use;
   }
 
   /* ---- parsing ---- */
@@ -435,13 +441,14 @@
     session.setOrigin(this);
   }
 
-  void sendAnswer(ClientSession session, byte[] message) {
+  /** Sends the answer, which shows what the connection is used for. */
+  void sendAnswer(ClientSession session, byte[] message, Use shownUse) {
     removeUnanswered(session);
     if (session.answerDeadline().isBefore(front().now())) {
       session.logLateAnswer(front().now().since(session.answerDeadline()));
     }
     write(message);
-    markUsedByClient();
+    markUsed(shownUse);
   }
 
   void removeUnanswered(ClientSession session) {
@@ -521,14 +528,21 @@
     write(ClientMessageCodec.encodeUnusable(id));
   }
 
-  /**
-   * Marks the connection as used by a client: a request has been answered on it, or an established
-   * session was handed over by it.
-   */
-  void markUsedByClient() {
-    if (!closed) {
-      idleState.markTrusted();
-      usedByClient = true;
+  /** A session has been established or handed over by this connection. */
+  void markUsedByViewer() {
+    markUsed(Use.VIEWER);
+  }
+
+  private void markUsed(Use shownUse) {
+    if (closed) {
+      return;
+    }
+    idleState.markTrusted();
+    boolean isFirst = use == Use.NONE;
+    if (use != Use.VIEWER) {
+      use = shownUse;
+    }
+    if (isFirst || use == Use.VIEWER) {
       listener.sendPendingReleases(this);
     }
   }
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -1,6 +1,5 @@
 package linengauge.platform;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -39,16 +38,9 @@
    */
   private static final Span FIRST_REQUEST_TIME_LIMIT = Span.ofMillis(2200);
 
-  private static final Span RELEASE_RETENTION = Span.ofSeconds(8);
-
   /** As many as the library's event loop accepts in one iteration. */
   private static final int ACCEPTS_PER_ITERATION = 16;
 
-  /** At least as many as sessions can be established at once. */
-  private static final int MAX_PENDING_RELEASES = 8192;
-
-  private record PendingRelease(long id, boolean interrupted, Moment expiresAt) {}
-
   private final PlatformFront front;
   private final IdleConnectionReaper idleConnections;
   private final AcceptBacklog backlog;
@@ -67,11 +59,7 @@
   private final HeapBudget requestHeap = new HeapBudget(MAX_REQUEST_HEAP_BYTES);
   private boolean closingScheduled;
 
-  /**
-   * Releases for which there was no connection; bounded, and emptied by the next connection or by
-   * time.
-   */
-  private final ArrayDeque<PendingRelease> pendingReleases = new ArrayDeque<>();
+  private final PendingReleases pendingReleases = new PendingReleases();
 
   ClientListener(PlatformFront front, int maxConnections) {
     this.front = front;
@@ -178,9 +166,7 @@
   void sweep(Moment now) {
     idleConnections.closeOverdue(now);
     connections.forEach(connection -> connection.expireSentReleases(now));
-    while (!pendingReleases.isEmpty() && pendingReleases.peek().expiresAt().isBefore(now)) {
-      pendingReleases.poll();
-    }
+    pendingReleases.expire(now);
   }
 
   /* ---- messages from clients ---- */
@@ -230,7 +216,7 @@
             Span.ofMillis(Math.max(0, form.timeLeftMs())).minus(connection.maxQueueingDelay()),
             null);
     if (isHandOver) {
-      connection.markUsedByClient();
+      connection.markUsedByViewer();
       ClientSession session =
           new ClientSession(this, id, form.packageName(), null, null, front.now());
       sessions.put(id, session);
@@ -316,32 +302,38 @@
 
   /**
    * Sends the release of an established session on the connection by which it came, or else on any
-   * other that is used by a client.
+   * other of a viewer. If there is none, it is sent on a connection whose requests have all been
+   * refused, and kept: who holds that one open may view nothing.
    */
   void sendRelease(long id, boolean interrupted, ClientConnection origin) {
-    if (origin != null && origin.isOpen() && origin.sendRelease(id, interrupted)) {
+    if (origin != null && origin.isOpen() && origin.sendRelease(id, interrupted)
+        || sendReleaseOnAny(id, interrupted, origin, ClientConnection.Use.VIEWER)) {
       return;
     }
+    boolean offered =
+        sendReleaseOnAny(id, interrupted, origin, ClientConnection.Use.REFUSED_REQUESTS);
+    pendingReleases.add(id, interrupted, offered, front.now());
+  }
+
+  private boolean sendReleaseOnAny(
+      long id, boolean interrupted, ClientConnection excluded, ClientConnection.Use use) {
     for (ClientConnection connection : connections) {
-      if (connection != origin
+      if (connection != excluded
           && connection.isOpen()
-          && connection.isUsedByClient()
+          && connection.use() == use
           && connection.sendRelease(id, interrupted)) {
-        return;
+        return true;
       }
     }
-    if (pendingReleases.size() == MAX_PENDING_RELEASES) {
-      pendingReleases.poll();
-    }
-    pendingReleases.add(new PendingRelease(id, interrupted, front.now().plus(RELEASE_RETENTION)));
+    return false;
   }
 
-  /** A connection has proved to be used by a client: sends the pending releases on it. */
+  /** The use of a connection has become known: sends the pending releases on it. */
   void sendPendingReleases(ClientConnection connection) {
-    while (!pendingReleases.isEmpty()
-        && connection.sendRelease(
-            pendingReleases.peek().id(), pendingReleases.peek().interrupted())) {
-      pendingReleases.poll();
+    if (connection.use() == ClientConnection.Use.VIEWER) {
+      pendingReleases.sendOn(connection);
+    } else {
+      pendingReleases.offerOn(connection);
     }
   }
 }
--- a/src/main/java/linengauge/platform/ClientSession.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -173,7 +173,7 @@
   public void started(Session startedSession) {
     established = true;
     requester.setAsOriginOf(this);
-    sendAnswer(ClientMessageCodec.encodeStarted(id, answer));
+    sendAnswer(ClientMessageCodec.encodeStarted(id, answer), ClientConnection.Use.VIEWER);
     answer = null;
     description = null;
     trail.discard();
@@ -182,22 +182,24 @@
   @Override
   public void rejected(Span retryAfter, Environment.RejectionReason reason) {
     log(Kind.REQUEST_REFUSED, reason.name(), true);
-    sendAnswer(ClientMessageCodec.encodeRejected(id, retryAfter.micros() / 1000));
+    sendAnswer(
+        ClientMessageCodec.encodeRejected(id, retryAfter.micros() / 1000),
+        ClientConnection.Use.REFUSED_REQUESTS);
     listener.remove(this);
   }
 
   @Override
   public void failed(FailureCause cause) {
     log(Kind.REQUEST_FAILED, cause.name(), true);
-    sendAnswer(ClientMessageCodec.encodeFailed(id));
+    sendAnswer(ClientMessageCodec.encodeFailed(id), ClientConnection.Use.REFUSED_REQUESTS);
     listener.remove(this);
   }
 
-  private void sendAnswer(byte[] message) {
+  private void sendAnswer(byte[] message, ClientConnection.Use shownUse) {
     ClientConnection connection = requester;
     requester = null;
     if (connection != null) {
-      connection.sendAnswer(this, message);
+      connection.sendAnswer(this, message, shownUse);
     }
   }
 
