--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -173,18 +173,7 @@
         close("memory limit of clients reached");
       }
       if (hasMore && !closed) {
-        parseScheduled = true;
-        if (mustPause()) {
-          pause();
-        }
-        // By a timer: a deferred task runs before the loop reads from any other connection.
-        front()
-            .schedule(
-                NEXT_ITERATION_DELAY,
-                () -> {
-                  parseScheduled = false;
-                  parse();
-                });
+        scheduleParse();
       }
       resume();
     } catch (MalformedMessageException e) {
@@ -196,6 +185,21 @@
     scheduleStart();
   }
 
+  /** By a timer: a deferred task runs before the loop reads from any other connection. */
+  private void scheduleParse() {
+    parseScheduled = true;
+    if (mustPause()) {
+      pause();
+    }
+    front()
+        .schedule(
+            NEXT_ITERATION_DELAY,
+            () -> {
+              parseScheduled = false;
+              parse();
+            });
+  }
+
   private boolean parseMessage() throws MalformedMessageException {
     Message message = reader.nextMessage();
     if (message == null) {
