A single failed dial before a server closes its last connection shows no restart

What callers would see: sessions released although their server lives. Found on rereading.

Cause: an outage counted from the first failed dial to the close, so one dial that never came up (one in fifty does not), and a close of the resting connection over 1 s later, passed for it.

Change: the failed dials themselves have to span 1 s.

ServerRestartTest.aCloseAfterASingleFailedDialShowsNoRestart failed before and passes; with it ServerRestartTest, ConnectionTrackingTest, PlatformFrontTest and RetryOrderTest.

--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -331,7 +331,7 @@
     switch (cause) {
       case BY_SERVER -> {
         reachability.onClosed();
-        if (isLastOne && reachability.isUnreachable(front().now())) {
+        if (isLastOne && reachability.isUnreachable()) {
           serverLost("reset after an outage");
         }
       }
--- a/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
+++ b/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
@@ -57,6 +57,7 @@
   private boolean testSent;
 
   private Moment failedSince;
+  private Moment lastFailedAt = Moment.DISTANT_PAST;
   private Moment nextAttemptAt = Moment.DISTANT_PAST;
   private Span retryDelay;
 
@@ -120,6 +121,7 @@
   /** A connection attempt has failed. */
   public void onConnectFailed(Moment now) {
     failedSince = failedSince == null ? now : failedSince;
+    lastFailedAt = now;
     nextAttemptAt = now.plus(retryDelay);
     retryDelay = retryDelay.times(2).min(settings.maxRetryDelay());
   }
@@ -139,12 +141,13 @@
   }
 
   /**
-   * Returns whether connection attempts have failed for long enough that the close of the last open
-   * connection shows a restart: a path that was cut closes nothing, whereas the machine of a
-   * process that died resets what led to it.
+   * Returns whether attempt after attempt has failed for long enough that the close of the last
+   * open connection shows a restart: a path that was cut closes nothing, whereas the machine of a
+   * process that died resets what led to it. A single attempt that failed long ago shows nothing.
    */
-  public boolean isUnreachable(Moment now) {
-    return failedSince != null && !now.isBefore(failedSince.plus(settings.minFailureTime()));
+  public boolean isUnreachable() {
+    return failedSince != null
+        && !lastFailedAt.isBefore(failedSince.plus(settings.minFailureTime()));
   }
 
   /** Returns whether the server must be taken for lost, as connections have failed for too long. */
