Ends of sessions whose own connection has fallen silent are heard on another

What callers saw: with several connections to one server, one of which carries nothing any more (its other side has forgotten it, or its way is cut) while the others are heard, the sessions set up on it were never released: the server writes their ends there, and repeats them only on the next connection opened.

Cause: silence was judged for each server. What arrived on one connection vouched for all, and a new connection counted as heard once the system had accepted it.

Change: SilenceMonitor judges each connection. One on which the server may report and that is silent for 5 s is tested; if the test is not answered within 0.5 s while the server is heard elsewhere, the connection is retired, a further one is opened, and one more every 5 s while such sessions stand; it is logged (connection-silent). A connection counts as heard once something has arrived on it. Ends written to a connection that does not answer its test are sent again on another. UnsentMessages is taken out of ServerLink.

--- a/src/main/java/linengauge/platform/LogEvent.java
+++ b/src/main/java/linengauge/platform/LogEvent.java
@@ -25,7 +25,8 @@
    * What happened. ATTEMPT_ENDED and SESSION_ENDED: the end before and after the session was
    * established. GIVE_UP_SENT: the end of an open attempt was written to its server; END_CONFIRMED:
    * the server has shown that the attempt is over. REQUEST_FAILED: also an answer sent after its
-   * deadline. CONNECTION_DIALLED, CONNECTION_UP and CONNECTION_CLOSED: of a connection to a server.
+   * deadline. CONNECTION_DIALLED, CONNECTION_UP, CONNECTION_SILENT and CONNECTION_CLOSED: of a
+   * connection to a server; silent: it carries nothing any more although the server is heard.
    * SERVER_STATE: a change of one server in discovery; DISCOVERY: the journal connection and its
    * events.
    */
@@ -42,6 +43,7 @@
     SESSION_ENDED,
     CONNECTION_DIALLED,
     CONNECTION_UP,
+    CONNECTION_SILENT,
     CONNECTION_CLOSED,
     CLIENT_CONNECTION_CLOSED,
     SERVER_STATE,
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -47,7 +47,7 @@
   private final ServerLink link;
   private final int number;
   private final String address;
-  private final int closesBeforeDial;
+  private final int missesBeforeDial;
   private final ServerLineCodec reader = new ServerLineCodec(this);
   private final Map<Long, OpenAttempt> openAttempts = new LinkedHashMap<>();
   private final RecentAttemptIds usedIds = new RecentAttemptIds(MAX_TRACKED_IDS, ID_RETENTION);
@@ -61,6 +61,9 @@
   private final UnconfirmedEnds<CancelledAttempt> unconfirmedEnds =
       new UnconfirmedEnds<>(MAX_TRACKED_IDS, ID_RETENTION);
 
+  /** Ends written before this moment have been sent again elsewhere. */
+  private Moment endsResentUntil = Moment.DISTANT_PAST;
+
   /** Tests whose result is awaited, with their timers. */
   private final Map<Long, Timer> pendingTests = new LinkedHashMap<>();
 
@@ -69,11 +72,11 @@
 
   private final ConnectionHealth usage;
 
-  ServerConnection(ServerLink link, String address, int closesBeforeDial) {
+  ServerConnection(ServerLink link, String address, int missesBeforeDial) {
     this.link = link;
     this.number = link.links().nextConnectionNumber();
     this.address = address;
-    this.closesBeforeDial = closesBeforeDial;
+    this.missesBeforeDial = missesBeforeDial;
     this.usage = new ConnectionHealth(front().now());
   }
 
@@ -95,11 +98,11 @@
   }
 
   /**
-   * How many connections to the server had closed when this one was dialled: once it is up, the
-   * server repeats on it what those closes may have lost.
+   * How often reports of the server may have been missed when this connection was dialled: the
+   * server repeats those reports on it.
    */
-  int closesBeforeDial() {
-    return closesBeforeDial;
+  int missesBeforeDial() {
+    return missesBeforeDial;
   }
 
   /** When that attempt was written here; null if it was not. */
@@ -124,6 +127,10 @@
     front().events().logConnection(kind, link.server().id(), number, reason);
   }
 
+  void logSilence() {
+    log(Kind.CONNECTION_SILENT, usage.sessionCount() + " sessions");
+  }
+
   void connect() {
     log(Kind.CONNECTION_DIALLED, address);
     front()
@@ -176,7 +183,7 @@
     if (closed) {
       return;
     }
-    link.dataReceived();
+    link.dataReceived(this);
     usage.onReceived(front().now());
     try {
       boolean ended = reader.feed(data) > 0;
@@ -282,11 +289,18 @@
     write(ServerLineCodec.encodeTest(id));
   }
 
+  /** Sends a test whose answer confirms the ends written before it. */
+  void sendConfirmationTest(long id) {
+    writeTest(id);
+  }
+
   /**
-   * Tests whether the server responds at all: any message from it is a sign of life; silence is
-   * judged by {@link ServerLink#sweep}. The answer also confirms the ends written before the test.
+   * Tests whether the connection still carries anything: any message on it is a sign of life;
+   * silence is judged by {@link ServerLink#sweep}. The answer also confirms the ends written before
+   * the test.
    */
   void sendLivenessTest(long id) {
+    usage.onTestSent(front().now());
     writeTest(id);
   }
 
@@ -363,6 +377,23 @@
     return isUp() && unconfirmedEnds.isUnconfirmed(id);
   }
 
+  /**
+   * Returns, once each, the ends that the server has not read if a test on the connection was not
+   * either.
+   */
+  List<Long> takeUnreadEnds(Moment now) {
+    if (!usage.isTestOverdue(now)) {
+      return List.of();
+    }
+    List<Long> unread = unconfirmedEnds.writtenSince(usage.lastReceivedAt().max(endsResentUntil));
+    endsResentUntil = now;
+    return unread;
+  }
+
+  boolean hasOpenAttempt(long id) {
+    return openAttempts.containsKey(id);
+  }
+
   @Override
   public void onEndConfirmed(long id) {
     confirmEnd(unconfirmedEnds.confirm(id));
@@ -427,6 +458,16 @@
     close(CloseCause.BY_FRONT, reason);
   }
 
+  /** Whether nothing is open on the connection, and no established session was set up on it. */
+  boolean isSpare() {
+    return isUp() && openCount() == 0 && usage.sessionCount() == 0;
+  }
+
+  /** Closes a connection on which nothing that the server sends can be missed. */
+  void closeIdle(String reason) {
+    close(CloseCause.IDLE, reason);
+  }
+
   private void close(CloseCause cause, String reason) {
     if (!closed) {
       if (socket != null) {
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -1,6 +1,5 @@
 package linengauge.platform;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,20 +21,11 @@
 /** One media server: its connections, and the sessions established at it. */
 final class ServerLink {
   private static final int MAX_CONNECTIONS = 4;
-  private static final int MAX_UNSENT_MESSAGES = 512;
   private static final int MAX_EARLY_ENDS = 256;
 
   /** As long as the platform allows a front for the release of a session that has ended. */
   private static final Span EARLY_END_RETENTION = Span.ofSeconds(8);
 
-  /**
-   * If messages wait and nothing else opens a connection, one is dialled at this interval, until
-   * the last of them has waited for the period below.
-   */
-  private static final Span UNSENT_DIAL_INTERVAL = Span.ofSeconds(2);
-
-  private static final Span UNSENT_DIAL_PERIOD = Span.ofSeconds(30);
-
   /** Longer than a message on one connection can lag behind a later one on another. */
   private static final Span END_REPEAT_DELAY = Span.ofSeconds(1);
 
@@ -47,19 +37,14 @@
   private final ReachabilityDetector reachability;
   private final ServerIncarnation incarnation = new ServerIncarnation();
   private final List<ServerConnection> connections = new ArrayList<>();
+  private final SilenceMonitor silence = new SilenceMonitor(connections);
 
   /** Sessions established at the server; each is removed with its end. */
   private final Map<Long, ClientSession> sessions = new LinkedHashMap<>();
 
   private final EarlyEnds earlyEnds = new EarlyEnds(MAX_EARLY_ENDS, EARLY_END_RETENTION);
 
-  /** Messages that wait for a connection; bounded, the oldest is dropped. */
-  private final ArrayDeque<byte[]> unsentMessages = new ArrayDeque<>();
-
-  /** When the last of them was added, and when a connection is next dialled for them. */
-  private Moment lastUnsentAt = Moment.DISTANT_PAST;
-
-  private Moment nextUnsentDial = Moment.DISTANT_PAST;
+  private final UnsentMessages unsentMessages = new UnsentMessages();
 
   ServerLink(ServerLinks links, BoxTable.Entry server) {
     this.links = links;
@@ -97,7 +82,7 @@
   void requestEndConfirmation(long id) {
     for (ServerConnection connection : connections) {
       if (connection.awaitsConfirmation(id)) {
-        connection.sendLivenessTest(links.nextTestId());
+        connection.sendConfirmationTest(links.nextTestId());
       }
     }
   }
@@ -182,7 +167,7 @@
     if (isUsable(clientSession.lastUsedConnection())) {
       return clientSession.lastUsedConnection();
     }
-    ServerConnection latest = latestHeard();
+    ServerConnection latest = latestHeard(null);
     if (latest != null
         || clientSession.lastUsedConnection() == null
         || !clientSession.lastUsedConnection().isUp()) {
@@ -213,7 +198,11 @@
   }
 
   private void sendEndElsewhere(long id) {
-    ServerConnection connection = latestHeard();
+    sendEndExceptOn(null, id);
+  }
+
+  private void sendEndExceptOn(ServerConnection excluded, long id) {
+    ServerConnection connection = latestHeard(excluded);
     if (connection != null) {
       connection.write(ServerLineCodec.encodeEnd(id));
     } else if (server.state() != BoxTable.State.GONE) {
@@ -221,6 +210,16 @@
     }
   }
 
+  /** The server has not read an end; it is not sent again if the id is in use again. */
+  private void resendEnd(long id, ServerConnection unread) {
+    boolean inUse =
+        sessions.containsKey(id)
+            || connections.stream().anyMatch(connection -> connection.hasOpenAttempt(id));
+    if (!inUse) {
+      sendEndExceptOn(unread, id);
+    }
+  }
+
   private boolean isUsable(ServerConnection connection) {
     return connection != null
         && connection.isUp()
@@ -228,10 +227,11 @@
         && connections.contains(connection);
   }
 
-  private ServerConnection latestHeard() {
+  private ServerConnection latestHeard(ServerConnection excluded) {
     ServerConnection latest = null;
     for (ServerConnection connection : connections) {
-      if (isUsable(connection)
+      if (connection != excluded
+          && isUsable(connection)
           && (latest == null
               || latest.usage().lastReceivedAt().isBefore(connection.usage().lastReceivedAt()))) {
         latest = connection;
@@ -241,13 +241,7 @@
   }
 
   private void addUnsent(byte[] message) {
-    if (unsentMessages.size() == MAX_UNSENT_MESSAGES) {
-      unsentMessages.poll();
-    }
-    unsentMessages.add(message);
-    Moment now = front().now();
-    lastUnsentAt = now;
-    nextUnsentDial = nextUnsentDial.max(now.plus(UNSENT_DIAL_INTERVAL));
+    unsentMessages.add(message, front().now());
   }
 
   /**
@@ -292,7 +286,7 @@
             && !(links.closeRetiredConnection() && links.reserveConnection())) {
       return null;
     }
-    ServerConnection connection = new ServerConnection(this, address, reachability.closeCount());
+    ServerConnection connection = new ServerConnection(this, address, reachability.missCount());
     connections.add(connection);
     connection.connect();
     return connection;
@@ -301,14 +295,17 @@
   /* ---- events of the connections ---- */
 
   void connectionUp(ServerConnection connection) {
-    reachability.onUp(connection.closesBeforeDial(), front().now());
-    for (byte[] message = unsentMessages.poll(); message != null; message = unsentMessages.poll()) {
-      connection.write(message);
+    reachability.onReceived(front().now());
+    unsentMessages.sendOn(connection);
+    boolean mustBeHeard = reachability.hasReportsMissed() || silence.isTestUnanswered();
+    if (!sessions.isEmpty() && mustBeHeard) {
+      connection.sendLivenessTest(links.nextTestId());
     }
   }
 
-  void dataReceived() {
+  void dataReceived(ServerConnection connection) {
     reachability.onReceived(front().now());
+    reachability.onHeard(connection.missesBeforeDial());
   }
 
   /**
@@ -330,12 +327,12 @@
     boolean isLastOne = connections.stream().noneMatch(ServerConnection::isUp);
     switch (cause) {
       case BY_SERVER -> {
-        reachability.onClosed();
+        reachability.onReportsMissed();
         if (isLastOne && reachability.isUnreachable()) {
           serverLost("reset after an outage");
         }
       }
-      case BY_FRONT -> reachability.onClosed();
+      case BY_FRONT -> reachability.onReportsMissed();
       case NOT_REACHED -> reachability.onConnectFailed(front().now());
       case REFUSED -> {
         reachability.onConnectFailed(front().now());
@@ -510,11 +507,23 @@
 
   /* ---- periodic checks ---- */
 
-  private void dialForUnsent(Moment now) {
-    if (!now.isBefore(nextUnsentDial)
-        && now.since(lastUnsentAt).isShorterThan(UNSENT_DIAL_PERIOD)) {
-      nextUnsentDial = now.plus(UNSENT_DIAL_INTERVAL);
-      openConnection();
+  /**
+   * Tests the connections on which the server may report, and reveals those that carry nothing any
+   * more although it is heard on others.
+   */
+  private void checkSilence(boolean anyMayReport, Moment now) {
+    silence.judge(now);
+    for (ServerConnection connection : List.copyOf(connections)) {
+      connection.takeUnreadEnds(now).forEach(id -> resendEnd(id, connection));
+    }
+    boolean isTested = silence.testSilent(anyMayReport, links::nextTestId, now);
+    ServerConnection untested = silence.findUntested();
+    if (untested != null && !isTested && !sessions.isEmpty() && reachability.needsTest(now)) {
+      untested.sendLivenessTest(links.nextTestId());
+    }
+    if (silence.needsNewConnection(now) && !reachability.hasReportsMissed()) {
+      silence.closeSpareConnection(MAX_CONNECTIONS);
+      reachability.onReportsMissed();
     }
   }
 
@@ -543,14 +552,13 @@
       usableCount += connection.isRetired() ? 0 : 1;
       connecting |= !connection.isUp();
     }
-    if (!unsentMessages.isEmpty() && connections.isEmpty()) {
-      dialForUnsent(now);
+    if (connections.isEmpty() && unsentMessages.mustDial(now)) {
+      openConnection();
     }
+    checkSilence(!mayCloseSpare, now);
     if (!sessions.isEmpty() && !connecting) {
-      if (usableCount > 0 && reachability.needsTest(now)) {
-        leastLoaded(0).sendLivenessTest(links.nextTestId());
-      }
-      if (reachability.needsConnection(usableCount, now)) {
+      if (!silence.awaitsFirstReceived(reachability.missCount(), now)
+          && reachability.needsConnection(usableCount, now)) {
         openConnection();
       }
       if (reachability.isLost(now)) {
--- a/src/main/java/linengauge/platform/connection/ConnectionHealth.java
+++ b/src/main/java/linengauge/platform/connection/ConnectionHealth.java
@@ -16,6 +16,11 @@
   /** A partial line that is not completed within this time is regarded as corrupt. */
   private static final Span PARTIAL_LINE_TIMEOUT = Span.ofMillis(400);
 
+  /** Silence after which a connection on which reports may arrive is tested. */
+  private static final Span SILENCE_BEFORE_TEST = Span.ofMillis(5000);
+
+  private static final Span TEST_TIMEOUT = Span.ofMillis(500);
+
   /**
    * What is to be done with the connection. CLOSE_IDLE: nothing is open on it, and it is retired or
    * has been idle for too long. CLOSE_BROKEN: a partial line has not been completed in time.
@@ -33,6 +38,15 @@
   private int sessionCount;
   private boolean retired;
 
+  /** Whether anything has been received since the connection was established. */
+  private boolean heard;
+
+  /** When the test was sent that nothing has followed; null if there is none. */
+  private Moment testSentAt;
+
+  /** The server was heard elsewhere, and not here in spite of a test. */
+  private boolean silent;
+
   public ConnectionHealth(Moment now) {
     this.lastReceivedAt = now;
     this.lastSentAt = now;
@@ -51,6 +65,53 @@
   /** Data has arrived. */
   public void onReceived(Moment now) {
     lastReceivedAt = now;
+    heard = true;
+    testSentAt = null;
+    silent = false;
+  }
+
+  /** A test has been sent to show whether the connection still carries anything. */
+  public void onTestSent(Moment now) {
+    testSentAt = testSentAt == null ? now : testSentAt;
+  }
+
+  /** Returns whether to test the connection now, once per silence. */
+  public boolean needsTest(Moment now) {
+    return testSentAt == null
+        && SILENCE_BEFORE_TEST.isShorterThan(now.since(lastReceivedAt.max(upAt)));
+  }
+
+  /** When the test was sent that nothing has followed; null if there is none. */
+  public Moment unansweredTestSentAt() {
+    return testSentAt;
+  }
+
+  /** Returns whether a test has not been answered in time, and nothing else has arrived since. */
+  public boolean isTestOverdue(Moment now) {
+    return testSentAt != null && !now.isBefore(testSentAt.plus(TEST_TIMEOUT));
+  }
+
+  /**
+   * Judges the connection silent, and retires it, if a test on it has not been answered in time
+   * although the server was heard on another one since. Returns whether it has become silent now.
+   */
+  public boolean judgeSilence(Moment lastReceivedElsewhere, Moment now) {
+    if (silent || !isTestOverdue(now) || !testSentAt.isBefore(lastReceivedElsewhere)) {
+      return false;
+    }
+    silent = true;
+    retired = true;
+    return true;
+  }
+
+  /** Returns whether sessions were set up here whose ends cannot arrive here. */
+  public boolean isSilentWithSessions() {
+    return silent && sessionCount > 0;
+  }
+
+  /** Returns whether anything has been received since the connection was established. */
+  public boolean isHeard() {
+    return heard;
   }
 
   /**
--- a/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
+++ b/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
@@ -62,12 +62,12 @@
   private Span retryDelay;
 
   /**
-   * Number of connections closed so far, and how many of those closes preceded the start of the
-   * latest connection that came up.
+   * Number of times that a report of the server may have been missed, and how many of them preceded
+   * the start of the latest connection on which the server was heard.
    */
-  private int closeCount;
+  private int missCount;
 
-  private int closesCovered;
+  private int missesCovered;
 
   public ReachabilityDetector(Settings settings, Moment now) {
     this.settings = settings;
@@ -75,30 +75,42 @@
     this.retryDelay = settings.firstRetryDelay();
   }
 
-  /** A connection has closed, possibly with a last report of the server that did not arrive. */
-  public void onClosed() {
-    closeCount++;
+  /**
+   * A report of the server may have been missed: a connection has closed, possibly with a last
+   * report that did not arrive, or one has fallen silent.
+   */
+  public void onReportsMissed() {
+    missCount++;
   }
 
   /**
-   * Returns the number of closes, to be read as a connection is begun and passed on once it is up.
+   * Returns the number of misses, to be read as a connection is begun and passed on once the server
+   * is heard on it.
    */
-  public int closeCount() {
-    return closeCount;
+  public int missCount() {
+    return missCount;
+  }
+
+  /** Returns whether the server may have reports to repeat on the next connection. */
+  public boolean hasReportsMissed() {
+    return missesCovered < missCount;
   }
 
-  public void onUp(int closeCountWhenBegun, Moment now) {
-    closesCovered = Math.max(closesCovered, closeCountWhenBegun);
-    onReceived(now);
+  /**
+   * The server was heard on a connection begun at that number of misses: it repeats there what was
+   * missed before.
+   */
+  public void onHeard(int missCountWhenBegun) {
+    missesCovered = Math.max(missesCovered, missCountWhenBegun);
   }
 
   /**
    * Returns whether a connection is needed for the sessions at the server in addition to the usable
    * ones: there is none, or the server has reports to repeat, as it does on the next connection
-   * begun after a close, or it has been silent for long.
+   * begun after a miss, or it has been silent for long.
    */
   public boolean needsConnection(int usable, Moment now) {
-    return (usable == 0 || closesCovered < closeCount) && mayAttempt(now) || isSuspect(now);
+    return (usable == 0 || hasReportsMissed()) && mayAttempt(now) || isSuspect(now);
   }
 
   /** Something was received from the server. */
--- a/src/main/java/linengauge/standin/PlatformBox.java
+++ b/src/main/java/linengauge/standin/PlatformBox.java
@@ -13,7 +13,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
@@ -47,6 +50,12 @@
   /** The viewings that play here, with the connection on which each was set up. */
   private final Map<String, Socket> playing = new ConcurrentHashMap<>();
 
+  /** Connections that stay open and carry nothing any more, in either direction. */
+  private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+
+  /** Ends written to silent connections, to be repeated on the next one that is opened. */
+  private final Queue<JsonNode> unheardEnds = new ConcurrentLinkedQueue<>();
+
   private final List<JsonNode> received = new CopyOnWriteArrayList<>();
   private final java.util.concurrent.atomic.AtomicLong accepted =
       new java.util.concurrent.atomic.AtomicLong();
@@ -82,7 +91,17 @@
   /** Ends a viewing that plays. */
   public void end(String tag, int cause) throws IOException {
     Socket connection = playing.remove(tag);
-    send(connection, message("FINISH", tag, cause, null));
+    JsonNode end = message("FINISH", tag, cause, null);
+    if (silent.contains(connection)) {
+      unheardEnds.add(end);
+    } else {
+      send(connection, end);
+    }
+  }
+
+  /** The connection on which the viewing was set up carries nothing any more, and stays open. */
+  public void silenceConnectionOf(String tag) {
+    silent.add(playing.get(tag));
   }
 
   /** Sends a note about a viewing that plays. */
@@ -112,6 +131,9 @@
         socket.setTcpNoDelay(true);
         sockets.add(socket);
         accepted.incrementAndGet();
+        for (JsonNode end = unheardEnds.poll(); end != null; end = unheardEnds.poll()) {
+          send(socket, end);
+        }
         start(() -> serve(socket));
       }
     } catch (IOException e) {
@@ -125,6 +147,9 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
       for (String line = in.readLine(); line != null; line = in.readLine()) {
+        if (silent.contains(socket)) {
+          continue;
+        }
         JsonNode message = JSON.readTree(line);
         received.add(message);
         String tag = message.path("tag").asText();
--- a/src/test/java/linengauge/platform/ConnectionTrackingTest.java
+++ b/src/test/java/linengauge/platform/ConnectionTrackingTest.java
@@ -158,12 +158,14 @@
   void aCloseNeedsAConnectionBegunAfterIt() {
     ReachabilityDetector detector = detector();
     assertFalse(detector.needsConnection(2, at(100)));
-    int before = detector.closeCount();
-    detector.onClosed();
+    int before = detector.missCount();
+    detector.onReportsMissed();
     assertTrue(detector.needsConnection(2, at(100)));
-    detector.onUp(before, at(110));
+    detector.onHeard(before);
     assertTrue(detector.needsConnection(2, at(120)), "that connection was begun before the close");
-    detector.onUp(detector.closeCount(), at(130));
+    detector.onReceived(at(130));
+    assertTrue(detector.needsConnection(2, at(130)), "a connection that is up may carry nothing");
+    detector.onHeard(detector.missCount());
     assertFalse(detector.needsConnection(2, at(140)));
   }
 
--- a/src/test/java/linengauge/platform/FakeNet.java
+++ b/src/test/java/linengauge/platform/FakeNet.java
@@ -53,6 +53,9 @@
                   : first.dueAt.compareTo(second.dueAt));
   boolean serversAnswerTests = true;
 
+  /** Whether servers read the connections opened from now on, and answer tests on them. */
+  boolean newConnectionsAnswerTests = true;
+
   /** Whether peers read what is written; if not, writes never complete. */
   boolean peersRead = true;
 
@@ -98,6 +101,9 @@
     /** Length of the latest message written to a client, in bytes. */
     int lastMessageBytes;
 
+    /** Whether the server reads this connection and answers tests on it. */
+    boolean answersTests = newConnectionsAnswerTests;
+
     boolean paused;
     boolean closed;
     boolean full;
@@ -121,7 +127,7 @@
       } else {
         messageTypes.add((int) message[2]);
       }
-      if (line.contains("ECHO") && serversAnswerTests) {
+      if (line.contains("ECHO") && serversAnswerTests && answersTests) {
         String tag = line.replaceFirst("(?s).*\"tag\":\"([0-9a-f]{16})\".*", "$1");
         defer(
             () ->
