Two runs of HollowFleetTest beside each other no longer take the same ports

Cause: both took ports from 23000 on. Shown by two runs side by side: one of each pair failed (2 of 4, 'a process has failed').

--- a/src/test/java/linengauge/scale/hollow/HollowFleetTest.java
+++ b/src/test/java/linengauge/scale/hollow/HollowFleetTest.java
@@ -27,8 +27,19 @@
   /** Of an acknowledgement that brings nothing: some 70 and 24. */
   private static final double MOST_ACKNOWLEDGEMENT_BYTES = 150;
 
+  /** Ports below those that systems give out, in blocks larger than the fleet. */
+  private static final int FIRST_PORT = 20_000;
+
+  private static final int PORTS_PER_RUN = 400;
+  private static final int BLOCKS = 30;
+
   @TempDir private Path folder;
 
+  /** Differs between test runs beside each other on one machine, whose ports would collide. */
+  private static int firstPort() {
+    return FIRST_PORT + (int) (ProcessHandle.current().pid() % BLOCKS) * PORTS_PER_RUN;
+  }
+
   private HollowPlan plan(int fronts, int heapMb, List<HollowEvent> events) {
     return new HollowPlan(
         List.of(HollowPlan.Method.LEASE),
@@ -39,7 +50,7 @@
         new HollowPlan.Times(Span.NONE, Span.ofSeconds(3), Span.ofSeconds(40)),
         events,
         heapMb,
-        new HollowPlan.Machine(folder, 23000));
+        new HollowPlan.Machine(folder, firstPort()));
   }
 
   @Test
