A closed connection whose peer reads nothing is gone within 2 s, and counted until then

Causes found with histograms during such a flood, each with its test: - The library closes a connection only once its peer has received what was written, so a closed connection held up to 64 KB of answers and its descriptor until the peer left, while its account in the heap budget was closed already.

Change: the account stays open until the connection is gone; Net.Connection has abort(), used for a client that does not read; any other closed connection is aborted after 2 s; one task a connection; the rest of a read is copied.

Suspected, not shown: up to 16 reads of 64 KB from a connection before a pause takes effect.

--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -71,6 +71,9 @@
   private Use use = Use.NONE;
   private boolean closed;
 
+  /** The client does not read; the connection is aborted once the current event is over. */
+  private boolean abortScheduled;
+
   /** Received messages wait for a loop iteration in which they are parsed. */
   private boolean parseScheduled;
 
@@ -135,6 +138,10 @@
     }
   }
 
+  private boolean isReadable() {
+    return !closed && !abortScheduled;
+  }
+
   private boolean mustPause() {
     return received.isFull(reader.unreadBytes()) || queue.isOverShare();
   }
@@ -157,7 +164,7 @@
       boolean messageEnded = false;
       boolean hasMore = true;
       for (int i = 1;
-          hasMore && !closed && front().now().isBefore(batchEnd) && queue.mayAddHandOver();
+          hasMore && isReadable() && front().now().isBefore(batchEnd) && queue.mayAddHandOver();
           i++) {
         hasMore = parseMessage();
         messageEnded |= hasMore;
@@ -166,6 +173,7 @@
           front().updateClock();
         }
       }
+      reader.compact();
       updateUnparsedBytes();
       boolean isPartial = !hasMore && reader.hasPartialMessage();
       idleState.onRead(messageEnded, isPartial, front().now());
@@ -371,6 +379,14 @@
     }
   }
 
+  /** Closes a connection whose client does not read: what waits for it would only use heap. */
+  private void abort() {
+    if (!closed) {
+      output.abort();
+      onClosed("by the front: the client does not read");
+    }
+  }
+
   private void onClosed(String reason) {
     if (closed) {
       return;
@@ -494,7 +510,10 @@
       return false;
     }
     if (!output.write(message)) {
-      front().defer(() -> close("the client does not read"));
+      if (!abortScheduled) {
+        abortScheduled = true;
+        front().defer(this::abort);
+      }
       return false;
     }
     return true;
--- a/src/main/java/linengauge/platform/ClientOutput.java
+++ b/src/main/java/linengauge/platform/ClientOutput.java
@@ -62,4 +62,10 @@
     flush();
     socket.close();
   }
+
+  /** Closes the connection at once; what the client has not received is lost. */
+  void abort() {
+    collected = null;
+    socket.abort();
+  }
 }
--- a/src/main/java/linengauge/platform/Net.java
+++ b/src/main/java/linengauge/platform/Net.java
@@ -29,8 +29,12 @@
 
     void resume();
 
+    /** Closes the connection once what was written has left, within a bounded time. */
     void close();
 
+    /** Closes the connection at once; what has not left yet is dropped. */
+    void abort();
+
     /** The address of the peer, for the log. */
     String peer();
   }
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -70,6 +70,9 @@
   private Net.Connection socket;
   private boolean closed;
 
+  /** The server does not read; the connection is closed once the current event is over. */
+  private boolean closeScheduled;
+
   private final ConnectionHealth usage;
 
   ServerConnection(ServerLink link, String address, int missesBeforeDial) {
@@ -203,7 +206,10 @@
       return;
     }
     if (socket.isFull()) {
-      front().defer(() -> close("the server does not read"));
+      if (!closeScheduled) {
+        closeScheduled = true;
+        front().defer(() -> close("the server does not read"));
+      }
       return;
     }
     usage.onSent(front().now());
--- a/src/main/java/linengauge/platform/VertxNet.java
+++ b/src/main/java/linengauge/platform/VertxNet.java
@@ -5,6 +5,7 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
@@ -30,6 +31,9 @@
   /** Heap that one write occupies beside its bytes. */
   private static final int WRITE_HEAP_BYTES = 512;
 
+  /** A closed connection is given this long for its peer to receive what was written. */
+  private static final Span CLOSE_TIMEOUT = Span.ofSeconds(2);
+
   /** Used if the settings give no connect timeout. */
   private static final Span DEFAULT_CONNECT_TIMEOUT = Span.ofSeconds(1);
 
@@ -203,6 +207,7 @@
   private final class Socket implements Connection {
     private final NetSocket socket;
     private final HeapBudget.Account heap;
+    private Runnable closeHandler = () -> {};
 
     private Socket(NetSocket socket, int writeBufferBytes, HeapBudget outputHeap) {
       this.socket = socket;
@@ -214,11 +219,8 @@
     @Override
     public void setHandlers(Consumer<byte[]> dataHandler, Runnable closeHandler) {
       socket.handler(buffer -> dataHandler.accept(buffer.getBytes()));
-      socket.closeHandler(
-          ignored -> {
-            heap.close();
-            closeHandler.run();
-          });
+      this.closeHandler = closeHandler;
+      socket.closeHandler(ignored -> onClosed());
     }
 
     @Override
@@ -253,8 +255,24 @@
 
     @Override
     public void close() {
-      heap.close();
+      // The library closes only once the peer has received everything.
       socket.close();
+      long timer = vertx.setTimer(toMillis(CLOSE_TIMEOUT), timerId -> abort());
+      socket.closeHandler(
+          ignored -> {
+            vertx.cancelTimer(timer);
+            onClosed();
+          });
+    }
+
+    @Override
+    public void abort() {
+      ((NetSocketInternal) socket).channelHandlerContext().close();
+    }
+
+    private void onClosed() {
+      heap.close();
+      closeHandler.run();
     }
 
     @Override
--- a/src/main/java/linengauge/platform/codec/ClientMessageCodec.java
+++ b/src/main/java/linengauge/platform/codec/ClientMessageCodec.java
@@ -83,6 +83,14 @@
     position = 0;
   }
 
+  /** Releases the memory of what has been decoded. */
+  public void compact() {
+    if (position > 0) {
+      received = Arrays.copyOfRange(received, position, received.length);
+      position = 0;
+    }
+  }
+
   /** A complete message as received, of which only type and id have been decoded. */
   public static final class Message {
     private final int type;
--- a/src/main/java/linengauge/rehearsal/SimulatedConnection.java
+++ b/src/main/java/linengauge/rehearsal/SimulatedConnection.java
@@ -226,6 +226,11 @@
       }
     }
 
+    @Override
+    public void abort() {
+      close();
+    }
+
     @Override
     public String peer() {
       return name;
--- a/src/test/java/linengauge/platform/FakeNet.java
+++ b/src/test/java/linengauge/platform/FakeNet.java
@@ -30,6 +30,9 @@
   final List<FakeConnection> serverConnections = new ArrayList<>();
   final List<FakeConnection> clientConnections = new ArrayList<>();
 
+  /** Number of tasks deferred so far. */
+  long deferCount;
+
   /** Ids of all set-ups written. */
   final List<Long> setUpIds = new ArrayList<>();
 
@@ -214,6 +217,11 @@
       recordAction("close " + address);
     }
 
+    @Override
+    public void abort() {
+      close();
+    }
+
     @Override
     public String peer() {
       return address;
@@ -419,6 +427,7 @@
 
   @Override
   public void defer(Runnable task) {
+    deferCount++;
     deferred.add(task);
   }
 
