--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -442,6 +442,9 @@
     private final List<byte[]> events = new ArrayList<>();
     private final List<Socket> readers = new ArrayList<>();
 
+    /** How late a front that asks gets its first frame. */
+    volatile long firstFrameMs;
+
     Journal() throws IOException {
       listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
       events.add(new byte[0]); // the event that `known` holds
@@ -462,14 +465,19 @@
                 try {
                   long last = new DataInputStream(socket.getInputStream()).readLong();
                   log("journal: the front asks for what follows event " + last);
+                  if (firstFrameMs > 0) {
+                    Thread.sleep(firstFrameMs);
+                  }
                   synchronized (this) {
+                    log("journal: answers what follows event " + last);
                     for (int i = (int) last; i < events.size(); i++) {
                       socket.getOutputStream().write(events.get(i));
                     }
+                    socket.getOutputStream().write(emptyFrame());
                     readers.add(socket);
                   }
-                } catch (IOException e) {
-                  // The front has gone.
+                } catch (IOException | InterruptedException e) {
+                  log("journal: the front has closed before it was answered");
                 }
               });
         } catch (IOException e) {
@@ -478,8 +486,21 @@
       }
     }
 
+    /** Breaks off: closes every open connection. */
+    synchronized void breakOff() throws IOException {
+      log("journal: breaks off");
+      for (Socket socket : readers) {
+        socket.close();
+      }
+      readers.clear();
+    }
+
     private synchronized void heartbeat() {
-      send(ByteBuffer.allocate(13).putInt(9).putLong(events.size()).put((byte) 0).array());
+      send(emptyFrame());
+    }
+
+    private byte[] emptyFrame() {
+      return ByteBuffer.allocate(13).putInt(9).putLong(events.size()).put((byte) 0).array();
     }
 
     static byte[] entry(Server server, int state, long bootMs) {
