--- a/review/standin-2/FullConnections.java
+++ b/review/standin-2/FullConnections.java
@@ -3,16 +3,16 @@
 import java.util.Random;
 
 /**
- * A front with 256 descriptors and 120 servers has as many connections to servers as it may. Then
+ * A front with 256 descriptors and 160 servers has as many connections to servers as it may. Then
  * servers reset idle connections, one a second, and go on. What comes to its end at them
  * afterwards has to be released to its viewer.
  */
 final class FullConnections {
-  private static final int SERVERS = 120;
+  private static final int SERVERS = 160;
   private static final int PLACES = 12;
-  private static final int RATE = 25;
+  private static final int RATE = 40;
   private static final int WARM_UP_S = 35;
-  private static final int RESETS = 15;
+  private static final int RESETS = 20;
   private static final int AFTER_S = 40;
 
   public static void main(String[] args) throws Exception {
@@ -39,7 +39,7 @@
             256,
             journal.port(),
             String.join(",", rows),
-            Kit.settings(100, Kit.LIMITS, Kit.GUARANTEES, Kit.domain(PLACES, 17, SERVERS), Kit.CLASSES));
+            Kit.settings(100, Kit.LIMITS, Kit.GUARANTEES, Kit.domain(PLACES, 23, SERVERS), Kit.CLASSES));
     List<Kit.Client> clients = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
       clients.add(new Kit.Client(front.port));
--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -636,6 +636,7 @@
 
     Server(int id, int cell, Life life, int backlog) throws IOException {
       this(id, cell, life, new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1")));
+      listener.setSoTimeout(backlog == 1 ? 10 : 500);
     }
 
     Server(int id, int cell, Life life, ServerSocket listener) throws IOException {
--- a/review/standin-2/ReusedAddress.java
+++ b/review/standin-2/ReusedAddress.java
@@ -1,8 +1,9 @@
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
- * A server's machine vanishes, and three seconds later a new server has its address. The list tells
+ * A server's machine vanishes, and a second later a new server has its address. The list tells
  * of the new one soon, and of the loss of the old one as late as it may. The viewings that played
  * at the old one have to be released within 8 s of their end.
  */
@@ -29,8 +30,8 @@
       if (taken) {
         conn.reset(); // the new machine knows nothing of this connection
       } else {
-        // What was lost is sent again by the system, and meets the new machine.
-        Kit.TIMERS.schedule(conn::reset, 3400, java.util.concurrent.TimeUnit.MILLISECONDS);
+        // The system sends what was lost again after 0.2, 0.6, 1.4 s, and meets the new machine.
+        Kit.TIMERS.schedule(conn::reset, 1400, TimeUnit.MILLISECONDS);
       }
     }
   }
@@ -83,16 +84,16 @@
             });
         Kit.log(old.name() + " vanishes with " + lost.size() + " viewings");
         old.stopAccepting();
-      } else if (step == 1 && since >= 3000) {
+      } else if (step == 1 && since >= 1000) {
         step++;
         next = old.successor(0x00d51000, tag -> 0);
         taken = true;
         Kit.log(next.name() + " has the address of " + old.name());
-      } else if (step == 2 && since >= 4500) {
+      } else if (step == 2 && since >= 2500) {
         step++;
         journal.publish(
             next.name() + " up at the address of " + old.name(),
-            Kit.Journal.entry(next, 0, lostAt + 3000));
+            Kit.Journal.entry(next, 0, lostAt + 1000));
       } else if (step == 3 && since >= 12_000) {
         step++;
         journal.publish(old.name() + " removed", Kit.Journal.entry(old, 2, 0));
--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -7,7 +7,10 @@
   exit 2
 fi
 temporary=$(mktemp -d) || exit 2
-java -Xmx256m -XX:-UsePerfData -cp target/review-2 "$1" "$folder" "$temporary"
+java -Xmx256m -XX:-UsePerfData -cp target/review-2 "$1" "$folder" "$temporary" &
+case_process=$!
+trap 'kill "$case_process" 2>/dev/null; wait "$case_process"; rm -rf "$temporary"; exit 2' INT TERM HUP
+wait "$case_process"
 result=$?
 rm -rf "$temporary"
 case $result in
