--- /dev/null
+++ b/review/standin-2/VastReload.java
@@ -0,0 +1,279 @@
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A front sees a rolling deploy of the largest fleet and is then sent a new configuration, whose
+ * `known` holds the journal service's events up to now. It has to live on.
+ */
+final class VastReload {
+  private static final int SERVERS = 3200;
+  private static final int PLACES = 12;
+  private static final int RACKS = 400;
+  private static final int WAVES = 6;
+  private static final int WAVE = 490;
+
+  /** One address of the fleet, and the server that has it now. All run on one thread. */
+  private static final class Box {
+    int id;
+    int cell;
+    int port;
+    final List<Link> links = new ArrayList<>();
+  }
+
+  private static final class Link {
+    Box box;
+    SocketChannel channel;
+    final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    final Set<String> tags = new HashSet<>();
+
+    void send(String verb, String tag, String opts, int rc, String blob) {
+      String text =
+          "{\"verb\":\"" + verb + "\",\"tag\":\"" + tag + "\",\"opts\":{" + opts + "}"
+              + (rc < 0 ? "" : ",\"rc\":" + rc) + (blob == null ? "" : ",\"blob\":\"" + blob + "\"") + "}\n";
+      try {
+        channel.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+      } catch (IOException e) {
+        // The front has closed the connection.
+      }
+    }
+  }
+
+  private static final List<Box> BOXES = new ArrayList<>();
+  private static int setUps;
+
+  public static void main(String[] args) throws Exception {
+    Kit.run(args, VastReload::play);
+  }
+
+  private static synchronized void serve(Selector selector) throws IOException {
+    Iterator<SelectionKey> keys = selector.selectedKeys().iterator();
+    while (keys.hasNext()) {
+      SelectionKey key = keys.next();
+      keys.remove();
+      if (!key.isValid()) {
+        continue;
+      }
+      if (key.attachment() instanceof Box box) {
+        SocketChannel channel = ((ServerSocketChannel) key.channel()).accept();
+        if (channel != null) {
+          channel.configureBlocking(false);
+          channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+          Link link = new Link();
+          link.box = box;
+          link.channel = channel;
+          box.links.add(link);
+          channel.register(selector, SelectionKey.OP_READ, link);
+        }
+      } else {
+        read((Link) key.attachment(), key);
+      }
+    }
+  }
+
+  private static void read(Link link, SelectionKey key) throws IOException {
+    ByteBuffer chunk = ByteBuffer.allocate(16384);
+    int count;
+    try {
+      count = link.channel.read(chunk);
+    } catch (IOException e) {
+      count = -1;
+    }
+    if (count < 0) {
+      key.cancel();
+      link.channel.close();
+      link.box.links.remove(link);
+      return;
+    }
+    for (int i = 0; i < count; i++) {
+      if (chunk.get(i) != '\n') {
+        link.line.write(chunk.get(i));
+      } else {
+        received(link, link.line.toString(StandardCharsets.UTF_8));
+        link.line.reset();
+      }
+    }
+  }
+
+  private static void received(Link link, String line) {
+    int at = line.indexOf("\"tag\":\"") + 7;
+    String tag = line.substring(at, at + 16);
+    if (line.contains("\"verb\":\"START\"")) {
+      setUps++;
+      link.tags.add(tag);
+      later(60, () -> {
+        if (link.channel.isOpen() && link.tags.contains(tag)) {
+          link.send("STARTED", tag, "", -1, "a-" + tag);
+          later(18_000 + Math.floorMod(tag.hashCode() * 31, 30_000), () -> {
+            if (link.channel.isOpen() && link.tags.remove(tag)) {
+              link.send("FINISH", tag, "", 16, null);
+            }
+          });
+        }
+      });
+    } else if (line.contains("\"verb\":\"FINISH\"")) {
+      link.send(link.tags.remove(tag) ? "FINISH" : "FINISHED", tag, "", 31, null);
+    } else if (line.contains("\"verb\":\"ECHO\"")) {
+      link.send("ECHOED", tag, line.contains("\"rc\":1") ? "\"load\":\"outstanding:2;x0:0.30;x1:0.30\"" : "", 1, null);
+    }
+  }
+
+  private static void later(long ms, Runnable task) {
+    Kit.TIMERS.schedule(
+        () -> {
+          synchronized (VastReload.class) {
+            task.run();
+          }
+        },
+        ms,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private static String row(Box box, String state, long bootMs) {
+    return String.format(
+        "{\"uid\":\"s-%08x\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"main-office\",\"model\":\"small\","
+            + "\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":2,\"boot_ms\":%d}",
+        box.id, box.port, box.cell, state, bootMs);
+  }
+
+  private static byte[] entry(Box box, int state, long bootMs) {
+    return ByteBuffer.allocate(27).putInt(box.id).put(new byte[] {127, 0, 0, 1}).putShort((short) box.port)
+        .put((byte) state).put((byte) 0).put((byte) 0).putShort((short) box.cell).putInt(2000).putLong(bootMs).array();
+  }
+
+  private static int play() throws Exception {
+    Selector selector = Selector.open();
+    List<String> rows = new ArrayList<>();
+    for (int i = 0; i < SERVERS; i++) {
+      ServerSocketChannel listener = ServerSocketChannel.open();
+      listener.bind(new InetSocketAddress("127.0.0.1", 0), 16);
+      listener.configureBlocking(false);
+      Box box = new Box();
+      box.id = 0x00c40000 + i;
+      box.cell = i % PLACES;
+      box.port = listener.socket().getLocalPort();
+      BOXES.add(box);
+      listener.register(selector, SelectionKey.OP_ACCEPT, box);
+      rows.add(row(box, "up", 0));
+    }
+    Kit.spawn(() -> {
+      try {
+        while (true) {
+          selector.select();
+          serve(selector);
+        }
+      } catch (IOException e) {
+        Kit.log("the servers have ended: " + e);
+      }
+    });
+    Kit.Journal journal = new Kit.Journal();
+    Kit.Front front =
+        new Kit.Front(
+            Kit.freePort(),
+            1024,
+            journal.port(),
+            String.join(",", rows),
+            Kit.settings(100, Kit.LIMITS, Kit.GUARANTEES, Kit.domain(PLACES, RACKS, SERVERS), Kit.CLASSES));
+    String started = Files.readString(front.config);
+    StringBuilder known = new StringBuilder();
+    List<Kit.Client> clients = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      clients.add(new Kit.Client(front.port));
+    }
+    Random random = new Random(5);
+    long start = Kit.millis();
+    int sent = 0;
+    int event = 1;
+    int step = 0;
+    boolean told = false;
+    long end = start + 64_000;
+    while (Kit.millis() < end && front.process.isAlive()) {
+      long now = Kit.millis();
+      while (sent < (now - start) * 25 / 1000) {
+        try {
+          clients.get(sent % 30).setUp(
+              "lesson",
+              String.format("7f3a9c21e0b4d%03x", random.nextInt(1000)),
+              "home:0;copies:" + PLACES + ";top:2;viewer:00000000b4d65521",
+              3000);
+        } catch (IOException e) {
+          Kit.log("no connection to the front: " + e);
+        }
+        sent++;
+      }
+      // A wave takes 6 s: its servers drain, and 3.5 s later they have gone and their successors are up.
+      int wave = step / 2;
+      if (wave < WAVES && now > start + 10_000 + 6000L * wave + (step % 2 == 0 ? 0 : 3500)) {
+        List<byte[]> entries = new ArrayList<>();
+        List<String> texts = new ArrayList<>();
+        synchronized (VastReload.class) {
+          for (Box box : BOXES.subList(wave * WAVE, (wave + 1) * WAVE)) {
+            if (step % 2 == 0) {
+              entries.add(entry(box, 1, 0));
+              texts.add(row(box, "draining", 0));
+            } else {
+              for (Link link : List.copyOf(box.links)) {
+                link.channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                link.channel.close();
+              }
+              box.links.clear();
+              entries.add(entry(box, 2, 0));
+              texts.add(row(box, "removed", 0));
+              box.id += 0x00010000;
+              entries.add(entry(box, 0, now));
+              texts.add(row(box, "up", now));
+            }
+          }
+        }
+        event++;
+        journal.publish((step % 2 == 0 ? "draining: " : "gone and succeeded: ") + WAVE, entries.toArray(new byte[0][]));
+        known.append(",{\"pos\":" + event + ",\"hosts\":{\"rev\":" + event + ",\"all\":false,\"targets\":["
+            + String.join(",", texts) + "]}}");
+        step++;
+      }
+      if (!told && now > start + 50_000) {
+        told = true;
+        if (Kit.trouble()) {
+          Kit.Journal moved = new Kit.Journal(journal);
+          int at = started.indexOf("]}}]},\"settings\"") + 3;
+          String next =
+              (started.substring(0, at) + known + started.substring(at))
+                  .replace("\"pos\":1,\"entries\"", "\"pos\":" + event + ",\"entries\"")
+                  .replace("\"journal\":\"127.0.0.1:" + journal.port() + "\"", "\"journal\":\"127.0.0.1:" + moved.port() + "\"");
+          Path file = Files.writeString(Kit.temporary.resolve("next.json"), next);
+          Files.move(file, front.config, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+          Kit.log("a new configuration of " + next.length() + " bytes, journal at its new address");
+          journal.retire();
+          front.signal("HUP");
+        }
+      }
+      Kit.sleep(5);
+    }
+    int played = 0;
+    for (Kit.Request request : Kit.REQUESTS.values()) {
+      played += request.played ? 1 : 0;
+    }
+    boolean alive = front.process.isAlive();
+    front.copyLog();
+    Kit.say(sent + " requests, " + played + " played, " + setUps + " set-ups sent; the front "
+        + (alive ? "lives" : "has ended, exit " + front.process.exitValue()));
+    return played < 100 ? Kit.CANNOT_RUN : alive ? Kit.HELD : Kit.BROKEN;
+  }
+}
