--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -663,7 +663,9 @@
     volatile boolean dead;
     volatile long setUpMs = 60;
     final List<String[]> starts = new CopyOnWriteArrayList<>();
-    volatile java.util.function.Predicate<String> onStart = tag -> true;
+
+    /** Whether the server can use a set-up; it answers any other with 'error'. */
+    volatile java.util.function.Predicate<String> holds = tag -> true;
 
     Server(int id, int cell, Life life, int backlog) throws IOException {
       this(id, cell, life, new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1")));
@@ -824,7 +826,9 @@
       if (dead || !conn.usable() || !conn.setUps.remove(tag)) {
         return;
       }
-      if (!onStart.test(tag)) {
+      if (!holds.test(tag)) {
+        log(name() + " answers set-up " + tag + " with 'error'");
+        conn.send("FINISH", tag, "", 47, null);
         return;
       }
       Stood stood = new Stood(tag, this, conn);
