--- a/review/standin-2/LateConnection.java
+++ b/review/standin-2/LateConnection.java
@@ -50,8 +50,8 @@
       Kit.log("new connections to " + late.get(0).name() + " and the next two come up late from now on");
     }
     // Some viewers ask for that title at the same moment.
-    for (int i = 0; i < 6; i++) {
-      clients.get(i).setUp("lesson", "7f3a9c21e0b4d600", figures(0), 3000);
+    for (int i = 0; i < 9; i++) {
+      clients.get(i % 8).setUp("lesson", "7f3a9c21e0b4d600", figures(0), 3000);
     }
     Kit.sleep(1000);
     if (Kit.trouble()) {
--- a/review/standin-2/VastReload.java
+++ b/review/standin-2/VastReload.java
@@ -15,7 +15,6 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -121,7 +120,7 @@
       later(60, () -> {
         if (link.channel.isOpen() && link.tags.contains(tag)) {
           link.send("STARTED", tag, "", -1, "a-" + tag);
-          later(18_000 + Math.floorMod(tag.hashCode() * 31, 30_000), () -> {
+          later(24_000 + Math.floorMod(tag.hashCode() * 31, 19_000), () -> {
             if (link.channel.isOpen() && link.tags.remove(tag)) {
               link.send("FINISH", tag, "", 16, null);
             }
@@ -146,6 +145,33 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** The settings of lennox-films: three packages, four rungs, four tune-ins at most. */
+  private static String settings() {
+    String limits = Kit.LIMITS.replace("\"maxAttempts\":3", "\"maxAttempts\":4");
+    String guarantees =
+        "{\"answerSlackUs\":40000,\"askWithinUs\":10000000,\"coldUs\":12000000,\"drainGraceUs\":2000000,"
+            + "\"fallMultiple\":3.0,\"freeResends\":5,\"furtherRatio\":0.2,\"ratioSpanUs\":10000000,"
+            + "\"startCapacity\":0.4,\"tipAfterUs\":2000000}";
+    String domain =
+        Kit.domain(PLACES, RACKS, SERVERS)
+            .replace("[false,false]", "[false,false,false]")
+            .replace("\"floorByClass\":[0,0]", "\"floorByClass\":[0,0,1]")
+            .replace("\"highestRung\":[4,4]", "\"highestRung\":[3,2,3]")
+            .replace("[177.0,298.0,503.0,847.0,1428.0]", "[200.0,450.0,950.0,2000.0]")
+            .replace("\"licenceCap\":[0,0]", "\"licenceCap\":[0,0,40]")
+            .replace("[0.7,1.4]", "[0.7,1.0,1.4]")
+            .replace("[0.26,0.47,0.65,0.83,1.0]", "[0.2,0.5,0.8,1.0]");
+    StringBuilder classes = new StringBuilder();
+    String[] names = {"brew-guide", "origin-film", "tasting-session"};
+    for (int i = 0; i < 3; i++) {
+      classes.append(i == 0 ? "[" : ",").append(
+          "{\"aimUs\":" + (i == 0 ? 800000 : 1000000) + ",\"deadlineUs\":" + (i == 0 ? 5000000 : 3000000)
+              + ",\"idempotency\":\"safe\",\"keyScope\":\"all\",\"lateWorth\":0.0,\"name\":\"" + names[i]
+              + "\",\"stream\":true,\"windowUs\":5000000,\"worth\":" + (i == 2 ? 3.0 : 1.0) + "}");
+    }
+    return Kit.settings(100, limits, guarantees, domain, classes + "]");
+  }
+
   private static String row(Box box, String state, long bootMs) {
     return String.format(
         "{\"uid\":\"s-%08x\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"main-office\",\"model\":\"small\","
@@ -190,14 +216,13 @@
             1024,
             journal.port(),
             String.join(",", rows),
-            Kit.settings(100, Kit.LIMITS, Kit.GUARANTEES, Kit.domain(PLACES, RACKS, SERVERS), Kit.CLASSES));
+            settings());
     String started = Files.readString(front.config);
     StringBuilder known = new StringBuilder();
     List<Kit.Client> clients = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
       clients.add(new Kit.Client(front.port));
     }
-    Random random = new Random(5);
     long start = Kit.millis();
     int sent = 0;
     int event = 1;
@@ -209,10 +234,10 @@
       while (sent < (now - start) * 25 / 1000) {
         try {
           clients.get(sent % 30).setUp(
-              "lesson",
-              String.format("7f3a9c21e0b4d%03x", random.nextInt(1000)),
-              "home:0;copies:" + PLACES + ";top:2;viewer:00000000b4d65521",
-              3000);
+              "brew-guide",
+              String.format("7f3a9c21e0b4d%03x", sent % 960),
+              "home:" + sent % 960 % PLACES + ";copies:4;top:2;viewer:00000000b4d65521",
+              5000);
         } catch (IOException e) {
           Kit.log("no connection to the front: " + e);
         }
