--- a/review/standin-2/BadFigures.java
+++ b/review/standin-2/BadFigures.java
@@ -35,7 +35,7 @@
             512,
             journal.port(),
             String.join(",", rows),
-            Kit.settings(3, Kit.LIMITS, Kit.GUARANTEES, Kit.domain(PLACES, 2, SERVERS), Kit.CLASSES));
+            settings());
     List<Kit.Client> clients = new ArrayList<>();
     for (int i = 0; i < 8; i++) {
       clients.add(new Kit.Client(front.port));
@@ -44,7 +44,7 @@
     if (Kit.trouble()) {
       Kit.Client client = new Kit.Client(front.port);
       for (int i = 0; i < 8; i++) {
-        bad.add(client.setUp("lesson", title(i % 4), "home:" + home(title(i % 4)) + ";copies:0;top:4;viewer:00000000b4d65522", 3000));
+        bad.add(client.setUp("recorded", title(i % 4), "home:" + home(title(i % 4)) + ";copies:0;top:4;viewer:00000000b4d65522", 3000));
       }
       Kit.sleep(400);
     }
@@ -52,7 +52,7 @@
     for (int i = 0; i < 60; i++) {
       String title = title(i % 4);
       usual.add(
-          clients.get(i % 8).setUp("lesson", title, "home:" + home(title) + ";copies:3;top:4;viewer:00000000b4d65521", 3000));
+          clients.get(i % 8).setUp("recorded", title, "home:" + home(title) + ";copies:3;top:4;viewer:00000000b4d65521", 3000));
       Kit.sleep(200);
     }
     Kit.sleep(3500);
@@ -84,6 +84,24 @@
     return sent < 40 ? Kit.CANNOT_RUN : wrong > 0 || served > 0 ? Kit.BROKEN : Kit.HELD;
   }
 
+  /** The settings of home-exercise-cairo: no probes, five tune-ins at most, load in answers. */
+  private static String settings() {
+    return Kit.settings(3, Kit.LIMITS, Kit.GUARANTEES, Kit.domain(PLACES, 2, SERVERS), Kit.CLASSES)
+        .replace("\"maxAttempts\":3", "\"maxAttempts\":5")
+        .replace("\"probing\":true", "\"probing\":false")
+        .replace("\"maxRetryAfterUs\":2000000", "\"maxRetryAfterUs\":500000")
+        .replace("\"drainGraceUs\":1000000", "\"drainGraceUs\":2000000")
+        .replace("\"fallMultiple\":2.5", "\"fallMultiple\":2.0")
+        .replace("\"tipAfterUs\":1500000", "\"tipAfterUs\":3000000")
+        .replace("{\"fields\":[\"outstanding\",\"x0\",\"x1\"],\"how\":\"pull\"}",
+            "{\"fields\":[\"utilization\"],\"how\":\"piggyback\"}")
+        .replace("\"highestRung\":[4,4]", "\"highestRung\":[2,4]")
+        .replace("\"probe\":0.0078", "\"probe\":0")
+        .replace("\"name\":\"lesson\"", "\"name\":\"recorded\"")
+        .replace("\"name\":\"season-review\"", "\"name\":\"live\"")
+        .replace("\"aimUs\":800000", "\"aimUs\":1500000");
+  }
+
   private static String title(int i) {
     return "7f3a9c21e0b4d60" + i;
   }
