A request is set up at the cells that it names itself, not at another client's

What callers saw: after eight requests with copies:0, a quarter to a half of the usual requests for the same titles were refused, after set-ups at servers without the title. Cause: TitleTable kept the cells of whoever asked first for all requests of a title, and copies:0 counted as 'held everywhere'. Change: cells belong to the request, only the seats of a title are shared; copies:0 is refused (95) where the deployment has cells.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -226,6 +226,7 @@
     return new MediaBox(port);
   }
 
+  /** Creates the handle of a title that is held by so many cells from the first on; 0: by all. */
   public Title createTitle(int firstCell, int cellsInRow) {
     return new Title(firstCell, cellsInRow, new HashMap<>());
   }
@@ -995,10 +996,16 @@
 
   /**
    * A title: the cells that hold it, and the number of this front's viewings of it for each package
-   * with a limit. An entry is removed with its last viewing.
+   * with a limit. An entry is removed with its last viewing. Each request names the cells itself:
+   * they decide where this request is set up, and no other.
    */
   public record Title(
-      int firstCell, int cellsInRow, Map<PackageSettings, Integer> viewingsByPackage) {}
+      int firstCell, int cellsInRow, Map<PackageSettings, Integer> viewingsByPackage) {
+    /** The same title, with the same count of viewings, as a request with these cells names it. */
+    public Title withCells(int otherFirstCell, int otherCellsInRow) {
+      return new Title(otherFirstCell, otherCellsInRow, viewingsByPackage);
+    }
+  }
 
   /** The handle of one viewing. */
   public final class Viewing {
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -179,6 +179,7 @@
     if (packageIndex < 0
         || !isAbsentOrBelow(form.firstCell(), cellCount)
         || !isAbsentOrBelow(form.cellsInRow(), cellCount + 1L)
+        || !isHandOver && isHeldNowhere(form, cellCount)
         || !isAbsentOrBelow(form.ceiling(), rungCount)
         || isHandOver && TextFormat.parseServerId(form.serverName()) < 0
         || !isHandOver && (form.timeLeftMs() <= 0 || form.timeLeftMs() > MAX_TIME_LIMIT_MS)) {
@@ -252,6 +253,14 @@
     return value == SetUpRequest.ABSENT || value >= 0 && value < limit;
   }
 
+  /**
+   * Where the servers lie in cells, a title that no cell holds cannot be set up anywhere. A request
+   * that does not say how many hold its title may go to any server.
+   */
+  private static boolean isHeldNowhere(SetUpRequest form, int cellCount) {
+    return cellCount > 0 && form.cellsInRow() == 0;
+  }
+
   /**
    * Handles a request whose id is in use. A hand-over is ignored. Another request is rejected as
    * unusable, unless the session with that id still waits for its answer on the same connection,
--- a/src/main/java/linengauge/session/TitleTable.java
+++ b/src/main/java/linengauge/session/TitleTable.java
@@ -22,13 +22,16 @@
     this.policy = policy;
   }
 
-  /** The module's handle of a title, for one more viewing of it. */
+  /**
+   * The module's handle of a title, for one more viewing of it at the cells that its own request
+   * names. Only the number of viewings is shared by all requests for the title.
+   */
   public Policy.Title acquire(String name, int firstCell, int cellsInRow) {
     UsedTitle used =
         titles.computeIfAbsent(
             name, key -> new UsedTitle(policy.createTitle(firstCell, cellsInRow)));
     used.viewings++;
-    return used.title;
+    return used.title.withCells(firstCell, cellsInRow);
   }
 
   /** Gives up the title for one viewing. */
