--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -78,7 +78,7 @@
       int serverConnections,
       int titles) {}
 
-  private final Configuration configuration;
+  private Configuration configuration;
   private final Net net;
   private final Observer observer;
   private final EventLoopLag lag;
@@ -144,6 +144,7 @@
   public void start(Consumer<String> outcome) {
     sessionManager.updateTime(now);
     configuration.knownEvents().forEach(discoveryWatch::applyKnown);
+    configuration = configuration.withoutKnownEvents();
     discoveryWatch.connect();
     net.scheduleEvery(
         TICK_INTERVAL,
@@ -343,9 +344,12 @@
         sessionManager.titleCount());
   }
 
-  /** Applies a new configuration, of which only the address of the journal service is used. */
-  public void reconfigure(Configuration updated) {
-    handleEvent(() -> discoveryWatch.changeAddress(updated.journalAddress()));
+  /**
+   * Applies the only part of a new configuration that is used while the front serves: the address
+   * of the journal service.
+   */
+  public void changeJournalAddress(String address) {
+    handleEvent(() -> discoveryWatch.changeAddress(address));
   }
 
   /**
--- a/src/main/java/linengauge/platform/Service.java
+++ b/src/main/java/linengauge/platform/Service.java
@@ -21,7 +21,6 @@
   private static final int FATAL_ERROR_EXIT_CODE = 3;
 
   private final Path configurationFile;
-  private final Configuration configuration;
   private final VertxNet net;
   private final RateLimitedLog rateLimitedLog = new RateLimitedLog(LOG);
   private final EventWriter<LogEvent> events = new EventWriter<>(LOG, LogEvent::line);
@@ -30,9 +29,12 @@
   private final AtomicBoolean reloadPending = new AtomicBoolean();
   private PlatformFront front;
 
+  /** Null once the front has started: it holds what is needed of it later. */
+  private Configuration initialConfiguration;
+
   Service(Path configurationFile, Configuration configuration) {
     this.configurationFile = configurationFile;
-    this.configuration = configuration;
+    this.initialConfiguration = configuration;
     this.net = new VertxNet(configuration.settings().dialTimeout(), Service::haltOnError);
   }
 
@@ -74,7 +76,8 @@
     events.start();
     net.runOnLoop(
         () -> {
-          front = new PlatformFront(configuration, net, this);
+          front = new PlatformFront(initialConfiguration, net, this);
+          initialConfiguration = null;
           front.start(
               failure -> {
                 if (failure == null) {
@@ -157,8 +160,9 @@
     synchronized (reloadLock) {
       reloadPending.set(false);
       try {
-        Configuration updated = Configuration.read(configurationFile);
-        net.runOnLoop(() -> front.reconfigure(updated));
+        String journalAddress =
+            Configuration.readWithoutKnownEvents(configurationFile).journalAddress();
+        net.runOnLoop(() -> front.changeJournalAddress(journalAddress));
       } catch (InvalidSettingsException error) {
         net.runOnLoop(
             () ->
--- a/src/test/java/linengauge/platform/SignalsAndLimitsProcessesTest.java
+++ b/src/test/java/linengauge/platform/SignalsAndLimitsProcessesTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -18,6 +21,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import linengauge.cli.Main;
 import linengauge.standin.PlatformBox;
 import linengauge.standin.PlatformJournal;
@@ -29,6 +34,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Signals and system limits at critical moments of a front, each with a real process. */
 @Timeout(60)
@@ -171,6 +178,112 @@
     assertEquals(0, process.exitValue());
   }
 
+  private void replaceConfiguration(Consumer<PrintStream> content) throws IOException {
+    Path next = dir.resolve("next");
+    try (var out = new PrintStream(new BufferedOutputStream(Files.newOutputStream(next)))) {
+      content.accept(out);
+    }
+    Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  private void assertServes(long id) throws Exception {
+    try (var client = new PlatformViewers(port)) {
+      client.send(setUp(id));
+      FrontMessage reply = awaitReply(client, id);
+      assertTrue(reply != null && reply.type() == ANSWERED, id + ": " + reply);
+    }
+  }
+
+  /**
+   * Guards against a reload that ends the front for want of heap (review/6): the known events of
+   * the new configuration, which the front has had already, are larger than its heap.
+   */
+  @Test
+  void aReloadTakesNoHeapForTheKnownEvents() throws Exception {
+    startServing();
+    try (var nextJournal = new PlatformJournal(1)) {
+      String text =
+          configuration().replace("127.0.0.1:" + journal.port(), "127.0.0.1:" + nextJournal.port());
+      int endOfRows = text.indexOf("]}}]}");
+      replaceConfiguration(
+          out -> {
+            out.append(text, 0, endOfRows);
+            for (int i = 0; i < 300_000; i++) {
+              out.printf(
+                  ",{\"uid\":\"s-%08x\",\"endpoint\":\"127.0.0.1:9\",\"az\":\"hall\","
+                      + "\"model\":\"box\",\"pod_group\":1,\"state\":\"removed\",\"boot_ms\":0}",
+                  1000 + i);
+            }
+            out.append(text, endOfRows, text.length());
+          });
+      signal("HUP");
+      waitUntil(() -> !nextJournal.requestedPositions.isEmpty() || !process.isAlive());
+      assertTrue(process.isAlive(), Files.readString(log));
+      assertServes(1);
+    }
+  }
+
+  /** More of one thing than any configuration needs, and more than the heap holds. */
+  private enum Excess {
+    TEXT {
+      @Override
+      void write(PrintStream out) {
+        String part = "x".repeat(1 << 20);
+        out.append("\"listen\":\"");
+        IntStream.range(0, 100).forEach(i -> out.append(part));
+        out.append("\"");
+      }
+    },
+    VALUES {
+      @Override
+      void write(PrintStream out) {
+        out.append("\"settings\":[0");
+        IntStream.range(0, 4_000_000).forEach(i -> out.append(",0"));
+        out.append("]");
+      }
+    },
+    NAMES {
+      @Override
+      void write(PrintStream out) {
+        out.append("\"n\":0");
+        IntStream.range(0, 1_000_000).forEach(i -> out.append(",\"n" + i + "\":0"));
+        out.append(",\"known\":0");
+      }
+    };
+
+    abstract void write(PrintStream out);
+  }
+
+  /**
+   * Guards against a reload that ends the front for want of heap: one that fails leaves the front
+   * as it was, whatever the file contains.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void aFileThatCannotBeUsedLeavesTheFrontAsItWas(Excess excess) throws Exception {
+    startServing();
+    String text = configuration().replaceFirst(".known.:", "\"unknown\":");
+    replaceConfiguration(
+        out -> {
+          out.append("{");
+          excess.write(out);
+          out.append(",").append(text, 1, text.length());
+        });
+    signal("HUP");
+    waitUntil(() -> readLog().contains("new configuration rejected") || !process.isAlive());
+    assertTrue(process.isAlive(), readLog());
+    assertServes(1);
+    assertEquals(1, journal.requestedPositions.size(), "the stream of events has gone on");
+  }
+
+  private String readLog() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /**
    * A named pipe blocks the process in reading its configuration: its signal handlers are
    * installed, and it does not listen yet.
