A handed-over session counts at a start, or once its server has reported on it

What callers saw: after 20 bad clients had handed over 7,000 sessions that no server knew, no usual viewer was served, a fifth of the answers and most releases were late, for good; in small fleets nine of ten set-ups were refused. EventOrderTest's maximum of sessions was 8,000 unreported hand-overs at one server of 30 streams; it is now 8,000 reported ones and 2,000 that do not count, all 10,000 released.

--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -554,6 +554,11 @@
       return port;
     }
 
+    /** How many streams a box of its kind runs at most. */
+    public double maxStreams() {
+      return maxStreams;
+    }
+
     public void markServing(double weight, int cell, int kind, int building, Moment startedAt) {
       if (this.startedAt.isBefore(startedAt)) {
         failures = 0;
--- a/src/main/java/linengauge/platform/ClientConnection.java
+++ b/src/main/java/linengauge/platform/ClientConnection.java
@@ -45,9 +45,12 @@
   enum Use {
     /** Nothing, or only tests of the front. */
     NONE,
-    /** Its requests have been refused; its client may view nothing. */
-    REFUSED_REQUESTS,
-    /** A session was established or handed over by it. */
+    /**
+     * Its requests have been refused, or nothing speaks for the sessions that were handed over by
+     * it: its client may view nothing.
+     */
+    UNPROVEN,
+    /** A session was established by it, or handed over and counts. */
     VIEWER
   }
 
@@ -551,11 +554,16 @@
     write(ClientMessageCodec.encodeUnusable(id));
   }
 
-  /** A session has been established or handed over by this connection. */
+  /** A session that counts has been established or handed over by this connection. */
   void markUsedByViewer() {
     markUsed(Use.VIEWER);
   }
 
+  /** A session was handed over by this connection that nothing but its client speaks for. */
+  void markUsedByUnknown() {
+    markUsed(Use.UNPROVEN);
+  }
+
   private void markUsed(Use shownUse) {
     if (closed) {
       return;
--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -41,6 +41,12 @@
   /** As many as the library's event loop accepts in one iteration. */
   private static final int ACCEPTS_PER_ITERATION = 16;
 
+  /**
+   * Sessions are handed over to a front that has started, together with the first requests. Later,
+   * what a client says to play is believed only once its server has reported on it.
+   */
+  private static final Span HAND_OVER_SPAN = Span.ofSeconds(5);
+
   private final PlatformFront front;
   private final IdleConnectionReaper idleConnections;
   private final AcceptBacklog backlog;
@@ -59,6 +65,9 @@
   private final HeapBudget requestHeap = new HeapBudget(MAX_REQUEST_HEAP_BYTES);
   private boolean closingScheduled;
 
+  /** When the first usable request was started; null before. */
+  private Moment firstRequestAt;
+
   private final PendingReleases pendingReleases = new PendingReleases();
 
   ClientListener(PlatformFront front, int maxConnections) {
@@ -199,6 +208,9 @@
               + form.serverName());
       return;
     }
+    if (firstRequestAt == null) {
+      firstRequestAt = front.now();
+    }
     ClientSession existing = sessions.get(id);
     if (existing != null) {
       handleDuplicateId(connection, existing, isHandOver);
@@ -217,18 +229,7 @@
             Span.ofMillis(Math.max(0, form.timeLeftMs())).minus(connection.maxQueueingDelay()),
             null);
     if (isHandOver) {
-      connection.markUsedByViewer();
-      ClientSession session =
-          new ClientSession(this, id, form.packageName(), null, null, front.now());
-      sessions.put(id, session);
-      connection.setAsOriginOf(session);
-      session.setSession(
-          front
-              .sessionManager()
-              .adopt(request, TextFormat.parseServerId(form.serverName()), session));
-      if (session.session() != null) {
-        front.serverLinks().adopt(session);
-      }
+      adopt(connection, id, request, form);
       return;
     }
     if (!connection.hasRoomForRequest(form.description().length())) {
@@ -249,6 +250,29 @@
     session.setSession(coreSession);
   }
 
+  private void adopt(
+      ClientConnection connection, long id, Session.SessionRequest request, SetUpRequest form) {
+    ClientSession session =
+        new ClientSession(this, id, form.packageName(), null, null, front.now());
+    sessions.put(id, session);
+    connection.setAsOriginOf(session);
+    Moment arrivedAt = front.now().minus(connection.maxQueueingDelay());
+    boolean isExpected = arrivedAt.isBefore(firstRequestAt.plus(HAND_OVER_SPAN));
+    Session coreSession =
+        front
+            .sessionManager()
+            .adopt(request, TextFormat.parseServerId(form.serverName()), session, isExpected);
+    session.setSession(coreSession);
+    if (coreSession != null && coreSession.isCounted()) {
+      connection.markUsedByViewer();
+    } else {
+      connection.markUsedByUnknown();
+    }
+    if (coreSession != null) {
+      front.serverLinks().adopt(session);
+    }
+  }
+
   private static boolean isAbsentOrBelow(long value, long limit) {
     return value == SetUpRequest.ABSENT || value >= 0 && value < limit;
   }
@@ -319,8 +343,7 @@
         || sendReleaseOnAny(id, interrupted, origin, ClientConnection.Use.VIEWER)) {
       return;
     }
-    boolean offered =
-        sendReleaseOnAny(id, interrupted, origin, ClientConnection.Use.REFUSED_REQUESTS);
+    boolean offered = sendReleaseOnAny(id, interrupted, origin, ClientConnection.Use.UNPROVEN);
     pendingReleases.add(id, interrupted, offered, front.now());
   }
 
--- a/src/main/java/linengauge/platform/ClientSession.java
+++ b/src/main/java/linengauge/platform/ClientSession.java
@@ -184,14 +184,14 @@
     log(Kind.REQUEST_REFUSED, reason.name(), true);
     sendAnswer(
         ClientMessageCodec.encodeRejected(id, retryAfter.micros() / 1000),
-        ClientConnection.Use.REFUSED_REQUESTS);
+        ClientConnection.Use.UNPROVEN);
     listener.remove(this);
   }
 
   @Override
   public void failed(FailureCause cause) {
     log(Kind.REQUEST_FAILED, cause.name(), true);
-    sendAnswer(ClientMessageCodec.encodeFailed(id), ClientConnection.Use.REFUSED_REQUESTS);
+    sendAnswer(ClientMessageCodec.encodeFailed(id), ClientConnection.Use.UNPROVEN);
     listener.remove(this);
   }
 
@@ -211,6 +211,13 @@
     }
   }
 
+  @Override
+  public void verified() {
+    if (origin != null) {
+      origin.markUsedByViewer();
+    }
+  }
+
   ServerConnection serverConnection() {
     return serverConnection;
   }
--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -188,6 +188,6 @@
     } else {
       front.sessionManager().applyDiscoveryChanges(number - 1, number, rows);
     }
-    front.serverLinks().discoveryUpdated();
+    front.serverLinks().discoveryUpdated(full, rows);
   }
 }
--- a/src/main/java/linengauge/platform/PendingReleases.java
+++ b/src/main/java/linengauge/platform/PendingReleases.java
@@ -11,8 +11,8 @@
 final class PendingReleases {
   private static final Span RETENTION = Span.ofSeconds(8);
 
-  /** At least as many as sessions can be established at once. */
-  private static final int MAX_RELEASES = 8192;
+  /** At least as many as sessions can be held at once, with those that do not count. */
+  private static final int MAX_RELEASES = 10_240;
 
   private static final class PendingRelease {
     private final long id;
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -70,6 +70,7 @@
   /** The sizes of the front's tables. */
   public record TableSizes(
       int sessions,
+      int uncountedSessions,
       int clientSessions,
       int clientConnections,
       int pendingReleases,
@@ -335,6 +336,7 @@
   public TableSizes tableSizes() {
     return new TableSizes(
         sessionManager.sessionCount(),
+        sessionManager.uncountedSessionCount(),
         clientListener.sessionCount(),
         clientListener.connectionCount(),
         clientListener.pendingReleaseCount(),
@@ -388,6 +390,8 @@
               "closing: "
                   + clientListener.sessionCount()
                   + " sessions, "
+                  + sessionManager.uncountedSessionCount()
+                  + " of them not counted, "
                   + clientListener.connectionCount()
                   + " connections, "
                   + serverLinks.summary()
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -131,11 +131,25 @@
       front().defer(() -> sessionEnded(clientSession.id(), outcome, null));
       return;
     }
-    if (connections.isEmpty()) {
+    if (connections.isEmpty() && mayDialForSessions()) {
       openConnection();
     }
   }
 
+  /** Whether a session here counts; what does not count gives way where connections are scarce. */
+  private boolean hasCountedSessions() {
+    for (ClientSession clientSession : sessions.values()) {
+      if (clientSession.session().isCounted()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean mayDialForSessions() {
+    return links.hasRoomForUncounted() || hasCountedSessions();
+  }
+
   /**
    * Sends a message about an established session. Messages keep their order on one connection, but
    * not across two, so all of them use the connection of the session's set-up as long as it is
@@ -283,11 +297,12 @@
         || Configuration.port(address) < 0
         || server.state() == BoxTable.State.GONE
         || !links.reserveConnection()
-            && !(links.closeRetiredConnection() && links.reserveConnection())) {
+            && !(links.closeLeastNeededConnection() && links.reserveConnection())) {
       return null;
     }
     ServerConnection connection = new ServerConnection(this, address, reachability.missCount());
     connections.add(connection);
+    links.setConnected(this, true);
     connection.connect();
     return connection;
   }
@@ -315,6 +330,7 @@
    */
   void connectionClosed(ServerConnection connection, CloseCause cause) {
     connections.remove(connection);
+    links.setConnected(this, !connections.isEmpty());
     links.releaseConnection();
     for (ClientSession clientSession : sessions.values()) {
       if (clientSession.serverConnection() == connection) {
@@ -497,6 +513,19 @@
     return least;
   }
 
+  /** A connection without open attempts that is kept for sessions alone which do not count. */
+  ServerConnection connectionOfUncounted() {
+    if (sessions.isEmpty() || hasCountedSessions()) {
+      return null;
+    }
+    for (ServerConnection connection : connections) {
+      if (connection.openCount() == 0) {
+        return connection;
+      }
+    }
+    return null;
+  }
+
   void reported(ServerLineCodec.Load load) {
     if (load != null) {
       front()
@@ -558,7 +587,8 @@
     checkSilence(!mayCloseSpare, now);
     if (!sessions.isEmpty() && !connecting) {
       if (!silence.awaitsFirstReceived(reachability.missCount(), now)
-          && reachability.needsConnection(usableCount, now)) {
+          && reachability.needsConnection(usableCount, now)
+          && mayDialForSessions()) {
         openConnection();
       }
       if (reachability.isLost(now)) {
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import linengauge.Environment;
 import linengauge.Span;
 import linengauge.session.BoxTable;
@@ -24,6 +26,14 @@
   /** A link is removed by {@link #sweep} once its server is gone and nothing of it is left. */
   private final Map<Long, ServerLink> links = new LinkedHashMap<>();
 
+  /** The links with a connection, being dialled or open; as many as connections at most. */
+  private final Set<ServerLink> connectedLinks = new LinkedHashSet<>();
+
+  private boolean isSweeping;
+
+  /** The present sweep has found no connection that may be closed to make room. */
+  private boolean sweepFoundNoneToClose;
+
   ServerLinks(PlatformFront front, int maxConnections) {
     this.front = front;
     this.maxConnections = maxConnections;
@@ -46,20 +56,53 @@
     connectionCount--;
   }
 
+  /** Whether a connection may be opened for sessions that nothing but their clients speak for. */
+  boolean hasRoomForUncounted() {
+    return connectionCount < maxConnections / 2;
+  }
+
+  /** The link has got its first connection, or lost its last one. */
+  void setConnected(ServerLink link, boolean isConnected) {
+    if (isConnected) {
+      connectedLinks.add(link);
+    } else {
+      connectedLinks.remove(link);
+    }
+  }
+
   /**
-   * Closes the retired connection with the fewest sessions to make room; false if there is none.
+   * Closes a connection to make room: the retired one with the fewest sessions, else one that is
+   * kept for sessions that do not count. False if there is none; a sweep, in which many servers may
+   * need a connection, then searches no further.
    */
-  boolean closeRetiredConnection() {
+  boolean closeLeastNeededConnection() {
+    if (sweepFoundNoneToClose) {
+      return false;
+    }
     ServerConnection least = null;
-    for (ServerLink link : links.values()) {
+    for (ServerLink link : connectedLinks) {
       least = link.leastUsedRetired(least);
     }
+    if (least == null) {
+      least = connectionOfUncounted();
+    }
     if (least != null) {
       least.close("connection limit reached");
     }
+    sweepFoundNoneToClose = isSweeping && least == null;
     return least != null;
   }
 
+  private ServerConnection connectionOfUncounted() {
+    for (ServerLink link : connectedLinks) {
+      ServerConnection connection = link.connectionOfUncounted();
+      if (connection != null) {
+        return connection;
+      }
+    }
+    return null;
+  }
+
   /** Numbers the connections, over all servers. */
   int nextConnectionNumber() {
     return ++lastConnectionNumber;
@@ -78,16 +121,32 @@
     linkTo(clientSession.session().box()).adopt(clientSession);
   }
 
-  /** The server list has changed. */
-  void discoveryUpdated() {
-    sweep();
+  /** The server list has changed, for these servers alone or, if it is full, for any. */
+  void discoveryUpdated(boolean full, List<BoxTable.ListedBox> rows) {
+    if (full) {
+      sweep();
+      return;
+    }
+    for (BoxTable.ListedBox row : rows) {
+      ServerLink link = links.get(row.id());
+      if (link != null) {
+        sweep(link);
+      }
+    }
   }
 
   void sweep() {
+    isSweeping = true;
     for (ServerLink link : List.copyOf(links.values())) {
-      if (link.sweep(front.now())) {
-        links.remove(link.server().id());
-      }
+      sweep(link);
+    }
+    isSweeping = false;
+    sweepFoundNoneToClose = false;
+  }
+
+  private void sweep(ServerLink link) {
+    if (link.sweep(front.now())) {
+      links.remove(link.server().id());
     }
   }
 
--- a/src/main/java/linengauge/session/BoxTable.java
+++ b/src/main/java/linengauge/session/BoxTable.java
@@ -64,6 +64,9 @@
      */
     private int incarnation;
 
+    /** Viewings that were handed over as playing here and of which the box has reported nothing. */
+    private int unverifiedViewings;
+
     private Entry(long id, Consumer<Entry> prober) {
       this.id = id;
       this.prober = prober;
@@ -95,6 +98,19 @@
       return incarnation;
     }
 
+    int unverifiedViewings() {
+      return unverifiedViewings;
+    }
+
+    void unverifiedViewingAdded() {
+      unverifiedViewings++;
+    }
+
+    /** One of them has ended, or the box has reported on it. */
+    void unverifiedViewingEnded() {
+      unverifiedViewings--;
+    }
+
     /** Contact with the box is lost, so it may have restarted. */
     void contactLost() {
       incarnation++;
--- a/src/main/java/linengauge/session/Session.java
+++ b/src/main/java/linengauge/session/Session.java
@@ -42,11 +42,18 @@
   private boolean playing;
   private boolean answered;
 
+  /** The module knows the viewing: it counts for load, seats and the limit of sessions. */
+  private boolean counted = true;
+
+  /** False while nothing but its client says that the viewing plays. */
+  private boolean verified = true;
+
   /** Timers; each is cancelled as soon as what it waits for has happened. */
   private Transport.Timer deadlineTimer;
 
   private Transport.Timer tuneInTimer;
   private Transport.Timer idleTimer;
+  private Transport.Timer verificationTimer;
   private Environment.AttemptOutcome lastOutcome = Environment.AttemptOutcome.NEVER_SENT;
 
   /**
@@ -122,16 +129,50 @@
   }
 
   /**
-   * The viewing plays already: it was handed over to this front together with the name of its box.
-   * From here on it is treated as if it had been set up here.
+   * The viewing is said to play already: it was handed over to this front together with the name of
+   * its box.
    */
-  void adopted(BoxTable.Entry box, Policy.Viewing newViewing) {
+  void adopted(BoxTable.Entry box) {
     currentBox = box;
-    viewing = newViewing;
     tuneInCount = 1;
     tuneInActive = true;
     answered = true;
     playing = true;
+    verified = false;
+  }
+
+  /** Whether the viewing counts for load, seats and the limit of sessions. */
+  public boolean isCounted() {
+    return counted;
+  }
+
+  void setCounted(boolean isCounted) {
+    counted = isCounted;
+  }
+
+  /** Whether the front or the box itself has shown that the viewing is set up there. */
+  boolean isVerified() {
+    return verified;
+  }
+
+  void setVerificationTimer(Transport.Timer timer) {
+    verificationTimer = timer;
+  }
+
+  /** The box has reported on the viewing, so it holds it. */
+  private void verify() {
+    if (!verified) {
+      verified = true;
+      cancelTimer(verificationTimer);
+      manager.handOverVerified(this);
+      viewer.verified();
+    }
+  }
+
+  /** The module stops to count the viewing, which goes on as far as anyone knows. */
+  void forgetViewing() {
+    viewing.tuneInEnded(Environment.AttemptOutcome.FINISHED, true, true);
+    viewing = null;
   }
 
   /* ---- decisions of the module ---- */
@@ -297,7 +338,7 @@
   /** The box has reported the share that it delivers. */
   public void deliveredShareReported(double share) {
     if (playing) {
-      manager.runGuarded(() -> viewing.shareDelivered(share));
+      runCounted(() -> viewing.shareDelivered(share));
     }
   }
 
@@ -307,7 +348,7 @@
    */
   public void loadsReported(double link, double uplink) {
     if (tuneInActive) {
-      manager.runGuarded(() -> viewing.loadsReported(link, uplink));
+      runCounted(() -> viewing.loadsReported(link, uplink));
     }
   }
 
@@ -315,10 +356,24 @@
   public void rungReported(int reportedRung) {
     if (playing) {
       rung = reportedRung;
-      manager.runGuarded(() -> viewing.rungReported(reportedRung));
+      if (!verified) {
+        manager.rungOfHandOverReported();
+      }
+      runCounted(() -> viewing.rungReported(reportedRung));
     }
   }
 
+  /** Passes a report of the box on to the module, if the viewing counts there. */
+  private void runCounted(Runnable report) {
+    manager.runGuarded(
+        () -> {
+          verify();
+          if (counted) {
+            report.run();
+          }
+        });
+  }
+
   /** The box itself has reported that it no longer plays, and why. */
   public void boxEnded(Environment.AttemptOutcome outcome, Viewer.EndReason reason) {
     if (playing) {
@@ -425,10 +480,16 @@
   private void endTuneIn(Environment.AttemptOutcome outcome, boolean viewingOver) {
     cancelTimer(tuneInTimer);
     cancelTimer(idleTimer);
+    cancelTimer(verificationTimer);
     tuneInActive = false;
     lastOutcome = outcome;
     viewer.attemptEnded(tuneInCount - 1, currentBox, outcome);
-    viewing.tuneInEnded(outcome, viewingOver, outcome.confirmed);
+    if (!verified) {
+      currentBox.unverifiedViewingEnded();
+    }
+    if (counted) {
+      viewing.tuneInEnded(outcome, viewingOver, outcome.confirmed);
+    }
     if (!tuneInActive) {
       currentBox = null;
       manager.removeIfComplete(this);
--- a/src/main/java/linengauge/session/SessionManager.java
+++ b/src/main/java/linengauge/session/SessionManager.java
@@ -30,6 +30,20 @@
    */
   private static final Span START_TOLERANCE = Span.ofSeconds(1);
 
+  /**
+   * Handed-over viewings that do not count and are held all the same: if one of them does play, its
+   * viewer is told when it is over. Further ones are told at once that they are over.
+   */
+  private static final int MAX_UNCOUNTED_SESSIONS = 2000;
+
+  /**
+   * Share of the limit of sessions that viewings may take of which no box has reported anything.
+   */
+  private static final double UNVERIFIED_SHARE = 0.5;
+
+  /** How long after a hand-over its box has time to report the rung in force. */
+  private static final Span VERIFICATION_SPAN = Span.ofSeconds(10);
+
   /**
    * The limits of the core: sessions held at once; how long a playing session may go without a
    * request (NONE: for ever, where its box or its viewer reports its end); the retry advice given
@@ -81,6 +95,16 @@
 
   private Moment now = Moment.DISTANT_PAST;
   private long nextNumber;
+
+  /** The sessions that do not count. */
+  private int uncountedSessions;
+
+  /** The sessions that count although no box has reported anything of them. */
+  private int countedUnverifiedSessions;
+
+  /** Boxes report the rungs of viewings that were handed over: one has done so. */
+  private boolean boxesReportHandOvers;
+
   private boolean stopping;
   private boolean failed;
 
@@ -138,6 +162,11 @@
     return sessions.size();
   }
 
+  /** The sessions among these that were handed over and do not count. */
+  public int uncountedSessionCount() {
+    return uncountedSessions;
+  }
+
   public int keyCount() {
     return sessionsByKey.size();
   }
@@ -171,7 +200,7 @@
     Span margin = limits.answerMargin().min(request.timeLimit().times(Policy.ANSWER_MARGIN_SHARE));
     Span timeLeft = request.timeLimit().minus(pause).minus(margin);
     Session previous = request.key() == null ? null : sessionsByKey.get(request.key());
-    boolean full = sessions.size() >= limits.sessions();
+    boolean full = isFull();
     RejectionReason reason = rejectionReason(full, timeLeft, previous);
     if (reason != null) {
       counters.rejectedFull += full ? 1 : 0;
@@ -226,36 +255,96 @@
     return previous != null && !previous.isPlaying() ? RejectionReason.SAME_KEY_OPEN : null;
   }
 
+  private boolean isFull() {
+    return countedSessions() >= limits.sessions();
+  }
+
+  private int countedSessions() {
+    return sessions.size() - uncountedSessions;
+  }
+
   /**
-   * Adopts a viewing that plays already at a box. Null where it cannot be held (the box is not
-   * known here or is gone, or the front is full or stopping): the viewer has then been notified
-   * that it is over.
+   * Adopts a viewing that is said to play already at a box. Null where it cannot be held (the box
+   * is not known here or is gone, the front is stopping, or too many are held): the viewer has then
+   * been notified that it is over.
+   *
+   * <p>Anyone can say so. It counts from the start only where the front may expect hand-overs and
+   * the box could run that many; else it counts once the box has reported on it. Where boxes report
+   * on viewings that were handed over, those not reported within {@link #VERIFICATION_SPAN} count
+   * no longer. What does not count is held, and released if its box says that it is over.
    */
-  public Session adopt(Session.SessionRequest request, long boxId, Viewer viewer) {
+  public Session adopt(
+      Session.SessionRequest request, long boxId, Viewer viewer, boolean isExpected) {
     BoxTable.Entry box = boxes.get(boxId);
+    boolean mayCount = box != null && isExpected && mayCountUnverified(box);
     if (stopping
         || failed
-        || sessions.size() >= limits.sessions()
         || box == null
-        || box.state() == BoxTable.State.GONE) {
+        || box.state() == BoxTable.State.GONE
+        || !mayCount && uncountedSessions >= MAX_UNCOUNTED_SESSIONS) {
       viewer.ended(Viewer.EndReason.BOX_LOST);
       return null;
     }
     Session session = new Session(this, viewer, request, idPrefix + nextNumber++, now);
     sessions.add(session);
-    runGuarded(
-        () ->
-            session.adopted(
-                box,
-                policy.adoptViewing(
-                    session,
-                    request.packageSettings(),
-                    titles.acquire(request.title(), request.firstCell(), request.cellsInRow()),
-                    request.ceilingRung(),
-                    box.mediaBox())));
+    session.adopted(box);
+    box.unverifiedViewingAdded();
+    session.setCounted(false);
+    uncountedSessions++;
+    if (mayCount) {
+      runGuarded(() -> count(session));
+      countedUnverifiedSessions++;
+      session.setVerificationTimer(
+          startTimer(VERIFICATION_SPAN, () -> stopCountingUnverified(session)));
+    }
     return session;
   }
 
+  private boolean mayCountUnverified(BoxTable.Entry box) {
+    return !isFull()
+        && countedUnverifiedSessions < limits.sessions() * UNVERIFIED_SHARE
+        && box.unverifiedViewings() < box.mediaBox().maxStreams();
+  }
+
+  /** From here on a handed-over viewing is treated as if it had been set up here. */
+  private void count(Session session) {
+    Session.SessionRequest request = session.request();
+    session.setCounted(true);
+    uncountedSessions--;
+    session.setViewing(
+        policy.adoptViewing(
+            session,
+            request.packageSettings(),
+            titles.acquire(request.title(), request.firstCell(), request.cellsInRow()),
+            request.ceilingRung(),
+            session.box().mediaBox()));
+  }
+
+  private void stopCountingUnverified(Session session) {
+    if (boxesReportHandOvers && session.isPlaying() && !session.isVerified()) {
+      countedUnverifiedSessions--;
+      uncountedSessions++;
+      session.setCounted(false);
+      session.forgetViewing();
+      titles.release(session.request().title());
+    }
+  }
+
+  /** Boxes report the rung of every viewing that was handed over, if of one. */
+  void rungOfHandOverReported() {
+    boxesReportHandOvers = true;
+  }
+
+  /** A box has reported on a viewing that was handed over. */
+  void handOverVerified(Session session) {
+    session.box().unverifiedViewingEnded();
+    if (session.isCounted()) {
+      countedUnverifiedSessions--;
+    } else if (!isFull()) {
+      count(session);
+    }
+  }
+
   /**
    * A last resort against every way in which an answer is not given in time, also by the module.
    */
@@ -270,7 +359,12 @@
    */
   void removeIfComplete(Session session) {
     if (session.isComplete() && sessions.remove(session)) {
-      titles.release(session.request().title());
+      if (session.isCounted()) {
+        countedUnverifiedSessions -= session.isVerified() ? 0 : 1;
+        titles.release(session.request().title());
+      } else {
+        uncountedSessions--;
+      }
       if (session.request().key() != null) {
         sessionsByKey.remove(session.request().key(), session);
       }
--- a/src/main/java/linengauge/session/Viewer.java
+++ b/src/main/java/linengauge/session/Viewer.java
@@ -9,6 +9,9 @@
  * after started, ended is called once.
  */
 public interface Viewer {
+  /** The box has shown that the viewing, which was handed over, plays there. */
+  default void verified() {}
+
   /** Why a viewing failed. */
   enum FailureCause {
     /** The last tune-in did not lead to a viewing, for another cause than those below. */
--- a/src/test/java/linengauge/platform/EventOrderTest.java
+++ b/src/test/java/linengauge/platform/EventOrderTest.java
@@ -57,6 +57,12 @@
     return "{\"verb\":\"FINISH\",\"tag\":\"" + tag(id) + "\",\"opts\":{},\"rc\":" + cause + "}";
   }
 
+  private static String rungNote(long id) {
+    return String.format(
+        "{\"verb\":\"NOTICE\",\"tag\":\"%016x\",\"opts\":{\"note\":\"level\",\"value\":\"1\"}}",
+        id);
+  }
+
   private static byte[] handOver(long id, String address) {
     return PlatformViewers.setUp(
         id, "lesson", 0, ";at:s-0000000" + (address.endsWith(":3") ? 1 : 2));
@@ -406,12 +412,13 @@
 
   /**
    * The maximum number of sessions is lost while no client is connected: each is released on the
-   * next connection, and none is evicted from the queue.
+   * next connection, and none is evicted from the queue. The server reports on 8,000 of them; 2,000
+   * more are held on the word of their clients alone.
    */
   @Test
   void releasesOfTheMaximumOfSessionsWaitForTheNextConnection() throws Exception {
     FakeNet net = FakeNet.front();
-    for (long first = 1000; first < 9000; first += 500) {
+    for (long first = 1000; first < 11_000; first += 500) {
       FakeConnection client = net.acceptClient();
       var all = new ByteArrayOutputStream();
       for (long id = first; id < first + 500; id++) {
@@ -419,16 +426,20 @@
       }
       client.deliver(all.toByteArray());
       net.advance(Span.ofMillis(50));
+      for (long id = first; id < first + 500 && id < 9000; id++) {
+        net.latestConnection("127.0.0.1:3").deliver(rungNote(id));
+      }
       client.closeByPeer();
     }
-    assertEquals(8000, net.front.tableSizes().sessions());
+    assertEquals(10_000, net.front.tableSizes().sessions());
+    assertEquals(2000, net.front.tableSizes().uncountedSessions());
     net.removeServer("127.0.0.1:3");
     net.advance(Span.ofMillis(300));
-    assertEquals(8000, net.front.tableSizes().pendingReleases());
+    assertEquals(10_000, net.front.tableSizes().pendingReleases());
     FakeConnection next = net.acceptClient();
     next.deliver(handOver(50, "127.0.0.1:4"));
     net.advance(Span.ofMillis(10));
-    assertEquals(8000, new java.util.HashSet<>(next.releasedIds).size());
+    assertEquals(10_000, new java.util.HashSet<>(next.releasedIds).size());
   }
 
   /* ---- idle closes and set-ups ---- */
