Of two servers listed at one address, the one that started later is there

What callers saw: viewings of a machine that vanished were released 12 s after their end, as a new server had its address 1 s later; set-ups for the old server went to the new one, and the removal of the old id cut them. Cause: BoxTable kept both entries in service, and a dial that came up cleared every doubt about the process of before. Change: the list decides who stands at an address, in any order of its events; a retry counts the new server as the old one while an end is unconfirmed; a connection that comes up after an outage has the older ones tested, and a reset of the last of them ends what stood before. Connections to a former address of an id are closed. SessionSimulation and the bench gave all boxes one address; each has its own.

--- a/src/bench/java/linengauge/session/SessionManagerBench.java
+++ b/src/bench/java/linengauge/session/SessionManagerBench.java
@@ -142,7 +142,7 @@
     for (int i = 0; i < boxes; i++) {
       listings.add(
           new BoxTable.ListedBox(
-              i + 1, "h:1", 1, i, 0, BoxTable.State.SERVING, 0, Moment.DISTANT_PAST));
+              i + 1, "h:" + i, 1, i, 0, BoxTable.State.SERVING, 0, Moment.DISTANT_PAST));
     }
     manager.applyDiscovery(1, listings);
     for (int i = 0; i < held; i++) {
--- a/src/main/java/linengauge/Environment.java
+++ b/src/main/java/linengauge/Environment.java
@@ -85,9 +85,20 @@
 
   /** The front's access to one media box. */
   interface BoxPort {
+    /** The id of no box. */
+    long NO_BOX = -1;
+
     /** The server's id in the list: the same whenever it is listed again. */
     long id();
 
+    /**
+     * The id of the box that had the same address before, or {@link #NO_BOX}: what was sent there
+     * lately may have reached this box.
+     */
+    default long predecessorId() {
+      return NO_BOX;
+    }
+
     void probe();
   }
 
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -1469,6 +1469,7 @@
 
   private boolean mayTuneIn(Viewing viewing, MediaBox box) {
     return !viewing.unconfirmed.mayBeOutAt(box.port.id())
+        && !viewing.unconfirmed.mayBeOutAt(box.port.predecessorId())
         && mayTuneInIgnoringUnconfirmed(viewing, box);
   }
 
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -121,6 +121,11 @@
     return usage;
   }
 
+  /** The address that was dialled. */
+  String address() {
+    return address;
+  }
+
   /** The number of the connection in the log. */
   int number() {
     return number;
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -39,6 +39,13 @@
   private final List<ServerConnection> connections = new ArrayList<>();
   private final SilenceMonitor silence = new SilenceMonitor(connections);
 
+  /**
+   * When the server went out of reach the last time, as long as nothing was heard since from the
+   * process that ran there before: another one may listen at its address now. Null if there is no
+   * such doubt.
+   */
+  private Moment doubtedSince;
+
   /** Sessions established at the server; each is removed with its end. */
   private final Map<Long, ClientSession> sessions = new LinkedHashMap<>();
 
@@ -310,6 +317,9 @@
   /* ---- events of the connections ---- */
 
   void connectionUp(ServerConnection connection) {
+    if (reachability.isUnreachable()) {
+      doubtEarlierProcess(reachability.failedSince());
+    }
     reachability.onReceived(front().now());
     unsentMessages.sendOn(connection);
     boolean mustBeHeard = reachability.hasReportsMissed() || silence.isTestUnanswered();
@@ -318,7 +328,48 @@
     }
   }
 
+  /**
+   * The connection that has come up shows that a process listens, not which one: what leads to the
+   * earlier one is tested, and reset if that is gone.
+   */
+  private void doubtEarlierProcess(Moment unreachableSince) {
+    doubtedSince = unreachableSince;
+    for (ServerConnection connection : List.copyOf(connections)) {
+      if (isUpSinceBefore(connection, unreachableSince)) {
+        connection.sendLivenessTest(links.nextTestId());
+      }
+    }
+  }
+
+  private static boolean isUpSinceBefore(ServerConnection connection, Moment moment) {
+    return connection.isUp() && connection.usage().upAt().isBefore(moment);
+  }
+
+  /**
+   * The server has closed a connection. If it was out of reach since that came up, and no other
+   * connection of before is left, then the process that ran before is gone: a path that was cut
+   * closes nothing, whereas the machine resets what led to a process that died, also if another one
+   * listens there now.
+   */
+  private void closedByServer(ServerConnection closed) {
+    Moment outage = reachability.isUnreachable() ? reachability.failedSince() : doubtedSince;
+    if (outage == null
+        || !closed.usage().upAt().isBefore(outage)
+        || connections.stream().anyMatch(other -> isUpSinceBefore(other, outage))) {
+      return;
+    }
+    doubtedSince = null;
+    sessionsLost(
+        "reset after an outage",
+        sessions.values().stream()
+            .filter(clientSession -> clientSession.serverSeenAt().isBefore(outage))
+            .toList());
+  }
+
   void dataReceived(ServerConnection connection) {
+    if (doubtedSince != null && isUpSinceBefore(connection, doubtedSince)) {
+      doubtedSince = null;
+    }
     reachability.onReceived(front().now());
     reachability.onHeard(connection.missesBeforeDial());
   }
@@ -344,9 +395,7 @@
     switch (cause) {
       case BY_SERVER -> {
         reachability.onReportsMissed();
-        if (isLastOne && reachability.isUnreachable()) {
-          serverLost("reset after an outage");
-        }
+        closedByServer(connection);
       }
       case BY_FRONT -> reachability.onReportsMissed();
       case NOT_REACHED -> reachability.onConnectFailed(front().now());
@@ -382,6 +431,15 @@
     endSessionsOfEarlierProcess();
   }
 
+  /** The server may have been listed with another address: what leads to the former is closed. */
+  private void closeConnectionsToOtherAddresses() {
+    for (ServerConnection connection : List.copyOf(connections)) {
+      if (!connection.address().equals(server.address())) {
+        connection.close("its server has another address");
+      }
+    }
+  }
+
   private void endSessionsOfEarlierProcess() {
     List<ClientSession> lost =
         sessions.values().stream()
@@ -406,9 +464,13 @@
   }
 
   private void serverLost(String reason) {
-    if (!sessions.isEmpty()) {
-      warnSessionsLost(reason, sessions.size());
-      for (ClientSession clientSession : List.copyOf(sessions.values())) {
+    sessionsLost(reason, List.copyOf(sessions.values()));
+  }
+
+  private void sessionsLost(String reason, List<ClientSession> lost) {
+    if (!lost.isEmpty()) {
+      warnSessionsLost(reason, lost.size());
+      for (ClientSession clientSession : lost) {
         clientSession.session().boxLost(); // also cancelled at the server, which ends it here
         removeSession(clientSession.id());
       }
@@ -559,12 +621,13 @@
   /** Checks the connections and the server; true once nothing is left of it. */
   boolean sweep(Moment now) {
     if (server.state() == BoxTable.State.GONE) {
-      serverLost("removed from discovery");
+      serverLost(server.isReplaced() ? "replaced at its address" : "removed from discovery");
       unsentMessages.clear();
       List.copyOf(connections).forEach(connection -> connection.close("its server was removed"));
       return connections.isEmpty();
     }
     checkRestart(now);
+    closeConnectionsToOtherAddresses();
     earlyEnds.expire(now);
     int usableCount = 0;
     boolean connecting = false;
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -128,13 +128,21 @@
       return;
     }
     for (BoxTable.ListedBox row : rows) {
-      ServerLink link = links.get(row.id());
-      if (link != null) {
-        sweep(link);
+      sweepServer(row.id());
+      BoxTable.Entry server = front.sessionManager().boxes().get(row.id());
+      if (server != null) {
+        sweepServer(server.predecessorId());
       }
     }
   }
 
+  private void sweepServer(long id) {
+    ServerLink link = links.get(id);
+    if (link != null) {
+      sweep(link);
+    }
+  }
+
   void sweep() {
     isSweeping = true;
     for (ServerLink link : List.copyOf(links.values())) {
--- a/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
+++ b/src/main/java/linengauge/platform/connection/ReachabilityDetector.java
@@ -162,6 +162,11 @@
         && !lastFailedAt.isBefore(failedSince.plus(settings.minFailureTime()));
   }
 
+  /** When the connection attempts began to fail; null if the latest one has not failed. */
+  public Moment failedSince() {
+    return failedSince;
+  }
+
   /** Returns whether the server must be taken for lost, as connections have failed for too long. */
   public boolean isLost(Moment now) {
     return failedSince != null
--- a/src/main/java/linengauge/session/BoxTable.java
+++ b/src/main/java/linengauge/session/BoxTable.java
@@ -50,6 +50,13 @@
     private State state = State.GONE;
     private String address;
     private boolean listed;
+
+    /** The address is another box's now, which is newer there. */
+    private boolean replaced;
+
+    /** The box that had the address before, if the list has named both; else {@link #NO_BOX}. */
+    private long predecessorId = NO_BOX;
+
     private ListedBox listing;
 
     /**
@@ -89,6 +96,16 @@
       return state;
     }
 
+    /** Whether the box is gone because the list names another one at its address. */
+    public boolean isReplaced() {
+      return replaced;
+    }
+
+    @Override
+    public long predecessorId() {
+      return predecessorId;
+    }
+
     /** When the box's process started: the latest of the times listed and reported so far. */
     public Moment startedAt() {
       return listing == null ? reportedStart : listing.startedAt().max(reportedStart);
@@ -131,6 +148,9 @@
   private final Consumer<Entry> prober;
   private final Map<Long, Entry> entries = new LinkedHashMap<>();
 
+  /** The listed box at each address. A process that listens there proves nothing about others. */
+  private final Map<String, Entry> byAddress = new HashMap<>();
+
   /**
    * Boxes that are not listed: they still held viewings when they left discovery, or a viewing
    * named them before discovery did. An update removes those that may be discarded by then.
@@ -191,7 +211,14 @@
   }
 
   private void update(Entry entry, ListedBox listing) {
-    entry.address = listing.address() == null ? entry.address : listing.address();
+    if (listing.state() != State.GONE && listing.address() != null) {
+      if (!takeAddress(entry, listing)) {
+        remove(entry);
+        entry.replaced = true;
+        return;
+      }
+      entry.replaced = false;
+    }
     entry.incarnation +=
         entry.listing != null && entry.startedAt().isBefore(listing.startedAt()) ? 1 : 0;
     switch (listing.state()) {
@@ -229,7 +256,35 @@
     }
   }
 
+  /**
+   * Records that the box stands at the listed address. The list may name a new box there before it
+   * reports that the earlier one has gone, and repeat the earlier one later. Of two boxes with one
+   * address the one that started later is there, and of two that started at the same time the one
+   * that came there later; false if that is another box.
+   */
+  private boolean takeAddress(Entry entry, ListedBox listing) {
+    Entry holder = byAddress.get(listing.address());
+    if (holder != null && holder != entry) {
+      int order = listing.startedAt().compareTo(holder.startedAt());
+      boolean isRepeated = entry.replaced && listing.address().equals(entry.address);
+      if (order < 0 || order == 0 && isRepeated) {
+        entry.address = listing.address();
+        return false;
+      }
+      remove(holder);
+      holder.replaced = true;
+      entry.predecessorId = holder.id;
+    }
+    if (entry.address != null) {
+      byAddress.remove(entry.address, entry);
+    }
+    entry.address = listing.address();
+    byAddress.put(entry.address, entry);
+    return true;
+  }
+
   private void remove(Entry entry) {
+    byAddress.remove(entry.address, entry);
     entry.state = State.GONE;
     entry.listed = false;
     entry.mediaBox.markGone();
--- a/src/test/java/linengauge/session/SessionSimulation.java
+++ b/src/test/java/linengauge/session/SessionSimulation.java
@@ -394,7 +394,7 @@
   }
 
   BoxTable.ListedBox listing(long id, BoxTable.State state, Moment startedAt) {
-    return new BoxTable.ListedBox(id, "h:1", 1, (int) id, 0, state, 0, startedAt);
+    return new BoxTable.ListedBox(id, "h:" + id, 1, (int) id, 0, state, 0, startedAt);
   }
 
   /** Sends one front the full list, with boxes that have been running for long. */
