A client with little time decides nothing about servers for others

What callers saw: while one client sent set-ups that left 40 ms, half of the usual set-ups were refused. Cause: an attempt that nobody could answer in its time counted as unanswered: its server was avoided, held to the pace of a cold one, and its connection retired. Change: an attempt that is awaited for less than 250 ms, the least that the module gives by itself, ends as NOT_AWAITED, which shows nothing about the server. Test: ClientFiguresTest.aClientWithLittleTimeDecidesNothingAboutServers, failed before.

--- a/src/main/java/linengauge/Environment.java
+++ b/src/main/java/linengauge/Environment.java
@@ -127,6 +127,11 @@
     UNHEARD(false, false),
     /** No answer was read in time because the front itself was paused; the box is not to blame. */
     HELD_UP(false, false),
+    /**
+     * The viewer's own time ran out before an answer could be expected; this says nothing about the
+     * box.
+     */
+    NOT_AWAITED(false, false),
     /** Cancelled by the front, or ended by the viewer, before anything else ended it. */
     WITHDRAWN(false, false),
     /** The front did not send it: it was not allowed any more, or no connection was free. */
--- a/src/main/java/linengauge/Policy.java
+++ b/src/main/java/linengauge/Policy.java
@@ -114,7 +114,8 @@
   /** Time limit of an attempt that starts too late for the latency objective. */
   private static final Span LATE_ATTEMPT_TIMEOUT = Span.ofMillis(600);
 
-  private static final Span MIN_ATTEMPT_TIMEOUT = Span.ofMillis(250);
+  /** An attempt that is awaited for less shows nothing about its box if no answer comes. */
+  public static final Span MIN_ATTEMPT_TIMEOUT = Span.ofMillis(250);
 
   /** How long before a viewer's deadline the answer is given. */
   public static final Span ANSWER_MARGIN = Span.ofMillis(60);
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -326,8 +326,8 @@
   }
 
   /**
-   * Cancels an attempt that is open here; false if it is not. Counts it as unanswered if its
-   * client's time has run out.
+   * Cancels an attempt that is open here; false if it is not. Counts it as unanswered if its time
+   * has run out, unless its client gave it too little.
    */
   boolean cancel(Session session, int attempt) {
     long id = ((ClientSession) session.viewer()).id();
@@ -340,7 +340,7 @@
       ((ClientSession) session.viewer())
           .logAttempt(Kind.GIVE_UP_SENT, link.server(), attempt, number, "");
       sendEnd(id, new CancelledAttempt(session, attempt));
-      if (session.remainingWait().equals(Span.NONE)) {
+      if (session.remainingWait().equals(Span.NONE) && session.isAwaitedLongEnough()) {
         usage.onUnanswered(openAttempt.writtenAt);
       }
     }
--- a/src/main/java/linengauge/session/Session.java
+++ b/src/main/java/linengauge/session/Session.java
@@ -23,6 +23,9 @@
   /** Until when the open tune-in is awaited. */
   private Moment tuneInDeadline = Moment.DISTANT_PAST;
 
+  /** How long the open tune-in is awaited; less than usual if its viewer has little time. */
+  private Span tuneInTimeout = Span.NONE;
+
   /** When the module chose the box of the open tune-in. */
   private Moment boxChosenAt = Moment.DISTANT_PAST;
 
@@ -185,6 +188,7 @@
     int tuneIn = tuneInCount++;
     boxChosenAt = manager.now();
     chosenIncarnation = currentBox.incarnation();
+    tuneInTimeout = timeout;
     tuneInDeadline = boxChosenAt.plus(timeout);
     manager.transport().setUp(this, tuneIn);
     tuneInTimer =
@@ -203,16 +207,29 @@
   }
 
   private void tuneInTimedOut(int tuneIn) {
-    // A set-up that still waits for its connection never ran, and its outcome says so to the
-    // module.
     Environment.AttemptOutcome outcome =
-        sent
-            ? manager.transport().classifyTimeout(this, tuneIn)
-            : Environment.AttemptOutcome.NOT_REACHED;
+        isAwaitedLongEnough() ? timeoutOutcome(tuneIn) : shortTimeoutOutcome();
     cancelAtBox(tuneIn);
     endTuneIn(outcome, false);
   }
 
+  /** A set-up that still waits for its connection never ran, and its outcome says so. */
+  private Environment.AttemptOutcome timeoutOutcome(int tuneIn) {
+    return sent
+        ? manager.transport().classifyTimeout(this, tuneIn)
+        : Environment.AttemptOutcome.NOT_REACHED;
+  }
+
+  /** How much time a viewer has must not decide what is thought of a box, for all others too. */
+  private Environment.AttemptOutcome shortTimeoutOutcome() {
+    return sent ? Environment.AttemptOutcome.NOT_AWAITED : Environment.AttemptOutcome.NEVER_SENT;
+  }
+
+  /** Whether an open tune-in is awaited for so long that a sound box answers in that time. */
+  public boolean isAwaitedLongEnough() {
+    return !tuneInTimeout.isShorterThan(Policy.MIN_ATTEMPT_TIMEOUT);
+  }
+
   @Override
   public void setRung(int newRung) {
     rung = newRung;
@@ -236,6 +253,7 @@
         lastOutcome == Environment.AttemptOutcome.NO_ANSWER
                 || lastOutcome == Environment.AttemptOutcome.UNHEARD
                 || lastOutcome == Environment.AttemptOutcome.HELD_UP
+                || lastOutcome == Environment.AttemptOutcome.NOT_AWAITED
             ? Viewer.FailureCause.NO_ANSWER
             : Viewer.FailureCause.FAILED);
   }
--- a/src/test/java/linengauge/platform/ClientFiguresTest.java
+++ b/src/test/java/linengauge/platform/ClientFiguresTest.java
@@ -69,6 +69,27 @@
     }
   }
 
+  /** Guards against servers that are avoided because some clients do not wait for their answers. */
+  @Test
+  void aClientWithLittleTimeDecidesNothingAboutServers() throws Exception {
+    FakeNet net = startedFront();
+    FakeConnection hurried = net.acceptClient();
+    for (long id = 100; id < 150; id++) {
+      hurried.deliver(
+          PlatformViewers.message(
+              1, id, 33, "lesson", 35, "40", 41, TITLE, 43, "home:0;copies:1", 63, "m"));
+      net.advance(Span.ofMillis(100));
+    }
+    net.actions.clear();
+    FakeConnection usual = net.acceptClient();
+    for (long id = 1; id <= 20; id++) {
+      usual.deliver(setUp(id, "home:0;copies:1;top:4"));
+      net.advance(Span.ofMillis(100));
+      net.answerSetUp(FIRST_SERVER, id);
+    }
+    assertEquals(Collections.nCopies(20, FIRST_SERVER), setUpAddresses(net));
+  }
+
   @Test
   void theCellsOfAHandedOverSessionAreThoseOfNoOther() throws Exception {
     FakeNet net = startedFront();
