--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -232,6 +232,10 @@
       adopt(connection, id, request, form);
       return;
     }
+    if (front.serverLinks().hasSent(id)) {
+      connection.onUnusable(id, "the id of an earlier request");
+      return;
+    }
     if (!connection.hasRoomForRequest(form.description().length())) {
       connection.reject(id);
       return;
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -262,6 +262,7 @@
     openAttempt.written = true;
     openAttempt.writtenAt = front().now();
     usedIds.add(id, openAttempt.writtenAt);
+    link.links().setUpSent(id);
     ClientSession clientSession = (ClientSession) openAttempt.session.viewer();
     clientSession.logAttemptSent(
         openAttempt.attempt, link.server(), number, openAttempt.session.remainingWait());
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import linengauge.Environment;
 import linengauge.Span;
+import linengauge.platform.connection.RecentAttemptIds;
 import linengauge.session.BoxTable;
 import linengauge.session.Session;
 import linengauge.session.Transport;
@@ -17,6 +18,11 @@
  * one that is gone.
  */
 final class ServerLinks implements Transport {
+  /** Ids of set-ups sent to any server that are remembered; the oldest is forgotten first. */
+  private static final int MAX_SENT_IDS = 8192;
+
+  private static final Span SENT_ID_RETENTION = Span.ofSeconds(60);
+
   private final PlatformFront front;
   private final int maxConnections;
   private int connectionCount;
@@ -29,6 +35,8 @@
   /** The links with a connection, being dialled or open; as many as connections at most. */
   private final Set<ServerLink> connectedLinks = new LinkedHashSet<>();
 
+  private final RecentAttemptIds sentIds = new RecentAttemptIds(MAX_SENT_IDS, SENT_ID_RETENTION);
+
   private boolean isSweeping;
 
   /** The present sweep has found no connection that may be closed to make room. */
@@ -103,6 +111,16 @@
     return null;
   }
 
+  /** A set-up with that id is sent to a server. */
+  void setUpSent(long id) {
+    sentIds.add(id, front.now());
+  }
+
+  /** Whether a set-up with that id was sent to a server lately: it may have run there. */
+  boolean hasSent(long id) {
+    return sentIds.contains(id, front.now());
+  }
+
   /** Numbers the connections, over all servers. */
   int nextConnectionNumber() {
     return ++lastConnectionNumber;
--- a/src/main/java/linengauge/platform/connection/RecentAttemptIds.java
+++ b/src/main/java/linengauge/platform/connection/RecentAttemptIds.java
@@ -5,10 +5,10 @@
 import linengauge.Span;
 
 /**
- * Ids of the attempts recently made on one connection to a server. With two attempts of one id on
- * one connection, a late, duplicate or corrupt answer to the first would be taken for an answer to
- * the second, and could prove that a session which ran never ran. For a server with few
- * connections, a retry has to wait for another one.
+ * Ids of attempts made recently, on one connection to a server or on all of them. With two attempts
+ * of one id on one connection, a late, duplicate or corrupt answer to the first would be taken for
+ * an answer to the second, and could prove that a session which ran never ran. For a server with
+ * few connections, a retry has to wait for another one.
  */
 public final class RecentAttemptIds {
   private final int maxEntries;
