--- a/src/main/java/linengauge/platform/ClientListener.java
+++ b/src/main/java/linengauge/platform/ClientListener.java
@@ -182,16 +182,8 @@
 
   void handleRequest(ClientConnection connection, long id, SetUpRequest form) {
     int packageIndex = front.settings().packageNames().indexOf(form.packageName());
-    int cellCount = front.settings().deployment().fleet().cellCount();
-    int rungCount = front.settings().deployment().ladderKbPerSecond().length;
     boolean isHandOver = form.serverName() != null;
-    if (packageIndex < 0
-        || !isAbsentOrBelow(form.firstCell(), cellCount)
-        || !isAbsentOrBelow(form.cellsInRow(), cellCount + 1L)
-        || !isHandOver && isHeldNowhere(form, cellCount)
-        || !isAbsentOrBelow(form.ceiling(), rungCount)
-        || isHandOver && TextFormat.parseServerId(form.serverName()) < 0
-        || !isHandOver && (form.timeLeftMs() <= 0 || form.timeLeftMs() > MAX_TIME_LIMIT_MS)) {
+    if (packageIndex < 0 || !hasValidFigures(form) || !isComplete(form, isHandOver)) {
       connection.onUnusable(
           id,
           "unknown package or value out of range: "
@@ -277,6 +269,24 @@
     }
   }
 
+  private boolean hasValidFigures(SetUpRequest form) {
+    int cellCount = front.settings().deployment().fleet().cellCount();
+    int rungCount = front.settings().deployment().ladderKbPerSecond().length;
+    return isAbsentOrBelow(form.firstCell(), cellCount)
+        && isAbsentOrBelow(form.cellsInRow(), cellCount + 1L)
+        && isAbsentOrBelow(form.ceiling(), rungCount);
+  }
+
+  /** Whether a hand-over names its server, or a set-up a time limit and where its title is held. */
+  private boolean isComplete(SetUpRequest form, boolean isHandOver) {
+    if (isHandOver) {
+      return TextFormat.parseServerId(form.serverName()) >= 0;
+    }
+    return form.timeLeftMs() > 0
+        && form.timeLeftMs() <= MAX_TIME_LIMIT_MS
+        && !isHeldNowhere(form, front.settings().deployment().fleet().cellCount());
+  }
+
   private static boolean isAbsentOrBelow(long value, long limit) {
     return value == SetUpRequest.ABSENT || value >= 0 && value < limit;
   }
--- a/src/main/java/linengauge/platform/ServerLink.java
+++ b/src/main/java/linengauge/platform/ServerLink.java
@@ -38,13 +38,8 @@
   private final ServerIncarnation incarnation = new ServerIncarnation();
   private final List<ServerConnection> connections = new ArrayList<>();
   private final SilenceMonitor silence = new SilenceMonitor(connections);
-
-  /**
-   * When the server went out of reach the last time, as long as nothing was heard since from the
-   * process that ran there before: another one may listen at its address now. Null if there is no
-   * such doubt.
-   */
-  private Moment doubtedSince;
+  private final EarlierProcess earlierProcess = new EarlierProcess(connections);
+  private final ConnectionChoice choice = new ConnectionChoice(connections);
 
   /** Sessions established at the server; each is removed with its end. */
   private final Map<Long, ClientSession> sessions = new LinkedHashMap<>();
@@ -185,10 +180,10 @@
    * again.
    */
   private ServerConnection connectionOf(ClientSession clientSession) {
-    if (isUsable(clientSession.lastUsedConnection())) {
+    if (choice.isUsable(clientSession.lastUsedConnection())) {
       return clientSession.lastUsedConnection();
     }
-    ServerConnection latest = latestHeard(null);
+    ServerConnection latest = choice.latestHeard(null);
     if (latest != null
         || clientSession.lastUsedConnection() == null
         || !clientSession.lastUsedConnection().isUp()) {
@@ -223,7 +218,7 @@
   }
 
   private void sendEndExceptOn(ServerConnection excluded, long id) {
-    ServerConnection connection = latestHeard(excluded);
+    ServerConnection connection = choice.latestHeard(excluded);
     if (connection != null) {
       connection.write(ServerLineCodec.encodeEnd(id));
     } else if (server.state() != BoxTable.State.GONE) {
@@ -241,57 +236,19 @@
     }
   }
 
-  private boolean isUsable(ServerConnection connection) {
-    return connection != null
-        && connection.isUp()
-        && !connection.isRetired()
-        && connections.contains(connection);
-  }
-
-  private ServerConnection latestHeard(ServerConnection excluded) {
-    ServerConnection latest = null;
-    for (ServerConnection connection : connections) {
-      if (connection != excluded
-          && isUsable(connection)
-          && (latest == null
-              || latest.usage().lastReceivedAt().isBefore(connection.usage().lastReceivedAt()))) {
-        latest = connection;
-      }
-    }
-    return latest;
-  }
-
   private void addUnsent(byte[] message) {
     unsentMessages.add(message, front().now());
   }
 
-  /**
-   * The connection with the fewest open attempts and tests that takes more, preferably one that has
-   * not carried that id; or null.
-   */
-  private ServerConnection leastLoaded(long id) {
-    ServerConnection least = null;
-    for (ServerConnection connection : connections) {
-      if (!connection.isRetired()
-          && (least == null
-              || least.hasUsed(id) && !connection.hasUsed(id)
-              || least.hasUsed(id) == connection.hasUsed(id)
-                  && connection.openCount() < least.openCount())) {
-        least = connection;
-      }
-    }
-    return least;
-  }
-
   /**
    * A connection for one more attempt or test: one with none open, else a new one, else the one
    * with the fewest.
    */
   private ServerConnection connectionForAttempt(long id) {
-    ServerConnection least = leastLoaded(id);
-    long usableCount = connections.stream().filter(connection -> !connection.isRetired()).count();
+    ServerConnection least = choice.leastLoaded(id);
     if (least != null
-        && (least.openCount() == 0 && !least.hasUsed(id) || usableCount >= MAX_CONNECTIONS)) {
+        && (least.openCount() == 0 && !least.hasUsed(id)
+            || choice.takingAttempts() >= MAX_CONNECTIONS)) {
       return least;
     }
     ServerConnection opened = openConnection();
@@ -318,7 +275,7 @@
 
   void connectionUp(ServerConnection connection) {
     if (reachability.isUnreachable()) {
-      doubtEarlierProcess(reachability.failedSince());
+      earlierProcess.doubt(reachability.failedSince(), links::nextTestId);
     }
     reachability.onReceived(front().now());
     unsentMessages.sendOn(connection);
@@ -328,48 +285,8 @@
     }
   }
 
-  /**
-   * The connection that has come up shows that a process listens, not which one: what leads to the
-   * earlier one is tested, and reset if that is gone.
-   */
-  private void doubtEarlierProcess(Moment unreachableSince) {
-    doubtedSince = unreachableSince;
-    for (ServerConnection connection : List.copyOf(connections)) {
-      if (isUpSinceBefore(connection, unreachableSince)) {
-        connection.sendLivenessTest(links.nextTestId());
-      }
-    }
-  }
-
-  private static boolean isUpSinceBefore(ServerConnection connection, Moment moment) {
-    return connection.isUp() && connection.usage().upAt().isBefore(moment);
-  }
-
-  /**
-   * The server has closed a connection. If it was out of reach since that came up, and no other
-   * connection of before is left, then the process that ran before is gone: a path that was cut
-   * closes nothing, whereas the machine resets what led to a process that died, also if another one
-   * listens there now.
-   */
-  private void closedByServer(ServerConnection closed) {
-    Moment outage = reachability.isUnreachable() ? reachability.failedSince() : doubtedSince;
-    if (outage == null
-        || !closed.usage().upAt().isBefore(outage)
-        || connections.stream().anyMatch(other -> isUpSinceBefore(other, outage))) {
-      return;
-    }
-    doubtedSince = null;
-    sessionsLost(
-        "reset after an outage",
-        sessions.values().stream()
-            .filter(clientSession -> clientSession.serverSeenAt().isBefore(outage))
-            .toList());
-  }
-
   void dataReceived(ServerConnection connection) {
-    if (doubtedSince != null && isUpSinceBefore(connection, doubtedSince)) {
-      doubtedSince = null;
-    }
+    earlierProcess.onReceived(connection);
     reachability.onReceived(front().now());
     reachability.onHeard(connection.missesBeforeDial());
   }
@@ -395,7 +312,11 @@
     switch (cause) {
       case BY_SERVER -> {
         reachability.onReportsMissed();
-        closedByServer(connection);
+        Moment outage = reachability.isUnreachable() ? reachability.failedSince() : null;
+        Moment gone = earlierProcess.onClosedByServer(connection, outage);
+        if (gone != null) {
+          sessionsLost("reset after an outage", sessionsSeenBefore(gone));
+        }
       }
       case BY_FRONT -> reachability.onReportsMissed();
       case NOT_REACHED -> reachability.onConnectFailed(front().now());
@@ -467,6 +388,12 @@
     sessionsLost(reason, List.copyOf(sessions.values()));
   }
 
+  private List<ClientSession> sessionsSeenBefore(Moment moment) {
+    return sessions.values().stream()
+        .filter(clientSession -> clientSession.serverSeenAt().isBefore(moment))
+        .toList();
+  }
+
   private void sessionsLost(String reason, List<ClientSession> lost) {
     if (!lost.isEmpty()) {
       warnSessionsLost(reason, lost.size());
@@ -560,32 +487,13 @@
     return clientSession == null ? null : clientSession.session();
   }
 
-  /**
-   * Of the given connection and the retired ones without open attempts, the one with the fewest
-   * sessions.
-   */
-  ServerConnection leastUsedRetired(ServerConnection least) {
-    for (ServerConnection connection : connections) {
-      if (connection.isRetired()
-          && connection.openCount() == 0
-          && (least == null || connection.usage().sessionCount() < least.usage().sessionCount())) {
-        least = connection;
-      }
-    }
-    return least;
+  ConnectionChoice choice() {
+    return choice;
   }
 
   /** A connection without open attempts that is kept for sessions alone which do not count. */
   ServerConnection connectionOfUncounted() {
-    if (sessions.isEmpty() || hasCountedSessions()) {
-      return null;
-    }
-    for (ServerConnection connection : connections) {
-      if (connection.openCount() == 0) {
-        return connection;
-      }
-    }
-    return null;
+    return sessions.isEmpty() || hasCountedSessions() ? null : choice.firstWithoutAttempts();
   }
 
   void reported(ServerLineCodec.Load load) {
--- a/src/main/java/linengauge/platform/ServerLinks.java
+++ b/src/main/java/linengauge/platform/ServerLinks.java
@@ -89,7 +89,7 @@
     }
     ServerConnection least = null;
     for (ServerLink link : connectedLinks) {
-      least = link.leastUsedRetired(least);
+      least = link.choice().leastUsedRetired(least);
     }
     if (least == null) {
       least = connectionOfUncounted();
