--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -1,51 +1,56 @@
 package linengauge.platform;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.LogEvent.Kind;
-import linengauge.platform.codec.JournalFrameCodec;
-import linengauge.platform.codec.MalformedMessageException;
+import linengauge.platform.connection.WatchPace;
 import linengauge.session.Backoff;
 import linengauge.session.BoxTable.ListedBox;
+import linengauge.session.Transport.Timer;
 
 /**
- * Follows the journal service, which publishes the discovery events. If the stream breaks, skips an
- * event, or brings no complete frame for clearly longer than the interval of its keep-alive frames,
- * it is requested again from the last event known. The pauses between these requests grow up to a
- * bound and are randomized, since all fronts lose the stream at the same moment.
+ * Follows the journal service, which publishes the discovery events. If a watch breaks or skips an
+ * event, the service is asked again from the last event known; the pauses between these requests
+ * grow up to a bound and are randomized, since all fronts lose their watches at the same moment.
+ *
+ * <p>If a watch brings nothing for clearly longer than the interval of the heartbeats, the service
+ * is asked on another one beside it. The first one is kept: a slow or crowded service may be about
+ * to answer it, and would have to begin again with the new one. Whichever is answered first
+ * replaces the others. The number of watches is bounded.
  */
-final class DiscoveryWatch {
-  private static final Span SILENCE_LIMIT = Span.ofMillis(2200);
+final class DiscoveryWatch implements JournalWatch.Listener {
+  private static final int MAX_WATCHES = 3;
   private static final Span MIN_BACKOFF = Span.ofMillis(50);
-  private static final int WRITE_BUFFER_BYTES = 1024;
+  private static final Span MAX_BACKOFF = Span.ofMillis(800);
 
   /** Separates this random sequence from the module's, which has the same seed. */
   private static final long BACKOFF_SEED_SALT = 0x6c697374L;
 
-  private static final Span MAX_BACKOFF = Span.ofMillis(800);
-
   private final PlatformFront front;
   private String address;
   private long lastEventNumber;
-  private Net.Connection socket;
 
-  /** Counts connections dialled: events of an earlier one are ignored. */
-  private int currentGeneration;
+  /** The watches that have not ended, in the order in which they were opened. */
+  private final List<JournalWatch> watches = new ArrayList<>(MAX_WATCHES);
 
-  private Moment connectedAt;
+  /** Pauses after a watch that has failed. */
+  private final Backoff backoff;
 
-  /** When the last complete frame arrived; an incomplete one is no sign of life. */
-  private Moment lastFrameAt;
+  /** Pauses between watches opened beside others. */
+  private final WatchPace pace;
 
-  private final Backoff backoff;
+  /** Opens a watch after a pause; null if none is planned. */
+  private Timer reconnectTimer;
 
   DiscoveryWatch(PlatformFront front, String address, long seed) {
     this.front = front;
     this.address = address;
-    this.backoff =
-        new Backoff(MIN_BACKOFF, MAX_BACKOFF, new SplittableRandom(seed ^ BACKOFF_SEED_SALT));
+    SplittableRandom random = new SplittableRandom(seed ^ BACKOFF_SEED_SALT);
+    this.backoff = new Backoff(MIN_BACKOFF, MAX_BACKOFF, random);
+    this.pace = new WatchPace(random.split());
   }
 
   /** Applies an event that was known at the start. */
@@ -58,89 +63,133 @@
     if (!newAddress.equals(address)) {
       log("moved from " + address + " to " + newAddress);
       address = newAddress;
+      watches.forEach(JournalWatch::close);
+      watches.clear();
+      cancelReconnect();
       backoff.reset();
+      pace.reset();
       connect();
     }
   }
 
+  /** Opens a watch. */
   void connect() {
-    int generation = ++currentGeneration;
-    if (socket != null) {
-      socket.close();
-      socket = null;
+    JournalWatch watch = new JournalWatch(front, address, this);
+    watches.add(watch);
+    watch.open();
+  }
+
+  @Override
+  public long lastEventNumber() {
+    return lastEventNumber;
+  }
+
+  @Override
+  public void onEvent(JournalWatch watch, long number, boolean full, List<ListedBox> rows) {
+    if (!full && number > lastEventNumber + 1) {
+      watch.fail("skipped from " + lastEventNumber + " to " + number);
+    } else {
+      apply(number, full, rows);
+    }
+  }
+
+  /** The service answers on this watch; the others are not needed any more. */
+  @Override
+  public void onFrames(JournalWatch watch) {
+    if (MAX_BACKOFF.isShorterThan(watch.health().heardFor())) {
+      backoff.reset();
+    }
+    pace.reset();
+    for (JournalWatch other : List.copyOf(watches)) {
+      if (other != watch) {
+        drop(other, "replaced");
+      }
     }
-    lastFrameAt = front.now();
-    front.connect(
-        address,
-        WRITE_BUFFER_BYTES,
-        new Net.ConnectHandler() {
-          @Override
-          public void connected(Net.Connection connection) {
-            if (generation == currentGeneration) {
-              subscribe(connection, generation);
-            } else {
-              connection.close();
-            }
-          }
-
-          @Override
-          public void failed(boolean refused, String reason) {
-            disconnected(generation, "not reached: " + reason);
-          }
-        });
-  }
-
-  private void subscribe(Net.Connection connection, int generation) {
-    socket = connection;
-    connectedAt = front.now();
-    lastFrameAt = connectedAt;
-    log("connected to " + address + ", resuming after event " + lastEventNumber);
-    JournalFrameCodec frames =
-        new JournalFrameCodec(
-            (number, full, rows) -> {
-              if (generation == currentGeneration) {
-                apply(number, full, rows);
+  }
+
+  @Override
+  public void onFailed(JournalWatch watch, String reason) {
+    front.warn("discovery disconnected", address, reason);
+    log("closed: " + reason);
+    watches.remove(watch);
+    boolean isTurnedAway = watch.health().isUnanswered() && longestWaiting() != null;
+    if (isEachOverdue(front.now()) && !isTurnedAway) {
+      scheduleReconnect();
+    }
+  }
+
+  private void scheduleReconnect() {
+    cancelReconnect();
+    reconnectTimer =
+        front.schedule(
+            backoff.nextDelay(),
+            () -> {
+              reconnectTimer = null;
+              if (isEachOverdue(front.now()) && makeRoom()) {
+                connect();
               }
             });
-    connection.setHandlers(
-        data ->
-            front.handleEvent(
-                () -> {
-                  if (generation == currentGeneration) {
-                    try {
-                      if (frames.feed(data) > 0) {
-                        lastFrameAt = front.now();
-                        if (MAX_BACKOFF.isShorterThan(lastFrameAt.since(connectedAt))) {
-                          backoff.reset();
-                        }
-                      }
-                    } catch (MalformedMessageException e) {
-                      disconnected(generation, e.getMessage());
-                    }
-                  }
-                }),
-        () -> front.handleEvent(() -> disconnected(generation, "closed")));
-    connection.write(JournalFrameCodec.encodeResumePosition(lastEventNumber));
-  }
-
-  private void disconnected(int generation, String reason) {
-    if (generation != currentGeneration) {
+  }
+
+  private void cancelReconnect() {
+    if (reconnectTimer != null) {
+      reconnectTimer.cancel();
+      reconnectTimer = null;
+    }
+  }
+
+  /**
+   * Opens another watch if the service has been silent for too long on each; to be called several
+   * times a second.
+   */
+  void checkSilence(Moment now) {
+    if (front.isBehind()) {
       return;
     }
-    front.warn("discovery disconnected", address, reason);
-    log("closed: " + reason);
-    currentGeneration++;
-    if (socket != null) {
-      socket.close();
-      socket = null;
+    for (JournalWatch watch : List.copyOf(watches)) {
+      if (watch.health().isExpired(now)) {
+        drop(watch, "silent");
+      }
+    }
+    if (reconnectTimer == null && isEachOverdue(now) && pace.mayOpen(now) && makeRoom()) {
+      front.warn("discovery silent", address, "");
+      log("silent, asked on another connection");
+      pace.onOpenedBeside(now);
+      connect();
+    }
+  }
+
+  private boolean isEachOverdue(Moment now) {
+    return watches.stream().allMatch(watch -> watch.health().isOverdue(now));
+  }
+
+  /**
+   * Drops a watch if there are as many as allowed; returns whether there is room for another one.
+   * The one that has waited longest for an answer is kept, since a crowded service answers it
+   * first.
+   */
+  private boolean makeRoom() {
+    if (watches.size() < MAX_WATCHES) {
+      return true;
+    }
+    JournalWatch kept = longestWaiting();
+    for (JournalWatch watch : watches) {
+      if (watch != kept && watch.health().isUp()) {
+        drop(watch, "replaced");
+        return true;
+      }
     }
-    front.schedule(
-        backoff.nextDelay(),
-        () -> {
-          if (generation + 1 == currentGeneration) {
-            connect();
-          }
-        });
+    return false;
+  }
+
+  private JournalWatch longestWaiting() {
+    return watches.stream().filter(watch -> watch.health().isUnanswered()).findFirst().orElse(null);
+  }
+
+  private void drop(JournalWatch watch, String reason) {
+    log("closed: " + reason);
+    watches.remove(watch);
+    watch.close();
   }
 
   private void log(String reason) {
@@ -160,27 +209,10 @@
     }
   }
 
-  /**
-   * Reconnects if the service has been silent for too long; to be called several times a second.
-   */
-  void checkSilence(Moment now) {
-    if (socket != null
-        && SILENCE_LIMIT.isShorterThan(now.since(lastFrameAt))
-        && !front.isBehind()) {
-      front.warn("discovery silent", address, "");
-      log("closed: silent");
-      connect();
-    }
-  }
-
   private void apply(long number, boolean full, List<ListedBox> rows) {
     if (number <= lastEventNumber) {
       return; // already applied
     }
-    if (!full && number != lastEventNumber + 1) {
-      disconnected(currentGeneration, "skipped from " + lastEventNumber + " to " + number);
-      return;
-    }
     lastEventNumber = number;
     logEvent(number, full, rows);
     if (full) {
--- /dev/null
+++ b/src/test/java/linengauge/platform/DiscoveryWatchTest.java
@@ -0,0 +1,201 @@
+package linengauge.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import linengauge.Moment;
+import linengauge.Span;
+import linengauge.platform.FakeNet.FakeConnection;
+import linengauge.standin.PlatformJournal;
+import org.junit.jupiter.api.Test;
+
+/** When a front asks the journal service again, on a network in memory with virtual time. */
+class DiscoveryWatchTest {
+  private static final String SERVICE = "127.0.0.1:2";
+  private static final int MAX_WATCHES = 3;
+
+  private final FakeNet net;
+
+  DiscoveryWatchTest() throws Exception {
+    net = FakeNet.front();
+  }
+
+  private static byte[] frame(long number, byte[]... records) {
+    ByteBuffer buffer =
+        ByteBuffer.allocate(13 + 27 * records.length)
+            .putInt(9 + 27 * records.length)
+            .putLong(number)
+            .put((byte) (records.length == 0 ? 0 : 2));
+    for (byte[] record : records) {
+      buffer.put(record);
+    }
+    return buffer.array();
+  }
+
+  private static byte[] drainOf(int server) {
+    return PlatformJournal.record(server, server + 2, 1, 0, 0);
+  }
+
+  private List<FakeConnection> watches() {
+    return net.serverConnections.stream()
+        .filter(connection -> connection.address.equals(SERVICE))
+        .toList();
+  }
+
+  private List<FakeConnection> openWatches() {
+    return watches().stream().filter(watch -> !watch.closed).toList();
+  }
+
+  private long eventsApplied(long number) {
+    return net.events.stream()
+        .filter(event -> event.reason().startsWith("event " + number + ","))
+        .count();
+  }
+
+  private void assertNotified(long number) {
+    assertEquals(1, eventsApplied(number), "event " + number + " was applied once");
+  }
+
+  /** Guards against giving up a watch that the service was about to answer. */
+  @Test
+  void aWatchAnsweredLateReplacesThoseOpenedAfterIt() {
+    FakeConnection first = watches().get(0);
+    net.advance(Span.ofSeconds(8));
+    assertFalse(first.closed);
+    first.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+    assertEquals(List.of(first), openWatches());
+  }
+
+  /** Guards against waiting for a watch that was lost, beside one that is answered. */
+  @Test
+  void anAnswerToALaterWatchReplacesTheOneThatIsNeverAnswered() {
+    net.advance(Span.ofMillis(2500));
+    assertEquals(2, watches().size());
+    FakeConnection second = watches().get(1);
+    second.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+    assertEquals(List.of(second), openWatches());
+  }
+
+  /** Guards against watches that pile up at a service that answers none of them. */
+  @Test
+  void aServiceThatAnswersNothingIsAskedLessAndLessOften() {
+    net.advance(Span.ofSeconds(60));
+    int opened = watches().size();
+    assertTrue(opened >= 60 / 10 && opened <= 3 + 60 / 5, opened + " watches in 60 s");
+    assertTrue(openWatches().size() <= MAX_WATCHES, openWatches().size() + " watches open");
+    List<Moment> times = net.connectTimes(SERVICE);
+    Span firstPause = times.get(1).since(times.get(0));
+    Span laterPause = times.get(5).since(times.get(4));
+    assertTrue(firstPause.isShorterThan(laterPause), firstPause + ", later " + laterPause);
+  }
+
+  /** Guards against a queue at the service that the front leaves and joins again at its end. */
+  @Test
+  void theWatchThatHasWaitedLongestKeepsItsPlace() {
+    FakeConnection first = watches().get(0);
+    net.advance(Span.ofSeconds(100));
+    assertFalse(first.closed);
+    first.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+  }
+
+  @Test
+  void aWatchThatIsNeverAnsweredIsGivenUpInTheEnd() {
+    FakeConnection first = watches().get(0);
+    net.advance(Span.ofSeconds(125));
+    assertTrue(first.closed);
+    int open = openWatches().size();
+    assertTrue(open > 0 && open <= MAX_WATCHES, open + " watches open");
+  }
+
+  /** Guards against losing the place at a crowded service to a watch that carries nothing more. */
+  @Test
+  void aWatchThatFellSilentIsGivenUpBeforeOneThatWaits() {
+    FakeConnection silent = watches().get(0);
+    silent.deliver(frame(1));
+    net.advance(Span.ofSeconds(60));
+    assertTrue(silent.closed);
+    FakeConnection waiting = watches().get(1);
+    assertFalse(waiting.closed);
+    waiting.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+  }
+
+  /** A frozen service that goes on is followed on the watch that it knows. */
+  @Test
+  void aWatchThatFellSilentAndGoesOnIsKept() {
+    FakeConnection first = watches().get(0);
+    first.deliver(frame(1));
+    net.advance(Span.ofSeconds(6));
+    first.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+    assertEquals(List.of(first), openWatches());
+    net.advance(Span.ofSeconds(2));
+    assertEquals(List.of(first), openWatches());
+  }
+
+  /** A break is no slowness: whoever asks at once is served at once. */
+  @Test
+  void aWatchThatBreaksIsReplacedAtOnceThoughAnotherOneIsSilent() {
+    watches().get(0).deliver(frame(1));
+    net.advance(Span.ofMillis(2500));
+    FakeConnection second = watches().get(1);
+    net.refusing.add(SERVICE);
+    second.deliver(new byte[] {0, 0});
+    second.closeByPeer();
+    net.advance(Span.ofMillis(300));
+    net.refusing.clear();
+    net.advance(Span.ofMillis(900));
+    assertEquals(3, watches().size());
+  }
+
+  /** Guards against asking a crowded service at once that turns away while the front waits. */
+  @Test
+  void aServiceThatTurnsAwayALaterWatchIsNotAskedAtOnce() {
+    net.advance(Span.ofMillis(2500));
+    watches().get(1).closeByPeer();
+    net.advance(Span.ofMillis(3000));
+    assertEquals(2, watches().size());
+    net.advance(Span.ofMillis(4000));
+    assertEquals(3, watches().size());
+  }
+
+  @Test
+  void eventsOfTwoWatchesAreAppliedOnceAndInOrder() {
+    net.advance(Span.ofMillis(2500));
+    FakeConnection first = watches().get(0);
+    FakeConnection second = watches().get(1);
+    first.deliver(frame(2, drainOf(1)));
+    second.deliver(frame(2, drainOf(1)));
+    first.deliver(frame(2, drainOf(1)));
+    first.deliver(frame(3, drainOf(2)));
+    assertNotified(2);
+    assertNotified(3);
+    assertEquals(List.of(first), openWatches());
+  }
+
+  /** Guards against a new service that waits for the pauses of the old one. */
+  @Test
+  void aMoveAsksTheNewServiceAtOnceAndOnlyIt() {
+    net.advance(Span.ofSeconds(20));
+    List<FakeConnection> old = openWatches();
+    net.front.changeJournalAddress("127.0.0.1:5");
+    net.front.changeJournalAddress("127.0.0.1:6");
+    net.runDeferred();
+    assertTrue(old.stream().allMatch(watch -> watch.closed));
+    assertTrue(net.latestConnection("127.0.0.1:5").closed);
+    FakeConnection moved = net.latestConnection("127.0.0.1:6");
+    net.advance(Span.ofMillis(2500));
+    assertEquals(2, net.connectionCount("127.0.0.1:6"));
+    moved.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+    assertEquals(1, net.connectionCount("127.0.0.1:5"));
+    old.get(0).deliver(frame(3, drainOf(2)));
+    assertEquals(0, eventsApplied(3), "the old service has nothing more to tell");
+  }
+}
