Discovery: a connection that takes long to come up is waited for; one of several asks

The same shape as a watch that is given up before its answer.

Change: it may take 4 s, within which the system repeats its request for a connection after 1 s and 3 s. One that has not come up after 0.4 s may be lost: another one is begun beside it, three at most. Of those that come up the service is asked on one, so that a slow path makes no crowd. A refused connection is begun again after a pause as before; one that timed out has waited long enough. A service that can be reached again gets a request within 1.5 s (before: some 1.05 s). The simulated network repeats requests for connections as TCP does.

Not played on sockets: a handshake that takes seconds, which loopback does not do.

--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -6,6 +6,7 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.LogEvent.Kind;
+import linengauge.platform.connection.WatchHealth;
 import linengauge.platform.connection.WatchPace;
 import linengauge.session.Backoff;
 import linengauge.session.BoxTable.ListedBox;
@@ -79,6 +80,18 @@
     watch.open();
   }
 
+  /** Of connections that come up at the same time, one is used. */
+  @Override
+  public boolean mayAsk(JournalWatch watch) {
+    boolean isNeeded =
+        watches.stream()
+            .noneMatch(other -> other.health().isUp() && !other.health().isOverdue(front.now()));
+    if (!isNeeded) {
+      drop(watch, "not needed");
+    }
+    return isNeeded;
+  }
+
   @Override
   public long lastEventNumber() {
     return lastEventNumber;
@@ -115,14 +128,15 @@
     front.warn("discovery disconnected", address, reason);
     log("closed: " + reason);
     watches.remove(watch);
-    boolean isTurnedAway = watch.health().isUnanswered() && longestWaiting() != null;
-    if (isEachOverdue(front.now()) && !isTurnedAway) {
+    WatchHealth health = watch.health();
+    boolean isTurnedAway = health.isUnanswered() && longestWaiting() != null;
+    boolean hasTimedOut = !health.isUp() && health.isOverdue(front.now());
+    if (reconnectTimer == null && !isTurnedAway && !hasTimedOut && isEachOverdue(front.now())) {
       scheduleReconnect();
     }
   }
 
   private void scheduleReconnect() {
-    cancelReconnect();
     reconnectTimer =
         front.schedule(
             backoff.nextDelay(),
@@ -154,12 +168,22 @@
         drop(watch, "silent");
       }
     }
-    if (reconnectTimer == null && isEachOverdue(now) && pace.mayOpen(now) && makeRoom()) {
-      front.warn("discovery silent", address, "");
-      log("silent, asked on another connection");
+    if (reconnectTimer == null && isEachOverdue(now)) {
+      openBeside(now);
+    }
+  }
+
+  private void openBeside(Moment now) {
+    boolean wasAsked = !watches.isEmpty() && watches.get(watches.size() - 1).health().isUp();
+    if (wasAsked && !pace.mayOpen(now) || !makeRoom()) {
+      return;
+    }
+    front.warn("discovery silent", address, "");
+    log("silent, opening another connection");
+    if (wasAsked) {
       pace.onOpenedBeside(now);
-      connect();
     }
+    connect();
   }
 
   private boolean isEachOverdue(Moment now) {
--- a/src/main/java/linengauge/platform/JournalWatch.java
+++ b/src/main/java/linengauge/platform/JournalWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import linengauge.Moment;
+import linengauge.Span;
 import linengauge.platform.codec.JournalFrameCodec;
 import linengauge.platform.codec.MalformedMessageException;
 import linengauge.platform.connection.WatchHealth;
@@ -11,8 +12,14 @@
 final class JournalWatch {
   private static final int WRITE_BUFFER_BYTES = 1024;
 
+  /** Within it the system sends its request for a connection three times: at 0, 1 and 3 s. */
+  private static final Span CONNECT_TIME_LIMIT = Span.ofSeconds(4);
+
   /** Receives what a watch carries, until the watch has ended. */
   interface Listener {
+    /** Whether the service is to be asked on a connection that has come up. */
+    boolean mayAsk(JournalWatch watch);
+
     /** The number of the last event known, after which a new watch resumes. */
     long lastEventNumber();
 
@@ -28,7 +35,7 @@
   private final PlatformFront front;
   private final String address;
   private final Listener listener;
-  private final WatchHealth health = new WatchHealth();
+  private final WatchHealth health;
   private final JournalFrameCodec frames;
 
   /** Null while it is dialled. */
@@ -40,17 +47,19 @@
     this.front = front;
     this.address = address;
     this.listener = listener;
+    this.health = new WatchHealth(front.now());
     this.frames = new JournalFrameCodec(this::deliver);
   }
 
   void open() {
     front.connect(
         address,
+        CONNECT_TIME_LIMIT,
         WRITE_BUFFER_BYTES,
         new Net.ConnectHandler() {
           @Override
           public void connected(Net.Connection opened) {
-            if (ended) {
+            if (ended || !listener.mayAsk(JournalWatch.this)) {
               opened.close();
             } else {
               subscribe(opened);
--- a/src/main/java/linengauge/platform/Net.java
+++ b/src/main/java/linengauge/platform/Net.java
@@ -66,10 +66,11 @@
   Moment now();
 
   /**
-   * Opens a connection to host:port, within the connect timeout. At most the given number of bytes
-   * may wait to be written on it.
+   * Opens a connection to host:port, within the time limit, or within the connect timeout of the
+   * settings if that is {@link Span#NONE}. At most the given number of bytes may wait to be written
+   * on it.
    */
-  void connect(String address, int writeBufferBytes, ConnectHandler handler);
+  void connect(String address, Span timeLimit, int writeBufferBytes, ConnectHandler handler);
 
   /** Listens at host:port. At most the given number of bytes may wait on each connection. */
   void listen(String address, int writeBufferBytes, AcceptHandler handler);
--- a/src/main/java/linengauge/platform/PlatformFront.java
+++ b/src/main/java/linengauge/platform/PlatformFront.java
@@ -213,10 +213,11 @@
     sessionManager.updateTime(now);
   }
 
-  /** Opens a connection; its outcome is handled as an event of its own. */
-  void connect(String address, int writeBufferBytes, Net.ConnectHandler handler) {
+  /** As {@link Net#connect}; the outcome is handled as an event of its own. */
+  void connect(String address, Span timeLimit, int writeBufferBytes, Net.ConnectHandler handler) {
     net.connect(
         address,
+        timeLimit,
         writeBufferBytes,
         new Net.ConnectHandler() {
           @Override
--- a/src/main/java/linengauge/platform/ServerConnection.java
+++ b/src/main/java/linengauge/platform/ServerConnection.java
@@ -144,6 +144,7 @@
     front()
         .connect(
             address,
+            Span.NONE,
             WRITE_BUFFER_BYTES,
             new Net.ConnectHandler() {
               @Override
--- a/src/main/java/linengauge/platform/VertxNet.java
+++ b/src/main/java/linengauge/platform/VertxNet.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.ConnectOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
@@ -131,9 +132,17 @@
   }
 
   @Override
-  public void connect(String address, int writeBufferBytes, ConnectHandler handler) {
+  public void connect(
+      String address, Span timeLimit, int writeBufferBytes, ConnectHandler handler) {
+    ConnectOptions options =
+        new ConnectOptions()
+            .setHost(Configuration.host(address))
+            .setPort(Configuration.port(address));
+    if (!timeLimit.equals(Span.NONE)) {
+      options.setTimeout((int) toMillis(timeLimit));
+    }
     client
-        .connect(Configuration.port(address), Configuration.host(address))
+        .connect(options)
         .onComplete(
             result -> {
               if (result.succeeded()) {
--- a/src/main/java/linengauge/platform/connection/WatchHealth.java
+++ b/src/main/java/linengauge/platform/connection/WatchHealth.java
@@ -8,6 +8,9 @@
  * overdue watch may still be answered: the service may be slow, or serve many others first.
  */
 public final class WatchHealth {
+  /** A connection that takes longer to come up may be lost. */
+  private static final Span CONNECT_OVERDUE_AFTER = Span.ofMillis(400);
+
   /** The service sends at least a heartbeat each second. */
   private static final Span SILENCE_LIMIT = Span.ofMillis(2200);
 
@@ -26,6 +29,7 @@
   /** Fewer bytes of a frame within {@link #SILENCE_LIMIT} are no sign of life. */
   private static final int MIN_PROGRESS_BYTES = 27;
 
+  private final Moment openedAt;
   private Moment upAt;
   private Moment lastFrameAt;
   private boolean hasReceived;
@@ -41,6 +45,10 @@
   /** When the frame that is being received began; null between frames. */
   private Moment frameBegunAt;
 
+  public WatchHealth(Moment openedAt) {
+    this.openedAt = openedAt;
+  }
+
   /** The connection is established. */
   public void onUp(Moment now) {
     upAt = now;
@@ -96,9 +104,13 @@
     return isHeard() ? lastFrameAt.since(upAt) : Span.NONE;
   }
 
-  /** Whether the service has sent less than it should, or takes too long for a frame. */
+  /**
+   * Whether the service takes too long to come up or for a frame, or has sent less than it should.
+   */
   public boolean isOverdue(Moment now) {
-    return isUp() && (isSilent(now) || FRAME_TIME_LIMIT.isShorterThan(frameTime(now)));
+    return isUp()
+        ? isSilent(now) || FRAME_TIME_LIMIT.isShorterThan(frameTime(now))
+        : CONNECT_OVERDUE_AFTER.isShorterThan(now.since(openedAt));
   }
 
   /** Whether parts of a frame keep arriving. */
--- a/src/main/java/linengauge/rehearsal/NetworkModel.java
+++ b/src/main/java/linengauge/rehearsal/NetworkModel.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.Net;
 
@@ -20,6 +21,7 @@
   }
 
   private static final Span LATENCY = Span.ofMillis(1);
+  private static final Span FIRST_RETRANSMISSION = Span.ofSeconds(1);
 
   private final VirtualClock clock;
   private final Span dialTimeout;
@@ -76,14 +78,44 @@
         .anyMatch(partition -> partition.from.test(from) && partition.to.test(to));
   }
 
-  /** Tries to open a connection from a process to an address. */
-  void connect(String from, SimulatedProcess process, String to, Net.ConnectHandler callback) {
-    if (isPartitioned(from, to)) {
-      clock.scheduleAt(
-          process.now().plus(dialTimeout),
-          () -> process.deliver(() -> callback.failed(false, "Timeout")));
+  /**
+   * Tries to open a connection from a process to an address, within the time limit or, if that is
+   * {@link Span#NONE}, within the network's own. As over TCP, what a partition has dropped is sent
+   * again after 1 s, then after 2 s and so on.
+   */
+  void connect(
+      String from,
+      SimulatedProcess process,
+      String to,
+      Span timeLimit,
+      Net.ConnectHandler callback) {
+    Moment deadline = process.now().plus(timeLimit.equals(Span.NONE) ? dialTimeout : timeLimit);
+    dial(new Dial(from, process, to, deadline, callback), FIRST_RETRANSMISSION);
+  }
+
+  private record Dial(
+      String from,
+      SimulatedProcess process,
+      String to,
+      Moment deadline,
+      Net.ConnectHandler callback) {}
+
+  private void dial(Dial dial, Span retransmission) {
+    if (!isPartitioned(dial.from, dial.to)) {
+      establish(dial.from, dial.process, dial.to, dial.callback);
       return;
     }
+    Moment next = dial.process.now().plus(retransmission);
+    if (next.isBefore(dial.deadline)) {
+      clock.scheduleAt(next, () -> dial.process.deliver(() -> dial(dial, retransmission.times(2))));
+    } else {
+      clock.scheduleAt(
+          dial.deadline, () -> dial.process.deliver(() -> dial.callback.failed(false, "Timeout")));
+    }
+  }
+
+  private void establish(
+      String from, SimulatedProcess process, String to, Net.ConnectHandler callback) {
     clock.scheduleAt(
         process.now().plus(LATENCY),
         () -> {
--- a/src/main/java/linengauge/rehearsal/SimulatedNet.java
+++ b/src/main/java/linengauge/rehearsal/SimulatedNet.java
@@ -112,9 +112,9 @@
   }
 
   @Override
-  public void connect(String address, int mostUnread, ConnectHandler callback) {
+  public void connect(String address, Span timeLimit, int mostUnread, ConnectHandler callback) {
     recorder.countConnection(address);
-    network.connect(name, process, address, callback);
+    network.connect(name, process, address, timeLimit, callback);
   }
 
   @Override
--- a/src/main/java/linengauge/rehearsal/Viewers.java
+++ b/src/main/java/linengauge/rehearsal/Viewers.java
@@ -57,6 +57,7 @@
               "v" + front,
               process,
               simulation.frontAddress(front),
+              Span.NONE,
               new Net.ConnectHandler() {
                 @Override
                 public void connected(Net.Connection connection) {
--- a/src/test/java/linengauge/platform/DiscoveryWatchTest.java
+++ b/src/test/java/linengauge/platform/DiscoveryWatchTest.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Stream;
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.FakeNet.FakeConnection;
@@ -269,6 +270,54 @@
     assertEquals(List.of(watches().get(1)), openWatches());
   }
 
+  /** Guards against connections that never come up, as each is given up too early. */
+  @Test
+  void aConnectionThatTakesLongToComeUpIsWaitedFor() {
+    watches().get(0).closeByPeer();
+    net.connectsHang = true;
+    net.advance(Span.ofMillis(3500));
+    int opened = watches().size() - 1;
+    assertTrue(opened > 1 && opened <= MAX_WATCHES, opened + " connections");
+    net.completeConnects();
+    assertEquals(1, openWatches().size(), "one is used");
+    openWatches().get(0).deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+    net.advance(Span.ofSeconds(2));
+    assertEquals(1, openWatches().size());
+  }
+
+  /** Guards against waiting for a connection that is lost, beside one that would come up. */
+  @Test
+  void aConnectionThatIsLostIsReplacedSoon() {
+    watches().get(0).closeByPeer();
+    net.connectsHang = true;
+    net.advance(Span.ofMillis(100));
+    net.connectsHang = false;
+    net.advance(Span.ofMillis(700));
+    assertEquals(3, watches().size());
+    watches().get(2).deliver(frame(2, drainOf(1)));
+    assertNotified(2);
+  }
+
+  /** Guards against a service that is found long after it can be reached again. */
+  @Test
+  void aServiceThatIsUnreachableIsTriedAtLeastEverySecondAndAHalf() {
+    watches().get(0).closeByPeer();
+    net.unreachable.add(SERVICE);
+    net.advance(Span.ofSeconds(30));
+    // The system repeats each request for a connection after 1 s and after 3 s.
+    List<Moment> requests =
+        net.connectTimes(SERVICE).stream()
+            .skip(1)
+            .flatMap(at -> Stream.of(at, at.plus(Span.ofSeconds(1)), at.plus(Span.ofSeconds(3))))
+            .sorted()
+            .toList();
+    for (int i = 1; i < requests.size(); i++) {
+      Span pause = requests.get(i).since(requests.get(i - 1));
+      assertTrue(pause.isShorterThan(Span.ofMillis(1500)), pause + " before request " + i);
+    }
+  }
+
   /** Guards against a new service that waits for the pauses of the old one. */
   @Test
   void aMoveAsksTheNewServiceAtOnceAndOnlyIt() {
--- a/src/test/java/linengauge/platform/EventOrderSocketsTest.java
+++ b/src/test/java/linengauge/platform/EventOrderSocketsTest.java
@@ -432,6 +432,7 @@
           () ->
               net.connect(
                   "127.0.0.1:" + serverSocket.getLocalPort(),
+                  Span.NONE,
                   1024,
                   new Net.ConnectHandler() {
                     @Override
--- a/src/test/java/linengauge/platform/FakeNet.java
+++ b/src/test/java/linengauge/platform/FakeNet.java
@@ -376,10 +376,15 @@
   }
 
   @Override
-  public void connect(String address, int mostUnread, ConnectHandler then) {
+  public void connect(String address, Span timeLimit, int mostUnread, ConnectHandler then) {
     connectTimes.computeIfAbsent(address, key -> new ArrayList<>()).add(now);
     if (unreachable.contains(address)) {
-      defer(() -> then.failed(false, "Timeout"));
+      // Connections with a limit of their own are rare enough to be waited for.
+      if (timeLimit.equals(Span.NONE)) {
+        defer(() -> then.failed(false, "Timeout"));
+      } else {
+        schedule(timeLimit, () -> then.failed(false, "Timeout"));
+      }
       return;
     }
     if (refusing.contains(address)) {
--- a/src/test/java/linengauge/platform/VertxNetTest.java
+++ b/src/test/java/linengauge/platform/VertxNetTest.java
@@ -8,6 +8,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -179,6 +181,7 @@
           () ->
               net.connect(
                   "127.0.0.1:" + listener.getLocalPort(),
+                  Span.NONE,
                   ClientListener.WRITE_BUFFER_BYTES,
                   new Net.ConnectHandler() {
                     @Override
@@ -204,4 +207,59 @@
       net.close();
     }
   }
+
+  /** Guards against connections to discovery that are given up after the time for servers. */
+  @Test
+  void aConnectionMayHaveATimeLimitOfItsOwn() throws Exception {
+    VertxNet net = new VertxNet(Span.ofMillis(250), error -> {});
+    List<Socket> queued = new ArrayList<>();
+    try (var listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      fillAcceptQueue(listener, queued);
+      assertTrue(millisUntilFailure(net, listener, Span.NONE) < 700);
+      assertTrue(millisUntilFailure(net, listener, Span.ofMillis(900)) >= 890);
+    } finally {
+      net.close();
+      for (Socket socket : queued) {
+        socket.close();
+      }
+    }
+  }
+
+  /** Connections to the listener do not come up from now on. */
+  private static void fillAcceptQueue(ServerSocket listener, List<Socket> queued) {
+    for (int i = 0; i < 8; i++) {
+      Socket socket = new Socket();
+      queued.add(socket);
+      try {
+        socket.connect(listener.getLocalSocketAddress(), 100);
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private static long millisUntilFailure(VertxNet net, ServerSocket listener, Span timeLimit)
+      throws Exception {
+    var failure = new CompletableFuture<Boolean>();
+    long startedAtNanos = System.nanoTime();
+    net.runOnLoop(
+        () ->
+            net.connect(
+                "127.0.0.1:" + listener.getLocalPort(),
+                timeLimit,
+                ClientListener.WRITE_BUFFER_BYTES,
+                new Net.ConnectHandler() {
+                  @Override
+                  public void connected(Net.Connection connection) {
+                    failure.completeExceptionally(new IOException("the connection came up"));
+                  }
+
+                  @Override
+                  public void failed(boolean refused, String reason) {
+                    failure.complete(refused);
+                  }
+                }));
+    assertFalse(failure.get(10, TimeUnit.SECONDS), "timed out, not refused");
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
+  }
 }
