Discovery: a service that makes long pauses is not asked again after each of them

Cause: the silence limit is fixed at 2.2 s. The watch that went on 0.3 s later had been closed by then, so nothing showed that the suspicion was wrong.

Change: a watch that fell silent is kept for a moment after another one is answered (until 3 s of silence). If it goes on, the limit becomes 1.2 times the pause, 3 s at most, and returns to 2.2 s with shorter pauses.

Before the change one of the two new tests of DiscoveryWatchTest and the play of SlowDiscoverySocketsTest failed; that play now goes on for its whole time, so that it counts all watches.

--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -6,6 +6,7 @@
 import linengauge.Moment;
 import linengauge.Span;
 import linengauge.platform.LogEvent.Kind;
+import linengauge.platform.connection.SilenceLimit;
 import linengauge.platform.connection.WatchHealth;
 import linengauge.platform.connection.WatchPace;
 import linengauge.session.Backoff;
@@ -40,6 +41,8 @@
   /** Pauses after a watch that has failed. */
   private final Backoff backoff;
 
+  private final SilenceLimit silenceLimit = new SilenceLimit();
+
   /** Pauses between watches opened beside others. */
   private final WatchPace pace;
 
@@ -69,13 +72,14 @@
       cancelReconnect();
       backoff.reset();
       pace.reset();
+      silenceLimit.reset();
       connect();
     }
   }
 
   /** Opens a watch. */
   void connect() {
-    JournalWatch watch = new JournalWatch(front, address, this);
+    JournalWatch watch = new JournalWatch(front, address, silenceLimit, this);
     watches.add(watch);
     watch.open();
   }
@@ -108,7 +112,8 @@
 
   /**
    * The service answers on this watch. The others are not needed any more, except one that is
-   * bringing a newer event: it is not begun again from the start.
+   * bringing a newer event, which is not begun again from the start, and for a moment one that fell
+   * silent just before.
    */
   @Override
   public void onFrames(JournalWatch watch) {
@@ -116,8 +121,16 @@
       backoff.reset();
     }
     pace.reset();
+    dropOthers(watch, front.now());
+  }
+
+  private void dropOthers(JournalWatch heard, Moment now) {
     for (JournalWatch other : List.copyOf(watches)) {
-      if (other != watch && !other.isReceivingEventAfter(lastEventNumber, front.now())) {
+      boolean isKept =
+          other == heard
+              || other.isReceivingEventAfter(lastEventNumber, now)
+              || other.health().isOverdue(now) && other.health().mayGoOn(now);
+      if (!isKept) {
         drop(other, "replaced");
       }
     }
@@ -168,6 +181,10 @@
         drop(watch, "silent");
       }
     }
+    watches.stream()
+        .filter(watch -> watch.health().isHeard() && !watch.health().isOverdue(now))
+        .findFirst()
+        .ifPresent(heard -> dropOthers(heard, now));
     if (reconnectTimer == null && isEachOverdue(now)) {
       openBeside(now);
     }
--- a/src/main/java/linengauge/platform/JournalWatch.java
+++ b/src/main/java/linengauge/platform/JournalWatch.java
@@ -5,6 +5,7 @@
 import linengauge.Span;
 import linengauge.platform.codec.JournalFrameCodec;
 import linengauge.platform.codec.MalformedMessageException;
+import linengauge.platform.connection.SilenceLimit;
 import linengauge.platform.connection.WatchHealth;
 import linengauge.session.BoxTable.ListedBox;
 
@@ -43,11 +44,11 @@
 
   private boolean ended;
 
-  JournalWatch(PlatformFront front, String address, Listener listener) {
+  JournalWatch(PlatformFront front, String address, SilenceLimit silenceLimit, Listener listener) {
     this.front = front;
     this.address = address;
     this.listener = listener;
-    this.health = new WatchHealth(front.now());
+    this.health = new WatchHealth(silenceLimit, front.now());
     this.frames = new JournalFrameCodec(this::deliver);
   }
 
--- a/src/main/java/linengauge/platform/connection/WatchHealth.java
+++ b/src/main/java/linengauge/platform/connection/WatchHealth.java
@@ -11,9 +11,6 @@
   /** A connection that takes longer to come up may be lost. */
   private static final Span CONNECT_OVERDUE_AFTER = Span.ofMillis(400);
 
-  /** The service sends at least a heartbeat each second. */
-  private static final Span SILENCE_LIMIT = Span.ofMillis(2200);
-
   /** A watch that is not answered is given up after this time, whatever the service's load. */
   private static final Span MAX_ANSWER_WAIT = Span.ofSeconds(120);
 
@@ -26,9 +23,10 @@
   /** A frame that takes longer than this is given up, even if some of it arrives all the time. */
   private static final Span MAX_FRAME_TIME = Span.ofSeconds(120);
 
-  /** Fewer bytes of a frame within {@link #SILENCE_LIMIT} are no sign of life. */
+  /** Fewer bytes of a frame within the silence limit are no sign of life. */
   private static final int MIN_PROGRESS_BYTES = 27;
 
+  private final SilenceLimit silenceLimit;
   private final Moment openedAt;
   private Moment upAt;
   private Moment lastFrameAt;
@@ -37,7 +35,7 @@
   /** When a frame was completed, or enough of one received. */
   private Moment lastProgressAt;
 
-  /** The bytes received since a moment that is at most {@link #SILENCE_LIMIT} ago. */
+  /** The bytes received since a moment that is at most the silence limit ago. */
   private int recentBytes;
 
   private Moment recentSince;
@@ -45,7 +43,8 @@
   /** When the frame that is being received began; null between frames. */
   private Moment frameBegunAt;
 
-  public WatchHealth(Moment openedAt) {
+  public WatchHealth(SilenceLimit silenceLimit, Moment openedAt) {
+    this.silenceLimit = silenceLimit;
     this.openedAt = openedAt;
   }
 
@@ -65,20 +64,23 @@
   public void onReceived(int bytes, boolean frameCompleted, boolean hasPartialFrame, Moment now) {
     hasReceived = true;
     countRecent(bytes, now);
+    if (frameCompleted || recentBytes >= MIN_PROGRESS_BYTES) {
+      if (isHeard()) {
+        silenceLimit.onPause(now.since(lastProgressAt));
+      }
+      lastProgressAt = now;
+    }
     if (frameCompleted) {
       lastFrameAt = now;
       frameBegunAt = null;
     }
-    if (frameCompleted || recentBytes >= MIN_PROGRESS_BYTES) {
-      lastProgressAt = now;
-    }
     if (hasPartialFrame && frameBegunAt == null) {
       frameBegunAt = now;
     }
   }
 
   private void countRecent(int bytes, Moment now) {
-    if (SILENCE_LIMIT.isShorterThan(now.since(recentSince))) {
+    if (silenceLimit.limit().isShorterThan(now.since(recentSince))) {
       recentSince = now;
       recentBytes = 0;
     }
@@ -118,6 +120,14 @@
     return frameBegunAt != null && !isSilent(now);
   }
 
+  /**
+   * Whether this watch, although silent, may go on soon: that would show that the service is not
+   * gone, but makes long pauses.
+   */
+  public boolean mayGoOn(Moment now) {
+    return isHeard() && now.since(lastProgressAt).isShorterThan(silenceLimit.longest());
+  }
+
   /** Whether this watch is not worth its connection any more. */
   public boolean isExpired(Moment now) {
     Span maxSilence = hasReceived ? MAX_SILENCE : MAX_ANSWER_WAIT;
@@ -127,7 +137,7 @@
   }
 
   private boolean isSilent(Moment now) {
-    return SILENCE_LIMIT.isShorterThan(now.since(lastProgressAt));
+    return silenceLimit.limit().isShorterThan(now.since(lastProgressAt));
   }
 
   private Span frameTime(Moment now) {
--- a/src/test/java/linengauge/platform/DiscoveryPlay.java
+++ b/src/test/java/linengauge/platform/DiscoveryPlay.java
@@ -18,6 +18,7 @@
   private static final long NEVER = Long.MAX_VALUE;
   private static final long EVENT_AFTER_MS = 1000;
   private static final long SETTLING_MS = 300;
+  private static final long MAX_CLOSING_MS = 2000;
   private static final long START_LIMIT_MS = 15_000;
   private static final Span CONNECT_TIMEOUT = Span.ofMillis(250);
 
@@ -98,7 +99,10 @@
     Thread.sleep(SETTLING_MS);
   }
 
-  /** Plays the trouble for that long, or until every front has got the newest event. */
+  /**
+   * Plays the trouble for that long, or until every front has got the newest event if the watches
+   * that were open are affected.
+   */
   Result play(SlowJournal.Trouble trouble, OpenWatches openWatches, int listedServers, long limitMs)
       throws Exception {
     newestEvent = listedServers > 0 ? 3 : 2;
@@ -115,13 +119,16 @@
     long publishedAt = System.nanoTime();
     journal.publish(PlatformJournal.record(1, 9, 1, 0, 0));
     long until = publishedAt + limitMs * 1_000_000;
-    while (System.nanoTime() < until && unnotified() > 0) {
+    while (System.nanoTime() < until && (unnotified() > 0 || openWatches == OpenWatches.GO_ON)) {
       Thread.sleep(20);
     }
     long unnotified = unnotified();
     int opened = journal.opened();
     int mostOpen = journal.mostOpen();
-    Thread.sleep(SETTLING_MS);
+    long settledBy = System.nanoTime() + MAX_CLOSING_MS * 1_000_000;
+    while (System.nanoTime() < settledBy && journal.openNow() > fronts.size()) {
+      Thread.sleep(20);
+    }
     return new Result(
         unnotified > 0 ? NEVER : (lastNotifiedAt() - publishedAt) / 1_000_000,
         unnotified,
--- a/src/test/java/linengauge/platform/DiscoveryWatchTest.java
+++ b/src/test/java/linengauge/platform/DiscoveryWatchTest.java
@@ -318,6 +318,36 @@
     }
   }
 
+  /** Guards against a watch opened after each pause of a service with few heartbeats. */
+  @Test
+  void aServiceWithLongPausesIsNotAskedAfterEachOfThem() {
+    watches().get(0).deliver(frame(1));
+    int answered = 1;
+    for (int i = 0; i < 600; i++) {
+      net.advance(Span.ofMillis(100));
+      while (answered < watches().size()) {
+        watches().get(answered++).deliver(frame(1));
+      }
+      if (i % 25 == 24) {
+        openWatches().forEach(watch -> watch.deliver(frame(1)));
+      }
+    }
+    assertTrue(watches().size() <= 3, watches().size() + " watches in 60 s");
+    assertEquals(1, openWatches().size());
+    net.advance(Span.ofMillis(3400));
+    assertEquals(2, openWatches().size(), "a stop is still noticed in time");
+  }
+
+  /** Guards against keeping connections to a service that does not use them any more. */
+  @Test
+  void aSilentWatchIsClosedSoonAfterAnotherOneIsAnswered() {
+    watches().get(0).deliver(frame(1));
+    net.advance(Span.ofMillis(2500));
+    watches().get(1).deliver(frame(1));
+    net.advance(Span.ofMillis(1000));
+    assertEquals(List.of(watches().get(1)), openWatches());
+  }
+
   /** Guards against a new service that waits for the pauses of the old one. */
   @Test
   void aMoveAsksTheNewServiceAtOnceAndOnlyIt() {
--- a/src/test/java/linengauge/platform/SlowDiscoverySocketsTest.java
+++ b/src/test/java/linengauge/platform/SlowDiscoverySocketsTest.java
@@ -74,6 +74,13 @@
         0,
         14);
     start("a frame each 2.5 s", 1, new Trouble().heartbeatEach(2500), OpenWatches.GO_ON, 0, 14);
+    start(
+        "24 fronts, a frame each 2.5 s",
+        FRONTS,
+        new Trouble().heartbeatEach(2500),
+        OpenWatches.GO_ON,
+        0,
+        14);
     start(
         "crowd of 24, 3 a second",
         FRONTS,
@@ -159,8 +166,9 @@
   }
 
   @Test
-  void aServiceWithFewFramesIsStillFollowed() throws Exception {
-    check("a frame each 2.5 s", 1, 1500, 6);
+  void aServiceWithFewFramesIsStillFollowedAndNotAskedAfterEachPause() throws Exception {
+    check("a frame each 2.5 s", 1, 1500, 3);
+    check("24 fronts, a frame each 2.5 s", FRONTS, 1500, MAX_WATCHES_PER_FRONT * FRONTS);
   }
 
   /** The service could answer each front once within 8 s. */
