Front's discovery: the wait for a first answer grows while the service leaves it unanswered

A discovery service that needed longer than list.silenceMs for its first byte was given up at that fixed limit and asked again, for ever.

Change: the wait for the first byte doubles with each request that was sent and not answered, up to eight times list.silenceMs, and returns to it with the first list. A stream that has carried anything is given up after list.silenceMs as before, parts of a line included; so is one of notes. Refused connections don't lengthen it.

Measured: FrontSocketsTest.aDiscoveryServiceThatAnswersLateIsHeard (silence of 300 ms, first byte after 900 ms, at most 4 requests) failed before (no list within 20 s) and passes. Not built: streams beside each other as on the platform's front.

--- a/src/main/java/linengauge/front/DiscoveryClient.java
+++ b/src/main/java/linengauge/front/DiscoveryClient.java
@@ -33,12 +33,23 @@
   /** Estimated time on the session loop for opening a stream: 300 microseconds. */
   static final Span ESTIMATED_OPEN_TIME = new Span(300);
 
+  /**
+   * The wait for a first byte doubles with each request that is not answered, up to this multiple
+   * of the limit for silence: a service that is slower than the limit would never be heard
+   * otherwise.
+   */
+  private static final int MAX_ANSWER_WAIT_FACTOR = 8;
+
   private final FrontServer front;
   private final Site site;
   private final HttpClient client;
   private final Backoff backoff;
   private final List<String> kindNames = new ArrayList<>();
   private final RateLimitedLog throttledLog = new RateLimitedLog(LOG);
+
+  /** How long the first byte of the next stream may take. */
+  private Span answerWait;
+
   private LineStream stream;
   private boolean closed;
   private long disconnects;
@@ -46,6 +57,7 @@
   DiscoveryClient(Vertx vertx, Site site, long seed, FrontServer front) {
     this.front = front;
     this.site = site;
+    this.answerWait = maxSilence();
     this.client = BoxClient.newClient(vertx, site, 1, 1);
     this.backoff =
         new Backoff(
@@ -77,7 +89,8 @@
                         + site.front().number())
                 .setConnectTimeout(site.boxes().connectMs()),
             site.list().lineBytes(),
-            Span.ofMillis(site.list().silenceMs()),
+            answerWait,
+            maxSilence(),
             new LineStream.Reader() {
               @Override
               public void onLine(byte[] line) {
@@ -91,7 +104,14 @@
             });
   }
 
+  private Span maxSilence() {
+    return Span.ofMillis(site.list().silenceMs());
+  }
+
   private void streamEnded(int status, String reason) {
+    if (status == 0 && stream != null && stream.isUnanswered()) {
+      answerWait = answerWait.times(2).min(maxSilence().times(MAX_ANSWER_WAIT_FACTOR));
+    }
     stream = null;
     disconnects++;
     throttledLog.warn("discovery stream ended", site.list().address(), reason);
@@ -137,6 +157,7 @@
     }
     if (applied) {
       backoff.reset();
+      answerWait = maxSilence();
       front.discoveryUpdated();
     } else if (stream != null) {
       stream.close();
--- a/src/main/java/linengauge/front/LineStream.java
+++ b/src/main/java/linengauge/front/LineStream.java
@@ -28,21 +28,31 @@
   private final FrontServer front;
   private final Reader reader;
   private final Span maxSilence;
+  private final Span maxAnswerWait;
   private HttpClientRequest request;
   private LineSplitter splitter;
   private long lastByteMicros = WallClock.micros();
+  private boolean isAnswered;
   private boolean lineReceived;
   private boolean ended;
 
+  /**
+   * Opens a stream.
+   *
+   * @param maxAnswerWait how long the first byte may take
+   * @param maxSilence how long each further one may take
+   */
   LineStream(
       FrontServer front,
       HttpClient client,
       RequestOptions options,
       int maxLineBytes,
+      Span maxAnswerWait,
       Span maxSilence,
       Reader reader) {
     this.front = front;
     this.reader = reader;
+    this.maxAnswerWait = maxAnswerWait;
     this.maxSilence = maxSilence;
     this.splitter =
         new LineSplitter(
@@ -54,7 +64,7 @@
               }
             },
             () -> end(200, "line longer than " + maxLineBytes + " bytes"));
-    front.schedule(maxSilence, this::checkSilence);
+    front.schedule(maxAnswerWait.min(maxSilence), this::checkSilence);
     client
         .request(options)
         .onComplete(
@@ -92,6 +102,7 @@
               chunk ->
                   front.runOnSessionLoop(
                       () -> {
+                        isAnswered = true;
                         lastByteMicros = WallClock.micros();
                         splitter.append(chunk);
                       }));
@@ -104,8 +115,9 @@
       return;
     }
     Span silent = new Span(WallClock.micros() - lastByteMicros);
-    if (silent.isShorterThan(maxSilence)) {
-      front.schedule(maxSilence.minus(silent), this::checkSilence);
+    Span limit = isAnswered ? maxSilence : maxAnswerWait;
+    if (silent.isShorterThan(limit)) {
+      front.schedule(limit.minus(silent).min(maxSilence), this::checkSilence);
     } else {
       end(0, "silent for " + maxSilence.micros() / 1000 + " ms");
     }
@@ -118,6 +130,11 @@
     }
   }
 
+  /** Whether the request was sent and nothing has been received. */
+  boolean isUnanswered() {
+    return request != null && !isAnswered;
+  }
+
   void close() {
     ended = true;
     splitter.close();
--- a/src/main/java/linengauge/front/NoteStreams.java
+++ b/src/main/java/linengauge/front/NoteStreams.java
@@ -71,6 +71,7 @@
                   site.boxes().connectMs()),
               site.boxes().noteBytes(),
               Span.ofMillis(site.boxes().notesSilenceMs()),
+              Span.ofMillis(site.boxes().notesSilenceMs()),
               new LineStream.Reader() {
                 @Override
                 public void onLine(byte[] line) {
--- a/src/test/java/linengauge/front/FrontFixture.java
+++ b/src/test/java/linengauge/front/FrontFixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import linengauge.drill.Ports;
 import linengauge.site.InvalidSiteException;
 import linengauge.site.SiteFile;
@@ -150,7 +151,12 @@
   }
 
   FrontFixture start() throws Exception {
-    front = newFront();
+    return start(site -> site);
+  }
+
+  /** Starts the front with an edited site file. */
+  FrontFixture start(UnaryOperator<String> edit) throws Exception {
+    front = new FrontServer(SiteFile.parse("rig", edit.apply(siteJson)));
     await(front.start(7));
     waitUntil(() -> get(controlPort, "/ready").statusCode() == 200);
     return this;
--- a/src/test/java/linengauge/front/FrontSocketsTest.java
+++ b/src/test/java/linengauge/front/FrontSocketsTest.java
@@ -15,6 +15,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import linengauge.drill.Ports;
 import linengauge.standin.BoxFleet;
@@ -156,6 +157,44 @@
     }
   }
 
+  /** Guards against a list that is never received, as each request for it is given up too early. */
+  @Test
+  void aDiscoveryServiceThatAnswersLateIsHeard() throws Exception {
+    try (FrontFixture fixture = new FrontFixture(1, "desk: { idleMs: 60000 }")) {
+      int port = Ports.free(1).get(0);
+      var requests = new AtomicInteger();
+      FrontFixture.await(
+          fixture
+              .vertx
+              .createHttpServer()
+              .requestHandler(
+                  request -> {
+                    requests.incrementAndGet();
+                    HttpServerResponse response = request.response().setChunked(true);
+                    response.exceptionHandler(e -> {});
+                    long late =
+                        fixture.vertx.setTimer(
+                            900,
+                            t -> {
+                              response.write(
+                                  "{\"whole\":true,\"revision\":9,\"boxes\":[{\"id\":1,"
+                                      + "\"state\":\"serving\",\"address\":\"127.0.0.1:9\","
+                                      + "\"cell\":0,\"kind\":\"s\",\"building\":\"a\"}]}\n");
+                              fixture.vertx.setPeriodic(100, tick -> response.write("\n"));
+                            });
+                    response.closeHandler(v -> fixture.vertx.cancelTimer(late));
+                  })
+              .listen(port, Ports.HOST));
+      fixture.start(
+          site ->
+              site.replace(
+                  Ports.HOST + ":" + fixture.discoveryPort + "', ",
+                  Ports.HOST + ":" + port + "', silenceMs: 300, "));
+      waitUntil(() -> fixture.state().getLong("listRevision") == 9);
+      assertTrue(requests.get() <= 4, requests.get() + " requests");
+    }
+  }
+
   @Test
   void aViewerThatDisconnectsCancelsItsSetUp() throws Exception {
     try (FrontFixture fixture = start(1)) {
