--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -191,13 +191,13 @@
   }
 
   private void openBeside(Moment now) {
-    boolean wasAsked = !watches.isEmpty() && watches.get(watches.size() - 1).health().isUp();
-    if (wasAsked && !pace.mayOpen(now) || !makeRoom()) {
+    boolean isNewestUp = !watches.isEmpty() && watches.get(watches.size() - 1).health().isUp();
+    if (isNewestUp && !pace.mayOpen(now) || !makeRoom()) {
       return;
     }
     front.warn("discovery silent", address, "");
     log("silent, opening another connection");
-    if (wasAsked) {
+    if (isNewestUp) {
       pace.onOpenedBeside(now);
     }
     connect();
--- a/src/test/java/linengauge/platform/SlowJournal.java
+++ b/src/test/java/linengauge/platform/SlowJournal.java
@@ -285,6 +285,11 @@
     return mostOpen;
   }
 
+  /** Watches that have been answered and that the trouble is to affect. */
+  synchronized int answeredWatches() {
+    return answered.size();
+  }
+
   int openNow() {
     return openWatches.get();
   }
