--- a/src/main/java/linengauge/standin/PlatformJournal.java
+++ b/src/main/java/linengauge/standin/PlatformJournal.java
@@ -15,6 +15,13 @@
  * runs.
  */
 public final class PlatformJournal implements AutoCloseable {
+  private static final int LENGTH_BYTES = 4;
+  private static final int HEADER_BYTES = 9;
+  private static final int RECORD_BYTES = 27;
+  private static final int KIND_HEARTBEAT = 0;
+  private static final int KIND_FULL = 1;
+  private static final int KIND_CHANGES = 2;
+
   private final ServerSocket listener;
   private final List<byte[]> events = new ArrayList<>();
   private final List<Socket> readers = new CopyOnWriteArrayList<>();
@@ -62,7 +69,7 @@
 
   /** Returns an entry of the list; state: 0 ready, 1 draining, 2 gone. */
   public static byte[] record(int id, int port, int state, int cell, long startedMs) {
-    return ByteBuffer.allocate(27)
+    return ByteBuffer.allocate(RECORD_BYTES)
         .putInt(id)
         .put(new byte[] {127, 0, 0, 1})
         .putShort((short) port)
@@ -75,35 +82,49 @@
         .array();
   }
 
-  public synchronized void publish(byte[]... records) {
+  /** Returns a frame that carries changes of the list. */
+  public static byte[] changes(long number, byte[]... records) {
+    return frame(number, KIND_CHANGES, records);
+  }
+
+  /** Returns a frame that carries the whole list. */
+  public static byte[] fullList(long number, byte[]... records) {
+    return frame(number, KIND_FULL, records);
+  }
+
+  /** Returns the frame that says that nothing is newer than that event. */
+  public static byte[] heartbeat(long number) {
+    return frame(number, KIND_HEARTBEAT);
+  }
+
+  private static byte[] frame(long number, int kind, byte[]... records) {
+    int length = HEADER_BYTES + RECORD_BYTES * records.length;
     ByteBuffer frame =
-        ByteBuffer.allocate(13 + 27 * records.length)
-            .putInt(9 + 27 * records.length)
-            .putLong(events.size() + 1)
-            .put((byte) 2);
-    for (byte[] entry : records) {
-      frame.put(entry);
+        ByteBuffer.allocate(LENGTH_BYTES + length).putInt(length).putLong(number).put((byte) kind);
+    for (byte[] record : records) {
+      frame.put(record);
     }
-    events.add(frame.array());
-    send(frame.array());
+    return frame.array();
+  }
+
+  /** Publishes changes of the list as the next event. */
+  public synchronized void publish(byte[]... records) {
+    byte[] frame = frame(events.size() + 1, KIND_CHANGES, records);
+    events.add(frame);
+    send(frame);
   }
 
   /** Sends a heartbeat, which has the number of the last event. */
   public synchronized void sendHeartbeat() {
-    send(ByteBuffer.allocate(13).putInt(9).putLong(events.size()).put((byte) 0).array());
+    send(heartbeat(events.size()));
   }
 
   /** Breaks the connections within an event; a reader that reconnects gets the whole event. */
   public synchronized void breakDuringEvent(byte[] record) throws IOException {
-    ByteBuffer frame =
-        ByteBuffer.allocate(13 + 27)
-            .putInt(9 + 27)
-            .putLong(events.size() + 1)
-            .put((byte) 2)
-            .put(record);
-    events.add(frame.array());
+    byte[] frame = frame(events.size() + 1, KIND_CHANGES, record);
+    events.add(frame);
     for (Socket socket : readers) {
-      socket.getOutputStream().write(frame.array(), 0, 20);
+      socket.getOutputStream().write(frame, 0, 20);
       socket.close();
     }
     readers.clear();
--- a/src/test/java/linengauge/platform/DiscoveryWatchTest.java
+++ b/src/test/java/linengauge/platform/DiscoveryWatchTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
@@ -26,15 +25,9 @@
   }
 
   private static byte[] frame(long number, byte[]... records) {
-    ByteBuffer buffer =
-        ByteBuffer.allocate(13 + 27 * records.length)
-            .putInt(9 + 27 * records.length)
-            .putLong(number)
-            .put((byte) (records.length == 0 ? 0 : 2));
-    for (byte[] record : records) {
-      buffer.put(record);
-    }
-    return buffer.array();
+    return records.length == 0
+        ? PlatformJournal.heartbeat(number)
+        : PlatformJournal.changes(number, records);
   }
 
   private static byte[] drainOf(int server) {
@@ -190,9 +183,7 @@
     for (int i = 0; i < records.length; i++) {
       records[i] = drainOf(i + 1);
     }
-    byte[] list = frame(number, records);
-    list[12] = 1;
-    return list;
+    return PlatformJournal.fullList(number, records);
   }
 
   /** Guards against a list that is begun again and again because it is slow. */
--- a/src/test/java/linengauge/platform/EventOrderTest.java
+++ b/src/test/java/linengauge/platform/EventOrderTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -707,15 +706,9 @@
   /* ---- the discovery stream ---- */
 
   private static byte[] frame(long number, byte[]... records) {
-    ByteBuffer buffer =
-        ByteBuffer.allocate(13 + 27 * records.length)
-            .putInt(9 + 27 * records.length)
-            .putLong(number)
-            .put((byte) (records.length == 0 ? 0 : 2));
-    for (byte[] record : records) {
-      buffer.put(record);
-    }
-    return buffer.array();
+    return records.length == 0
+        ? PlatformJournal.heartbeat(number)
+        : PlatformJournal.changes(number, records);
   }
 
   private static long discoveryConnectionCount(FakeNet net) {
--- a/src/test/java/linengauge/platform/FakeNet.java
+++ b/src/test/java/linengauge/platform/FakeNet.java
@@ -304,14 +304,7 @@
 
   /** The journal service sends the event of that number with the given server record. */
   void sendServerEvent(long number, byte[] record) {
-    latestConnection("127.0.0.1:2")
-        .deliver(
-            ByteBuffer.allocate(13 + record.length)
-                .putInt(9 + record.length)
-                .putLong(number)
-                .put((byte) 2)
-                .put(record)
-                .array());
+    latestConnection("127.0.0.1:2").deliver(PlatformJournal.changes(number, record));
     runDeferred();
   }
 
--- a/src/test/java/linengauge/platform/SlowJournal.java
+++ b/src/test/java/linengauge/platform/SlowJournal.java
@@ -6,7 +6,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -211,7 +210,7 @@
   }
 
   private synchronized byte[] heartbeat() {
-    return ByteBuffer.allocate(13).putInt(9).putLong(events.size()).put((byte) 0).array();
+    return PlatformJournal.heartbeat(events.size());
   }
 
   private static void writeEvenly(OutputStream output, byte[] event, long totalMs)
@@ -254,15 +253,11 @@
 
   /** Publishes a change of one server, or the whole list if there are more entries. */
   synchronized void publish(byte[]... records) {
-    ByteBuffer frame =
-        ByteBuffer.allocate(13 + 27 * records.length)
-            .putInt(9 + 27 * records.length)
-            .putLong(events.size() + 1)
-            .put((byte) (records.length > 1 ? 1 : 2));
-    for (byte[] record : records) {
-      frame.put(record);
-    }
-    events.add(frame.array());
+    long number = events.size() + 1;
+    events.add(
+        records.length > 1
+            ? PlatformJournal.fullList(number, records)
+            : PlatformJournal.changes(number, records));
     notifyAll();
   }
 
