Discovery: connections that are being opened replace no watch, and are begun at intervals

A watch gives way only when another one has come up. A first connection that timed out does not delay the first watch beside it.

Measured: DiscoveryWatchTest.connectionsThatDoNotComeUpReplaceNothing failed before and passes.

--- a/src/main/java/linengauge/platform/DiscoveryWatch.java
+++ b/src/main/java/linengauge/platform/DiscoveryWatch.java
@@ -24,7 +24,15 @@
  * replaces the others. The number of watches is bounded.
  */
 final class DiscoveryWatch implements JournalWatch.Listener {
+  /** The most watches on connections that are up. */
   private static final int MAX_WATCHES = 3;
+
+  /** The most connections that are being opened. */
+  private static final int MAX_DIALS = 3;
+
+  /** The interval of further connections while two or more are being opened. */
+  private static final Span DIAL_INTERVAL = Span.ofMillis(1300);
+
   private static final Span MIN_BACKOFF = Span.ofMillis(50);
   private static final Span MAX_BACKOFF = Span.ofMillis(800);
 
@@ -36,7 +44,7 @@
   private long lastEventNumber;
 
   /** The watches that have not ended, in the order in which they were opened. */
-  private final List<JournalWatch> watches = new ArrayList<>(MAX_WATCHES);
+  private final List<JournalWatch> watches = new ArrayList<>(MAX_WATCHES + MAX_DIALS);
 
   /** Pauses after a watch that has failed. */
   private final Backoff backoff;
@@ -89,7 +97,8 @@
   public boolean mayAsk(JournalWatch watch) {
     boolean isNeeded =
         watches.stream()
-            .noneMatch(other -> other.health().isUp() && !other.health().isOverdue(front.now()));
+                .noneMatch(other -> other.health().isUp() && !other.health().isOverdue(front.now()))
+            && makeRoom();
     if (!isNeeded) {
       drop(watch, "not needed");
     }
@@ -155,7 +164,7 @@
             backoff.nextDelay(),
             () -> {
               reconnectTimer = null;
-              if (isEachOverdue(front.now()) && makeRoom()) {
+              if (isEachOverdue(front.now()) && dialCount() < MAX_DIALS) {
                 connect();
               }
             });
@@ -191,29 +200,40 @@
   }
 
   private void openBeside(Moment now) {
-    boolean isNewestUp = !watches.isEmpty() && watches.get(watches.size() - 1).health().isUp();
-    if (isNewestUp && !pace.mayOpen(now) || !makeRoom()) {
+    long dials = dialCount();
+    boolean isDue = dials == 0 ? watches.isEmpty() || pace.mayOpen(now) : isDialDue(dials, now);
+    if (!isDue) {
       return;
     }
     front.warn("discovery silent", address, "");
     log("silent, opening another connection");
-    if (isNewestUp) {
+    if (dials == 0 && !watches.isEmpty()) {
       pace.onOpenedBeside(now);
     }
     connect();
   }
 
+  private boolean isDialDue(long dials, Moment now) {
+    JournalWatch newest = watches.get(watches.size() - 1);
+    return dials == 1
+        || dials < MAX_DIALS && !newest.health().age(now).isShorterThan(DIAL_INTERVAL);
+  }
+
+  private long dialCount() {
+    return watches.stream().filter(watch -> !watch.health().isUp()).count();
+  }
+
   private boolean isEachOverdue(Moment now) {
     return watches.stream().allMatch(watch -> watch.health().isOverdue(now));
   }
 
   /**
-   * Drops a watch if there are as many as allowed; returns whether there is room for another one.
-   * The one that has waited longest for an answer is kept, since a crowded service answers it
-   * first, and so is one that is bringing a newer event.
+   * Drops a watch if as many are up as allowed; returns whether there is room for another one. The
+   * one that has waited longest for an answer is kept, since a crowded service answers it first,
+   * and so is one that is bringing a newer event.
    */
   private boolean makeRoom() {
-    if (watches.size() < MAX_WATCHES) {
+    if (watches.size() - dialCount() < MAX_WATCHES) {
       return true;
     }
     JournalWatch kept = longestWaiting();
--- a/src/main/java/linengauge/platform/connection/WatchHealth.java
+++ b/src/main/java/linengauge/platform/connection/WatchHealth.java
@@ -79,6 +79,11 @@
     }
   }
 
+  /** The time since the connection was begun. */
+  public Span age(Moment now) {
+    return now.since(openedAt);
+  }
+
   private void countRecent(int bytes, Moment now) {
     if (silenceLimit.limit().isShorterThan(now.since(recentSince))) {
       recentSince = now;
--- a/src/test/java/linengauge/platform/DiscoveryPlay.java
+++ b/src/test/java/linengauge/platform/DiscoveryPlay.java
@@ -26,7 +26,9 @@
   enum OpenWatches {
     BREAK_OFF,
     FALL_SILENT,
-    GO_ON
+    GO_ON,
+    /** There is none: the fronts start during the trouble. */
+    NONE_YET
   }
 
   /**
@@ -88,12 +90,19 @@
 
   DiscoveryPlay(int frontCount) throws Exception {
     for (int i = 0; i < frontCount; i++) {
-      Front front = new Front();
-      fronts.add(front);
-      front.start(i);
+      fronts.add(new Front());
     }
+  }
+
+  private void startFronts() throws Exception {
+    for (int i = 0; i < fronts.size(); i++) {
+      fronts.get(i).start(i);
+    }
+  }
+
+  private void awaitFollowed() throws InterruptedException {
     long until = System.nanoTime() + START_LIMIT_MS * 1_000_000;
-    while (journal.answeredWatches() < frontCount) {
+    while (journal.answeredWatches() < fronts.size()) {
       if (System.nanoTime() > until) {
         throw new IllegalStateException("not every front follows the service");
       }
@@ -109,8 +118,14 @@
   Result play(SlowJournal.Trouble trouble, OpenWatches openWatches, int listedServers, long limitMs)
       throws Exception {
     newestEvent = listedServers > 0 ? 3 : 2;
+    if (openWatches != OpenWatches.NONE_YET) {
+      startFronts();
+      awaitFollowed();
+    }
     journal.beginTrouble(trouble);
-    if (listedServers > 0) {
+    if (openWatches == OpenWatches.NONE_YET) {
+      startFronts();
+    } else if (listedServers > 0) {
       journal.breakOff();
       journal.publish(SlowJournal.listOf(listedServers));
     } else if (openWatches == OpenWatches.BREAK_OFF) {
--- a/src/test/java/linengauge/platform/DiscoveryWatchTest.java
+++ b/src/test/java/linengauge/platform/DiscoveryWatchTest.java
@@ -307,6 +307,19 @@
       Span pause = requests.get(i).since(requests.get(i - 1));
       assertTrue(pause.isShorterThan(Span.ofMillis(1500)), pause + " before request " + i);
     }
+    assertTrue(net.connectTimes(SERVICE).size() < 30, "no more than one each second");
+  }
+
+  /** Guards against losing a watch that may go on to connections that do not come up. */
+  @Test
+  void connectionsThatDoNotComeUpReplaceNothing() {
+    FakeConnection first = watches().get(0);
+    first.deliver(frame(1));
+    net.unreachable.add(SERVICE);
+    net.advance(Span.ofSeconds(9));
+    assertFalse(first.closed);
+    first.deliver(frame(2, drainOf(1)));
+    assertNotified(2);
   }
 
   /** Guards against a watch opened after each pause of a service with few heartbeats. */
--- a/src/test/java/linengauge/platform/SlowDiscoverySocketsTest.java
+++ b/src/test/java/linengauge/platform/SlowDiscoverySocketsTest.java
@@ -69,6 +69,8 @@
     startBroken("crowd of 24, 3 a second", FRONTS, new Trouble().watchesPerSecond(3));
     startBroken("crowd of 16, 4 a second", 16, new Trouble().watchesPerSecond(4));
     startWithList("24 fronts, list over 4 s", FRONTS, 4);
+    Trouble crowdedAtStart = new Trouble().watchesPerSecond(3);
+    start("24 that start in a crowd, 3 a second", FRONTS, crowdedAtStart, OpenWatches.NONE_YET, 0);
     Trouble crowded = new Trouble().watchesPerSecond(3);
     start("crowd of 24 that fell silent, 3 a second", FRONTS, crowded, OpenWatches.FALL_SILENT, 0);
     Trouble fewFrames = new Trouble().heartbeatEach(2500);
@@ -149,6 +151,7 @@
   void aCrowdIsServedWithinTheTimeThatItsServiceNeeds() throws Exception {
     check("crowd of 24, 3 a second", FRONTS, 8000, MAX_WATCHES_PER_FRONT * FRONTS);
     check("crowd of 16, 4 a second", 16, 4000, MAX_WATCHES_PER_FRONT * 16);
+    check("24 that start in a crowd, 3 a second", FRONTS, 8000, MAX_WATCHES_PER_FRONT * FRONTS);
     check(
         "crowd of 24 that fell silent, 3 a second",
         FRONTS,
