Tests: voters' ports are outside the range that the system gives to connections

Cause, as far as shown: the test took ports of the system's range, in which any connection of any process may get the port of a voter that is away, among them those of the links that ask for it all the time. Change: ports come from drill.Ports, below that range. No check changed.

--- a/src/main/java/linengauge/drill/Ports.java
+++ b/src/main/java/linengauge/drill/Ports.java
@@ -62,18 +62,28 @@
     return free(count, List.of());
   }
 
+  /** Returns the given number of distinct ports that are not in use at the address. */
+  public static List<Integer> free(String host, int count) throws IOException {
+    return free(host, count, List.of());
+  }
+
   /** Returns distinct free ports, excluding those already assigned but not in use yet. */
   static List<Integer> free(int count, List<Integer> reserved) throws IOException {
+    return free(HOST, count, reserved);
+  }
+
+  private static List<Integer> free(String host, int count, List<Integer> reserved)
+      throws IOException {
     SplittableRandom random =
         new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32);
     List<Integer> ports = new ArrayList<>();
     for (int attempts = 0; ports.size() < count; attempts++) {
       if (attempts > 20 * count + 200) {
-        throw new IOException("no free ports on " + HOST);
+        throw new IOException("no free ports on " + host);
       }
       int port = FIRST_PORT + random.nextInt(PORT_COUNT);
       try (ServerSocket socket = new ServerSocket()) {
-        socket.bind(new InetSocketAddress(InetAddress.getByName(HOST), port));
+        socket.bind(new InetSocketAddress(InetAddress.getByName(host), port));
         if (!ports.contains(port) && !reserved.contains(port)) {
           ports.add(port);
         }
--- a/src/test/java/linengauge/consensus/ConsensusProcessesTest.java
+++ b/src/test/java/linengauge/consensus/ConsensusProcessesTest.java
@@ -9,8 +9,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,6 +21,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import linengauge.cli.Main;
+import linengauge.drill.Ports;
 import linengauge.standin.FaultyLink;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -50,11 +49,9 @@
   void start() throws Exception {
     Files.writeString(dir.resolve("key"), "a key of the whole fleet");
     Files.writeString(dir.resolve("other-key"), "a key of somebody else's");
-    InetAddress here = InetAddress.getByName("127.0.0.1");
+    // The system gives these ports to no connection while a voter that was killed is away.
+    ports.addAll(Ports.free("127.0.0.1", ALL + 1));
     for (int i = 0; i <= ALL; i++) {
-      try (ServerSocket free = new ServerSocket(0, 1, here)) {
-        ports.add(free.getLocalPort());
-      }
       records.add(new ArrayList<>());
     }
     for (int i = 0; i <= ALL; i++) {
